--- /dev/null
+++ b/crates/core/src/ledger/keeper.rs
@@ -0,0 +1,117 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sycamore_types::id::{self, Epoch};
+
+use super::Book;
+use crate::context::{Context, Purpose};
+use crate::store::{self, Change, Document, Reply};
+
+/// Time after which the planner reads the ledger again by itself.
+const REFRESH: Duration = Duration::from_secs(10);
+
+/// Reads the ledger and writes it.
+#[derive(Debug)]
+pub(crate) struct Keeper {
+    document: Document<Book>,
+    stamps: BTreeMap<id::Shard, Epoch>,
+    in_flight: BTreeMap<id::Shard, Epoch>,
+    must_refresh: bool,
+    refreshed_at: Duration,
+}
+
+/// What a reply meant for the ledger.
+#[derive(Debug, Eq, PartialEq)]
+pub(crate) enum Outcome {
+    /// Nothing that matters to others.
+    Nothing,
+    /// The ledger was written, with the epochs of these shards stamped.
+    Written(BTreeMap<id::Shard, Epoch>),
+}
+
+impl Keeper {
+    pub(crate) fn new() -> Keeper {
+        Keeper {
+            document: Document::new(store::LEDGER),
+            stamps: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
+            must_refresh: false,
+            refreshed_at: Duration::ZERO,
+        }
+    }
+
+    pub(crate) fn book(&self) -> Option<&Book> {
+        self.document.get()
+    }
+
+    pub(crate) fn revision(&self) -> u64 {
+        self.document.revision()
+    }
+
+    /// Tells whether a plan may be written now.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.document.is_idle() && self.document.get().is_some() && self.stamps.is_empty()
+    }
+
+    /// Asks for an epoch to be stamped into a shard's account.
+    pub(crate) fn stamp(&mut self, shard: id::Shard, epoch: Epoch) {
+        self.stamps.insert(shard, epoch);
+    }
+
+    /// Forgets a stamp that is no longer wanted.
+    pub(crate) fn drop_stamp(&mut self, shard: &id::Shard) {
+        self.stamps.remove(shard);
+    }
+
+    pub(crate) fn tick(&mut self, cx: &mut Context<'_>, is_planner: bool) {
+        let is_wanted = is_planner || !self.stamps.is_empty();
+        let is_due = cx.now >= self.refreshed_at + REFRESH;
+        let must_read = self.document.get().is_none() || self.must_refresh || is_due;
+        if is_wanted && must_read {
+            if let Some(op) = self.document.refresh() {
+                self.must_refresh = false;
+                self.refreshed_at = cx.now;
+                cx.store(Purpose::Ledger, op);
+            }
+            return;
+        }
+        if !self.stamps.is_empty() && self.document.is_idle() {
+            self.write_stamps(cx);
+        }
+    }
+
+    fn write_stamps(&mut self, cx: &mut Context<'_>) {
+        let Some(mut book) = self.document.get().cloned() else {
+            return;
+        };
+        for (shard, epoch) in &self.stamps {
+            let account = book.accounts.entry(shard.clone()).or_default();
+            account.epoch = *epoch;
+            account.bound = 0;
+        }
+        self.in_flight = std::mem::take(&mut self.stamps);
+        self.propose(cx, book);
+    }
+
+    /// Writes a plan. The keeper must be ready.
+    pub(crate) fn propose(&mut self, cx: &mut Context<'_>, book: Book) {
+        let op = self.document.propose(book, cx.calls.write_id());
+        cx.store(Purpose::Ledger, op);
+    }
+
+    pub(crate) fn on_reply(&mut self, cx: &mut Context<'_>, reply: Reply) -> Outcome {
+        match self.document.on_reply(reply) {
+            Change::Send(op) => cx.store(Purpose::Ledger, op),
+            Change::Read => {}
+            Change::Written => return Outcome::Written(std::mem::take(&mut self.in_flight)),
+            Change::Conflict => self.stamps.append(&mut self.in_flight),
+            Change::Failed => {
+                if self.document.is_idle() {
+                    self.stamps.append(&mut self.in_flight);
+                }
+                self.must_refresh = true;
+            }
+        }
+        Outcome::Nothing
+    }
+}
--- /dev/null
+++ b/crates/core/src/ledger/planner.rs
@@ -0,0 +1,281 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use sycamore_types::Name;
+use sycamore_types::config::Document;
+use sycamore_types::id::{self, Epoch, Revision};
+use sycamore_types::resources::Resources;
+
+use super::{Account, Book};
+use crate::peer::{Demand, Summary};
+
+/// Age past which a summary is no longer planned with.
+const FRESH: Duration = Duration::from_secs(3);
+
+/// Divides team limits by what the shards want.
+#[derive(Debug, Default)]
+pub(crate) struct Planner {
+    summaries: BTreeMap<id::Shard, Reported>,
+}
+
+#[derive(Debug)]
+struct Reported {
+    summary: Summary,
+    at: Duration,
+    from: id::Member,
+}
+
+/// What the planner has worked out.
+#[derive(Debug, Default)]
+pub(crate) struct Plan {
+    /// Ledger to write, if it differs from the present one.
+    pub(crate) book: Option<Book>,
+    /// Caps to ask owners for.
+    pub(crate) lower: BTreeMap<id::Shard, BTreeMap<Name, u32>>,
+}
+
+/// One shard's part in the plan for one team.
+struct Part<'a> {
+    shard: &'a id::Shard,
+    held: u32,
+    demand: Demand,
+    /// The shard has reported and its word counts.
+    is_reported: bool,
+    /// The owner has lowered its caps since the ledger was written.
+    has_bound: bool,
+    target: u32,
+}
+
+impl Planner {
+    /// Takes in a summary; an older epoch never replaces a newer one.
+    pub(crate) fn note(&mut self, now: Duration, from: &id::Member, summary: Summary) {
+        let is_older = self
+            .summaries
+            .get(&summary.shard)
+            .is_some_and(|known| known.summary.epoch > summary.epoch);
+        if !is_older {
+            let shard = summary.shard.clone();
+            self.summaries.insert(
+                shard,
+                Reported {
+                    summary,
+                    at: now,
+                    from: from.clone(),
+                },
+            );
+        }
+    }
+
+    /// Returns the member and epoch that last reported for a shard.
+    pub(crate) fn owner(&self, shard: &id::Shard) -> Option<(&id::Member, Epoch)> {
+        self.summaries
+            .get(shard)
+            .map(|known| (&known.from, known.summary.epoch))
+    }
+
+    /// Returns the shards whose owners run under other caps than the ledger grants.
+    pub(crate) fn out_of_step(&self, book: &Book) -> Vec<id::Shard> {
+        let is_off = |shard: &id::Shard, known: &Reported| {
+            book.accounts.get(shard).is_some_and(|account| {
+                let is_same_epoch = account.epoch == known.summary.epoch;
+                let is_raised = account.tokens.iter().any(|(team, held)| {
+                    known.summary.teams.get(team).map_or(0, |demand| demand.cap) < *held
+                });
+                is_same_epoch && account.bound >= known.summary.bound && is_raised
+            })
+        };
+        let off = self
+            .summaries
+            .iter()
+            .filter(|(shard, known)| is_off(shard, known));
+        off.map(|(shard, _)| shard.clone()).collect()
+    }
+
+    /// Returns capacity and usage over the whole fleet, from summaries that are fresh.
+    pub(crate) fn usage(&self, now: Duration) -> (Resources, BTreeMap<Name, Resources>) {
+        let mut capacity = Resources::default();
+        let mut teams: BTreeMap<Name, Resources> = BTreeMap::new();
+        for known in self.fresh(now) {
+            capacity = capacity.plus(&known.summary.capacity);
+            for (team, demand) in &known.summary.teams {
+                let used = teams.entry(team.clone()).or_default();
+                *used = used.plus(&demand.used);
+            }
+        }
+        (capacity, teams)
+    }
+
+    fn fresh(&self, now: Duration) -> impl Iterator<Item = &Reported> {
+        self.summaries
+            .values()
+            .filter(move |known| now <= known.at + FRESH)
+    }
+
+    /// Works out the next ledger and the caps to ask for.
+    pub(crate) fn plan(
+        &self,
+        now: Duration,
+        book: &Book,
+        config: &Document,
+        revision: Revision,
+    ) -> Plan {
+        // A planner with an older configuration than the ledger's might hand
+        // out tokens of a limit that has been lowered since.
+        if revision < book.config {
+            return Plan::default();
+        }
+        let mut next = book.clone();
+        next.config = revision;
+        let mut plan = Plan::default();
+        let mut teams: BTreeSet<Name> = config.teams.keys().cloned().collect();
+        teams.extend(
+            book.accounts
+                .values()
+                .flat_map(|account| account.tokens.keys().cloned()),
+        );
+        for team in &teams {
+            let limit = config.teams.get(team).map_or(0, |settings| settings.limit);
+            self.plan_team(now, team, limit, &mut next, &mut plan);
+        }
+        self.note_bounds(now, &mut next);
+        if next.accounts != book.accounts {
+            plan.book = Some(next);
+        }
+        plan
+    }
+
+    fn plan_team(&self, now: Duration, team: &Name, limit: u32, next: &mut Book, plan: &mut Plan) {
+        let book = next.clone();
+        let mut parts = self.parts(now, team, &book);
+        set_targets(&mut parts, limit);
+        let held: u32 = parts.iter().map(|part| part.held).sum();
+        let is_short = parts
+            .iter()
+            .any(|part| part.target > part.held && part.wants() > part.held);
+        if is_short || held > limit {
+            ask_to_lower(&parts, team, plan);
+        }
+        settle(&mut parts, limit);
+        for part in &parts {
+            let tokens = part.held;
+            let shard = part.shard.clone();
+            let account = next.accounts.entry(shard).or_default();
+            if tokens > 0 {
+                account.tokens.insert(team.clone(), tokens);
+            } else {
+                account.tokens.remove(team);
+            }
+        }
+    }
+
+    fn parts<'a>(&self, now: Duration, team: &Name, book: &'a Book) -> Vec<Part<'a>> {
+        let part = |(shard, account): (&'a id::Shard, &Account)| {
+            let fresh = self.reported(now, shard, account);
+            let demand = fresh.and_then(|summary| summary.teams.get(team)).copied();
+            let held = account.tokens.get(team).copied().unwrap_or(0);
+            Part {
+                shard,
+                held,
+                demand: demand.unwrap_or_default(),
+                is_reported: fresh.is_some(),
+                has_bound: fresh.is_some_and(|summary| summary.bound > account.bound),
+                target: held,
+            }
+        };
+        book.accounts.iter().map(part).collect()
+    }
+
+    /// Returns the fresh word of the owner that an account was granted to.
+    fn reported(&self, now: Duration, shard: &id::Shard, account: &Account) -> Option<&Summary> {
+        let known = self.summaries.get(shard)?;
+        let is_fresh = now <= known.at + FRESH;
+        (is_fresh && known.summary.epoch == account.epoch).then_some(&known.summary)
+    }
+
+    /// Notes in the ledger which lowering of each owner it reflects.
+    fn note_bounds(&self, now: Duration, next: &mut Book) {
+        for (shard, account) in &mut next.accounts {
+            if let Some(summary) = self.reported(now, shard, account) {
+                account.bound = account.bound.max(summary.bound);
+            }
+        }
+    }
+}
+
+impl Part<'_> {
+    fn wants(&self) -> u32 {
+        self.demand.running.saturating_add(self.demand.waiting)
+    }
+}
+
+/// Sets how many tokens each shard should hold.
+///
+/// Wants are met first; what is left is spread evenly, so that the first work
+/// of a quiet team finds tokens at hand.
+fn set_targets(parts: &mut [Part<'_>], limit: u32) {
+    let fixed: u32 = parts
+        .iter()
+        .filter(|part| !part.is_reported)
+        .map(|part| part.held)
+        .sum();
+    let open = limit.saturating_sub(fixed);
+    let wants: u64 = parts
+        .iter()
+        .filter(|p| p.is_reported)
+        .map(|p| u64::from(p.wants()))
+        .sum();
+    let reported = parts.iter().filter(|part| part.is_reported).count();
+    let Ok(count) = u32::try_from(reported) else {
+        return;
+    };
+    if count == 0 {
+        return;
+    }
+    let spare = u64::from(open).saturating_sub(wants);
+    let mut left = open;
+    for part in parts.iter_mut().filter(|part| part.is_reported) {
+        let wanted = u64::from(part.wants());
+        let target = if wants <= u64::from(open) {
+            wanted + spare / u64::from(count)
+        } else {
+            wanted * u64::from(open) / wants
+        };
+        part.target = u32::try_from(target).unwrap_or(u32::MAX).min(left);
+        left -= part.target;
+    }
+    // Rounding leaves less than one token per shard. They go to shards that
+    // want more, so that a limit smaller than the number of shards is usable.
+    for part in parts.iter_mut().filter(|part| part.is_reported) {
+        if left > 0 && (part.target < part.wants() || wants <= u64::from(open)) {
+            part.target += 1;
+            left -= 1;
+        }
+    }
+}
+
+fn ask_to_lower(parts: &[Part<'_>], team: &Name, plan: &mut Plan) {
+    for part in parts
+        .iter()
+        .filter(|part| part.is_reported && part.target < part.demand.cap)
+    {
+        let wanted = plan.lower.entry(part.shard.clone()).or_default();
+        wanted.insert(team.clone(), part.target);
+    }
+}
+
+/// Moves tokens as far as the owners' own words allow.
+fn settle(parts: &mut [Part<'_>], limit: u32) {
+    // A cap below the tokens held frees the rest only if the owner has bound
+    // itself since the ledger was written. Otherwise the grant may just not
+    // have arrived yet, and the owner may still raise its cap.
+    for part in parts.iter_mut().filter(|part| part.has_bound) {
+        part.held = part.held.min(part.demand.cap.max(part.demand.running));
+    }
+    let held: u32 = parts.iter().map(|part| part.held).sum();
+    let mut free = limit.saturating_sub(held);
+    for part in parts.iter_mut().filter(|part| part.is_reported) {
+        let more = part.target.saturating_sub(part.held).min(free);
+        part.held += more;
+        free -= more;
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/breakage.rs
@@ -0,0 +1,16 @@
+/// Safety rules that a test may leave out, to show that the checks notice.
+///
+/// Production code never sets any of them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Breakage {
+    /// A start whose reply was lost is sent again at once.
+    pub retries_after_send: bool,
+    /// A shard raises its caps without regard to lowerings in progress.
+    pub ignores_bounds: bool,
+    /// A configuration with a lower revision replaces a newer one.
+    pub accepts_old_config: bool,
+    /// A new owner starts work without listing what its workers run.
+    pub skips_inventory: bool,
+    /// A member goes on after its lease has run out.
+    pub ignores_deadline: bool,
+}
--- /dev/null
+++ b/crates/core/src/node/identity.rs
@@ -0,0 +1,45 @@
+use std::collections::BTreeSet;
+
+use sycamore_types::{Name, id};
+
+use crate::member::{Record, Role};
+
+/// Who a process is, from its settings.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Identity {
+    /// Name and incarnation. The incarnation is drawn at random at each start.
+    pub member: id::Member,
+    /// IP address and port at which peers reach the process.
+    pub address: Name,
+    /// Failure domain that the process stands in.
+    pub failure_domain: Name,
+}
+
+impl Identity {
+    pub(crate) fn record(&self) -> Record {
+        Record {
+            member: self.member.clone(),
+            role: Role::Scheduler,
+            address: self.address.clone(),
+            failure_domain: self.failure_domain.clone(),
+            renewals: 0,
+            peers: BTreeSet::new(),
+            confirmed: 0,
+            has_unlogged: false,
+            is_leaving: false,
+            fenced_by: None,
+        }
+    }
+
+    /// Returns the identity of the same process after it has lost its lease.
+    pub(crate) fn reborn(&self) -> Identity {
+        let member = id::Member {
+            name: self.member.name.clone(),
+            incarnation: self.member.incarnation.wrapping_add(1),
+        };
+        Identity {
+            member,
+            ..self.clone()
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/membership.rs
@@ -0,0 +1,232 @@
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use sycamore_types::id::{self, Revision};
+
+use super::{Node, context};
+use crate::action::Action;
+use crate::context::Purpose;
+use crate::member::{Fences, Lease, LeaseEvent};
+use crate::peer::Message;
+use crate::store::{self, Op, Reply};
+use crate::{ledger, owners};
+
+impl Node {
+    pub(super) fn tick_membership(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let has_unlogged = self.shards.values().any(|shard| shard.has_unlogged());
+        let is_riding_out = self.lease.is_riding_out(now);
+        self.lease.set_unlogged(has_unlogged || is_riding_out);
+        let peers = self.peers(now);
+        if !self.has_left {
+            let mut cx = context(&self.timing, &mut self.calls, now, out);
+            self.lease.tick(&mut cx, &peers);
+        }
+        self.ask_promises(now, out);
+        self.list_members(now, out);
+        self.fence_silent(now, out);
+    }
+
+    /// Returns the schedulers, besides this one, that are alive.
+    fn peers(&self, now: Duration) -> BTreeSet<id::Member> {
+        let live = self.members.live_schedulers(now, &self.timing);
+        live.map(|record| &record.member)
+            .filter(|peer| *peer != self.member())
+            .cloned()
+            .collect()
+    }
+
+    fn ask_promises(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let asked = {
+            let cx = context(&self.timing, &mut self.calls, now, out);
+            self.lease.ask(&cx)
+        };
+        if let Some((round, peers)) = asked {
+            let revision = self.lease.revision();
+            for peer in peers {
+                self.send(out, &peer, Message::AskPromise { round, revision });
+            }
+        }
+    }
+
+    /// Gives a promise, but only while the store is out of reach here too:
+    /// otherwise the store itself can tell who is alive.
+    pub(super) fn on_ask_promise(
+        &mut self,
+        now: Duration,
+        out: &mut Vec<Action>,
+        from: id::Member,
+        round: u64,
+        revision: Revision,
+    ) {
+        if self.promises.is_fenced(&from) {
+            self.send(out, &from, Message::Fenced);
+            return;
+        }
+        let is_cut_off = self
+            .store_contact
+            .is_some_and(|at| now >= at + self.timing.renew);
+        if !is_cut_off {
+            return;
+        }
+        let span = {
+            let cx = context(&self.timing, &mut self.calls, now, out);
+            self.promises.give(&cx, &from, revision)
+        };
+        if let Some(span) = span {
+            self.send(out, &from, Message::Promise { round, span });
+        }
+    }
+
+    pub(super) fn on_ask_vote(
+        &mut self,
+        now: Duration,
+        out: &mut Vec<Action>,
+        from: id::Member,
+        subject: id::Member,
+    ) {
+        if subject == *self.member() {
+            self.lease.fence();
+            return;
+        }
+        self.promises.note_fenced(&subject);
+        if !self.promises.is_out(now, &subject) {
+            let promised_at = self.promises.promised_at(&subject);
+            self.send(
+                out,
+                &from,
+                Message::Vote {
+                    subject,
+                    promised_at,
+                },
+            );
+        }
+    }
+
+    fn list_members(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if now < self.next_member_poll || self.is_listing {
+            return;
+        }
+        self.is_listing = true;
+        self.next_member_poll = now + self.timing.member_poll;
+        let mut cx = context(&self.timing, &mut self.calls, now, out);
+        let prefix = store::MEMBER_PREFIX.to_string();
+        cx.store(Purpose::Members, Op::List { prefix });
+    }
+
+    pub(super) fn on_members(&mut self, now: Duration, reply: Reply) {
+        self.is_listing = false;
+        if let Reply::Values(values) = reply {
+            for gone in self.members.update(now, values) {
+                self.promises.forget(&gone);
+                self.fences.close(&gone);
+            }
+        }
+    }
+
+    fn fence_silent(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if !self.lease.deadline().is_some_and(|deadline| now < deadline) {
+            return;
+        }
+        let me = self.member().clone();
+        let asks = {
+            let mut cx = context(&self.timing, &mut self.calls, now, out);
+            self.fences
+                .tick(&mut cx, &me, &self.members, &mut self.promises)
+        };
+        for (subject, voters) in asks {
+            for voter in voters {
+                self.send(
+                    out,
+                    &voter,
+                    Message::AskVote {
+                        subject: subject.clone(),
+                    },
+                );
+            }
+        }
+        self.act_on_verdicts(now, out);
+    }
+
+    fn act_on_verdicts(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let verdicts = {
+            let cx = context(&self.timing, &mut self.calls, now, out);
+            self.fences.verdicts(&cx)
+        };
+        for verdict in verdicts {
+            let Some(map) = self.owners.map() else {
+                return;
+            };
+            if map.count(&verdict.subject) > 0 {
+                self.owners.wish_take_over(verdict);
+            } else if self.owners.is_settled() {
+                self.forget_member(now, out, &verdict.subject);
+            }
+        }
+    }
+
+    /// Removes the record of a member that owns nothing any more.
+    fn forget_member(&mut self, now: Duration, out: &mut Vec<Action>, subject: &id::Member) {
+        let Some(seen) = self.members.get(subject) else {
+            return;
+        };
+        // The record may still be the one before fencing; its removal then
+        // conflicts and is tried again after the next read of the list.
+        if seen.record.fenced_by.is_none() {
+            return;
+        }
+        let op = Op::Delete {
+            key: store::member(subject),
+            expected: seen.revision,
+        };
+        let mut cx = context(&self.timing, &mut self.calls, now, out);
+        cx.store(Purpose::Forget, op);
+        self.fences.close(subject);
+    }
+
+    pub(super) fn on_lease_reply(&mut self, now: Duration, out: &mut Vec<Action>, reply: Reply) {
+        let event = {
+            let mut cx = context(&self.timing, &mut self.calls, now, out);
+            self.lease.on_reply(&mut cx, reply)
+        };
+        if event == LeaseEvent::Renewed {
+            self.tick_ownership(now, out);
+        }
+    }
+
+    pub(super) fn on_fence_reply(
+        &mut self,
+        now: Duration,
+        out: &mut Vec<Action>,
+        subject: &id::Member,
+        reply: Reply,
+    ) {
+        let mut cx = context(&self.timing, &mut self.calls, now, out);
+        self.fences
+            .on_reply(&mut cx, subject, reply, &mut self.promises);
+    }
+
+    /// Starts anew as another member after the lease was lost for good.
+    ///
+    /// Everything that was known under the old name is dropped: the shards
+    /// have other owners, and promises that were given count for nothing.
+    pub(super) fn restart_if_fenced(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if !self.lease.is_fenced() || self.has_left {
+            return;
+        }
+        self.each_shard(now, out, |shard, env| shard.abandon(env));
+        self.shards.clear();
+        self.identity = self.identity.reborn();
+        self.calls.clear();
+        self.calls.reseed(self.identity.member.incarnation);
+        self.lease = Lease::new(self.identity.record());
+        if self.is_stopping {
+            self.lease.set_leaving(now);
+        }
+        self.promises = Default::default();
+        self.fences = Fences::default();
+        self.owners = owners::Keeper::new();
+        self.ledger = ledger::Keeper::new();
+        self.is_listing = false;
+        self.next_member_poll = now;
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/mod.rs
@@ -0,0 +1,319 @@
+//! One scheduler process as a state machine.
+//!
+//! - `membership`: the lease, promises, fencing, the member list.
+//! - `ownership`: which shards this process owns, gains and hands over.
+//! - `limits`: the ledger, the planner, summaries and totals.
+//! - `routing`: events to the shard that they concern.
+
+mod breakage;
+mod identity;
+mod limits;
+mod membership;
+mod ownership;
+mod routing;
+mod view;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sycamore_types::config::Document;
+use sycamore_types::host::Host;
+use sycamore_types::id::{self, Revision};
+
+use crate::action::Action;
+use crate::caller::Token;
+use crate::context::{Calls, Context};
+use crate::event::Event;
+use crate::ledger::{self, Planner};
+use crate::member::{Fences, Lease, Promises, Table};
+use crate::owners;
+use crate::peer::Message;
+use crate::shard::{Env, Shard};
+use crate::share::Fleet;
+use crate::timing::Timing;
+
+pub use breakage::Breakage;
+pub use identity::Identity;
+pub use view::{ShardView, View};
+
+/// Everything that one scheduler process decides.
+#[derive(Debug)]
+pub struct Node {
+    timing: Timing,
+    identity: Identity,
+    breakage: Breakage,
+    calls: Calls,
+    lease: Lease,
+    promises: Promises,
+    members: Table,
+    next_member_poll: Duration,
+    is_listing: bool,
+    fences: Fences,
+    store_contact: Option<Duration>,
+    owners: owners::Keeper,
+    ledger: ledger::Keeper,
+    planner: Planner,
+    next_summary: Duration,
+    next_totals: Duration,
+    next_balance: Duration,
+    /// Revision of the owners' document that peers were last told of.
+    announced: Revision,
+    config: Document,
+    config_revision: Revision,
+    hosts: Vec<Host>,
+    shards: BTreeMap<id::Shard, Shard>,
+    fleet: Fleet,
+    tokens: BTreeMap<Token, id::Shard>,
+    is_stopping: bool,
+    has_left: bool,
+}
+
+impl Node {
+    /// Builds a process that knows nothing yet.
+    pub fn new(identity: Identity, timing: Timing) -> Node {
+        let record = identity.record();
+        Node {
+            calls: Calls::new(identity.member.incarnation),
+            lease: Lease::new(record),
+            timing,
+            identity,
+            breakage: Breakage::default(),
+            promises: Promises::default(),
+            members: Table::default(),
+            next_member_poll: Duration::ZERO,
+            is_listing: false,
+            fences: Fences::default(),
+            store_contact: None,
+            owners: owners::Keeper::new(),
+            ledger: ledger::Keeper::new(),
+            planner: Planner::default(),
+            next_summary: Duration::ZERO,
+            next_totals: Duration::ZERO,
+            next_balance: Duration::ZERO,
+            announced: 0,
+            config: Document::default(),
+            config_revision: 0,
+            hosts: Vec::new(),
+            shards: BTreeMap::new(),
+            fleet: Fleet::default(),
+            tokens: BTreeMap::new(),
+            is_stopping: false,
+            has_left: false,
+        }
+    }
+
+    /// Leaves a safety rule out, so that tests can show that it is needed.
+    pub fn set_breakage(&mut self, breakage: Breakage) {
+        self.breakage = breakage;
+    }
+
+    /// Returns the present identity of this process.
+    pub fn member(&self) -> &id::Member {
+        self.lease.member()
+    }
+
+    /// Takes an event and returns what has to be done.
+    ///
+    /// `now` is the monotonic time of this process. It must not go back.
+    pub fn step(&mut self, now: Duration, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        match event {
+            Event::Tick => self.tick(now, &mut out),
+            Event::Store { call, reply } => self.on_store(now, &mut out, call, reply),
+            Event::Worker { call, reply } => self.on_worker(now, &mut out, call, reply),
+            Event::Peer { from, message } => self.on_peer(now, &mut out, from, message),
+            Event::Hosts(hosts) => self.on_hosts(hosts),
+            Event::Config { revision, document } => self.on_config(revision, *document),
+            Event::OwnersChanged => {
+                self.owners.mark_stale();
+                self.tick_ownership(now, &mut out);
+            }
+            Event::Stop => self.on_stop(now),
+            other => self.on_caller(now, &mut out, other),
+        }
+        out
+    }
+
+    fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
+        self.tick_membership(now, out);
+        self.tick_ownership(now, out);
+        self.tick_limits(now, out);
+        self.each_shard(now, out, |shard, env| shard.tick(env));
+        self.tick_handover(now, out);
+        self.tick_leaving(now, out);
+    }
+
+    /// Takes in a configuration. An older one than that in force changes nothing.
+    fn on_config(&mut self, revision: Revision, document: Document) {
+        let is_older = revision <= self.config_revision && !self.breakage.accepts_old_config;
+        if is_older {
+            return;
+        }
+        self.config_revision = revision;
+        self.config = document;
+        self.refresh_hosts();
+    }
+
+    fn on_hosts(&mut self, hosts: Vec<Host>) {
+        self.hosts = hosts;
+        self.refresh_hosts();
+    }
+
+    fn refresh_hosts(&mut self) {
+        for shard in self.shards.values_mut() {
+            shard.set_hosts(&self.hosts, &self.config);
+        }
+        let sum = |sum: sycamore_types::resources::Resources, host: &Host| sum.plus(&host.capacity);
+        let capacity = self.hosts.iter().fold(Default::default(), sum);
+        self.fleet.note_local_capacity(capacity);
+    }
+
+    fn on_peer(
+        &mut self,
+        now: Duration,
+        out: &mut Vec<Action>,
+        from: id::Member,
+        message: Message,
+    ) {
+        match message {
+            Message::AskPromise { round, revision } => {
+                self.on_ask_promise(now, out, from, round, revision);
+            }
+            Message::Promise { round, span } => {
+                let cx = context(&self.timing, &mut self.calls, now, out);
+                self.lease.on_promise(&cx, from, round, span);
+            }
+            Message::Fenced => self.lease.fence(),
+            Message::AskVote { subject } => self.on_ask_vote(now, out, from, subject),
+            Message::Vote {
+                subject,
+                promised_at,
+            } => {
+                self.fences.on_vote(from, &subject, promised_at);
+            }
+            Message::Release { shard, epoch, to } => {
+                self.on_release(now, out, &shard, epoch, to);
+            }
+            Message::OwnersChanged { revision } => {
+                if revision > self.owners.revision() {
+                    self.owners.mark_stale();
+                }
+            }
+            Message::Summaries(summaries) => {
+                for summary in summaries {
+                    self.planner.note(now, &from, summary);
+                }
+            }
+            Message::Grant {
+                shard,
+                epoch,
+                revision,
+                bound,
+                teams,
+            } => {
+                self.on_grant(now, out, &shard, epoch, revision, bound, &teams);
+            }
+            Message::Lower {
+                shard,
+                epoch,
+                teams,
+            } => {
+                let shard = self
+                    .shards
+                    .get_mut(&shard)
+                    .filter(|shard| shard.epoch == epoch);
+                if let Some(shard) = shard {
+                    shard.lower(&teams);
+                }
+            }
+            Message::Usage { capacity, teams } => self.on_totals(capacity, &teams),
+            Message::Config { revision, document } => self.on_config(revision, *document),
+            Message::AskConfig => self.send_config(out, &from),
+        }
+    }
+
+    fn send_config(&self, out: &mut Vec<Action>, to: &id::Member) {
+        if self.config_revision > 0 {
+            let document = Box::new(self.config.clone());
+            let message = Message::Config {
+                revision: self.config_revision,
+                document,
+            };
+            self.send(out, to, message);
+        }
+    }
+
+    /// Sends a message to a member whose address is known.
+    fn send(&self, out: &mut Vec<Action>, to: &id::Member, message: Message) {
+        if let Some(address) = self.members.address(to) {
+            let address = address.clone();
+            out.push(Action::Peer {
+                to: to.clone(),
+                address,
+                message,
+            });
+        }
+    }
+
+    /// Calls a function on every shard.
+    fn each_shard(
+        &mut self,
+        now: Duration,
+        out: &mut Vec<Action>,
+        mut f: impl FnMut(&mut Shard, &mut Env<'_, '_>),
+    ) {
+        let ids: Vec<id::Shard> = self.shards.keys().cloned().collect();
+        for id in ids {
+            self.with_shard(now, out, &id, &mut f);
+        }
+    }
+
+    /// Calls a function on one shard, with everything it needs to act.
+    fn with_shard<T>(
+        &mut self,
+        now: Duration,
+        out: &mut Vec<Action>,
+        id: &id::Shard,
+        f: impl FnOnce(&mut Shard, &mut Env<'_, '_>) -> T,
+    ) -> Option<T> {
+        let is_store_in_reach = self.is_store_in_reach(now);
+        let shard = self.shards.get_mut(id)?;
+        let mut cx = context(&self.timing, &mut self.calls, now, out);
+        let mut env = Env {
+            cx: &mut cx,
+            fleet: &mut self.fleet,
+            config: &self.config,
+            config_revision: self.config_revision,
+            me: self.lease.member(),
+            deadline: match self.breakage.ignores_deadline {
+                true => Some(Duration::MAX),
+                false => self.lease.deadline(),
+            },
+            is_riding_out: self.lease.is_riding_out(now),
+            is_store_in_reach,
+            breakage: self.breakage,
+        };
+        Some(f(shard, &mut env))
+    }
+
+    /// Tells whether the store has answered within the time of a few renewals.
+    fn is_store_in_reach(&self, now: Duration) -> bool {
+        self.store_contact
+            .is_some_and(|at| now <= at + self.timing.renew * 3)
+    }
+}
+
+/// Builds a context from the parts of a node that the callee does not hold.
+fn context<'a>(
+    timing: &'a Timing,
+    calls: &'a mut Calls,
+    now: Duration,
+    out: &'a mut Vec<Action>,
+) -> Context<'a> {
+    Context {
+        now,
+        timing,
+        calls,
+        out,
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/ownership.rs
@@ -0,0 +1,266 @@
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use sycamore_types::id::{self, Epoch};
+
+use super::{Node, context};
+use crate::action::Action;
+use crate::context::Purpose;
+use crate::owners::{Claim, Surroundings};
+use crate::peer::Message;
+use crate::shard::Shard;
+use crate::store::{self, Op, Reply};
+
+impl Node {
+    pub(super) fn tick_ownership(&mut self, now: Duration, out: &mut Vec<Action>) {
+        self.restart_if_fenced(now, out);
+        if self.is_coordinator(now) {
+            self.coordinate(now, out);
+        }
+        let around = self.surroundings(now);
+        let mut cx = context(&self.timing, &mut self.calls, now, out);
+        self.owners.tick(&mut cx, &around);
+    }
+
+    /// Tells whether this member is the first among the living.
+    ///
+    /// Two members may both think so for a while; compare-and-swap keeps what
+    /// they write sound.
+    pub(super) fn is_coordinator(&self, now: Duration) -> bool {
+        let is_alive = self.lease.deadline().is_some_and(|deadline| now < deadline);
+        let first = self.candidates(now).into_iter().next();
+        is_alive && first.as_ref() == Some(self.member())
+    }
+
+    /// Returns the members that may be given shards.
+    fn candidates(&self, now: Duration) -> Vec<id::Member> {
+        let live = self.members.live_schedulers(now, &self.timing);
+        live.filter(|record| !record.is_leaving)
+            .map(|record| record.member.clone())
+            .collect()
+    }
+
+    fn surroundings(&self, now: Duration) -> Surroundings {
+        let per_domain = self.config.shards_per_domain;
+        Surroundings {
+            shards: self
+                .hosts
+                .iter()
+                .map(|host| host.shard(per_domain))
+                .collect(),
+            live: self.candidates(now),
+            known: self
+                .members
+                .iter()
+                .map(|seen| seen.record.member.clone())
+                .collect(),
+        }
+    }
+
+    /// Gives shards without an owner to members, and evens out the numbers.
+    fn coordinate(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if self.config_revision == 0 {
+            // The division into shards is part of the configuration.
+            return;
+        }
+        let around = self.surroundings(now);
+        let Some(map) = self.owners.map() else {
+            return;
+        };
+        let is_owned = |shard: &&id::Shard| {
+            map.shards
+                .get(*shard)
+                .is_some_and(|claim| around.known.contains(&claim.owner))
+        };
+        if around.shards.iter().any(|shard| !is_owned(&shard)) {
+            self.owners.wish_assignment();
+            return;
+        }
+        if now < self.next_balance {
+            return;
+        }
+        self.next_balance = now + self.timing.ttl;
+        let Some((shard, to)) = map.imbalance(&around.live) else {
+            return;
+        };
+        if let Some(claim) = map.shards.get(&shard).cloned() {
+            self.ask_release(now, out, shard, &claim, to);
+        }
+    }
+
+    fn ask_release(
+        &mut self,
+        now: Duration,
+        out: &mut Vec<Action>,
+        shard: id::Shard,
+        claim: &Claim,
+        to: id::Member,
+    ) {
+        if claim.owner == *self.member() {
+            self.on_release(now, out, &shard, claim.epoch, to);
+        } else {
+            let message = Message::Release {
+                shard,
+                epoch: claim.epoch,
+                to,
+            };
+            self.send(out, &claim.owner, message);
+        }
+    }
+
+    pub(super) fn on_release(
+        &mut self,
+        now: Duration,
+        out: &mut Vec<Action>,
+        id: &id::Shard,
+        epoch: Epoch,
+        to: id::Member,
+    ) {
+        let is_current = self
+            .shards
+            .get(id)
+            .is_some_and(|shard| shard.epoch == epoch);
+        if is_current && to != *self.member() {
+            self.with_shard(now, out, id, |shard, env| shard.drain(env, to));
+        }
+    }
+
+    pub(super) fn on_owners_reply(&mut self, now: Duration, out: &mut Vec<Action>, reply: Reply) {
+        let may_have_changed = {
+            let mut cx = context(&self.timing, &mut self.calls, now, out);
+            self.owners.on_reply(&mut cx, reply)
+        };
+        if may_have_changed {
+            self.follow_owners(now, out);
+        }
+    }
+
+    /// Takes up shards that this member was given and drops those it lost.
+    fn follow_owners(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let Some(map) = self.owners.map() else {
+            return;
+        };
+        let me = self.member().clone();
+        let mine: Vec<(id::Shard, Claim)> = map
+            .shards
+            .iter()
+            .filter(|(_, claim)| claim.owner == me)
+            .map(|(id, claim)| (id.clone(), claim.clone()))
+            .collect();
+        let epochs: BTreeSet<(id::Shard, Epoch)> = mine
+            .iter()
+            .map(|(id, claim)| (id.clone(), claim.epoch))
+            .collect();
+        let lost: Vec<id::Shard> = self
+            .shards
+            .values()
+            .filter(|shard| !epochs.contains(&(shard.id.clone(), shard.epoch)))
+            .map(|shard| shard.id.clone())
+            .collect();
+        for id in lost {
+            self.drop_shard(now, out, &id);
+        }
+        for (id, claim) in mine {
+            self.take_up(id, &claim);
+        }
+        if self.is_coordinator(now) {
+            self.announce_owners(out);
+        }
+    }
+
+    fn take_up(&mut self, id: id::Shard, claim: &Claim) {
+        if self.shards.contains_key(&id) {
+            return;
+        }
+        let mut shard = Shard::new(id.clone(), claim.epoch, claim.has_memory_gap);
+        shard.set_hosts(&self.hosts, &self.config);
+        self.shards.insert(id.clone(), shard);
+        self.ledger.stamp(id, claim.epoch);
+    }
+
+    /// Gives up a shard that has another owner now.
+    pub(super) fn drop_shard(&mut self, now: Duration, out: &mut Vec<Action>, id: &id::Shard) {
+        self.with_shard(now, out, id, |shard, env| shard.abandon(env));
+        self.shards.remove(id);
+        self.ledger.drop_stamp(id);
+    }
+
+    /// Tells peers that the owners' document has changed, once per change.
+    fn announce_owners(&mut self, out: &mut Vec<Action>) {
+        let revision = self.owners.revision();
+        if revision <= self.announced {
+            return;
+        }
+        self.announced = revision;
+        let me = self.member().clone();
+        let others = self.members.iter().map(|seen| &seen.record.member);
+        let others: Vec<id::Member> = others.filter(|member| **member != me).cloned().collect();
+        for member in others {
+            self.send(out, &member, Message::OwnersChanged { revision });
+        }
+    }
+
+    /// Hands over shards of which nothing is under way any more.
+    pub(super) fn tick_handover(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let mut ready = Vec::new();
+        self.each_shard(now, out, |shard, env| {
+            if let Some(to) = shard.handover(env) {
+                ready.push((shard.id.clone(), shard.epoch, to));
+            }
+        });
+        for (shard, epoch, to) in ready {
+            self.owners.wish_hand_over(shard, epoch, to);
+        }
+    }
+
+    /// Starts a planned stop.
+    pub(super) fn on_stop(&mut self, now: Duration) {
+        self.is_stopping = true;
+        self.lease.set_leaving(now);
+    }
+
+    /// Hands everything over, then removes this member's record.
+    pub(super) fn tick_leaving(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if !self.is_stopping || self.has_left {
+            return;
+        }
+        let me = self.member().clone();
+        let others: Vec<id::Member> = self
+            .candidates(now)
+            .into_iter()
+            .filter(|member| *member != me)
+            .collect();
+        let mine: Vec<id::Shard> = self.shards.keys().cloned().collect();
+        for (at, id) in mine.iter().enumerate() {
+            // With nobody to take over the shard drains all the same; its next
+            // owner finds that this member's record is gone.
+            let to = if others.is_empty() {
+                me.clone()
+            } else {
+                others[at % others.len()].clone()
+            };
+            self.with_shard(now, out, id, |shard, env| shard.drain(env, to));
+        }
+        let is_released = if others.is_empty() {
+            let mut is_quiet = true;
+            self.each_shard(now, out, |shard, env| {
+                is_quiet &= shard.handover(env).is_some()
+            });
+            is_quiet
+        } else {
+            self.shards.is_empty() && self.owners.is_settled()
+        };
+        if is_released {
+            self.leave(now, out);
+        }
+    }
+
+    fn leave(&mut self, now: Duration, out: &mut Vec<Action>) {
+        self.has_left = true;
+        let key = store::member(self.member());
+        let expected = self.lease.revision();
+        let mut cx = context(&self.timing, &mut self.calls, now, out);
+        cx.store(Purpose::Forget, Op::Delete { key, expected });
+        out.push(Action::Stopped);
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/routing.rs
@@ -0,0 +1,162 @@
+use std::time::Duration;
+
+use sycamore_types::id;
+use sycamore_types::outcome::{Failure, Reason};
+
+use super::Node;
+use crate::action::{Action, CallId};
+use crate::caller::{Answer, Token};
+use crate::context::Purpose;
+use crate::event::Event;
+use crate::{store, worker};
+
+impl Node {
+    pub(super) fn on_store(
+        &mut self,
+        now: Duration,
+        out: &mut Vec<Action>,
+        call: CallId,
+        reply: store::Reply,
+    ) {
+        let Some(purpose) = self.calls.take(call) else {
+            return;
+        };
+        if reply.is_contact() {
+            self.store_contact = Some(now);
+        }
+        match purpose {
+            Purpose::Lease => self.on_lease_reply(now, out, reply),
+            Purpose::Members => self.on_members(now, reply),
+            Purpose::Fence(subject) => self.on_fence_reply(now, out, &subject, reply),
+            Purpose::Owners => self.on_owners_reply(now, out, reply),
+            Purpose::Ledger => self.on_ledger_reply(now, out, reply),
+            Purpose::LogSnapshot(id) => {
+                self.with_shard(now, out, &id, |shard, env| {
+                    shard.on_snapshot_read(env, reply)
+                });
+            }
+            Purpose::LogPages(id) => {
+                self.with_shard(now, out, &id, |shard, env| shard.on_pages_read(env, reply));
+            }
+            Purpose::LogWrite(id) => {
+                let lost = self.with_shard(now, out, &id, |shard, env| {
+                    shard.on_page_written(env, reply)
+                });
+                self.drop_if_lost(now, out, &id, lost);
+            }
+            Purpose::SnapshotWrite(id) => {
+                let lost = self.with_shard(now, out, &id, |shard, env| {
+                    shard.on_snapshot_written(env, reply)
+                });
+                self.drop_if_lost(now, out, &id, lost);
+            }
+            Purpose::Forget | Purpose::Start(..) | Purpose::Poll(..) | Purpose::Stop => {}
+        }
+    }
+
+    /// Another owner writes to the log: this one must have been replaced.
+    fn drop_if_lost(
+        &mut self,
+        now: Duration,
+        out: &mut Vec<Action>,
+        id: &id::Shard,
+        lost: Option<bool>,
+    ) {
+        if lost == Some(true) {
+            self.drop_shard(now, out, id);
+            self.owners.mark_stale();
+        }
+    }
+
+    pub(super) fn on_worker(
+        &mut self,
+        now: Duration,
+        out: &mut Vec<Action>,
+        call: CallId,
+        reply: worker::Reply,
+    ) {
+        match self.calls.take(call) {
+            Some(Purpose::Start(id, task)) => {
+                self.with_shard(now, out, &id, |shard, env| {
+                    shard.on_started(env, &task, reply)
+                });
+            }
+            Some(Purpose::Poll(id, host)) => {
+                self.with_shard(now, out, &id, |shard, env| {
+                    shard.on_polled(env, &host, reply)
+                });
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes an event that concerns a caller.
+    pub(super) fn on_caller(&mut self, now: Duration, out: &mut Vec<Action>, event: Event) {
+        match event {
+            Event::Submit { token, submission } => {
+                let home = submission.id.home.clone();
+                let found = self.with_shard(now, out, &home, |shard, env| {
+                    shard.on_submit(env, token, submission);
+                });
+                self.refuse_unless(out, token, found);
+            }
+            Event::Request { token, request } => {
+                let home = request.id.home.clone();
+                self.tokens.insert(token, home.clone());
+                let found = self.with_shard(now, out, &home, |shard, env| {
+                    shard.on_request(env, token, request);
+                });
+                self.refuse_unless(out, token, found);
+            }
+            Event::Status { token, job } => {
+                let found = self.with_shard(now, out, &job.home, |shard, env| {
+                    shard.on_status(env, token, &job);
+                });
+                self.refuse_unless(out, token, found);
+            }
+            Event::Cancel { token, job } => {
+                let found = self.with_shard(now, out, &job.home, |shard, env| {
+                    shard.on_cancel(env, token, &job);
+                });
+                self.refuse_unless(out, token, found);
+            }
+            Event::Ended { token, ending } => {
+                if let Some(home) = self.tokens.remove(&token) {
+                    self.with_shard(now, out, &home, |shard, env| {
+                        shard.on_ended(env, token, ending);
+                    });
+                }
+            }
+            Event::Gone { token } => {
+                if let Some(home) = self.tokens.get(&token).cloned() {
+                    self.with_shard(now, out, &home, |shard, env| shard.on_gone(env, token));
+                }
+            }
+            _ => {}
+        }
+        self.forget_answered(out);
+    }
+
+    fn refuse_unless(&mut self, out: &mut Vec<Action>, token: Token, found: Option<()>) {
+        if found.is_none() {
+            let failure = Failure::not_run(Reason::NoOwner);
+            out.push(Action::Answer {
+                token,
+                answer: Answer::Failed(failure),
+            });
+        }
+    }
+
+    /// Drops tokens whose callers have their final answer.
+    fn forget_answered(&mut self, out: &[Action]) {
+        for action in out {
+            if let Action::Answer {
+                token,
+                answer: Answer::Failed(_),
+            } = action
+            {
+                self.tokens.remove(token);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/peer/mod.rs
@@ -0,0 +1,10 @@
+//! Messages between the decision cores of different processes.
+//!
+//! Every message may be lost, repeated, late or out of order. Each one names
+//! the revision or epoch that it speaks about, so that a stale one is dropped.
+
+mod message;
+mod summary;
+
+pub use message::Message;
+pub use summary::{Demand, Summary};
--- /dev/null
+++ b/crates/core/src/queue/lane.rs
@@ -0,0 +1,72 @@
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use sycamore_types::Name;
+
+use super::{Item, Place};
+
+/// Waiting work of one class.
+#[derive(Debug, Default)]
+pub(crate) struct Lane {
+    teams: HashMap<Name, Line>,
+    order: BTreeSet<(u64, Name)>,
+}
+
+/// Waiting work of one team.
+#[derive(Debug, Default)]
+struct Line {
+    rank: u64,
+    items: BTreeMap<Place, Item>,
+}
+
+impl Lane {
+    pub(crate) fn insert(&mut self, team: &Name, place: Place, rank: u64, item: Item) {
+        let line = self.teams.entry(team.clone()).or_default();
+        if line.items.is_empty() {
+            line.rank = rank;
+            self.order.insert((rank, team.clone()));
+        }
+        line.items.insert(place, item);
+    }
+
+    pub(crate) fn remove(&mut self, team: &Name, place: Place) {
+        let Some(line) = self.teams.get_mut(team) else {
+            return;
+        };
+        line.items.remove(&place);
+        if line.items.is_empty() {
+            self.order.remove(&(line.rank, team.clone()));
+            self.teams.remove(team);
+        }
+    }
+
+    pub(crate) fn set_rank(&mut self, team: &Name, rank: u64) {
+        if let Some(line) = self.teams.get_mut(team)
+            && line.rank != rank
+        {
+            self.order.remove(&(line.rank, team.clone()));
+            line.rank = rank;
+            self.order.insert((rank, team.clone()));
+        }
+    }
+
+    pub(crate) fn set_ranks(&mut self, rank: impl Fn(&str) -> u64) {
+        self.order.clear();
+        for (team, line) in &mut self.teams {
+            line.rank = rank(team);
+            self.order.insert((line.rank, team.clone()));
+        }
+    }
+
+    /// Returns the teams in the order in which they are served.
+    pub(crate) fn teams(&self) -> impl Iterator<Item = &Name> {
+        self.order.iter().map(|(_, team)| team)
+    }
+
+    /// Returns a team's work in the order in which it is served.
+    pub(crate) fn items(&self, team: &str) -> impl Iterator<Item = (&Place, &Item)> {
+        self.teams
+            .get(team)
+            .into_iter()
+            .flat_map(|line| &line.items)
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/durable.rs
@@ -0,0 +1,144 @@
+use sycamore_types::id;
+
+use super::{Env, Phase, Shard};
+use crate::caller::Answer;
+use crate::log::{Committed, Entry, Snapshot, Ticket};
+use crate::store::Reply;
+
+impl Shard {
+    /// Sends pages and snapshots that are due.
+    pub(super) fn write_log(&mut self, env: &mut Env<'_, '_>) {
+        if matches!(self.phase, Phase::Ledger | Phase::Loading) {
+            return;
+        }
+        if !env.is_riding_out && self.keys.has_unlogged() {
+            for hash in self.keys.take_unlogged() {
+                self.log.push(Entry::Key(hash), Ticket::None);
+            }
+        }
+        self.log.tick(env.cx);
+        if self.log.needs_snapshot(env.now()) {
+            let snapshot = self.snapshot(env);
+            self.log.send_snapshot(env.cx, &snapshot);
+        }
+    }
+
+    fn snapshot(&mut self, env: &Env<'_, '_>) -> Snapshot {
+        let now = env.now();
+        self.forget_old(env);
+        Snapshot {
+            sequence: self.log.committed(),
+            jobs: self.jobs.values().map(|job| job.save(now)).collect(),
+            keys: self.keys.save(now),
+            doubt: self.doubt_until.saturating_sub(now),
+        }
+    }
+
+    /// Forgets jobs and keys that nobody can ask for any more.
+    fn forget_old(&mut self, env: &Env<'_, '_>) {
+        let now = env.now();
+        self.keys.expire(now, env.cx.timing.key_retention);
+        while let Some((ended_at, id)) = self.over.first().cloned() {
+            if now <= ended_at + env.cx.timing.job_retention {
+                break;
+            }
+            self.over.pop_first();
+            if let Some(job) = self.jobs.remove(&id) {
+                self.shapes.release(job.shape);
+            }
+        }
+    }
+
+    /// Takes the reply to the write of a page. Returns whether the shard is lost.
+    pub(crate) fn on_page_written(&mut self, env: &mut Env<'_, '_>, reply: Reply) -> bool {
+        let outcome = self.log.on_page_reply(env.cx, reply);
+        let is_lost = self.on_committed(env, outcome);
+        self.write_log(env);
+        is_lost
+    }
+
+    /// Takes the reply to the write of a snapshot. Returns whether the shard is lost.
+    pub(crate) fn on_snapshot_written(&mut self, env: &mut Env<'_, '_>, reply: Reply) -> bool {
+        let outcome = self.log.on_snapshot_reply(env.cx, reply);
+        self.on_committed(env, outcome)
+    }
+
+    fn on_committed(&mut self, env: &mut Env<'_, '_>, outcome: Committed) -> bool {
+        match outcome {
+            Committed::Nothing => false,
+            Committed::Fenced => true,
+            Committed::Tickets(tickets) => {
+                if self.phase == Phase::Barrier {
+                    self.on_barrier(env);
+                }
+                for ticket in tickets {
+                    self.redeem(env, ticket);
+                }
+                self.schedule(env);
+                false
+            }
+        }
+    }
+
+    fn redeem(&mut self, env: &mut Env<'_, '_>, ticket: Ticket) {
+        match ticket {
+            Ticket::None => {}
+            Ticket::Accept(token, submission) => self.on_accepted(env, token, *submission),
+            Ticket::Cancel(token, id) => {
+                if let Some(status) = self.status(env, &id) {
+                    env.answer(token, Answer::Status(Box::new(status)));
+                }
+            }
+            Ticket::Key(token, _) => {
+                if self.phase == Phase::Active {
+                    self.enqueue_request(env, token);
+                }
+            }
+            Ticket::Forget(host, task) => {
+                self.logging.remove(&task);
+                if let Some(poll) = self.polls.get_mut(&host) {
+                    poll.forget.push(task);
+                }
+            }
+        }
+    }
+
+    /// Notes when a job is over, so that it is forgotten in time.
+    pub(super) fn note_if_over(&mut self, env: &Env<'_, '_>, id: &id::Job) {
+        if let Some(job) = self.jobs.get_mut(id)
+            && job.is_over()
+            && job.ended_at.is_none()
+        {
+            job.ended_at = Some(env.now());
+            self.over.insert((env.now(), id.clone()));
+            self.making_room.remove(id);
+        }
+    }
+
+    /// Notes a job whose tasks have to wait before the next attempt.
+    pub(super) fn delay(&mut self, id: &id::Job) {
+        if let Some(job) = self.jobs.get(id) {
+            self.delayed.insert((job.not_before, id.clone()));
+        }
+    }
+
+    /// Looks again at work whose time has come.
+    pub(super) fn wake_delayed(&mut self, env: &mut Env<'_, '_>) {
+        let now = env.now();
+        while self.delayed.first().is_some_and(|(at, _)| *at <= now) {
+            self.delayed.pop_first();
+            self.is_dirty = true;
+        }
+        if self.held_until > self.active_since && self.held_until <= now {
+            self.held_until = self.active_since;
+            self.shapes.clear_notes();
+            self.is_dirty = true;
+        }
+        let has_room_timed_out = self.making_room.values().any(|until| *until <= now);
+        if has_room_timed_out {
+            self.making_room.retain(|_, until| *until > now);
+            self.shapes.clear_notes();
+            self.is_dirty = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/job.rs
@@ -0,0 +1,163 @@
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use sycamore_types::Name;
+use sycamore_types::job::Kind;
+
+use crate::caller::{Progress, Submission};
+use crate::log::SavedJob;
+use crate::queue::{Class, Place};
+
+/// Attempts after which a task of a batch job has failed for good.
+const MAX_FAILURES: u32 = 3;
+
+/// Delay before the second attempt of a task that failed.
+const FIRST_RETRY: Duration = Duration::from_millis(200);
+
+/// Longest delay between two attempts.
+const LONGEST_RETRY: Duration = Duration::from_secs(60);
+
+/// A job on record, with the state of its tasks.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) submission: Submission,
+    pub(crate) waiting: BTreeSet<u32>,
+    pub(crate) running: BTreeSet<u32>,
+    pub(crate) done: BTreeSet<u32>,
+    pub(crate) failed: BTreeSet<u32>,
+    pub(crate) is_cancelled: bool,
+    pub(crate) since: Duration,
+    pub(crate) ended_at: Option<Duration>,
+    /// Place in the queue while some task waits.
+    pub(crate) place: Option<Place>,
+    pub(crate) shape: usize,
+    /// Host on which a task failed last.
+    pub(crate) avoid: Option<Name>,
+    /// No task is started before this time.
+    pub(crate) not_before: Duration,
+    failures: u32,
+}
+
+impl Job {
+    pub(crate) fn new(submission: Submission, shape: usize, now: Duration) -> Job {
+        let waiting = (0..submission.spec.tasks).collect();
+        Job {
+            submission,
+            waiting,
+            running: BTreeSet::new(),
+            done: BTreeSet::new(),
+            failed: BTreeSet::new(),
+            is_cancelled: false,
+            since: now,
+            ended_at: None,
+            place: None,
+            shape,
+            avoid: None,
+            not_before: Duration::ZERO,
+            failures: 0,
+        }
+    }
+
+    pub(crate) fn restore(saved: SavedJob, shape: usize, now: Duration) -> Job {
+        let mut job = Job::new(saved.submission, shape, now);
+        for index in saved.done {
+            job.finish(index, true);
+        }
+        for index in saved.failed {
+            job.finish(index, false);
+        }
+        if saved.is_cancelled {
+            job.cancel();
+        }
+        job.ended_at = saved.ended_ago.map(|ago| now.saturating_sub(ago));
+        job
+    }
+
+    pub(crate) fn save(&self, now: Duration) -> SavedJob {
+        SavedJob {
+            submission: self.submission.clone(),
+            done: self.done.iter().copied().collect(),
+            failed: self.failed.iter().copied().collect(),
+            is_cancelled: self.is_cancelled,
+            ended_ago: self.ended_at.map(|at| now.saturating_sub(at)),
+        }
+    }
+
+    pub(crate) fn class(&self) -> Class {
+        if self.submission.spec.urgent {
+            Class::Urgent
+        } else {
+            Class::Batch
+        }
+    }
+
+    pub(crate) fn is_gang(&self) -> bool {
+        self.submission.spec.kind == Kind::Gang
+    }
+
+    /// Tells whether tasks may be started, as far as the job itself goes.
+    ///
+    /// A gang whose tasks were lost starts again only as a whole.
+    pub(crate) fn is_startable(&self, now: Duration) -> bool {
+        let is_whole = !self.is_gang() || self.running.is_empty();
+        !self.waiting.is_empty() && is_whole && now >= self.not_before
+    }
+
+    pub(crate) fn started(&mut self, index: u32) {
+        self.waiting.remove(&index);
+        self.running.insert(index);
+    }
+
+    /// Notes that a task has to be started again.
+    pub(crate) fn returned(&mut self, index: u32) {
+        self.running.remove(&index);
+        if !self.is_cancelled && !self.done.contains(&index) && !self.failed.contains(&index) {
+            self.waiting.insert(index);
+        }
+    }
+
+    /// Notes a failed attempt. Returns whether the task has failed for good.
+    pub(crate) fn attempt_failed(&mut self, now: Duration, host: &Name) -> bool {
+        self.failures += 1;
+        self.avoid = Some(host.clone());
+        let factor = 2_u32.saturating_pow(self.failures.min(16) - 1);
+        self.not_before = now + FIRST_RETRY.saturating_mul(factor).min(LONGEST_RETRY);
+        self.submission.spec.kind != Kind::Service && self.failures >= MAX_FAILURES
+    }
+
+    /// Notes the end of a task for good.
+    pub(crate) fn finish(&mut self, index: u32, is_success: bool) {
+        self.waiting.remove(&index);
+        self.running.remove(&index);
+        if is_success {
+            self.failures = 0;
+            self.done.insert(index);
+        } else {
+            self.failed.insert(index);
+        }
+    }
+
+    pub(crate) fn cancel(&mut self) {
+        self.is_cancelled = true;
+        self.waiting.clear();
+    }
+
+    /// Tells whether nothing more will happen to the job.
+    pub(crate) fn is_over(&self) -> bool {
+        self.waiting.is_empty() && self.running.is_empty()
+    }
+
+    pub(crate) fn progress(&self) -> Progress {
+        if self.is_cancelled {
+            Progress::Cancelled
+        } else if !self.running.is_empty() {
+            Progress::Running
+        } else if !self.waiting.is_empty() {
+            Progress::Waiting
+        } else if self.failed.is_empty() {
+            Progress::Done
+        } else {
+            Progress::Failed
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/keys.rs
@@ -0,0 +1,69 @@
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use crate::caller::KeyHash;
+use crate::log::{KeyState, SavedKey};
+
+/// Idempotency keys that were seen within the retention time.
+#[derive(Debug, Default)]
+pub(crate) struct Keys {
+    states: HashMap<KeyHash, KeyState>,
+    order: VecDeque<(Duration, KeyHash)>,
+    /// Keys taken in while the store was out, in order of arrival.
+    unlogged: Vec<KeyHash>,
+}
+
+impl Keys {
+    pub(crate) fn get(&self, hash: KeyHash) -> Option<KeyState> {
+        self.states.get(&hash).copied()
+    }
+
+    pub(crate) fn set(&mut self, now: Duration, hash: KeyHash, state: KeyState) {
+        if self.states.insert(hash, state).is_none() {
+            self.order.push_back((now, hash));
+        }
+    }
+
+    pub(crate) fn note_unlogged(&mut self, hash: KeyHash) {
+        self.unlogged.push(hash);
+    }
+
+    pub(crate) fn take_unlogged(&mut self) -> Vec<KeyHash> {
+        std::mem::take(&mut self.unlogged)
+    }
+
+    pub(crate) fn has_unlogged(&self) -> bool {
+        !self.unlogged.is_empty()
+    }
+
+    /// Forgets keys that are older than the retention time.
+    pub(crate) fn expire(&mut self, now: Duration, retention: Duration) {
+        while self
+            .order
+            .front()
+            .is_some_and(|(at, _)| now > *at + retention)
+        {
+            if let Some((_, hash)) = self.order.pop_front() {
+                self.states.remove(&hash);
+            }
+        }
+    }
+
+    pub(crate) fn save(&self, now: Duration) -> Vec<SavedKey> {
+        let saved = |(at, hash): &(Duration, KeyHash)| {
+            let state = self.get(*hash)?;
+            Some(SavedKey {
+                hash: *hash,
+                state,
+                age: now.saturating_sub(*at),
+            })
+        };
+        self.order.iter().filter_map(saved).collect()
+    }
+
+    pub(crate) fn restore(&mut self, now: Duration, saved: &[SavedKey]) {
+        for key in saved {
+            self.set(now.saturating_sub(key.age), key.hash, key.state);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/mod.rs
@@ -0,0 +1,306 @@
+//! What the owner of one shard does with it.
+//!
+//! - `takeover`: from the claim to the first start.
+//! - `intake`: what callers ask for.
+//! - `dispatch`: which work starts next and where.
+//! - `room`: making room for urgent and for all-at-once work.
+//! - `workers`: what workers report.
+//! - `durable`: the log, snapshots and what is forgotten.
+//! - `explain`: why a job waits, in plain words.
+
+mod dispatch;
+mod durable;
+mod explain;
+mod intake;
+mod job;
+mod keys;
+mod phase;
+mod polls;
+mod room;
+mod running;
+mod shapes;
+mod takeover;
+mod workers;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use sycamore_types::config::Document;
+use sycamore_types::id::{self, Epoch, Revision};
+use sycamore_types::resources::Resources;
+use sycamore_types::{Name, host};
+
+use crate::action::Action;
+use crate::caller::{Answer, Token};
+use crate::context::Context;
+use crate::ledger::Caps;
+use crate::log::Writer;
+use crate::node::Breakage;
+use crate::peer::{Demand, Summary};
+use crate::placement::Table;
+use crate::queue::{Class, Queue};
+use crate::record::{Decision, Verdict};
+use crate::share::Fleet;
+
+pub use phase::Phase;
+
+pub(crate) use intake::Pending;
+
+use job::Job;
+use keys::Keys;
+use polls::Poll;
+use room::Reservation;
+use running::Running;
+use shapes::Shapes;
+
+/// What a shard needs from its process to act.
+pub(crate) struct Env<'a, 'b> {
+    pub(crate) cx: &'a mut Context<'b>,
+    pub(crate) fleet: &'a mut Fleet,
+    pub(crate) config: &'a Document,
+    pub(crate) config_revision: Revision,
+    pub(crate) me: &'a id::Member,
+    /// Time until which work may be started.
+    pub(crate) deadline: Option<Duration>,
+    /// Only promises of peers carry this process at present.
+    pub(crate) is_riding_out: bool,
+    /// The store has answered lately.
+    pub(crate) is_store_in_reach: bool,
+    pub(crate) breakage: Breakage,
+}
+
+impl Env<'_, '_> {
+    pub(crate) fn now(&self) -> Duration {
+        self.cx.now
+    }
+
+    pub(crate) fn answer(&mut self, token: Token, answer: Answer) {
+        self.cx.out.push(Action::Answer { token, answer });
+    }
+
+    fn weight(&self, team: &str) -> u32 {
+        self.config.teams.get(team).map_or(1, |team| team.weight)
+    }
+
+    fn rank(&self, team: &str) -> u64 {
+        self.fleet.rank(team, self.weight(team))
+    }
+}
+
+/// One shard that this process owns.
+#[derive(Debug)]
+pub(crate) struct Shard {
+    pub(crate) id: id::Shard,
+    pub(crate) epoch: Epoch,
+    pub(crate) phase: Phase,
+    has_memory_gap: bool,
+    table: Table,
+    pub(crate) caps: Caps,
+    log: Writer,
+    has_pages: bool,
+    queue: Queue,
+    shapes: Shapes,
+    jobs: BTreeMap<id::Job, Job>,
+    /// Jobs that are over, in the order in which they ended.
+    over: BTreeSet<(Duration, id::Job)>,
+    /// Jobs that may not be started before a time.
+    delayed: BTreeSet<(Duration, id::Job)>,
+    requests: HashMap<Token, Pending>,
+    patience: BTreeSet<(Duration, Token)>,
+    accepting: BTreeMap<Token, Duration>,
+    keys: Keys,
+    running: HashMap<id::Task, Running>,
+    running_by_team: BTreeMap<Name, u32>,
+    used_by_team: BTreeMap<Name, Resources>,
+    polls: HashMap<Name, Poll>,
+    /// Tasks that have ended and whose end is being put on record.
+    logging: BTreeSet<id::Task>,
+    /// Tasks on record from before may run on hosts that have not answered,
+    /// until this time.
+    held_until: Duration,
+    active_since: Duration,
+    /// Requests with unseen keys can't be told from repeats until this time.
+    doubt_until: Duration,
+    reservation: Option<Reservation>,
+    next_reservation: Duration,
+    making_room: HashMap<id::Job, Duration>,
+    /// Some work that was passed over may fit or be allowed now.
+    is_dirty: bool,
+    /// Teams with new work since the last look, by lane.
+    fresh: BTreeSet<(Class, Name)>,
+    sequence: u64,
+    attempts: u32,
+    last_start: Duration,
+}
+
+impl Shard {
+    pub(crate) fn new(id: id::Shard, epoch: Epoch, has_memory_gap: bool) -> Shard {
+        Shard {
+            log: Writer::new(id.clone(), epoch),
+            id,
+            epoch,
+            phase: Phase::Ledger,
+            has_memory_gap,
+            table: Table::default(),
+            caps: Caps::default(),
+            has_pages: false,
+            queue: Queue::default(),
+            shapes: Shapes::default(),
+            jobs: BTreeMap::new(),
+            over: BTreeSet::new(),
+            delayed: BTreeSet::new(),
+            requests: HashMap::new(),
+            patience: BTreeSet::new(),
+            accepting: BTreeMap::new(),
+            keys: Keys::default(),
+            running: HashMap::new(),
+            running_by_team: BTreeMap::new(),
+            used_by_team: BTreeMap::new(),
+            polls: HashMap::new(),
+            logging: BTreeSet::new(),
+            held_until: Duration::ZERO,
+            active_since: Duration::MAX,
+            doubt_until: Duration::ZERO,
+            reservation: None,
+            next_reservation: Duration::ZERO,
+            making_room: HashMap::new(),
+            is_dirty: true,
+            fresh: BTreeSet::new(),
+            sequence: 0,
+            attempts: 0,
+            last_start: Duration::ZERO,
+        }
+    }
+
+    /// Takes in the platform's list of hosts and the operators' labels.
+    pub(crate) fn set_hosts(&mut self, hosts: &[host::Host], config: &Document) {
+        let mine = Table::of_shard(hosts, &self.id, config.shards_per_domain);
+        self.table.update(&mine, &config.labels, &config.drained);
+        for host in self.table.hosts() {
+            self.polls.entry(host.name().clone()).or_default();
+        }
+        self.shapes.clear_notes();
+        self.is_dirty = true;
+    }
+
+    /// Does everything that is due.
+    pub(crate) fn tick(&mut self, env: &mut Env<'_, '_>) {
+        self.advance(env);
+        self.give_up_late(env);
+        self.poll_workers(env);
+        self.write_log(env);
+        self.wake_delayed(env);
+        self.trim_to_caps(env);
+        self.review_reservation(env);
+        self.schedule(env);
+    }
+
+    /// Tells whether idempotency keys wait to be logged.
+    pub(crate) fn has_unlogged(&self) -> bool {
+        self.keys.has_unlogged()
+    }
+
+    /// Takes in shares over the whole fleet.
+    pub(crate) fn set_shares(&mut self, fleet: &Fleet, config: &Document) {
+        self.queue.set_ranks(|team| {
+            let weight = config.teams.get(team).map_or(1, |team| team.weight);
+            fleet.rank(team, weight)
+        });
+    }
+
+    /// Marks the shard as worth another look at all waiting work.
+    pub(crate) fn mark_dirty(&mut self) {
+        self.is_dirty = true;
+    }
+
+    fn running_of(&self, team: &str) -> u32 {
+        self.running_by_team.get(team).copied().unwrap_or(0)
+    }
+
+    /// Returns how many more tasks of a team may start.
+    fn headroom(&self, team: &str) -> u32 {
+        let cap = self
+            .caps
+            .wanted(team)
+            .unwrap_or(u32::MAX)
+            .min(self.caps.get(team));
+        cap.saturating_sub(self.running_of(team))
+    }
+
+    /// Binds the shard to the caps that the planner wants.
+    pub(crate) fn lower(&mut self, teams: &BTreeMap<Name, u32>) {
+        for (team, to) in teams {
+            let running = self.running_of(team);
+            self.caps.lower(team, *to, running);
+        }
+    }
+
+    /// Returns what the planner of limits has to know.
+    pub(crate) fn summary(&self) -> Summary {
+        let mut names: BTreeSet<&Name> = self.caps.teams().collect();
+        names.extend(self.running_by_team.keys());
+        names.extend(self.queue.teams());
+        let teams = names
+            .into_iter()
+            .map(|team| (team.clone(), self.demand(team)))
+            .collect();
+        Summary {
+            shard: self.id.clone(),
+            epoch: self.epoch,
+            bound: self.caps.bound(),
+            capacity: *self.table.capacity(),
+            teams,
+        }
+    }
+
+    fn demand(&self, team: &Name) -> Demand {
+        Demand {
+            running: self.running_of(team),
+            waiting: self.queue.waiting(team),
+            cap: self.caps.get(team),
+            used: self.used_by_team.get(team).copied().unwrap_or_default(),
+        }
+    }
+
+    /// Puts a decision on record.
+    fn record(&mut self, env: &mut Env<'_, '_>, subject: String, team: &Name, verdict: Verdict) {
+        self.sequence += 1;
+        let decision = Decision {
+            shard: self.id.clone(),
+            epoch: self.epoch,
+            sequence: self.sequence,
+            config: env.config_revision,
+            subject,
+            team: team.clone(),
+            verdict,
+        };
+        env.cx.out.push(Action::Record(decision));
+    }
+
+    /// Returns everything that runs or may run.
+    pub(crate) fn running_tasks(&self) -> impl Iterator<Item = (&id::Task, &Name)> {
+        self.running
+            .iter()
+            .map(|(task, running)| (task, &running.host))
+    }
+
+    /// Returns the number of tasks and requests that wait.
+    pub(crate) fn waiting(&self) -> u32 {
+        self.queue.total()
+    }
+
+    /// Returns the number of jobs on record.
+    pub(crate) fn jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns the room on hosts that may get new work.
+    pub(crate) fn free(&self) -> Resources {
+        let usable = self
+            .table
+            .hosts()
+            .iter()
+            .filter(|host| host.is_reachable && !host.is_closed);
+        usable.fold(Default::default(), |sum, host| host.free().plus(&sum))
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/room.rs
@@ -0,0 +1,288 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sycamore_types::resources::Resources;
+use sycamore_types::{Name, id};
+
+use super::running::{Running, Stage};
+use super::{Env, Shard};
+use crate::placement::times;
+use crate::record::Verdict;
+use crate::worker::Stop;
+
+/// Time for which room that was made for urgent work is waited for.
+const ROOM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pause between two reservations, so that small work gets its turn.
+const RESERVATION_GAP: Duration = Duration::from_secs(5);
+
+/// Hosts that are held back for an all-at-once job.
+#[derive(Debug)]
+pub(crate) struct Reservation {
+    job: id::Job,
+    hosts: Vec<Name>,
+    until: Duration,
+}
+
+/// Work on one host that could be stopped, and what that would cost.
+#[derive(Default)]
+struct Victims {
+    tasks: Vec<id::Task>,
+    freed: Resources,
+    lost: Duration,
+}
+
+impl Shard {
+    /// Stops the cheapest work on one host so that an urgent task fits.
+    ///
+    /// Always returns `false`: nothing has started yet. The urgent lane is
+    /// served first when the room is given back.
+    pub(super) fn make_room(&mut self, env: &mut Env<'_, '_>, id: &id::Job) -> bool {
+        let is_making = self
+            .making_room
+            .get(id)
+            .is_some_and(|until| env.now() < *until);
+        if is_making {
+            return false;
+        }
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let size = job.submission.spec.size;
+        let selector = job.submission.spec.selector.clone();
+        let mut best: Option<Victims> = None;
+        for host in self.table.hosts() {
+            if !host.is_usable(env.now()) || !selector.matches(&host.labels) {
+                continue;
+            }
+            let victims = self.victims(env.now(), host.name(), &size, &host.free());
+            best = cheaper(best, victims);
+        }
+        if let Some(victims) = best {
+            self.making_room
+                .insert(id.clone(), env.now() + ROOM_TIMEOUT);
+            self.preempt(env, &victims);
+        }
+        false
+    }
+
+    /// Picks the tasks on a host whose stop loses least and frees enough.
+    fn victims(
+        &self,
+        now: Duration,
+        host: &Name,
+        size: &Resources,
+        free: &Resources,
+    ) -> Option<Victims> {
+        let mut candidates: Vec<(Duration, &id::Task, &Running)> = self
+            .polls
+            .get(host)?
+            .tasks
+            .iter()
+            .filter_map(|task| self.running.get(task).map(|running| (task, running)))
+            .filter(|(_, running)| running.is_preemptible)
+            .filter(|(_, running)| matches!(running.stage, Stage::Settled(_)))
+            .map(|(task, running)| (now.saturating_sub(running.started_at), task, running))
+            .collect();
+        candidates.sort_by_key(|(elapsed, _, _)| *elapsed);
+        let mut victims = Victims::default();
+        for (elapsed, task, running) in candidates {
+            victims.tasks.push(task.clone());
+            victims.freed = victims.freed.plus(&running.size);
+            victims.lost += elapsed;
+            if size.fits_in(&free.plus(&victims.freed)) {
+                return Some(victims);
+            }
+        }
+        None
+    }
+
+    fn preempt(&mut self, env: &mut Env<'_, '_>, victims: &Victims) {
+        for task in &victims.tasks {
+            let Some(running) = self.running.get(task) else {
+                continue;
+            };
+            let (host, team) = (running.host.clone(), running.team.clone());
+            let subject = format!("{}/{}", task.job, task.index);
+            self.record(env, subject, &team, Verdict::Preempted { host });
+            self.stop(env, task, Stop::Checkpoint);
+        }
+    }
+
+    /// Stops work of teams that run more than the planner wants them to.
+    pub(super) fn trim_to_caps(&mut self, env: &mut Env<'_, '_>) {
+        let excess: BTreeMap<Name, u32> = self
+            .caps
+            .wanted_teams()
+            .map(|(team, cap)| (team.clone(), self.running_of(team).saturating_sub(cap)))
+            .filter(|(_, excess)| *excess > 0)
+            .collect();
+        for (team, excess) in excess {
+            let victims = self.newest_of(&team, excess);
+            self.preempt(env, &victims);
+        }
+    }
+
+    fn newest_of(&self, team: &Name, count: u32) -> Victims {
+        let of_team = self
+            .running
+            .iter()
+            .filter(|(_, running)| running.team == *team);
+        let stopping = |running: &Running| matches!(running.stage, Stage::Stopping(_));
+        let mut tasks: Vec<(Duration, &id::Task)> = Vec::new();
+        let mut already = 0;
+        for (task, running) in of_team {
+            if stopping(running) {
+                already += 1;
+            } else if running.is_preemptible {
+                tasks.push((running.started_at, task));
+            }
+        }
+        tasks.sort_unstable_by(|a, b| b.cmp(a));
+        let wanted = usize::try_from(count.saturating_sub(already)).unwrap_or(usize::MAX);
+        let tasks = tasks
+            .into_iter()
+            .take(wanted)
+            .map(|(_, task)| task.clone())
+            .collect();
+        Victims {
+            tasks,
+            ..Victims::default()
+        }
+    }
+
+    /// Tells whether hosts are held back for this job.
+    pub(super) fn holds_reservation(&self, id: &id::Job) -> bool {
+        self.reservation
+            .as_ref()
+            .is_some_and(|reservation| reservation.job == *id)
+    }
+
+    /// Holds hosts back for a gang that has waited for long.
+    ///
+    /// One gang at a time holds hosts, for a bounded time, and work that is
+    /// declared to end before that may still use them. So gangs are neither
+    /// starved by small work nor can they wait for one another.
+    pub(super) fn consider_reservation(&mut self, env: &mut Env<'_, '_>, id: &id::Job) {
+        let now = env.now();
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let is_patient = now < job.since + env.cx.timing.reserve_after;
+        if self.reservation.is_some() || is_patient || now < self.next_reservation {
+            return;
+        }
+        let spec = &job.submission.spec;
+        let mut hosts: Vec<(Duration, Name, u32)> = self
+            .table
+            .hosts()
+            .iter()
+            .filter(|host| host.is_usable(now) && spec.selector.matches(&host.labels))
+            .map(|host| {
+                let count = times(&spec.size, &host.listed.capacity);
+                (
+                    self.expected_end(now, host.name()),
+                    host.name().clone(),
+                    count,
+                )
+            })
+            .filter(|(_, _, count)| *count > 0)
+            .collect();
+        hosts.sort();
+        let mut missing = u32::try_from(job.waiting.len()).unwrap_or(u32::MAX);
+        let mut chosen = Vec::new();
+        let mut ready_at = now;
+        for (end, host, count) in hosts {
+            if missing == 0 {
+                break;
+            }
+            missing = missing.saturating_sub(count);
+            ready_at = ready_at.max(end);
+            chosen.push(host);
+        }
+        if missing == 0 {
+            self.reserve(env, id, chosen, ready_at);
+        }
+    }
+
+    fn reserve(&mut self, env: &Env<'_, '_>, id: &id::Job, hosts: Vec<Name>, ready_at: Duration) {
+        let until = env.now() + env.cx.timing.reserve_for;
+        let backfill_until = ready_at.min(until);
+        for host in &hosts {
+            if let Some(host) = self.table.get_mut(host) {
+                host.reserved_until = Some(backfill_until);
+            }
+        }
+        self.reservation = Some(Reservation {
+            job: id.clone(),
+            hosts,
+            until,
+        });
+        self.shapes.clear_notes();
+    }
+
+    /// Returns when everything on a host is expected to have ended.
+    fn expected_end(&self, now: Duration, host: &Name) -> Duration {
+        let tasks = self
+            .polls
+            .get(host)
+            .into_iter()
+            .flat_map(|poll| &poll.tasks);
+        let ends = tasks
+            .filter_map(|task| self.running.get(task))
+            .map(|running| {
+                let declared = Duration::from_millis(running.run_ms);
+                // Work that has outrun its declared time is expected to take as
+                // long again as it has taken.
+                let elapsed = now.saturating_sub(running.started_at);
+                if elapsed < declared {
+                    running.started_at + declared
+                } else {
+                    now + elapsed
+                }
+            });
+        ends.max().unwrap_or(now)
+    }
+
+    /// Ends a reservation that has held hosts back for too long.
+    pub(super) fn review_reservation(&mut self, env: &mut Env<'_, '_>) {
+        let Some(reservation) = &self.reservation else {
+            return;
+        };
+        let is_wanted = self
+            .jobs
+            .get(&reservation.job)
+            .is_some_and(|job| !job.waiting.is_empty());
+        if !is_wanted || env.now() >= reservation.until {
+            self.next_reservation = env.now() + RESERVATION_GAP;
+            self.drop_reservation();
+        }
+    }
+
+    pub(super) fn drop_reservation_of(&mut self, id: &id::Job) {
+        if self.holds_reservation(id) {
+            self.drop_reservation();
+        }
+    }
+
+    fn drop_reservation(&mut self) {
+        let Some(reservation) = self.reservation.take() else {
+            return;
+        };
+        for host in &reservation.hosts {
+            if let Some(host) = self.table.get_mut(host) {
+                host.reserved_until = None;
+            }
+        }
+        self.shapes.clear_notes();
+        self.is_dirty = true;
+    }
+}
+
+fn cheaper(best: Option<Victims>, other: Option<Victims>) -> Option<Victims> {
+    match (best, other) {
+        (Some(best), Some(other)) if other.lost < best.lost => Some(other),
+        (Some(best), _) => Some(best),
+        (None, other) => other,
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/takeover.rs
@@ -0,0 +1,228 @@
+use sycamore_types::Name;
+use sycamore_types::id;
+
+use super::job::Job;
+use super::shapes::Shape;
+use super::{Env, Phase, Shard};
+use crate::caller::{Answer, Submission};
+use crate::context::Purpose;
+use crate::log::{Entry, KeyState, Page, SavedJob, Snapshot, Ticket};
+use crate::record::Verdict;
+use crate::store::{self, Reply};
+
+impl Shard {
+    /// Moves on to the next phase when the present one is over.
+    pub(super) fn advance(&mut self, env: &mut Env<'_, '_>) {
+        if let Phase::Inventory { until } = self.phase {
+            let is_complete = self.polls.values().all(|poll| poll.reported_at.is_some());
+            if is_complete || env.now() >= until {
+                self.activate(env, is_complete);
+            }
+        }
+    }
+
+    /// The epoch stands in the ledger: reads what the owner before has left.
+    pub(crate) fn on_stamped(&mut self, env: &mut Env<'_, '_>) {
+        if self.phase == Phase::Ledger {
+            self.phase = Phase::Loading;
+            self.read_log(env);
+        }
+    }
+
+    fn read_log(&mut self, env: &mut Env<'_, '_>) {
+        let key = store::snapshot(&self.id);
+        env.cx.store(
+            Purpose::LogSnapshot(self.id.clone()),
+            store::Op::Get { key },
+        );
+    }
+
+    /// Takes in the snapshot, then reads the pages.
+    ///
+    /// The snapshot is read first: pages that it does not cover are then still
+    /// in the ring, also when the owner before goes on writing meanwhile.
+    pub(crate) fn on_snapshot_read(&mut self, env: &mut Env<'_, '_>, reply: Reply) {
+        if self.phase != Phase::Loading {
+            return;
+        }
+        let Reply::Value(value) = reply else {
+            self.read_log(env);
+            return;
+        };
+        let snapshot = self.log.load_snapshot(value.as_ref()).unwrap_or_default();
+        self.restore(env, &snapshot);
+        let prefix = store::log_prefix(&self.id);
+        env.cx.store(
+            Purpose::LogPages(self.id.clone()),
+            store::Op::List { prefix },
+        );
+    }
+
+    fn restore(&mut self, env: &mut Env<'_, '_>, snapshot: &Snapshot) {
+        let now = env.now();
+        self.jobs.clear();
+        self.over.clear();
+        for saved in &snapshot.jobs {
+            self.restore_job(env, saved.clone());
+        }
+        self.keys.restore(now, &snapshot.keys);
+        self.doubt_until = now + snapshot.doubt;
+    }
+
+    fn restore_job(&mut self, env: &Env<'_, '_>, saved: SavedJob) {
+        let shape = self.shapes.intern(shape_of(&saved.submission));
+        let job = Job::restore(saved, shape, env.now());
+        let id = job.submission.id.clone();
+        if let Some(ended_at) = job.ended_at {
+            self.over.insert((ended_at, id.clone()));
+        }
+        self.jobs.insert(id, job);
+    }
+
+    /// Takes in the pages, then writes the barrier.
+    pub(crate) fn on_pages_read(&mut self, env: &mut Env<'_, '_>, reply: Reply) {
+        if self.phase != Phase::Loading || self.has_pages {
+            return;
+        }
+        let Reply::Values(values) = reply else {
+            self.read_log(env);
+            return;
+        };
+        let covered = self.log.snapshot_sequence();
+        let pages = self.log.load_pages(&values);
+        for page in pages.into_iter().filter(|page| page.sequence > covered) {
+            self.replay(env, page);
+        }
+        self.has_pages = true;
+        self.phase = Phase::Barrier;
+        self.log.push(Entry::Barrier(self.epoch), Ticket::None);
+    }
+
+    fn replay(&mut self, env: &Env<'_, '_>, page: Page) {
+        for entry in page.entries {
+            self.replay_entry(env, entry);
+        }
+    }
+
+    fn replay_entry(&mut self, env: &Env<'_, '_>, entry: Entry) {
+        match entry {
+            Entry::Barrier(_) => {}
+            Entry::Accepted(submission) => self.replay_job(env, submission),
+            Entry::Finished {
+                job,
+                index,
+                is_success,
+            } => {
+                if let Some(job) = self.jobs.get_mut(&job) {
+                    job.finish(index, is_success);
+                }
+            }
+            Entry::Cancelled(job) => {
+                if let Some(job) = self.jobs.get_mut(&job) {
+                    job.cancel();
+                }
+            }
+            Entry::Key(hash) => self.keys.set(env.now(), hash, KeyState::MayHaveRun),
+            Entry::KeyReleased(hash) => self.keys.set(env.now(), hash, KeyState::Released),
+        }
+    }
+
+    fn replay_job(&mut self, env: &Env<'_, '_>, submission: Submission) {
+        if self.jobs.contains_key(&submission.id) {
+            return;
+        }
+        let shape = self.shapes.intern(shape_of(&submission));
+        let id = submission.id.clone();
+        self.jobs.insert(id, Job::new(submission, shape, env.now()));
+    }
+
+    /// The barrier is on record: nobody else can change the log any more.
+    pub(super) fn on_barrier(&mut self, env: &mut Env<'_, '_>) {
+        let now = env.now();
+        self.phase = Phase::Inventory {
+            until: now + env.cx.timing.inventory,
+        };
+        self.held_until = now + env.cx.timing.lengthened(env.cx.timing.task_lease);
+        if self.has_memory_gap {
+            self.doubt_until = self.doubt_until.max(now + env.cx.timing.key_retention);
+        }
+        let owner = env.me.clone();
+        self.record(
+            env,
+            String::new(),
+            &Name::from(""),
+            Verdict::Owned { owner },
+        );
+        if env.breakage.skips_inventory {
+            self.activate(env, true);
+        }
+    }
+
+    /// Starts work: every worker has answered or counts as full.
+    fn activate(&mut self, env: &mut Env<'_, '_>, is_complete: bool) {
+        if is_complete {
+            // Nothing can run unseen, so nothing has to wait for old leases.
+            self.held_until = env.now();
+        }
+        self.phase = Phase::Active;
+        self.active_since = env.now();
+        let ids: Vec<id::Job> = self.jobs.keys().cloned().collect();
+        for id in &ids {
+            self.enqueue(env, id);
+            self.note_if_over(env, id);
+        }
+        self.is_dirty = true;
+    }
+
+    /// Stops starting work, so that the shard can go to another member.
+    pub(crate) fn drain(&mut self, env: &mut Env<'_, '_>, to: id::Member) {
+        match &self.phase {
+            Phase::Draining { .. } => {}
+            _ => {
+                self.phase = Phase::Draining { to };
+                self.refuse_waiting(env);
+            }
+        }
+    }
+
+    /// Returns the next owner once nothing of this one is under way.
+    ///
+    /// A request that was just dispatched may not have reached its worker yet;
+    /// the next owner's inventory must see it.
+    pub(crate) fn handover(&self, env: &Env<'_, '_>) -> Option<id::Member> {
+        let Phase::Draining { to } = &self.phase else {
+            return None;
+        };
+        let quiet = self.last_start + super::dispatch::SEND_WINDOW + env.cx.timing.max_delay;
+        let is_quiet = self.last_start.is_zero() || env.now() >= quiet;
+        let is_settled = !self.running.values().any(|running| running.is_starting());
+        let is_loaded = self.has_pages;
+        let is_clean = self.log.is_clean() || !is_loaded;
+        (is_quiet && is_settled && is_clean).then(|| to.clone())
+    }
+
+    /// Gives up the shard: tells every caller that waits what is certain.
+    pub(crate) fn abandon(&mut self, env: &mut Env<'_, '_>) {
+        self.refuse_waiting(env);
+        let tasks: Vec<id::Task> = self.running.keys().cloned().collect();
+        for task in tasks {
+            self.remove_running(env, &task);
+        }
+    }
+
+    fn refuse_waiting(&mut self, env: &mut Env<'_, '_>) {
+        for (token, failure) in self.failures_on_leaving() {
+            env.answer(token, Answer::Failed(failure));
+        }
+    }
+}
+
+/// Returns the shape of a job's tasks.
+pub(super) fn shape_of(submission: &Submission) -> Shape {
+    Shape {
+        size: submission.spec.size,
+        selector: submission.spec.selector.clone(),
+        is_spread: submission.spec.kind == sycamore_types::job::Kind::Service,
+        run_ms: submission.spec.run_ms.next_power_of_two() & !1,
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/workers.rs
@@ -0,0 +1,466 @@
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use sycamore_types::job::Kind;
+use sycamore_types::{Name, id};
+
+use super::dispatch::SEND_WINDOW;
+use super::polls::Due;
+use super::running::{Running, Stage, Work};
+use super::{Env, Phase, Shard};
+use crate::context::Purpose;
+use crate::log::{Entry, Ticket};
+use crate::record::Verdict;
+use crate::worker::{Finished, Listed, Op, Reply, Report, Stop};
+
+/// Shortest time between two polls of a worker.
+const POLL_GAP: Duration = Duration::from_millis(50);
+
+/// Why a task runs no more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    /// It ended by itself and well.
+    Success,
+    /// It ended by itself and badly.
+    Failure,
+    /// It was stopped by an owner.
+    Stopped,
+    /// It is gone without having ended.
+    Lost,
+}
+
+impl Shard {
+    /// Polls every worker that is due.
+    pub(super) fn poll_workers(&mut self, env: &mut Env<'_, '_>) {
+        if matches!(self.phase, Phase::Ledger | Phase::Loading | Phase::Barrier) {
+            return;
+        }
+        for due in self.due_polls(env.now()) {
+            self.send_poll(env, &due);
+        }
+    }
+
+    fn due_polls(&self, now: Duration) -> Vec<Due> {
+        let is_due = |name: &Name| {
+            self.polls
+                .get(name)
+                .is_some_and(|poll| poll.sent_at.is_none() && now >= poll.next_at)
+        };
+        let hosts = self.table.hosts().iter().filter(|host| is_due(host.name()));
+        hosts
+            .map(|host| Due {
+                host: host.name().clone(),
+                address: host.listed.address.clone(),
+            })
+            .collect()
+    }
+
+    fn send_poll(&mut self, env: &mut Env<'_, '_>, due: &Due) {
+        let now = env.now();
+        let may_act = env.deadline.is_some_and(|end| now < end);
+        let Some(poll) = self.polls.get_mut(&due.host) else {
+            return;
+        };
+        // A silent worker may get each poll without our seeing the answer. Were
+        // its leases renewed by them, its tasks could never be given up.
+        let renews = may_act && !poll.is_silent;
+        let lease = if renews {
+            env.cx.timing.task_lease
+        } else {
+            Duration::ZERO
+        };
+        if renews {
+            poll.renewed_at = now;
+        }
+        poll.sent_at = Some(now);
+        let is_first = poll.reported_at.is_none() || poll.is_silent;
+        let wait = if is_first {
+            Duration::ZERO
+        } else {
+            env.cx.timing.worker_poll
+        };
+        let forget = std::mem::take(&mut poll.forget);
+        let op = Op::Poll {
+            lease,
+            wait,
+            forget,
+        };
+        let purpose = Purpose::Poll(self.id.clone(), due.host.clone());
+        env.cx.worker(purpose, &due.host, &due.address, op);
+    }
+
+    /// Takes the reply to a poll.
+    pub(crate) fn on_polled(&mut self, env: &mut Env<'_, '_>, host: &Name, reply: Reply) {
+        let now = env.now();
+        let Some(poll) = self.polls.get_mut(host) else {
+            return;
+        };
+        let Some(sent_at) = poll.sent_at.take() else {
+            return;
+        };
+        match reply {
+            Reply::Report(report) => {
+                poll.reported_at = Some(now);
+                poll.is_silent = false;
+                poll.next_at = now + POLL_GAP;
+                self.set_reachable(host, true);
+                self.reconcile(env, host, sent_at, report);
+            }
+            _ => {
+                poll.is_silent = true;
+                poll.next_at = now + env.cx.timing.worker_poll / 2;
+                self.set_reachable(host, false);
+                self.give_up_silent(env, host);
+            }
+        }
+        self.advance(env);
+        self.schedule(env);
+    }
+
+    fn set_reachable(&mut self, host: &Name, is_reachable: bool) {
+        if let Some(host) = self.table.get_mut(host)
+            && host.is_reachable != is_reachable
+        {
+            host.is_reachable = is_reachable;
+            self.shapes.clear_notes();
+            self.is_dirty = true;
+        }
+    }
+
+    /// Compares what a worker reports with what should run there.
+    fn reconcile(&mut self, env: &mut Env<'_, '_>, host: &Name, sent_at: Duration, report: Report) {
+        let mut seen: BTreeSet<id::Task> = BTreeSet::new();
+        for listed in report.running {
+            seen.insert(listed.task.clone());
+            self.note_listed(env, host, listed);
+        }
+        for finished in report.finished {
+            seen.insert(finished.task.clone());
+            self.note_finished(env, host, finished);
+        }
+        let missing: Vec<id::Task> = match self.polls.get(host) {
+            Some(poll) => poll.tasks.difference(&seen).cloned().collect(),
+            None => Vec::new(),
+        };
+        for task in missing {
+            let is_gone = self
+                .running
+                .get(&task)
+                .is_some_and(|r| r.is_disproved_by(sent_at));
+            if is_gone {
+                self.end(env, &task, End::Lost);
+            }
+        }
+    }
+
+    fn note_listed(&mut self, env: &mut Env<'_, '_>, host: &Name, listed: Listed) {
+        let Some(running) = self.running.get_mut(&listed.task) else {
+            self.adopt(env, host, listed);
+            return;
+        };
+        match running.stage {
+            Stage::Starting if running.work == Work::Job => {
+                running.stage = Stage::Settled(env.cx.now);
+            }
+            // The stop may have overtaken the start, or was lost.
+            Stage::Stopping(_) => self.send_stop(env, &listed.task, Stop::Kill),
+            _ => {}
+        }
+    }
+
+    /// Counts a task that an owner before has started, or stops it.
+    fn adopt(&mut self, env: &mut Env<'_, '_>, host: &Name, listed: Listed) {
+        let task = listed.task;
+        let tag = listed.tag;
+        let is_wanted = tag.is_interactive || self.wants(&task);
+        let mut running = Running {
+            team: tag.team,
+            size: tag.size,
+            host: host.clone(),
+            work: if tag.is_interactive {
+                Work::Adopted
+            } else {
+                Work::Job
+            },
+            stage: Stage::Settled(env.now()),
+            started_at: env.now(),
+            is_preemptible: false,
+            run_ms: 0,
+        };
+        if let Some(job) = self.jobs.get_mut(&task.job).filter(|_| is_wanted) {
+            running.is_preemptible = job.submission.spec.restartable && !job.submission.spec.urgent;
+            running.run_ms = job.submission.spec.run_ms;
+            job.started(task.index);
+            if job.place.is_some() {
+                self.queue.served(&running.team, 1);
+            }
+        }
+        self.add_running(env, task.clone(), running);
+        if !is_wanted {
+            self.stop(env, &task, Stop::Kill);
+        }
+    }
+
+    /// Tells whether a task that runs somewhere is one that should run.
+    fn wants(&self, task: &id::Task) -> bool {
+        self.jobs
+            .get(&task.job)
+            .is_some_and(|job| job.waiting.contains(&task.index))
+    }
+
+    fn note_finished(&mut self, env: &mut Env<'_, '_>, host: &Name, finished: Finished) {
+        let end = match (finished.is_success, finished.is_stopped) {
+            (true, _) => End::Success,
+            (false, true) => End::Stopped,
+            (false, false) => End::Failure,
+        };
+        let is_interactive_here = self.running.get(&finished.task).is_some_and(|running| {
+            matches!(running.work, Work::Request(_)) && running.is_starting()
+        });
+        if is_interactive_here {
+            // The caller's stream decides; the worker only was quicker.
+            return;
+        }
+        if self.logging.contains(&finished.task) {
+            return;
+        }
+        if self.running.contains_key(&finished.task) {
+            self.end(env, &finished.task, end);
+        } else if end == End::Success && self.wants(&finished.task) {
+            self.finish_unseen(env, host, &finished.task);
+        }
+        if !self.logging.contains(&finished.task)
+            && let Some(poll) = self.polls.get_mut(host)
+        {
+            poll.forget.push(finished.task);
+        }
+    }
+
+    /// Notes the success of a task that an owner before has started.
+    fn finish_unseen(&mut self, env: &mut Env<'_, '_>, host: &Name, task: &id::Task) {
+        if let Some(job) = self.jobs.get(&task.job)
+            && job.place.is_some()
+        {
+            self.queue.served(&job.submission.team.clone(), 1);
+        }
+        self.finish_task(env, host, task, true);
+    }
+
+    /// Takes the reply to a start.
+    pub(crate) fn on_started(&mut self, env: &mut Env<'_, '_>, task: &id::Task, reply: Reply) {
+        let settled_at = match reply {
+            Reply::Unknown if env.breakage.retries_after_send => {
+                self.return_unsent(env, task);
+                return;
+            }
+            Reply::Done | Reply::Report(_) => env.now(),
+            Reply::NotSent => {
+                self.return_unsent(env, task);
+                return;
+            }
+            // The connection was cut, yet the call may still arrive for a while.
+            Reply::Unknown => env.now() + env.cx.timing.max_delay,
+        };
+        if let Some(running) = self.running.get_mut(task)
+            && running.is_starting()
+        {
+            running.stage = Stage::Settled(settled_at);
+        }
+    }
+
+    /// The start certainly was not carried out.
+    fn return_unsent(&mut self, env: &mut Env<'_, '_>, task: &id::Task) {
+        let Some(running) = self.remove_running(env, task) else {
+            return;
+        };
+        if let Some(host) = self.table.get_mut(&running.host) {
+            host.is_reachable = false;
+        }
+        self.return_task(env, task, &running.team);
+        self.schedule(env);
+    }
+
+    fn return_task(&mut self, env: &mut Env<'_, '_>, task: &id::Task, team: &Name) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let before = job.waiting.len();
+        job.returned(task.index);
+        let has_returned = job.waiting.len() > before;
+        if has_returned && job.place.is_some() {
+            self.queue.returned(team, 1);
+        } else if has_returned {
+            self.enqueue(env, &task.job.clone());
+        }
+        self.delay(&task.job);
+        self.note_if_over(env, &task.job);
+    }
+
+    /// A caller's connection to the worker broke after the request was sent.
+    pub(super) fn settle_later(&mut self, env: &mut Env<'_, '_>, task: &id::Task) {
+        let settled_at = env.now() + env.cx.timing.max_delay;
+        if let Some(running) = self.running.get_mut(task) {
+            running.stage = Stage::Settled(settled_at);
+            running.work = Work::Adopted;
+        }
+    }
+
+    /// Gives up tasks on a silent worker whose leases certainly are over.
+    fn give_up_silent(&mut self, env: &mut Env<'_, '_>, host: &Name) {
+        let Some(poll) = self.polls.get(host) else {
+            return;
+        };
+        let span = env.cx.timing.lengthened(env.cx.timing.task_lease);
+        let is_lease_over = env.now() >= poll.renewed_at + span;
+        if !is_lease_over {
+            return;
+        }
+        let is_over = |task: &&id::Task| {
+            self.running.get(*task).is_some_and(|running| {
+                let is_ours = !matches!(running.work, Work::Request(_));
+                is_ours && env.cx.now >= running.started_at + span
+            })
+        };
+        let tasks: Vec<id::Task> = poll.tasks.iter().filter(is_over).cloned().collect();
+        for task in tasks {
+            self.end(env, &task, End::Lost);
+        }
+    }
+
+    /// A task runs no more.
+    fn end(&mut self, env: &mut Env<'_, '_>, task: &id::Task, end: End) {
+        let Some(running) = self.remove_running(env, task) else {
+            return;
+        };
+        self.judge_host(env, task, &running, end);
+        if running.work != Work::Job {
+            return;
+        }
+        let is_success = end == End::Success;
+        let subject = format!("{}/{}", task.job, task.index);
+        self.record(env, subject, &running.team, Verdict::Ended { is_success });
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let is_service = job.submission.spec.kind == Kind::Service;
+        let is_final = match end {
+            End::Success => !is_service,
+            End::Failure => job.attempt_failed(env.cx.now, &running.host),
+            // Work that can't be started twice without harm is not started again.
+            End::Lost => !job.submission.spec.restartable && !job.is_cancelled && !is_service,
+            End::Stopped => false,
+        };
+        if is_final {
+            self.finish_task(env, &running.host, task, is_success);
+        } else {
+            self.return_task(env, task, &running.team);
+        }
+        if end != End::Success {
+            self.stop_rest_of_gang(env, &task.job);
+        }
+    }
+
+    /// Notes the end of a task for good.
+    ///
+    /// The worker remembers the task until that is on record.
+    fn finish_task(
+        &mut self,
+        env: &mut Env<'_, '_>,
+        host: &Name,
+        task: &id::Task,
+        is_success: bool,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.finish(task.index, is_success);
+        if job.waiting.is_empty() {
+            self.dequeue(&task.job);
+        }
+        let (job, index) = (task.job.clone(), task.index);
+        let ticket = Ticket::Forget(host.clone(), task.clone());
+        self.log.push(
+            Entry::Finished {
+                job,
+                index,
+                is_success,
+            },
+            ticket,
+        );
+        self.logging.insert(task.clone());
+        self.note_if_over(env, &task.job);
+    }
+
+    /// A gang that has lost a task can't go on: the others make room.
+    fn stop_rest_of_gang(&mut self, env: &mut Env<'_, '_>, id: &id::Job) {
+        if self.jobs.get(id).is_some_and(|job| job.is_gang()) {
+            self.stop_tasks_of(env, id, Stop::Kill);
+        }
+    }
+
+    fn judge_host(&mut self, env: &Env<'_, '_>, task: &id::Task, running: &Running, end: End) {
+        let Some(host) = self.table.get_mut(&running.host) else {
+            return;
+        };
+        match end {
+            End::Success => host.health.succeeded(),
+            End::Failure => {
+                host.health
+                    .failed(env.now(), &task.job, env.cx.timing.quarantine);
+            }
+            End::Stopped | End::Lost => {}
+        }
+    }
+
+    /// Notes that a request was answered well.
+    pub(super) fn note_success(&mut self, task: &id::Task) {
+        let host = self.running.get(task).map(|running| running.host.clone());
+        if let Some(host) = host.and_then(|host| self.table.get_mut(&host)) {
+            host.health.succeeded();
+        }
+    }
+
+    /// Stops every running task of a job.
+    pub(super) fn stop_tasks_of(&mut self, env: &mut Env<'_, '_>, id: &id::Job, how: Stop) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        if job.running.is_empty() {
+            return;
+        }
+        let is_of_job = |task: &&id::Task| task.job == *id;
+        let tasks: Vec<id::Task> = self.running.keys().filter(is_of_job).cloned().collect();
+        for task in tasks {
+            self.stop(env, &task, how);
+        }
+    }
+
+    /// Stops a task. It counts as running until the worker says otherwise.
+    pub(super) fn stop(&mut self, env: &mut Env<'_, '_>, task: &id::Task, how: Stop) {
+        let Some(running) = self.running.get_mut(task) else {
+            return;
+        };
+        if matches!(running.stage, Stage::Stopping(_)) {
+            return;
+        }
+        let settled_at = match running.stage {
+            Stage::Settled(at) | Stage::Stopping(at) => at,
+            Stage::Starting => running.started_at + SEND_WINDOW + env.cx.timing.max_delay,
+        };
+        running.stage = Stage::Stopping(settled_at);
+        self.send_stop(env, task, how);
+    }
+
+    fn send_stop(&self, env: &mut Env<'_, '_>, task: &id::Task, how: Stop) {
+        let Some(host) = self.running.get(task).map(|running| running.host.clone()) else {
+            return;
+        };
+        if let Some(address) = self.address(&host) {
+            let op = Op::Stop {
+                task: task.clone(),
+                how,
+            };
+            env.cx.worker(Purpose::Stop, &host, &address, op);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/store/document.rs
@@ -0,0 +1,153 @@
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use sycamore_types::id::Revision;
+
+use super::{Op, Progress, Reply, Versioned, Write, WriteId, envelope};
+
+/// The local copy of one document in the store, with at most one call at a time.
+#[derive(Debug)]
+pub(crate) struct Document<T> {
+    key: &'static str,
+    revision: Revision,
+    value: T,
+    is_known: bool,
+    call: Call<T>,
+}
+
+#[derive(Debug)]
+enum Call<T> {
+    Idle,
+    Reading,
+    Writing { write: Write, value: T },
+    Stalled { write: Write, value: T },
+}
+
+/// What a reply meant for the document.
+#[derive(Debug, Eq, PartialEq)]
+pub(crate) enum Change {
+    /// Make this call.
+    Send(Op),
+    /// The local copy is as fresh as the reply.
+    Read,
+    /// The proposed value is now the one in the store.
+    Written,
+    /// Another value stands in the store; the local copy holds it.
+    Conflict,
+    /// The store can't be reached.
+    Failed,
+}
+
+impl<T: Clone + Default + DeserializeOwned + Serialize> Document<T> {
+    pub(crate) fn new(key: &'static str) -> Document<T> {
+        Document {
+            key,
+            revision: 0,
+            value: T::default(),
+            is_known: false,
+            call: Call::Idle,
+        }
+    }
+
+    /// Returns the local copy once the store was read.
+    pub(crate) fn get(&self) -> Option<&T> {
+        self.is_known.then_some(&self.value)
+    }
+
+    pub(crate) fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        matches!(self.call, Call::Idle)
+    }
+
+    /// Returns the call that reads the document, unless a call is under way.
+    ///
+    /// A stalled write is continued instead: its outcome comes first.
+    pub(crate) fn refresh(&mut self) -> Option<Op> {
+        match std::mem::replace(&mut self.call, Call::Idle) {
+            Call::Idle => {
+                self.call = Call::Reading;
+                Some(Op::Get {
+                    key: self.key.to_string(),
+                })
+            }
+            Call::Stalled { mut write, value } => {
+                let op = write.resume();
+                self.call = Call::Writing { write, value };
+                Some(op)
+            }
+            busy => {
+                self.call = busy;
+                None
+            }
+        }
+    }
+
+    /// Returns the call that replaces the document. The document must be idle.
+    pub(crate) fn propose(&mut self, value: T, id: WriteId) -> Op {
+        let body = serde_json::to_vec(&value).unwrap_or_default();
+        let write = Write::new(self.key.to_string(), self.revision, id, &body);
+        let op = write.start();
+        self.call = Call::Writing { write, value };
+        op
+    }
+
+    pub(crate) fn on_reply(&mut self, reply: Reply) -> Change {
+        match std::mem::replace(&mut self.call, Call::Idle) {
+            Call::Reading => self.on_read(reply),
+            Call::Writing { write, value } => self.on_write(write, value, reply),
+            other => {
+                self.call = other;
+                Change::Failed
+            }
+        }
+    }
+
+    fn on_read(&mut self, reply: Reply) -> Change {
+        match reply {
+            Reply::Value(found) => {
+                self.adopt(found);
+                Change::Read
+            }
+            _ => Change::Failed,
+        }
+    }
+
+    fn on_write(&mut self, mut write: Write, value: T, reply: Reply) -> Change {
+        match write.on_reply(reply) {
+            Progress::Send(op) => {
+                self.call = Call::Writing { write, value };
+                Change::Send(op)
+            }
+            Progress::Written(revision) => {
+                self.revision = revision;
+                self.value = value;
+                Change::Written
+            }
+            Progress::Conflict(found) => {
+                self.adopt(found);
+                Change::Conflict
+            }
+            Progress::Refused => Change::Failed,
+            Progress::Stalled => {
+                self.call = Call::Stalled { write, value };
+                Change::Failed
+            }
+        }
+    }
+
+    /// Takes in a value unless a newer one is known: revisions never go back.
+    fn adopt(&mut self, found: Option<Versioned>) {
+        self.is_known = true;
+        let Some(found) = found.filter(|found| found.revision > self.revision) else {
+            return;
+        };
+        let decoded = envelope::open(&found.value)
+            .and_then(|(_, body)| serde_json::from_slice::<T>(body).ok());
+        if let Some(value) = decoded {
+            self.revision = found.revision;
+            self.value = value;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/store/mod.rs
@@ -0,0 +1,20 @@
+//! The platform's store, as the decision core sees it.
+//!
+//! The core never waits for the store: it emits an [`Op`] and later receives
+//! the [`Reply`]. A reply can be lost after a write took effect, so every
+//! value carries the unique identifier of the write that made it, and
+//! [`Write`] resolves doubt by reading back, never by guessing.
+
+mod document;
+mod envelope;
+mod keys;
+mod op;
+mod reply;
+mod write;
+
+pub(crate) use document::{Change, Document};
+pub use envelope::{WriteId, open, seal};
+pub use keys::{CONFIG, LEDGER, MEMBER_PREFIX, OWNERS, log_prefix, log_slot, member, snapshot};
+pub use op::Op;
+pub use reply::{Reply, Versioned};
+pub use write::{Progress, Write};
--- /dev/null
+++ b/crates/core/src/store/reply.rs
@@ -0,0 +1,36 @@
+use sycamore_types::id::Revision;
+
+/// A value with its key and revision.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Versioned {
+    /// Key of the value.
+    pub key: String,
+    /// Revision at which the value was written.
+    pub revision: Revision,
+    /// The value itself.
+    pub value: Vec<u8>,
+}
+
+/// What came of a call to the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Reply {
+    /// Answer to a read of one value.
+    Value(Option<Versioned>),
+    /// Answer to a read of several values.
+    Values(Vec<Versioned>),
+    /// The write took effect at this revision.
+    Written(Revision),
+    /// The write did not take effect, since the revision was another one.
+    Conflict,
+    /// The call certainly had no effect.
+    Unavailable,
+    /// The call may have taken effect, or may yet do so.
+    Unknown,
+}
+
+impl Reply {
+    /// Tells whether the store itself answered.
+    pub fn is_contact(&self) -> bool {
+        !matches!(self, Reply::Unavailable | Reply::Unknown)
+    }
+}
--- /dev/null
+++ b/crates/core/src/store/write.rs
@@ -0,0 +1,110 @@
+use sycamore_types::id::Revision;
+
+use super::{Op, Reply, Versioned, WriteId, envelope};
+
+/// One compare-and-swap, followed until its outcome is certain.
+///
+/// A reply that is lost leaves the write in doubt: it may have taken effect,
+/// or may yet do so. The write is then read back and recognised by its unique
+/// identifier. If the value is still the old one, the same bytes are sent
+/// again, so that a late arrival of the first copy changes nothing.
+#[derive(Clone, Debug)]
+pub struct Write {
+    key: String,
+    expected: Revision,
+    value: Vec<u8>,
+    id: WriteId,
+    is_reading_back: bool,
+    is_in_doubt: bool,
+}
+
+/// What to do next with a write.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Progress {
+    /// Make this call.
+    Send(Op),
+    /// The write took effect at this revision.
+    Written(Revision),
+    /// The write did not take effect. Holds the value that stands instead.
+    Conflict(Option<Versioned>),
+    /// The store can't be reached. The write never took effect.
+    Refused,
+    /// The store can't be reached and the outcome is in doubt. Call [`Write::resume`] later.
+    Stalled,
+}
+
+impl Write {
+    /// Prepares a write of `body`.
+    pub fn new(key: String, expected: Revision, id: WriteId, body: &[u8]) -> Write {
+        let value = envelope::seal(id, body);
+        Write {
+            key,
+            expected,
+            value,
+            id,
+            is_reading_back: false,
+            is_in_doubt: false,
+        }
+    }
+
+    /// Returns the first call to make.
+    pub fn start(&self) -> Op {
+        Op::Put {
+            key: self.key.clone(),
+            expected: self.expected,
+            value: self.value.clone(),
+        }
+    }
+
+    /// Returns the call that continues a stalled write.
+    pub fn resume(&mut self) -> Op {
+        self.read_back()
+    }
+
+    /// Tells whether the write may have taken effect.
+    pub fn is_in_doubt(&self) -> bool {
+        self.is_in_doubt
+    }
+
+    /// Takes the reply to the latest call.
+    pub fn on_reply(&mut self, reply: Reply) -> Progress {
+        if self.is_reading_back {
+            return self.on_read_back(reply);
+        }
+        match reply {
+            Reply::Written(revision) => Progress::Written(revision),
+            Reply::Unavailable if !self.is_in_doubt => Progress::Refused,
+            Reply::Unavailable => Progress::Stalled,
+            Reply::Unknown => {
+                self.is_in_doubt = true;
+                Progress::Send(self.read_back())
+            }
+            _ => Progress::Send(self.read_back()),
+        }
+    }
+
+    fn on_read_back(&mut self, reply: Reply) -> Progress {
+        let found = match reply {
+            Reply::Value(found) => found,
+            _ => return Progress::Stalled,
+        };
+        if let Some(value) = &found
+            && envelope::open(&value.value).is_some_and(|(id, _)| id == self.id)
+        {
+            return Progress::Written(value.revision);
+        }
+        let revision = found.as_ref().map_or(0, |value| value.revision);
+        if revision == self.expected {
+            self.is_reading_back = false;
+            return Progress::Send(self.start());
+        }
+        Progress::Conflict(found)
+    }
+
+    fn read_back(&mut self) -> Op {
+        self.is_reading_back = true;
+        Op::Get {
+            key: self.key.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/failures/main.rs
@@ -0,0 +1,5 @@
+//! What holds when things fail: the fault matrix, the fuzzing, and the proof
+//! that both can fail.
+
+mod basics;
+mod world;
--- /dev/null
+++ b/crates/core/tests/failures/world/store.rs
@@ -0,0 +1,64 @@
+use std::collections::BTreeMap;
+
+use sycamore_core::store::{Op, Reply, Versioned};
+use sycamore_types::id::Revision;
+
+/// A stand-in for the platform's store: compare-and-swap on revisions.
+#[derive(Debug, Default)]
+pub struct Store {
+    values: BTreeMap<String, (Revision, Vec<u8>)>,
+    revision: Revision,
+    /// Calls that wrote.
+    pub writes: u64,
+    /// Calls that read.
+    pub reads: u64,
+}
+
+impl Store {
+    /// Carries out a call.
+    pub fn call(&mut self, op: &Op) -> Reply {
+        match op {
+            Op::Get { key } => {
+                self.reads += 1;
+                Reply::Value(self.get(key))
+            }
+            Op::List { prefix } => {
+                self.reads += 1;
+                let keys = self
+                    .values
+                    .keys()
+                    .filter(|key| key.starts_with(prefix.as_str()));
+                Reply::Values(keys.filter_map(|key| self.get(key)).collect())
+            }
+            Op::Put {
+                key,
+                expected,
+                value,
+            } => self.change(key, *expected, Some(value.clone())),
+            Op::Delete { key, expected } => self.change(key, *expected, None),
+        }
+    }
+
+    /// Reads a value without counting.
+    pub fn get(&self, key: &str) -> Option<Versioned> {
+        let (revision, value) = self.values.get(key)?;
+        Some(Versioned {
+            key: key.to_string(),
+            revision: *revision,
+            value: value.clone(),
+        })
+    }
+
+    fn change(&mut self, key: &str, expected: Revision, value: Option<Vec<u8>>) -> Reply {
+        self.writes += 1;
+        if self.values.get(key).map_or(0, |(revision, _)| *revision) != expected {
+            return Reply::Conflict;
+        }
+        self.revision += 1;
+        match value {
+            Some(value) => self.values.insert(key.to_string(), (self.revision, value)),
+            None => self.values.remove(key),
+        };
+        Reply::Written(self.revision)
+    }
+}
--- /dev/null
+++ b/crates/core/tests/failures/world/worker.rs
@@ -0,0 +1,121 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sycamore_core::worker::{Finished, Launch, Listed, Op, Reply, Report};
+use sycamore_types::host::Host;
+use sycamore_types::id;
+use sycamore_types::resources::Resources;
+
+/// A task on the stand-in of a worker.
+#[derive(Debug)]
+pub struct Task {
+    /// What was started.
+    pub launch: Launch,
+    ends_at: Duration,
+    lease_until: Duration,
+}
+
+/// A stand-in for a worker. It refuses nothing.
+#[derive(Debug)]
+pub struct Worker {
+    /// The worker as the platform lists it.
+    pub host: Host,
+    /// Tasks that run.
+    pub running: BTreeMap<id::Task, Task>,
+    finished: BTreeMap<id::Task, Finished>,
+    /// No call gets through.
+    pub is_unreachable: bool,
+    /// Everything that is started fails at once.
+    pub fails_everything: bool,
+}
+
+impl Worker {
+    /// Builds an idle worker.
+    pub fn new(host: Host) -> Worker {
+        Worker {
+            host,
+            running: BTreeMap::new(),
+            finished: BTreeMap::new(),
+            is_unreachable: false,
+            fails_everything: false,
+        }
+    }
+
+    /// Carries out a call.
+    pub fn call(&mut self, now: Duration, op: &Op) -> Reply {
+        self.advance(now);
+        match op {
+            Op::Start { launch, .. } => {
+                let ends_at = match self.fails_everything {
+                    true => now,
+                    false => now + Duration::from_millis(launch.run_ms.max(1)),
+                };
+                let lease_until = now + launch.lease;
+                let task = Task {
+                    launch: launch.clone(),
+                    ends_at,
+                    lease_until,
+                };
+                self.running.insert(launch.task.clone(), task);
+                Reply::Done
+            }
+            Op::Poll { lease, forget, .. } => self.poll(now, *lease, forget),
+            Op::Stop { task, .. } => {
+                if self.running.remove(task).is_some() {
+                    self.finish(task, false, true);
+                }
+                Reply::Done
+            }
+        }
+    }
+
+    fn poll(&mut self, now: Duration, lease: Duration, forget: &[id::Task]) -> Reply {
+        for task in forget {
+            self.finished.remove(task);
+        }
+        for task in self.running.values_mut() {
+            task.lease_until = task.lease_until.max(now + lease);
+        }
+        let listed = |(task, state): (&id::Task, &Task)| Listed {
+            task: task.clone(),
+            tag: state.launch.tag.clone(),
+            used: Resources::default(),
+        };
+        Reply::Report(Report {
+            running: self.running.iter().map(listed).collect(),
+            finished: self.finished.values().cloned().collect(),
+        })
+    }
+
+    /// Ends tasks that are done or whose leases were not renewed.
+    pub fn advance(&mut self, now: Duration) {
+        let over: Vec<id::Task> = self
+            .running
+            .iter()
+            .filter(|(_, task)| now >= task.ends_at || now >= task.lease_until)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in over {
+            if let Some(task) = self.running.remove(&id) {
+                let is_stopped = now < task.ends_at;
+                let is_success = !is_stopped && !self.fails_everything;
+                self.finish(&id, is_success, is_stopped);
+            }
+        }
+    }
+
+    fn finish(&mut self, task: &id::Task, is_success: bool, is_stopped: bool) {
+        let finished = Finished {
+            task: task.clone(),
+            is_success,
+            is_stopped,
+        };
+        self.finished.insert(task.clone(), finished);
+    }
+
+    /// Returns what is taken of the worker.
+    pub fn used(&self) -> Resources {
+        let sizes = self.running.values().map(|task| &task.launch.tag.size);
+        sizes.fold(Resources::default(), |sum, size| sum.plus(size))
+    }
+}
--- a/crates/types/src/resources/mod.rs
+++ b/crates/types/src/resources/mod.rs
@@ -52,7 +52,7 @@
     }
 
     /// Takes the larger value in each dimension.
-    pub fn max(&self, other: &Resources) -> Resources {
+    pub fn at_least(&self, other: &Resources) -> Resources {
         self.zip(other, u32::max)
     }
 
