--- /dev/null
+++ b/crates/audit/src/command.rs
@@ -0,0 +1,103 @@
+use std::collections::BTreeMap;
+use std::fs;
+use std::process::ExitCode;
+
+use displaydoc::Display;
+use getopts::Options;
+use sycamore_audit::{Heads, explain, verify};
+use sycamore_types::id;
+
+const USAGE: &str = "\
+Checks and explains collected decision records.
+
+Usage:
+  sycamore-audit verify --heads HEADS RECORDS
+  sycamore-audit explain JOB RECORDS
+
+RECORDS is the collected stream, one record a line. HEADS is what
+`sycamorectl heads` has printed. Exits with 0 when nothing was found, with 1
+when the stream can't be right or says nothing of the job, and with 2 when the
+command can't be carried out.";
+
+/// Why a command could not be carried out.
+#[derive(Debug, Display)]
+#[non_exhaustive]
+pub enum Error {
+    /// {0}
+    Usage(String),
+    /// {path}: {message}
+    File {
+        /// The file.
+        path: String,
+        /// What went wrong.
+        message: String,
+    },
+}
+
+impl std::error::Error for Error {}
+
+/// Carries out the command line.
+pub fn run(args: impl Iterator<Item = String>) -> Result<ExitCode, Error> {
+    let mut options = Options::new();
+    options.optopt("", "heads", "chain heads as printed by sycamorectl", "FILE");
+    options.optflag("h", "help", "print this help and exit");
+    let matches = options
+        .parse(args)
+        .map_err(|error| Error::Usage(error.to_string()))?;
+    if matches.opt_present("help") {
+        println!("{}", options.usage(USAGE));
+        return Ok(ExitCode::SUCCESS);
+    }
+    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["verify", records] => match matches.opt_str("heads") {
+            Some(heads) => run_verify(records, &heads),
+            None => Err(Error::Usage("verify needs --heads".to_string())),
+        },
+        ["explain", job, records] => run_explain(job, records),
+        _ => Err(Error::Usage(USAGE.to_string())),
+    }
+}
+
+fn run_verify(records: &str, heads: &str) -> Result<ExitCode, Error> {
+    let text = read(records)?;
+    let heads: BTreeMap<id::Shard, Heads> =
+        serde_json::from_str(&read(heads)?).map_err(|error| Error::File {
+            path: heads.to_string(),
+            message: error.to_string(),
+        })?;
+    let findings = verify(text.lines(), &heads);
+    for finding in &findings {
+        println!("{finding}");
+    }
+    println!(
+        "{} records, {} findings",
+        text.lines().count(),
+        findings.len()
+    );
+    Ok(if findings.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+fn run_explain(job: &str, records: &str) -> Result<ExitCode, Error> {
+    let text = read(records)?;
+    let lines = explain(text.lines(), job);
+    for line in &lines {
+        println!("{line}");
+    }
+    if lines.is_empty() {
+        println!("no record speaks of {job}");
+        return Ok(ExitCode::FAILURE);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn read(path: &str) -> Result<String, Error> {
+    fs::read_to_string(path).map_err(|error| Error::File {
+        path: path.to_string(),
+        message: error.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/audit/src/explain.rs
@@ -0,0 +1,62 @@
+use sycamore_core::record::{Verdict, Why};
+
+use crate::Record;
+
+/// Says in plain words what was decided about a job or request, and why.
+pub fn explain<'a>(lines: impl Iterator<Item = &'a str>, subject: &str) -> Vec<String> {
+    let records = lines.filter_map(|line| serde_json::from_str::<Record>(line).ok());
+    let is_about = |record: &Record| {
+        let of = &record.decision.subject;
+        of == subject
+            || of
+                .strip_prefix(subject)
+                .is_some_and(|rest| rest.starts_with('/'))
+    };
+    records
+        .filter(is_about)
+        .map(|record| describe(&record))
+        .collect()
+}
+
+fn describe(record: &Record) -> String {
+    let decision = &record.decision;
+    let what = match &decision.verdict {
+        Verdict::Started { host, why } => format!("started on {host}: {}", reason(why)),
+        Verdict::Preempted { host } => {
+            format!("stopped on {host} to make room for urgent work or a lowered limit")
+        }
+        Verdict::Refused { reason } => format!("refused: {reason}"),
+        Verdict::Ended { is_success: true } => "ended well".to_string(),
+        Verdict::Ended { is_success: false } => "ended without success".to_string(),
+        Verdict::Owned { owner } => format!("{owner} became the owner"),
+    };
+    format!(
+        "{} shard {} epoch {} decision {} (configuration {}): {} of team {} {what}",
+        record.at_ms,
+        decision.shard,
+        decision.epoch,
+        decision.sequence,
+        decision.config,
+        decision.subject,
+        decision.team,
+    )
+}
+
+fn reason(why: &Why) -> String {
+    let own = format!(
+        "{} work, number {} to arrive, waited {} ms; the team's weighted share was {:.2}%",
+        why.class,
+        why.arrival,
+        why.waited_ms,
+        100.0 * why.share
+    );
+    match &why.next_team {
+        None => format!("{own}; no other team waited in its class"),
+        Some(team) => {
+            format!(
+                "{own}; next in line was team {team} at {:.2}%",
+                100.0 * why.next_share
+            )
+        }
+    }
+}
--- /dev/null
+++ b/crates/audit/tests/tampering.rs
@@ -0,0 +1,109 @@
+//! A stream that was tampered with is found out.
+
+use std::collections::BTreeMap;
+
+use sycamore_audit::{Chain, Finding, Heads, Record, explain, verify};
+use sycamore_core::record::{Decision, Verdict};
+use sycamore_types::id;
+use yare::parameterized;
+
+fn decision(sequence: u64) -> Decision {
+    Decision {
+        shard: shard(),
+        epoch: 1,
+        sequence,
+        config: 3,
+        subject: format!("d-0.{sequence:032x}"),
+        team: "a".into(),
+        verdict: Verdict::Ended { is_success: true },
+    }
+}
+
+fn shard() -> id::Shard {
+    id::Shard::new("d", 0)
+}
+
+fn collected() -> (Vec<Record>, BTreeMap<id::Shard, Heads>) {
+    let mut chain = Chain::default();
+    let records: Vec<Record> = (1..=5)
+        .map(|at| chain.append(decision(at), 1_000 + at))
+        .collect();
+    let mut heads = BTreeMap::new();
+    for (shard, (epoch, head)) in chain.heads() {
+        let mut of_shard = Heads::default();
+        of_shard.set(epoch, head);
+        heads.insert(shard, of_shard);
+    }
+    (records, heads)
+}
+
+fn check(records: &[Record], heads: &BTreeMap<id::Shard, Heads>) -> Vec<Finding> {
+    let lines: Vec<String> = records
+        .iter()
+        .map(|record| serde_json::to_string(record).unwrap())
+        .collect();
+    verify(lines.iter().map(String::as_str), heads)
+}
+
+fn change(records: &mut Vec<Record>) {
+    records[2].decision.team = "b".into();
+}
+
+fn drop_one(records: &mut Vec<Record>) {
+    records.remove(2);
+}
+
+fn drop_last(records: &mut Vec<Record>) {
+    records.pop();
+}
+
+fn drop_all(records: &mut Vec<Record>) {
+    records.clear();
+}
+
+fn reorder(records: &mut Vec<Record>) {
+    records.swap(1, 2);
+}
+
+fn invent(records: &mut Vec<Record>) {
+    let mut chain = Chain::default();
+    let mut decision = decision(1);
+    decision.epoch = 0;
+    records.push(chain.append(decision, 5));
+}
+
+fn rewrite(records: &mut Vec<Record>) {
+    let mut chain = Chain::default();
+    *records = (1..=5)
+        .map(|at| chain.append(decision(at), 2_000 + at))
+        .collect();
+}
+
+#[parameterized(
+    changed = { change },
+    dropped = { drop_one },
+    cut = { drop_last },
+    lost = { drop_all },
+    reordered = { reorder },
+    invented = { invent },
+    rewritten = { rewrite },
+)]
+fn tampering_is_found(tamper: fn(&mut Vec<Record>)) {
+    let (mut records, heads) = collected();
+    assert_eq!(check(&records, &heads), Vec::new());
+    tamper(&mut records);
+    assert_ne!(check(&records, &heads), Vec::new());
+}
+
+#[test]
+fn a_decision_is_explained() {
+    let (records, _) = collected();
+    let lines: Vec<String> = records
+        .iter()
+        .map(|record| serde_json::to_string(record).unwrap())
+        .collect();
+    let subject = records[3].decision.subject.clone();
+    let told = explain(lines.iter().map(String::as_str), &subject);
+    assert_eq!(told.len(), 1);
+    assert!(told[0].contains("of team a ended well"), "{}", told[0]);
+}
--- /dev/null
+++ b/crates/platform/src/store/http_store.rs
@@ -0,0 +1,148 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use sycamore_core::store::{Op, Reply, Versioned};
+use sycamore_types::id::Revision;
+
+use super::{Listed, REVISION_HEADER, Store};
+use crate::Address;
+use crate::http::{Client, Error};
+
+/// Time after which a call counts as lost.
+const TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Time for which the store is asked to hold a watch.
+const WATCH: Duration = Duration::from_secs(20);
+
+/// The store over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    client: Client,
+    address: Address,
+}
+
+impl HttpStore {
+    /// Builds a client of the store at an address.
+    pub fn new(address: Address) -> HttpStore {
+        HttpStore {
+            client: Client::new(),
+            address,
+        }
+    }
+
+    fn url(&self, rest: &str) -> String {
+        format!("http://{}/v1/{rest}", self.address.0)
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        rest: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, Error> {
+        let request = Request::builder()
+            .method(method)
+            .uri(self.url(rest))
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| Error::NotSent(error.to_string()))?;
+        self.client.call(request, timeout).await
+    }
+
+    async fn get(&self, key: &str) -> Reply {
+        let answer = self
+            .send(Method::GET, &format!("kv/{key}"), Vec::new(), TIMEOUT)
+            .await;
+        match answer {
+            Ok(answer) if answer.status() == StatusCode::OK => {
+                Reply::Value(Some(versioned(key, &answer)))
+            }
+            Ok(answer) if answer.status() == StatusCode::NOT_FOUND => Reply::Value(None),
+            _ => Reply::Unavailable,
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Reply {
+        let answer = self
+            .send(Method::GET, &format!("list/{prefix}"), Vec::new(), TIMEOUT)
+            .await;
+        let Ok(answer) = answer else {
+            return Reply::Unavailable;
+        };
+        let listed = serde_json::from_slice::<Vec<Listed>>(answer.body());
+        match listed.ok().and_then(decode_all) {
+            Some(values) if answer.status() == StatusCode::OK => Reply::Values(values),
+            _ => Reply::Unavailable,
+        }
+    }
+
+    async fn write(&self, method: Method, key: &str, expected: Revision, body: Vec<u8>) -> Reply {
+        let rest = format!("kv/{key}?expected={expected}");
+        match self.send(method, &rest, body, TIMEOUT).await {
+            Ok(answer) => match answer.status() {
+                StatusCode::OK => Reply::Written(revision_of(&answer)),
+                StatusCode::CONFLICT => Reply::Conflict,
+                StatusCode::SERVICE_UNAVAILABLE => Reply::Unavailable,
+                _ => Reply::Unknown,
+            },
+            Err(Error::NotSent(_)) => Reply::Unavailable,
+            Err(_) => Reply::Unknown,
+        }
+    }
+}
+
+impl Store for HttpStore {
+    async fn call(&self, op: Op) -> Reply {
+        match op {
+            Op::Get { key } => self.get(&key).await,
+            Op::List { prefix } => self.list(&prefix).await,
+            Op::Put {
+                key,
+                expected,
+                value,
+            } => self.write(Method::PUT, &key, expected, value).await,
+            Op::Delete { key, expected } => {
+                self.write(Method::DELETE, &key, expected, Vec::new()).await
+            }
+        }
+    }
+
+    async fn watch(&self, key: &str, seen: Revision) -> Option<Versioned> {
+        let rest = format!("watch/{key}?seen={seen}&wait_ms={}", WATCH.as_millis());
+        let answer = self
+            .send(Method::GET, &rest, Vec::new(), WATCH + TIMEOUT)
+            .await
+            .ok()?;
+        (answer.status() == StatusCode::OK).then(|| versioned(key, &answer))
+    }
+}
+
+fn versioned(key: &str, answer: &Response<Bytes>) -> Versioned {
+    let value = answer.body().to_vec();
+    Versioned {
+        key: key.to_string(),
+        revision: revision_of(answer),
+        value,
+    }
+}
+
+fn revision_of(answer: &Response<Bytes>) -> Revision {
+    let header = answer.headers().get(REVISION_HEADER);
+    header
+        .and_then(|value| value.to_str().ok()?.parse().ok())
+        .unwrap_or(0)
+}
+
+fn decode_all(listed: Vec<Listed>) -> Option<Vec<Versioned>> {
+    let decode = |listed: Listed| {
+        let value = hex::decode(listed.value).ok()?;
+        Some(Versioned {
+            key: listed.key,
+            revision: listed.revision,
+            value,
+        })
+    };
+    listed.into_iter().map(decode).collect()
+}
--- /dev/null
+++ b/crates/platform/src/worker/http_worker.rs
@@ -0,0 +1,128 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+use http_body_util::combinators::BoxBody;
+use hyper::body::Incoming;
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use sycamore_core::worker::{Launch, Op, Reply, Report};
+
+use super::{LAUNCH_HEADER, Poll, Stop, Worker};
+use crate::http::{Client, Error, IDLE_TIMEOUT, classify, connector};
+
+/// Time after which a call to a worker counts as lost, besides the time that
+/// the worker was asked to wait.
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Body of a request that is passed on.
+pub type ServeBody = BoxBody<Bytes, std::io::Error>;
+
+/// Workers over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpWorker {
+    control: Client,
+    traffic: legacy::Client<HttpConnector, ServeBody>,
+}
+
+impl Default for HttpWorker {
+    fn default() -> HttpWorker {
+        HttpWorker::new()
+    }
+}
+
+impl HttpWorker {
+    /// Builds a client of all workers.
+    ///
+    /// Requests have connections of their own, so that long answers never
+    /// hold up a poll.
+    pub fn new() -> HttpWorker {
+        let traffic = legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .build(connector());
+        HttpWorker {
+            control: Client::new(),
+            traffic,
+        }
+    }
+
+    async fn post<T: Serialize>(
+        &self,
+        address: &str,
+        path: &str,
+        body: &T,
+        wait: Duration,
+    ) -> Result<Response<Bytes>, Error> {
+        let body = serde_json::to_vec(body).map_err(|e| Error::NotSent(e.to_string()))?;
+        let request = Request::post(format!("http://{address}/v1/{path}"))
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| Error::NotSent(error.to_string()))?;
+        self.control.call(request, TIMEOUT + wait).await
+    }
+}
+
+impl Worker for HttpWorker {
+    async fn call(&self, address: &str, op: Op) -> Reply {
+        let result = match op {
+            Op::Start { launch, .. } => self.post(address, "start", &launch, Duration::ZERO).await,
+            Op::Stop { task, how } => {
+                self.post(address, "stop", &Stop { task, how }, Duration::ZERO)
+                    .await
+            }
+            Op::Poll {
+                lease,
+                wait,
+                forget,
+            } => {
+                let poll = Poll {
+                    lease,
+                    wait,
+                    forget,
+                };
+                return report(self.post(address, "poll", &poll, wait).await);
+            }
+        };
+        match result {
+            Ok(answer) if answer.status() == StatusCode::OK => Reply::Done,
+            Ok(_) => Reply::Unknown,
+            Err(Error::NotSent(_)) => Reply::NotSent,
+            Err(_) => Reply::Unknown,
+        }
+    }
+
+    async fn serve(
+        &self,
+        address: &str,
+        launch: &Launch,
+        mut request: Request<ServeBody>,
+    ) -> Result<Response<Incoming>, Error> {
+        let path = request
+            .uri()
+            .path_and_query()
+            .map_or("/", |path| path.as_str())
+            .to_string();
+        let uri: Uri = format!("http://{address}/v1/serve{path}")
+            .parse()
+            .map_err(|_| Error::NotSent(format!("bad path {path}")))?;
+        *request.uri_mut() = uri;
+        let note = serde_json::to_string(launch).map_err(|e| Error::NotSent(e.to_string()))?;
+        let note = HeaderValue::from_str(&note).map_err(|e| Error::NotSent(e.to_string()))?;
+        request.headers_mut().insert(LAUNCH_HEADER, note);
+        self.traffic.request(request).await.map_err(classify)
+    }
+}
+
+fn report(result: Result<Response<Bytes>, Error>) -> Reply {
+    match result {
+        Ok(answer) => match serde_json::from_slice::<Report>(answer.body()) {
+            Ok(report) if answer.status() == StatusCode::OK => Reply::Report(report),
+            _ => Reply::Unknown,
+        },
+        Err(Error::NotSent(_)) => Reply::NotSent,
+        Err(_) => Reply::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/settings/src/parser.rs
@@ -0,0 +1,113 @@
+use std::collections::BTreeMap;
+
+use getopts::Options;
+
+use crate::{Errors, Problem, Setting, Values};
+
+/// Reads the settings of one program.
+#[derive(Clone, Debug)]
+pub struct Parser {
+    program: &'static str,
+    about: &'static str,
+    settings: Vec<Setting>,
+}
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum Parsed {
+    /// Run with these values.
+    Run(Values),
+    /// Print this text and end well.
+    Print(String),
+}
+
+impl Parser {
+    /// Declares a program and its settings.
+    pub fn new(program: &'static str, about: &'static str, settings: Vec<Setting>) -> Parser {
+        Parser {
+            program,
+            about,
+            settings,
+        }
+    }
+
+    /// Reads flags, then environment variables, then defaults.
+    ///
+    /// # Errors
+    ///
+    /// Fails on an unknown flag. What is wrong with values is collected by
+    /// [`Values`] while the program resolves them.
+    pub fn parse(
+        &self,
+        args: impl Iterator<Item = String>,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Parsed, Errors> {
+        let options = self.options();
+        let usage = |error: getopts::Fail| Errors(vec![Problem::Usage(error.to_string())]);
+        let matches = options.parse(args).map_err(usage)?;
+        if let Some(extra) = matches.free.first() {
+            let message = format!("`{extra}` is not a flag");
+            return Err(Errors(vec![Problem::Usage(message)]));
+        }
+        if matches.opt_present("help") {
+            return Ok(Parsed::Print(self.help(&options)));
+        }
+        if matches.opt_present("version") {
+            let version = format!("{} {}\n", self.program, env!("CARGO_PKG_VERSION"));
+            return Ok(Parsed::Print(version));
+        }
+        let mut found = BTreeMap::new();
+        for setting in &self.settings {
+            let value = matches
+                .opt_str(setting.flag)
+                .or_else(|| variable(setting.variable))
+                .or_else(|| setting.default.map(str::to_string));
+            found.insert(setting.flag, value);
+        }
+        if matches.opt_present("print-settings") {
+            return Ok(Parsed::Print(self.print(&found)));
+        }
+        Ok(Parsed::Run(Values::new(self.settings.clone(), found)))
+    }
+
+    fn options(&self) -> Options {
+        let mut options = Options::new();
+        for setting in &self.settings {
+            options.optopt("", setting.flag, &describe(setting), setting.hint);
+        }
+        options.optflag("", "print-settings", "print the settings in force and exit");
+        options.optflag("h", "help", "print this help and exit");
+        options.optflag("V", "version", "print the version and exit");
+        options
+    }
+
+    fn help(&self, options: &Options) -> String {
+        options.usage(&format!(
+            "{}\n\nUsage: {} [OPTIONS]",
+            self.about, self.program
+        ))
+    }
+
+    fn print(&self, found: &BTreeMap<&'static str, Option<String>>) -> String {
+        let mut text = String::new();
+        for setting in &self.settings {
+            let value = found.get(setting.flag).cloned().flatten();
+            let shown = match value {
+                None => "(not set)".to_string(),
+                Some(_) if setting.is_secret => "(hidden)".to_string(),
+                Some(value) => value,
+            };
+            text.push_str(&format!("{}={shown}\n", setting.variable));
+        }
+        text
+    }
+}
+
+fn describe(setting: &Setting) -> String {
+    let default = match setting.default {
+        None => "required".to_string(),
+        Some("") => "default: none".to_string(),
+        Some(default) => format!("default: {default}"),
+    };
+    format!("{} ({default}) [{}]", setting.help, setting.variable)
+}
--- /dev/null
+++ b/crates/standin/src/hosts/mod.rs
@@ -0,0 +1,54 @@
+//! Stand-in for the platform's list of hosts.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use sycamore_types::host::Host;
+
+use crate::http::{Body, Server, text};
+
+/// The list of hosts.
+#[derive(Clone, Debug)]
+pub struct List {
+    hosts: Arc<Mutex<Vec<Host>>>,
+    server: Arc<Server>,
+}
+
+impl List {
+    /// Starts serving a list on a free port of loopback.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be had.
+    pub async fn start(hosts: Vec<Host>) -> std::io::Result<List> {
+        let hosts = Arc::new(Mutex::new(hosts));
+        let shared = hosts.clone();
+        let server = Server::start(Arc::default(), move |request| {
+            handle(shared.clone(), request)
+        })
+        .await?;
+        Ok(List {
+            hosts,
+            server: Arc::new(server),
+        })
+    }
+
+    /// Returns the address that the list is served on.
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.server.address
+    }
+
+    /// Changes the list.
+    pub fn change(&self, f: impl FnOnce(&mut Vec<Host>)) {
+        f(&mut self.hosts.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+}
+
+async fn handle(hosts: Arc<Mutex<Vec<Host>>>, _: Request<Incoming>) -> Option<Response<Body>> {
+    let hosts = hosts.lock().unwrap_or_else(PoisonError::into_inner);
+    Some(text(
+        StatusCode::OK,
+        serde_json::to_vec(&*hosts).unwrap_or_default(),
+    ))
+}
--- /dev/null
+++ b/crates/standin/src/http/mod.rs
@@ -0,0 +1,7 @@
+//! Serving HTTP on loopback.
+
+mod server;
+
+pub use server::{Server, query};
+
+pub(crate) use server::{Body, empty, text};
--- /dev/null
+++ b/crates/standin/src/http/server.rs
@@ -0,0 +1,117 @@
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicI64, Ordering};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// Body of an answer.
+pub(crate) type Body = Full<Bytes>;
+
+/// A server on loopback that ends when it is dropped.
+#[derive(Debug)]
+pub struct Server {
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Server {
+    /// Serves calls on a free port.
+    ///
+    /// A handler that returns `None` has the connection cut without an answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be had.
+    pub async fn start<F, Fut>(connections: Arc<AtomicI64>, handle: F) -> std::io::Result<Server>
+    where
+        F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
+        Fut: Future<Output = Option<Response<Body>>> + Send + 'static,
+    {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        let task = tokio::spawn(accept(listener, connections, handle));
+        Ok(Server { address, task })
+    }
+}
+
+async fn accept<F, Fut>(listener: TcpListener, connections: Arc<AtomicI64>, handle: F)
+where
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Option<Response<Body>>> + Send + 'static,
+{
+    while let Ok((socket, _)) = listener.accept().await {
+        let _ = socket.set_nodelay(true);
+        let handle = handle.clone();
+        let connections = connections.clone();
+        tokio::spawn(async move {
+            connections.fetch_add(1, Ordering::Relaxed);
+            let service = service_fn(move |request| answer(handle(request)));
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(socket), service)
+                .await;
+            connections.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+/// Cuts the connection where a handler has no answer.
+async fn answer(
+    handling: impl Future<Output = Option<Response<Body>>>,
+) -> Result<Response<Body>, CutOff> {
+    handling.await.ok_or(CutOff)
+}
+
+/// Makes `hyper` close a connection without an answer.
+#[derive(Debug)]
+struct CutOff;
+
+impl std::fmt::Display for CutOff {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("connection cut on purpose")
+    }
+}
+
+impl std::error::Error for CutOff {}
+
+impl From<Infallible> for CutOff {
+    fn from(never: Infallible) -> CutOff {
+        match never {}
+    }
+}
+
+/// Builds an answer without a body.
+pub(crate) fn empty(status: StatusCode) -> Response<Body> {
+    text(status, Bytes::new())
+}
+
+/// Builds an answer with a body.
+pub(crate) fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Returns a parameter of a query string.
+pub fn query<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
+    query?
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+}
--- /dev/null
+++ b/crates/standin/src/site.rs
@@ -0,0 +1,74 @@
+use sycamore_types::host::Host;
+use sycamore_types::resources::Resources;
+use sycamore_types::{Name, label};
+
+use crate::hosts::List;
+use crate::store::Store;
+use crate::worker::{Ledger, Worker};
+
+/// Workers that stand in one rack.
+const RACK: usize = 8;
+
+/// What a site is made of.
+#[derive(Clone, Debug)]
+pub struct SiteOptions {
+    /// Names of the failure domains.
+    pub failure_domains: Vec<String>,
+    /// Number of workers over all failure domains.
+    pub workers: usize,
+    /// What each worker offers.
+    pub capacity: Resources,
+    /// Label `service` of each worker.
+    pub service: String,
+}
+
+/// Everything of the platform at one site.
+#[derive(Debug)]
+pub struct Site {
+    /// The store.
+    pub store: Store,
+    /// The list of hosts.
+    pub list: List,
+    /// The workers.
+    pub workers: Vec<Worker>,
+    /// What all workers have run.
+    pub ledger: Ledger,
+}
+
+impl Site {
+    /// Starts a site on loopback.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no ports can be had.
+    pub async fn start(options: &SiteOptions) -> std::io::Result<Site> {
+        let ledger = Ledger::default();
+        let mut workers = Vec::new();
+        for at in 0..options.workers {
+            workers.push(Worker::start(host(options, at), ledger.clone()).await?);
+        }
+        let hosts = workers.iter().map(|worker| worker.host().clone()).collect();
+        let list = List::start(hosts).await?;
+        let store = Store::start().await?;
+        Ok(Site {
+            store,
+            list,
+            workers,
+            ledger,
+        })
+    }
+}
+
+fn host(options: &SiteOptions, at: usize) -> Host {
+    let rack = at / RACK;
+    let domain = &options.failure_domains[rack % options.failure_domains.len()];
+    Host {
+        name: Name::from(format!("{domain}-w{at:03}")),
+        address: Name::from(""),
+        rack: Name::from(format!("{domain}-r{rack:02}")),
+        failure_domain: Name::from(domain.as_str()),
+        capacity: options.capacity,
+        labels: label::Set::from([("service", options.service.as_str())]),
+        is_leaving: false,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store/server.rs
@@ -0,0 +1,189 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use sycamore_platform::store::{Faults, REVISION_HEADER};
+use sycamore_types::id::Revision;
+use tokio::sync::Notify;
+
+use super::Counts;
+use super::state::{State, Value};
+use crate::http::{Body, Server, empty, query, text};
+
+/// Largest value that the store takes, in bytes.
+const MAX_VALUE_BYTES: usize = 1024 * 1024;
+
+/// The store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    shared: Arc<Shared>,
+    server: Arc<Server>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Store {
+    /// Starts an empty store on a free port of loopback.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be had.
+    pub async fn start() -> std::io::Result<Store> {
+        let shared = Arc::new(Shared::default());
+        let handler = shared.clone();
+        let server = Server::start(Arc::default(), move |request| {
+            handle(handler.clone(), request)
+        })
+        .await?;
+        Ok(Store {
+            shared,
+            server: Arc::new(server),
+        })
+    }
+
+    /// Returns the address that the store listens on.
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.server.address
+    }
+
+    /// Makes the store misbehave from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.shared.state().faults = faults;
+    }
+
+    /// Returns the calls taken so far.
+    pub fn counts(&self) -> Counts {
+        self.shared.state().counts
+    }
+
+    /// Returns the size of a value in bytes.
+    pub fn size_of(&self, key: &str) -> usize {
+        self.shared
+            .state()
+            .get(key)
+            .map_or(0, |value| value.bytes.len())
+    }
+}
+
+async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Option<Response<Body>> {
+    let faults = shared.state().faults;
+    if faults.slow_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+    }
+    if faults.is_down {
+        return Some(empty(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    let path = request.uri().path().trim_start_matches("/v1/").to_string();
+    let (kind, key) = path.split_once('/').unwrap_or((&path, ""));
+    match (request.method().clone(), kind) {
+        (Method::GET, "kv") => Some(read(&shared, key)),
+        (Method::GET, "list") => Some(list(&shared, key)),
+        (Method::GET, "watch") => Some(watch(&shared, key, request.uri().query()).await),
+        (Method::PUT, "kv") => put(&shared, key, request, faults).await,
+        (Method::DELETE, "kv") => Some(delete(&shared, key, request.uri().query())),
+        _ => Some(empty(StatusCode::NOT_FOUND)),
+    }
+}
+
+fn read(shared: &Shared, key: &str) -> Response<Body> {
+    let mut state = shared.state();
+    state.counts.reads += 1;
+    state
+        .get(key)
+        .map_or_else(|| empty(StatusCode::NOT_FOUND), answer)
+}
+
+fn answer(value: Value) -> Response<Body> {
+    let revision = HeaderValue::from(value.revision);
+    let mut response = text(StatusCode::OK, value.bytes);
+    response.headers_mut().insert(REVISION_HEADER, revision);
+    response
+}
+
+fn list(shared: &Shared, prefix: &str) -> Response<Body> {
+    let mut state = shared.state();
+    state.counts.reads += 1;
+    let listed = serde_json::to_vec(&state.list(prefix)).unwrap_or_default();
+    text(StatusCode::OK, listed)
+}
+
+async fn watch(shared: &Shared, key: &str, parameters: Option<&str>) -> Response<Body> {
+    let seen = number(parameters, "seen");
+    let wait = Duration::from_millis(number(parameters, "wait_ms"));
+    shared.state().counts.watches += 1;
+    let deadline = tokio::time::Instant::now() + wait;
+    loop {
+        let changed = shared.changed.notified();
+        if let Some(value) = shared
+            .state()
+            .get(key)
+            .filter(|value| value.revision != seen)
+        {
+            return answer(value);
+        }
+        if tokio::time::timeout_at(deadline, changed).await.is_err() {
+            return empty(StatusCode::NO_CONTENT);
+        }
+    }
+}
+
+async fn put(
+    shared: &Shared,
+    key: &str,
+    request: Request<Incoming>,
+    faults: Faults,
+) -> Option<Response<Body>> {
+    let expected = number(request.uri().query(), "expected");
+    let bytes = request.into_body().collect().await.ok()?.to_bytes();
+    if bytes.len() > MAX_VALUE_BYTES {
+        return Some(empty(StatusCode::PAYLOAD_TOO_LARGE));
+    }
+    let written = change(shared, key, expected, Some(bytes.to_vec()));
+    if faults.loses_replies {
+        return None;
+    }
+    Some(written)
+}
+
+fn delete(shared: &Shared, key: &str, parameters: Option<&str>) -> Response<Body> {
+    change(shared, key, number(parameters, "expected"), None)
+}
+
+fn change(
+    shared: &Shared,
+    key: &str,
+    expected: Revision,
+    bytes: Option<Vec<u8>>,
+) -> Response<Body> {
+    let written = {
+        let mut state = shared.state();
+        state.counts.writes += 1;
+        state.change(key, expected, bytes)
+    };
+    shared.changed.notify_waiters();
+    match written {
+        Some(revision) => answer(Value {
+            revision,
+            bytes: Vec::new(),
+        }),
+        None => empty(StatusCode::CONFLICT),
+    }
+}
+
+fn number(parameters: Option<&str>, name: &str) -> u64 {
+    query(parameters, name)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0)
+}
--- /dev/null
+++ b/crates/standin/src/store/state.rs
@@ -0,0 +1,64 @@
+use std::collections::BTreeMap;
+
+use sycamore_platform::store::{Faults, Listed};
+use sycamore_types::id::Revision;
+
+use super::Counts;
+
+/// A value with its revision.
+#[derive(Clone, Debug)]
+pub(super) struct Value {
+    pub(super) revision: Revision,
+    pub(super) bytes: Vec<u8>,
+}
+
+/// Everything the store holds.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    values: BTreeMap<String, Value>,
+    revision: Revision,
+    pub(super) counts: Counts,
+    pub(super) faults: Faults,
+}
+
+impl State {
+    pub(super) fn get(&self, key: &str) -> Option<Value> {
+        self.values.get(key).cloned()
+    }
+
+    pub(super) fn list(&self, prefix: &str) -> Vec<Listed> {
+        let matching = self
+            .values
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix));
+        matching
+            .map(|(key, value)| Listed {
+                key: key.clone(),
+                revision: value.revision,
+                value: hex::encode(&value.bytes),
+            })
+            .collect()
+    }
+
+    /// Writes or removes a value if its revision is the expected one.
+    pub(super) fn change(
+        &mut self,
+        key: &str,
+        expected: Revision,
+        bytes: Option<Vec<u8>>,
+    ) -> Option<Revision> {
+        let found = self.values.get(key).map_or(0, |value| value.revision);
+        if found != expected {
+            return None;
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        match bytes {
+            Some(bytes) => self
+                .values
+                .insert(key.to_string(), Value { revision, bytes }),
+            None => self.values.remove(key),
+        };
+        Some(revision)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/worker/mod.rs
@@ -0,0 +1,12 @@
+//! Stand-ins for workers.
+//!
+//! A worker runs tasks by waiting for their declared run time. A task whose
+//! payload or request names a team (`team=NAME`, or the header `x-expect-team`)
+//! counts as a violation when it is started for another one.
+
+mod ledger;
+mod server;
+mod state;
+
+pub use ledger::{Ledger, Violations};
+pub use server::{Faults, Worker};
--- /dev/null
+++ b/crates/standin/src/worker/server.rs
@@ -0,0 +1,312 @@
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+use sycamore_core::worker::Launch;
+use sycamore_platform::worker::{LAUNCH_HEADER, Poll, Stop};
+use sycamore_types::host::Host;
+use tokio::sync::Notify;
+
+use super::Ledger;
+use super::state::{State, Task};
+use crate::http::{Body, Server, empty, text};
+
+/// Connections that a worker can take.
+const MAX_CONNECTIONS: i64 = 64;
+
+/// Time that a request takes unless it says otherwise.
+const DEFAULT_WORK: Duration = Duration::from_millis(5);
+
+/// Header by which a request says how long it takes, in milliseconds.
+const WORK_HEADER: &str = "x-work-ms";
+
+/// Header by which a request says which team it comes from.
+const TEAM_HEADER: &str = "x-expect-team";
+
+/// Lease of an interactive request, which ends with its answer.
+const REQUEST_LEASE: Duration = Duration::from_secs(60);
+
+/// How a worker misbehaves.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Everything that is started fails.
+    pub fails_everything: bool,
+    /// Every connection is cut without an answer.
+    pub is_unreachable: bool,
+}
+
+/// One worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    shared: Arc<Shared>,
+    server: Arc<Server>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    host: Host,
+    state: Mutex<State>,
+    changed: Notify,
+    connections: Arc<AtomicI64>,
+    ledger: Ledger,
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn advance(&self) {
+        let ended = self.state().advance(Instant::now());
+        for launch in &ended {
+            self.ledger.ended(launch);
+        }
+        if !ended.is_empty() {
+            self.changed.notify_waiters();
+        }
+    }
+}
+
+impl Worker {
+    /// Starts a worker on a free port of loopback.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be had.
+    pub async fn start(mut host: Host, ledger: Ledger) -> std::io::Result<Worker> {
+        let connections = Arc::new(AtomicI64::new(0));
+        let slot: Arc<Mutex<Option<Arc<Shared>>>> = Arc::default();
+        let handler = slot.clone();
+        let server = Server::start(connections.clone(), move |request| {
+            let shared = handler
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .clone();
+            async move { handle(shared?, request).await }
+        })
+        .await?;
+        host.address = server.address.to_string().into();
+        let shared = Arc::new(Shared {
+            host,
+            state: Mutex::default(),
+            changed: Notify::new(),
+            connections,
+            ledger,
+        });
+        *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some(shared.clone());
+        Ok(Worker {
+            shared,
+            server: Arc::new(server),
+        })
+    }
+
+    /// Returns the worker as the platform lists it.
+    pub fn host(&self) -> &Host {
+        &self.shared.host
+    }
+
+    /// Returns the address that the worker listens on.
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.server.address
+    }
+
+    /// Makes the worker misbehave from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        let mut state = self.shared.state();
+        state.fails_everything = faults.fails_everything;
+        state.is_unreachable = faults.is_unreachable;
+    }
+
+    /// Returns the number of tasks and requests that run.
+    pub fn running(&self) -> usize {
+        self.shared.advance();
+        self.shared.state().running.len()
+    }
+}
+
+async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Option<Response<Body>> {
+    if shared.state().is_unreachable {
+        return None;
+    }
+    shared.advance();
+    let path = request.uri().path().to_string();
+    match path.as_str() {
+        "/v1/start" => {
+            let launch: Launch = body(request).await?;
+            start(&shared, launch);
+            Some(empty(StatusCode::OK))
+        }
+        "/v1/stop" => {
+            let stop: Stop = body(request).await?;
+            end(&shared, &stop);
+            Some(empty(StatusCode::OK))
+        }
+        "/v1/poll" => Some(poll(&shared, body(request).await?).await),
+        _ if path.starts_with("/v1/serve") => serve(&shared, request).await,
+        _ => Some(empty(StatusCode::NOT_FOUND)),
+    }
+}
+
+async fn body<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
+    let bytes = request.into_body().collect().await.ok()?.to_bytes();
+    serde_json::from_slice(&bytes).ok()
+}
+
+fn start(shared: &Shared, launch: Launch) {
+    let now = Instant::now();
+    let expected = launch.payload.strip_prefix("team=").map(str::to_string);
+    shared.ledger.started(&launch, expected.as_deref());
+    let run = Duration::from_millis(launch.run_ms.max(1));
+    let lease_until = now + launch.lease;
+    let mut state = shared.state();
+    let run = if state.fails_everything {
+        Duration::ZERO
+    } else {
+        run
+    };
+    let task = launch.task.clone();
+    state.running.insert(
+        task,
+        Task {
+            launch,
+            ends_at: Some(now + run),
+            lease_until,
+        },
+    );
+    check_load(shared, &state);
+    drop(state);
+    shared.changed.notify_waiters();
+}
+
+/// Notes an overload; nothing is refused.
+fn check_load(shared: &Shared, state: &State) {
+    let is_full = state.used().first_lacking(&shared.host.capacity).is_some();
+    let is_crowded = shared.connections.load(Ordering::Relaxed) > MAX_CONNECTIONS;
+    if is_full || is_crowded {
+        shared.ledger.overloaded();
+    }
+}
+
+fn end(shared: &Shared, stop: &Stop) {
+    let removed = shared.state().running.remove(&stop.task);
+    if let Some(task) = removed {
+        shared.ledger.ended(&task.launch);
+        shared.state().finish(&task.launch, false, true);
+        shared.changed.notify_waiters();
+    }
+}
+
+/// Renews leases at once, then waits for something to change.
+async fn poll(shared: &Shared, poll: Poll) -> Response<Body> {
+    let has_news = {
+        let mut state = shared.state();
+        for task in &poll.forget {
+            state.finished.remove(task);
+        }
+        let lease_until = Instant::now() + poll.lease;
+        for task in state.running.values_mut() {
+            task.lease_until = task.lease_until.max(lease_until);
+        }
+        !state.finished.is_empty()
+    };
+    if !has_news && !poll.wait.is_zero() {
+        wait_for_change(shared, poll.wait).await;
+    }
+    shared.advance();
+    let report = serde_json::to_vec(&shared.state().report()).unwrap_or_default();
+    text(StatusCode::OK, report)
+}
+
+async fn wait_for_change(shared: &Shared, wait: Duration) {
+    let deadline = Instant::now() + wait;
+    loop {
+        let changed = shared.changed.notified();
+        if !shared.state().finished.is_empty() {
+            return;
+        }
+        let next = shared
+            .state()
+            .next_end()
+            .map_or(deadline, |end| end.min(deadline));
+        let _ = tokio::time::timeout_at(next.into(), changed).await;
+        shared.advance();
+        if Instant::now() >= deadline {
+            return;
+        }
+    }
+}
+
+async fn serve(shared: &Shared, request: Request<Incoming>) -> Option<Response<Body>> {
+    let launch: Launch = {
+        let note = request.headers().get(LAUNCH_HEADER)?;
+        serde_json::from_slice(note.as_bytes()).ok()?
+    };
+    let header = |name: &str| {
+        request
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    let expected = header(TEAM_HEADER).map(str::to_string);
+    let work = header(WORK_HEADER).and_then(|text| text.parse().ok());
+    let work = work.map_or(DEFAULT_WORK, Duration::from_millis);
+    begin_request(shared, &launch, expected.as_deref());
+    let guard = RequestGuard {
+        shared,
+        launch: &launch,
+    };
+    let received = request.into_body().collect().await.ok()?.to_bytes();
+    tokio::time::sleep(work).await;
+    let answer = describe(shared, &launch, &received);
+    drop(guard);
+    Some(text(StatusCode::OK, answer))
+}
+
+fn begin_request(shared: &Shared, launch: &Launch, expected_team: Option<&str>) {
+    shared.ledger.started(launch, expected_team);
+    let lease_until = Instant::now() + REQUEST_LEASE;
+    let task = Task {
+        launch: launch.clone(),
+        ends_at: None,
+        lease_until,
+    };
+    let mut state = shared.state();
+    state.running.insert(launch.task.clone(), task);
+    check_load(shared, &state);
+}
+
+/// Ends a request also when its connection is cut.
+struct RequestGuard<'a> {
+    shared: &'a Shared,
+    launch: &'a Launch,
+}
+
+impl Drop for RequestGuard<'_> {
+    fn drop(&mut self) {
+        if self
+            .shared
+            .state()
+            .running
+            .remove(&self.launch.task)
+            .is_some()
+        {
+            self.shared.ledger.ended(self.launch);
+        }
+        self.shared.changed.notify_waiters();
+    }
+}
+
+fn describe(shared: &Shared, launch: &Launch, received: &Bytes) -> String {
+    format!(
+        "{{\"service\":\"{}\",\"worker\":\"{}\",\"request\":\"{}\",\"received\":{}}}\n",
+        launch.tag.label,
+        shared.host.name,
+        launch.task.job,
+        received.len()
+    )
+}
--- /dev/null
+++ b/crates/standin/src/worker/state.rs
@@ -0,0 +1,87 @@
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use sycamore_core::worker::{Finished, Launch, Listed, Report};
+use sycamore_types::id;
+use sycamore_types::resources::Resources;
+
+/// A task under a lease.
+#[derive(Debug)]
+pub(super) struct Task {
+    pub(super) launch: Launch,
+    pub(super) ends_at: Option<Instant>,
+    pub(super) lease_until: Instant,
+}
+
+/// What one worker runs.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    pub(super) running: BTreeMap<id::Task, Task>,
+    pub(super) finished: BTreeMap<id::Task, Finished>,
+    pub(super) fails_everything: bool,
+    pub(super) is_unreachable: bool,
+}
+
+impl State {
+    /// Returns what is taken of the worker.
+    pub(super) fn used(&self) -> Resources {
+        let sizes = self.running.values().map(|task| &task.launch.tag.size);
+        sizes.fold(Resources::default(), |sum, size| sum.plus(size))
+    }
+
+    /// Ends tasks that are done or whose leases have lapsed. Returns them.
+    pub(super) fn advance(&mut self, now: Instant) -> Vec<Launch> {
+        let is_done = |task: &Task| task.ends_at.is_some_and(|end| now >= end);
+        let over: Vec<id::Task> = self
+            .running
+            .iter()
+            .filter(|(_, task)| is_done(task) || now >= task.lease_until)
+            .map(|(id, _)| id.clone())
+            .collect();
+        let mut ended = Vec::new();
+        for id in over {
+            if let Some(task) = self.running.remove(&id) {
+                let is_stopped = !is_done(&task);
+                let is_success = !is_stopped && !self.fails_everything;
+                self.finish(&task.launch, is_success, is_stopped);
+                ended.push(task.launch);
+            }
+        }
+        ended
+    }
+
+    pub(super) fn finish(&mut self, launch: &Launch, is_success: bool, is_stopped: bool) {
+        if launch.tag.is_interactive {
+            return;
+        }
+        let task = launch.task.clone();
+        let finished = Finished {
+            task: task.clone(),
+            is_success,
+            is_stopped,
+        };
+        self.finished.insert(task, finished);
+    }
+
+    pub(super) fn report(&self) -> Report {
+        let listed = |(task, state): (&id::Task, &Task)| Listed {
+            task: task.clone(),
+            tag: state.launch.tag.clone(),
+            used: state.launch.tag.size,
+        };
+        Report {
+            running: self.running.iter().map(listed).collect(),
+            finished: self.finished.values().cloned().collect(),
+        }
+    }
+
+    /// Returns the time at which something will end by itself.
+    pub(super) fn next_end(&self) -> Option<Instant> {
+        let ends = self.running.values();
+        ends.map(|task| {
+            task.ends_at
+                .map_or(task.lease_until, |end| end.min(task.lease_until))
+        })
+        .min()
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/trace/mod.rs
@@ -0,0 +1,5 @@
+//! Trace contexts that travel with a request, in the W3C format.
+
+mod parent;
+
+pub use parent::{Parent, TRACEPARENT};
--- /dev/null
+++ b/crates/telemetry/src/trace/parent.rs
@@ -0,0 +1,92 @@
+use std::fmt;
+
+use rand::Rng;
+
+/// Header that carries a trace context.
+pub const TRACEPARENT: &str = "traceparent";
+
+/// The trace that a piece of work belongs to, and the span that caused it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Parent {
+    /// Identifies the whole trace.
+    pub trace: u128,
+    /// Identifies the span.
+    pub span: u64,
+    /// The caller asks for the trace to be kept.
+    pub is_sampled: bool,
+}
+
+impl Parent {
+    /// Begins a trace.
+    pub fn random() -> Parent {
+        let mut rng = rand::rng();
+        Parent {
+            trace: rng.random(),
+            span: rng.random(),
+            is_sampled: false,
+        }
+    }
+
+    /// Reads the header. Returns `None` when it is malformed.
+    pub fn parse(text: &str) -> Option<Parent> {
+        let mut parts = text.split('-');
+        let version = parts.next()?;
+        let trace = parts.next().filter(|part| part.len() == 32)?;
+        let span = parts.next().filter(|part| part.len() == 16)?;
+        let flags = parts.next().filter(|part| part.len() == 2)?;
+        if version.len() != 2 || version == "ff" {
+            return None;
+        }
+        let trace = u128::from_str_radix(trace, 16)
+            .ok()
+            .filter(|trace| *trace != 0)?;
+        let span = u64::from_str_radix(span, 16)
+            .ok()
+            .filter(|span| *span != 0)?;
+        let flags = u8::from_str_radix(flags, 16).ok()?;
+        Some(Parent {
+            trace,
+            span,
+            is_sampled: flags & 1 == 1,
+        })
+    }
+
+    /// Returns the context of a new span within the same trace.
+    pub fn child(&self) -> Parent {
+        Parent {
+            span: rand::rng().random(),
+            ..*self
+        }
+    }
+}
+
+impl fmt::Display for Parent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let flags = u8::from(self.is_sampled);
+        write!(f, "00-{:032x}-{:016x}-{flags:02x}", self.trace, self.span)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn header_survives_a_round_trip() {
+        let text = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+        let parent = Parent::parse(text).expect("well formed");
+        assert_eq!(parent.to_string(), text);
+        assert_eq!(parent.child().trace, parent.trace);
+    }
+
+    #[test]
+    fn malformed_headers_are_refused() {
+        for text in [
+            "",
+            "00-1-2-3",
+            "ff-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
+        ] {
+            assert_eq!(Parent::parse(text), None, "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/channel/connection.rs
@@ -0,0 +1,46 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::client::SendRequest;
+use tokio::net::TcpStream;
+
+use crate::Error;
+
+/// Time within which a connection must be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Flow-control window of one stream, in bytes.
+const STREAM_WINDOW: u32 = 256 * 1024;
+
+/// Flow-control window of one connection, in bytes.
+const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
+
+/// Makes a connection. It is driven by a task of its own until it ends.
+pub(super) async fn connect(address: SocketAddr) -> Result<SendRequest<Bytes>, Error> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, handshake(address));
+    match connecting.await {
+        Ok(result) => result,
+        Err(_) => Err(Error::NotSent(format!(
+            "no connection to {address} within {} ms",
+            CONNECT_TIMEOUT.as_millis()
+        ))),
+    }
+}
+
+async fn handshake(address: SocketAddr) -> Result<SendRequest<Bytes>, Error> {
+    let not_sent = |error: std::io::Error| Error::NotSent(format!("{address}: {error}"));
+    let socket = TcpStream::connect(address).await.map_err(not_sent)?;
+    socket.set_nodelay(true).map_err(not_sent)?;
+    let (sender, connection) = h2::client::Builder::new()
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .handshake::<_, Bytes>(socket)
+        .await
+        .map_err(|error| Error::NotSent(error.to_string()))?;
+    tokio::spawn(async move {
+        // The callers see the end of the connection on their own streams.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/crates/wire/src/channel/pool.rs
@@ -0,0 +1,97 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use h2::client::SendRequest;
+use http::Request;
+use serde::de::DeserializeOwned;
+use tokio::sync::Mutex;
+
+use super::{Call, connection};
+use crate::frame::Writer;
+use crate::{Command, Error};
+
+/// Which connection a call travels on.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Lane {
+    /// Heartbeats and other small messages between processes.
+    Control,
+    /// Requests and jobs of callers.
+    Traffic,
+}
+
+type Slot = Arc<Mutex<Option<SendRequest<Bytes>>>>;
+
+/// Connections to all other processes, one per address and lane.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    slots: Arc<Mutex<HashMap<(SocketAddr, Lane), Slot>>>,
+}
+
+impl Pool {
+    /// Makes a call and reads the frame that answers it.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the peer may have carried out the call.
+    pub async fn call<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        lane: Lane,
+        command: &Command,
+    ) -> Result<T, Error> {
+        let call = self.open(address, lane, command, true).await?;
+        let mut reader = call.answer().await?;
+        reader.frame().await
+    }
+
+    /// Opens a stream and sends the first frame.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the peer may have seen the call.
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        lane: Lane,
+        command: &Command,
+        is_last: bool,
+    ) -> Result<Call, Error> {
+        let mut sender = self.sender(address, lane).await?;
+        let request = Request::post(format!("http://{address}/"))
+            .body(())
+            .map_err(|error| Error::NotSent(error.to_string()))?;
+        let (response, stream) = sender
+            .send_request(request, false)
+            .map_err(|error| Error::NotSent(error.to_string()))?;
+        let mut writer = Writer::new(stream);
+        writer.frame(command, is_last).await?;
+        Ok(Call::new(writer, response))
+    }
+
+    /// Returns a connection that can take one more stream.
+    async fn sender(&self, address: SocketAddr, lane: Lane) -> Result<SendRequest<Bytes>, Error> {
+        let slot = self
+            .slots
+            .lock()
+            .await
+            .entry((address, lane))
+            .or_default()
+            .clone();
+        let mut held = slot.lock().await;
+        if let Some(sender) = held.take()
+            && let Ok(ready) = sender.ready().await
+        {
+            *held = Some(ready.clone());
+            return Ok(ready);
+        }
+        let sender = connection::connect(address).await?;
+        let ready = sender
+            .ready()
+            .await
+            .map_err(|error| Error::NotSent(error.to_string()))?;
+        *held = Some(ready.clone());
+        Ok(ready)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/frame/reader.rs
@@ -0,0 +1,72 @@
+use bytes::{Buf, Bytes, BytesMut};
+use h2::RecvStream;
+use serde::de::DeserializeOwned;
+
+use super::{MAX_FRAME_BYTES, PREFIX_BYTES};
+use crate::Error;
+
+/// The receiving half of a stream.
+#[derive(Debug)]
+pub struct Reader {
+    stream: RecvStream,
+    buf: BytesMut,
+}
+
+impl Reader {
+    pub(crate) fn new(stream: RecvStream) -> Reader {
+        Reader {
+            stream,
+            buf: BytesMut::new(),
+        }
+    }
+
+    /// Reads one frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream breaks or ends, or the frame can't be read.
+    pub async fn frame<T: DeserializeOwned>(&mut self) -> Result<T, Error> {
+        self.fill(PREFIX_BYTES).await?;
+        let length = self.buf.get_u32() as usize;
+        if length > MAX_FRAME_BYTES {
+            return Err(Error::TooLarge(length));
+        }
+        self.fill(length).await?;
+        let bytes = self.buf.split_to(length);
+        let decoded = bincode::serde::decode_from_slice(&bytes, bincode::config::standard());
+        decoded
+            .map(|(value, _)| value)
+            .map_err(|error| Error::Malformed(error.to_string()))
+    }
+
+    async fn fill(&mut self, needed: usize) -> Result<(), Error> {
+        while self.buf.len() < needed {
+            match self.receive().await? {
+                Some(bytes) => self.buf.extend_from_slice(&bytes),
+                None => return Err(Error::Truncated),
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads some raw bytes. Returns `None` at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream breaks before its end.
+    pub async fn bytes(&mut self) -> Result<Option<Bytes>, Error> {
+        if !self.buf.is_empty() {
+            return Ok(Some(self.buf.split().freeze()));
+        }
+        self.receive().await
+    }
+
+    async fn receive(&mut self) -> Result<Option<Bytes>, Error> {
+        let Some(received) = self.stream.data().await else {
+            return Ok(None);
+        };
+        let bytes = received?;
+        let _ = self.stream.flow_control().release_capacity(bytes.len());
+        Ok(Some(bytes))
+    }
+}
--- /dev/null
+++ b/crates/wire/src/frame/writer.rs
@@ -0,0 +1,78 @@
+use std::future::poll_fn;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use h2::{Reason, SendStream};
+use serde::Serialize;
+
+use super::PREFIX_BYTES;
+use crate::Error;
+
+/// The sending half of a stream.
+#[derive(Debug)]
+pub struct Writer {
+    stream: SendStream<Bytes>,
+}
+
+impl Writer {
+    pub(crate) fn new(stream: SendStream<Bytes>) -> Writer {
+        Writer { stream }
+    }
+
+    /// Sends one frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream breaks.
+    pub async fn frame<T: Serialize>(&mut self, value: &T, is_last: bool) -> Result<(), Error> {
+        let body = bincode::serde::encode_to_vec(value, bincode::config::standard())
+            .map_err(|error| Error::Malformed(error.to_string()))?;
+        let length = u32::try_from(body.len()).map_err(|_| Error::TooLarge(body.len()))?;
+        let mut buf = BytesMut::with_capacity(PREFIX_BYTES + body.len());
+        buf.put_u32(length);
+        buf.put_slice(&body);
+        self.bytes(buf.freeze(), is_last).await
+    }
+
+    /// Sends raw bytes, as fast as the receiver takes them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream breaks.
+    pub async fn bytes(&mut self, mut bytes: Bytes, is_last: bool) -> Result<(), Error> {
+        while !bytes.is_empty() {
+            let room = self.room(bytes.len()).await?;
+            let part = bytes.split_to(room.min(bytes.len()));
+            self.stream.send_data(part, is_last && bytes.is_empty())?;
+            if bytes.is_empty() {
+                return Ok(());
+            }
+        }
+        if is_last {
+            self.stream.send_data(Bytes::new(), true)?;
+        }
+        Ok(())
+    }
+
+    async fn room(&mut self, wanted: usize) -> Result<usize, Error> {
+        self.stream.reserve_capacity(wanted);
+        loop {
+            let granted = poll_fn(|cx| self.stream.poll_capacity(cx)).await;
+            match granted {
+                Some(Ok(0)) => {}
+                Some(Ok(room)) => return Ok(room),
+                Some(Err(error)) => return Err(error.into()),
+                None => return Err(Error::Truncated),
+            }
+        }
+    }
+
+    /// Waits until the other side breaks the stream off.
+    pub async fn broken(&mut self) {
+        let _ = poll_fn(|cx| self.stream.poll_reset(cx)).await;
+    }
+
+    /// Breaks the stream off, so that what was sent is not taken for whole.
+    pub fn abort(&mut self) {
+        self.stream.send_reset(Reason::INTERNAL_ERROR);
+    }
+}
--- /dev/null
+++ b/crates/wire/src/message/command.rs
@@ -0,0 +1,50 @@
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use sycamore_core::caller::{Request, Submission};
+use sycamore_core::peer;
+use sycamore_types::id;
+
+use super::Head;
+
+/// A message from one process to another, with its sender.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peer {
+    /// The sender.
+    pub from: id::Member,
+    /// The receiver. A process that has started anew drops what was meant
+    /// for its predecessor.
+    pub to: id::Member,
+    /// The message.
+    pub message: peer::Message,
+}
+
+/// The first frame of an interactive request.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Start {
+    /// What the decision core has to know.
+    pub request: Request,
+    /// What the worker has to know.
+    pub head: Head,
+    /// Time left for the whole answer.
+    pub timeout: Duration,
+}
+
+/// The first frame of a stream: what is asked.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[non_exhaustive]
+#[serde(rename_all = "snake_case")]
+pub enum Command {
+    /// An interactive request. Raw bytes of its body follow.
+    Start(Box<Start>),
+    /// Hand in a job.
+    Submit(Box<Submission>),
+    /// Ask for the status of a job.
+    Status(id::Job),
+    /// Cancel a job.
+    Cancel(id::Job),
+    /// Messages of a peer.
+    Peer(Vec<Peer>),
+}
