Mend what fuzzing found in ledger, hand-over and limits

Cause, each shown by a trace of a shrunk case: a stamp of an older epoch could replace a newer one; a write of the ledger that stalled was continued only by the planner; a shard was handed over before keys taken in during an outage were on record; a wish of the planner for a lower cap never lapsed; a grant whose limits were new but whose tokens were not was never sent again; a lowered limit waited for the planner; changes of owner were announced by the planner only. Change: one fix each; maps with a fixed hasher, so that runs repeat.

--- a/crates/core/src/context.rs
+++ b/crates/core/src/context.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use rustc_hash::FxHashMap;
 use std::time::Duration;
 
 use sycamore_types::{Name, id};
@@ -64,7 +64,7 @@
 /// Outstanding calls and the source of unique numbers.
 #[derive(Debug)]
 pub(crate) struct Calls {
-    outstanding: HashMap<CallId, Purpose>,
+    outstanding: FxHashMap<CallId, Purpose>,
     next: CallId,
     seed: u64,
     writes: u64,
@@ -72,7 +72,7 @@
 
 impl Calls {
     pub(crate) fn new(seed: u64) -> Calls {
-        Calls { outstanding: HashMap::new(), next: 1, seed, writes: 0 }
+        Calls { outstanding: FxHashMap::default(), next: 1, seed, writes: 0 }
     }
 
     pub(crate) fn register(&mut self, purpose: Purpose) -> CallId {
--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -22,6 +22,9 @@
 pub struct Book {
     /// Revision of the configuration that the limits were taken from.
     pub config: Revision,
+    /// Limits that the tokens were cut from, by team.
+    #[serde(default)]
+    pub limits: BTreeMap<Name, u32>,
     /// Accounts by shard.
     pub accounts: BTreeMap<id::Shard, Account>,
 }
--- a/crates/core/src/ledger/keeper.rs
+++ b/crates/core/src/ledger/keeper.rs
@@ -61,10 +61,12 @@
     /// Forgets a stamp that is no longer wanted.
     pub(crate) fn drop_stamp(&mut self, shard: &id::Shard) {
         self.stamps.remove(shard);
+        self.in_flight.remove(shard);
     }
 
     pub(crate) fn tick(&mut self, cx: &mut Context<'_>, is_planner: bool) {
-        let is_wanted = is_planner || !self.stamps.is_empty();
+        // A stalled write has to be continued, whoever made it and why.
+        let is_wanted = is_planner || !self.stamps.is_empty() || !self.document.is_idle();
         let is_due = cx.now >= self.refreshed_at + REFRESH;
         let must_read = self.document.get().is_none() || self.must_refresh || is_due;
         if is_wanted && must_read {
@@ -84,6 +86,14 @@
         let Some(mut book) = self.document.get().cloned() else {
             return;
         };
+        // An epoch never goes back: a stamp that comes late must not undo that
+        // of the owner after.
+        self.stamps.retain(|shard, epoch| {
+            book.accounts.get(shard).is_none_or(|account| account.epoch <= *epoch)
+        });
+        if self.stamps.is_empty() {
+            return;
+        }
         for (shard, epoch) in &self.stamps {
             let account = book.accounts.entry(shard.clone()).or_default();
             account.epoch = *epoch;
@@ -104,14 +114,21 @@
             Change::Send(op) => cx.store(Purpose::Ledger, op),
             Change::Read => {}
             Change::Written => return Outcome::Written(std::mem::take(&mut self.in_flight)),
-            Change::Conflict => self.stamps.append(&mut self.in_flight),
+            Change::Conflict => self.put_back(),
             Change::Failed => {
                 if self.document.is_idle() {
-                    self.stamps.append(&mut self.in_flight);
+                    self.put_back();
                 }
                 self.must_refresh = true;
             }
         }
         Outcome::Nothing
     }
+
+    /// Keeps stamps that were not written, unless newer ones are wanted by now.
+    fn put_back(&mut self) {
+        for (shard, epoch) in std::mem::take(&mut self.in_flight) {
+            self.stamps.entry(shard).or_insert(epoch);
+        }
+    }
 }
--- a/crates/core/src/ledger/planner.rs
+++ b/crates/core/src/ledger/planner.rs
@@ -73,19 +73,15 @@
         self.summaries.get(shard).map(|known| (&known.from, known.summary.epoch))
     }
 
-    /// Returns the shards whose owners run under other caps than the ledger grants.
-    pub(crate) fn out_of_step(&self, book: &Book) -> Vec<id::Shard> {
-        let is_off = |shard: &id::Shard, known: &Reported| {
-            book.accounts.get(shard).is_some_and(|account| {
-                let is_same_epoch = account.epoch == known.summary.epoch;
-                let is_raised = account.tokens.iter().any(|(team, held)| {
-                    known.summary.teams.get(team).map_or(0, |demand| demand.cap) < *held
-                });
-                is_same_epoch && account.bound >= known.summary.bound && is_raised
-            })
+    /// Returns the shards whose owners go by an older ledger than that at `revision`.
+    pub(crate) fn out_of_step(&self, book: &Book, revision: Revision) -> Vec<id::Shard> {
+        let is_behind = |shard: &id::Shard, known: &Reported| {
+            let account = book.accounts.get(shard);
+            let is_same_epoch = account.is_some_and(|a| a.epoch == known.summary.epoch);
+            is_same_epoch && known.summary.ledger < revision
         };
-        let off = self.summaries.iter().filter(|(shard, known)| is_off(shard, known));
-        off.map(|(shard, _)| shard.clone()).collect()
+        let behind = self.summaries.iter().filter(|(shard, known)| is_behind(shard, known));
+        behind.map(|(shard, _)| shard.clone()).collect()
     }
 
     /// Returns capacity and usage over the whole fleet, from summaries that are fresh.
@@ -122,6 +118,7 @@
         }
         let mut next = book.clone();
         next.config = revision;
+        next.limits = config.teams.iter().map(|(name, team)| (name.clone(), team.limit)).collect();
         let mut plan = Plan::default();
         let mut teams: BTreeSet<Name> = config.teams.keys().cloned().collect();
         teams.extend(book.accounts.values().flat_map(|account| account.tokens.keys().cloned()));
@@ -135,7 +132,7 @@
             plan_team(parts, team, limit, &mut next, &mut plan);
         }
         self.note_bounds(now, &mut next);
-        if next.accounts != book.accounts {
+        if next.accounts != book.accounts || next.limits != book.limits {
             plan.book = Some(next);
         }
         plan
--- a/crates/core/src/node/limits.rs
+++ b/crates/core/src/node/limits.rs
@@ -2,13 +2,13 @@
 use std::time::Duration;
 
 use sycamore_types::Name;
-use sycamore_types::id::{self, Epoch, Revision};
+use sycamore_types::id::{self, Epoch};
 use sycamore_types::resources::Resources;
 
 use super::{Node, context};
 use crate::action::Action;
 use crate::ledger::{Outcome, Rule};
-use crate::peer::{Message, Summary};
+use crate::peer::{Grant, Message, Summary};
 use crate::store::Reply;
 
 /// Time between two announcements of what runs over the whole fleet.
@@ -67,7 +67,7 @@
             false => Rule::DebitFirst,
         };
         let plan = self.planner.plan(now, book, &self.config, self.config_revision, rule);
-        let out_of_step = self.planner.out_of_step(book);
+        let out_of_step = self.planner.out_of_step(book, self.ledger.revision());
         for (shard, teams) in plan.lower {
             self.tell_owner(now, out, &shard, |epoch, shard| Message::Lower {
                 shard,
@@ -116,29 +116,37 @@
             return;
         };
         let account = book.accounts.get(id).cloned().unwrap_or_default();
+        let limits = book.limits.clone();
         let revision = self.ledger.revision();
         let is_current = self.shards.get(id).is_some_and(|shard| shard.epoch == epoch);
         if !is_current || account.epoch != epoch {
             return;
         }
         self.with_shard(now, out, id, |shard, env| {
-            shard.caps.grant(revision, account.bound, &account.tokens);
+            shard.caps.grant(revision, account.bound, &account.tokens, &limits);
             shard.on_stamped(env);
         });
     }
 
     fn send_grant(&mut self, now: Duration, out: &mut Vec<Action>, id: &id::Shard) {
-        let Some(account) = self.ledger.book().and_then(|book| book.accounts.get(id)).cloned()
-        else {
+        let Some(book) = self.ledger.book() else {
+            return;
+        };
+        let Some(account) = book.accounts.get(id).cloned() else {
             return;
         };
         let revision = self.ledger.revision();
-        self.tell_owner(now, out, id, |_, shard| Message::Grant {
-            shard,
-            epoch: account.epoch,
-            revision,
-            bound: account.bound,
-            teams: account.tokens,
+        let mut limits = book.limits.clone();
+        limits.retain(|team, _| account.tokens.contains_key(team));
+        self.tell_owner(now, out, id, |_, shard| {
+            Message::Grant(Grant {
+                shard,
+                epoch: account.epoch,
+                revision,
+                bound: account.bound,
+                teams: account.tokens,
+                limits,
+            })
         });
     }
 
@@ -162,23 +170,14 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    pub(super) fn on_grant(
-        &mut self,
-        now: Duration,
-        out: &mut Vec<Action>,
-        id: &id::Shard,
-        epoch: Epoch,
-        revision: Revision,
-        bound: u64,
-        teams: &BTreeMap<Name, u32>,
-    ) {
-        let is_current = self.shards.get(id).is_some_and(|shard| shard.epoch == epoch);
+    pub(super) fn on_grant(&mut self, now: Duration, out: &mut Vec<Action>, grant: &Grant) {
+        let is_current =
+            self.shards.get(&grant.shard).is_some_and(|shard| shard.epoch == grant.epoch);
         if !is_current {
             return;
         }
-        self.with_shard(now, out, id, |shard, env| {
-            if shard.caps.grant(revision, bound, teams) {
+        self.with_shard(now, out, &grant.shard, |shard, env| {
+            if shard.caps.grant(grant.revision, grant.bound, &grant.teams, &grant.limits) {
                 shard.mark_dirty();
                 shard.tick(env);
             }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -56,8 +56,6 @@
     next_summary: Duration,
     next_totals: Duration,
     next_balance: Duration,
-    /// Revision of the owners' document that peers were last told of.
-    announced: Revision,
     config: Document,
     config_revision: Revision,
     hosts: Vec<Host>,
@@ -90,7 +88,6 @@
             next_summary: Duration::ZERO,
             next_totals: Duration::ZERO,
             next_balance: Duration::ZERO,
-            announced: 0,
             config: Document::default(),
             config_revision: 0,
             hosts: Vec::new(),
@@ -201,13 +198,11 @@
                     self.planner.note(now, &from, summary);
                 }
             }
-            Message::Grant { shard, epoch, revision, bound, teams } => {
-                self.on_grant(now, out, &shard, epoch, revision, bound, &teams);
-            }
+            Message::Grant(grant) => self.on_grant(now, out, &grant),
             Message::Lower { shard, epoch, teams } => {
                 let shard = self.shards.get_mut(&shard).filter(|shard| shard.epoch == epoch);
                 if let Some(shard) = shard {
-                    shard.lower(&teams);
+                    shard.lower(now, &teams);
                 }
             }
             Message::Usage { capacity, teams } => self.on_totals(capacity, &teams),
--- a/crates/core/src/node/ownership.rs
+++ b/crates/core/src/node/ownership.rs
@@ -6,7 +6,7 @@
 use super::{Node, context};
 use crate::action::Action;
 use crate::context::Purpose;
-use crate::owners::{Claim, Surroundings};
+use crate::owners::{Claim, Outcome, Surroundings};
 use crate::peer::Message;
 use crate::shard::Shard;
 use crate::store::{self, Op, Reply};
@@ -107,12 +107,17 @@
     }
 
     pub(super) fn on_owners_reply(&mut self, now: Duration, out: &mut Vec<Action>, reply: Reply) {
-        let may_have_changed = {
+        let outcome = {
             let mut cx = context(&self.timing, &mut self.calls, now, out);
             self.owners.on_reply(&mut cx, reply)
         };
-        if may_have_changed {
-            self.follow_owners(now, out);
+        match outcome {
+            Outcome::Nothing => {}
+            Outcome::Read => self.follow_owners(now, out),
+            Outcome::Written => {
+                self.follow_owners(now, out);
+                self.announce_owners(out);
+            }
         }
     }
 
@@ -142,9 +147,6 @@
         for (id, claim) in mine {
             self.take_up(id, &claim);
         }
-        if self.is_coordinator(now) {
-            self.announce_owners(out);
-        }
     }
 
     fn take_up(&mut self, id: id::Shard, claim: &Claim) {
@@ -164,13 +166,9 @@
         self.ledger.drop_stamp(id);
     }
 
-    /// Tells peers that the owners' document has changed, once per change.
+    /// Tells peers that this process has changed the owners' document.
     fn announce_owners(&mut self, out: &mut Vec<Action>) {
         let revision = self.owners.revision();
-        if revision <= self.announced {
-            return;
-        }
-        self.announced = revision;
         let me = self.member().clone();
         let others = self.members.iter().map(|seen| &seen.record.member);
         let others: Vec<id::Member> = others.filter(|member| **member != me).cloned().collect();
--- a/crates/core/src/owners/keeper.rs
+++ b/crates/core/src/owners/keeper.rs
@@ -126,33 +126,44 @@
         cx.store(Purpose::Owners, op);
     }
 
-    /// Takes a reply. Returns whether the local copy may have changed.
-    pub(crate) fn on_reply(&mut self, cx: &mut Context<'_>, reply: Reply) -> bool {
+    /// Takes a reply.
+    pub(crate) fn on_reply(&mut self, cx: &mut Context<'_>, reply: Reply) -> Outcome {
         match self.document.on_reply(reply) {
             Change::Send(op) => {
                 cx.store(Purpose::Owners, op);
-                false
+                Outcome::Nothing
             }
-            Change::Read => true,
+            Change::Read => Outcome::Read,
             Change::Written => {
                 self.in_flight.clear();
-                true
+                Outcome::Written
             }
             Change::Conflict => {
                 self.wishes.append(&mut self.in_flight);
-                true
+                Outcome::Read
             }
             Change::Failed => {
                 if self.document.is_idle() {
                     self.wishes.append(&mut self.in_flight);
                 }
                 self.is_stale = true;
-                false
+                Outcome::Nothing
             }
         }
     }
 }
 
+/// What a reply meant for the owners' document.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Outcome {
+    /// Nothing that matters to others.
+    Nothing,
+    /// The local copy may have changed.
+    Read,
+    /// This process has changed the document.
+    Written,
+}
+
 fn apply(map: &mut Map, wish: &Wish, around: &Surroundings) {
     match wish {
         Wish::AssignMissing => map.assign_missing(&around.shards, &around.live, &around.known),
--- a/crates/core/src/peer/message.rs
+++ b/crates/core/src/peer/message.rs
@@ -7,7 +7,7 @@
 use sycamore_types::resources::Resources;
 use sycamore_types::{Name, id};
 
-use super::Summary;
+use super::{Grant, Summary};
 
 /// A message from one decision core to another.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -58,18 +58,7 @@
     /// What an owner's shards have and want.
     Summaries(Vec<Summary>),
     /// What the ledger grants to one shard.
-    Grant {
-        /// The shard.
-        shard: id::Shard,
-        /// Epoch that the ledger names for the shard.
-        epoch: Epoch,
-        /// Revision of the ledger.
-        revision: Revision,
-        /// Latest lowering of caps that the ledger reflects.
-        bound: u64,
-        /// Tasks and requests that the shard may run at once, by team.
-        teams: BTreeMap<Name, u32>,
-    },
+    Grant(Grant),
     /// Asks the owner of a shard to bind itself to less.
     Lower {
         /// The shard.
--- a/crates/core/src/peer/summary.rs
+++ b/crates/core/src/peer/summary.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use sycamore_types::id::Epoch;
+use sycamore_types::id::{Epoch, Revision};
 use sycamore_types::resources::Resources;
 use sycamore_types::{Name, id};
 
@@ -27,6 +27,8 @@
     pub shard: id::Shard,
     /// Epoch of the owner.
     pub epoch: Epoch,
+    /// Revision of the ledger that the owner goes by.
+    pub ledger: Revision,
     /// Grows each time the owner lowers a cap. The ledger notes the latest one it reflects.
     pub bound: u64,
     /// Capacity of all hosts of the shard.
--- a/crates/core/src/placement/table.rs
+++ b/crates/core/src/placement/table.rs
@@ -1,4 +1,5 @@
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 use std::time::Duration;
 
@@ -48,7 +49,7 @@
 #[derive(Debug, Default)]
 pub struct Table {
     hosts: Vec<Host>,
-    by_name: HashMap<Name, usize>,
+    by_name: FxHashMap<Name, usize>,
     index: BTreeSet<Slot>,
     capacity: Resources,
 }
--- a/crates/core/src/queue/lane.rs
+++ b/crates/core/src/queue/lane.rs
@@ -1,4 +1,5 @@
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sycamore_types::Name;
 
@@ -7,7 +8,7 @@
 /// Waiting work of one class.
 #[derive(Debug, Default)]
 pub(crate) struct Lane {
-    teams: HashMap<Name, Line>,
+    teams: FxHashMap<Name, Line>,
     order: BTreeSet<(u64, Name)>,
 }
 
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -7,7 +7,7 @@
 mod item;
 mod lane;
 
-use std::collections::HashMap;
+use rustc_hash::FxHashMap;
 
 use sycamore_types::Name;
 
@@ -19,7 +19,7 @@
 pub(crate) struct Queue {
     lanes: [Lane; Class::COUNT],
     arrivals: u64,
-    waiting: HashMap<Name, u32>,
+    waiting: FxHashMap<Name, u32>,
 }
 
 impl Queue {
--- a/crates/core/src/shard/dispatch.rs
+++ b/crates/core/src/shard/dispatch.rs
@@ -77,7 +77,7 @@
 
     /// Starts the first piece of a team's work that can start.
     fn serve_team(&mut self, env: &mut Env<'_, '_>, class: Class, team: &Name) -> bool {
-        if self.headroom(team) == 0 {
+        if self.headroom(env.config, team) == 0 {
             return false;
         }
         let items: Vec<(Place, Item)> = self
@@ -202,7 +202,8 @@
             return false;
         };
         let (shape, count) = (job.shape, job.waiting.len());
-        let fits_limit = usize::try_from(self.headroom(&pick.team)).is_ok_and(|room| room >= count);
+        let fits_limit =
+            usize::try_from(self.headroom(env.config, &pick.team)).is_ok_and(|room| room >= count);
         if !fits_limit {
             return false;
         }
--- a/crates/core/src/shard/explain.rs
+++ b/crates/core/src/shard/explain.rs
@@ -41,12 +41,17 @@
         if let Some(reason) = self.table.never_fits(&spec.size, &spec.selector) {
             return reason.to_string();
         }
-        if self.headroom(team) == 0 {
+        if self.headroom(env.config, team) == 0 {
             return format!(
                 "team runs {} tasks here, all that its limit allows",
                 self.running_of(team)
             );
         }
+        let needed = if job.is_gang() { job.waiting.len() } else { 1 };
+        let allowed = self.headroom(env.config, team);
+        if usize::try_from(allowed).is_ok_and(|allowed| allowed < needed) {
+            return format!("needs {needed} starts at once, the limit allows {allowed} here");
+        }
         if env.now() < job.not_before {
             return "waits before the next attempt, since earlier ones failed".to_string();
         }
@@ -65,6 +70,7 @@
                 lacks.of(&spec.size).saturating_sub(lacks.of(&host.free()))
             });
         match closest {
+            None if job.is_gang() => "no set of hosts has room for all tasks at once".to_string(),
             None => String::new(),
             Some((lacks, host)) => {
                 let missing = lacks.of(&spec.size) - lacks.of(&host.free());
--- a/crates/core/src/shard/keys.rs
+++ b/crates/core/src/shard/keys.rs
@@ -1,4 +1,5 @@
-use std::collections::{HashMap, VecDeque};
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::caller::KeyHash;
@@ -7,7 +8,7 @@
 /// Idempotency keys that were seen within the retention time.
 #[derive(Debug, Default)]
 pub(crate) struct Keys {
-    states: HashMap<KeyHash, KeyState>,
+    states: FxHashMap<KeyHash, KeyState>,
     order: VecDeque<(Duration, KeyHash)>,
     /// Keys taken in while the store was out, in order of arrival.
     unlogged: Vec<KeyHash>,
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -22,7 +22,8 @@
 mod takeover;
 mod workers;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use sycamore_types::config::Document;
@@ -106,16 +107,16 @@
     over: BTreeSet<(Duration, id::Job)>,
     /// Jobs that may not be started before a time.
     delayed: BTreeSet<(Duration, id::Job)>,
-    requests: HashMap<Token, Pending>,
+    requests: FxHashMap<Token, Pending>,
     patience: BTreeSet<(Duration, Token)>,
     accepting: BTreeMap<Token, Duration>,
     keys: Keys,
-    running: HashMap<id::Task, Running>,
+    running: FxHashMap<id::Task, Running>,
     /// Starts that are being put on record before they are sent.
-    launches: HashMap<id::Task, Launch>,
+    launches: FxHashMap<id::Task, Launch>,
     running_by_team: BTreeMap<Name, u32>,
     used_by_team: BTreeMap<Name, Resources>,
-    polls: HashMap<Name, Poll>,
+    polls: FxHashMap<Name, Poll>,
     /// Tasks that have ended and whose end is being put on record.
     logging: BTreeSet<id::Task>,
     /// Tasks on record from before may run on hosts that have not answered,
@@ -126,7 +127,7 @@
     doubt_until: Duration,
     reservation: Option<Reservation>,
     next_reservation: Duration,
-    making_room: HashMap<id::Job, Duration>,
+    making_room: FxHashMap<id::Job, Duration>,
     /// Some work that was passed over may fit or be allowed now.
     is_dirty: bool,
     /// Teams with new work since the last look, by lane.
@@ -152,22 +153,22 @@
             jobs: BTreeMap::new(),
             over: BTreeSet::new(),
             delayed: BTreeSet::new(),
-            requests: HashMap::new(),
+            requests: FxHashMap::default(),
             patience: BTreeSet::new(),
             accepting: BTreeMap::new(),
             keys: Keys::default(),
-            running: HashMap::new(),
-            launches: HashMap::new(),
+            running: FxHashMap::default(),
+            launches: FxHashMap::default(),
             running_by_team: BTreeMap::new(),
             used_by_team: BTreeMap::new(),
-            polls: HashMap::new(),
+            polls: FxHashMap::default(),
             logging: BTreeSet::new(),
             held_until: Duration::ZERO,
             active_since: Duration::MAX,
             doubt_until: Duration::ZERO,
             reservation: None,
             next_reservation: Duration::ZERO,
-            making_room: HashMap::new(),
+            making_room: FxHashMap::default(),
             is_dirty: true,
             fresh: BTreeSet::new(),
             sequence: 0,
@@ -194,6 +195,7 @@
         self.poll_workers(env);
         self.write_log(env);
         self.wake_delayed(env);
+        self.is_dirty |= self.caps.expire(env.now());
         self.trim_to_caps(env);
         self.review_reservation(env);
         self.schedule(env);
@@ -222,17 +224,19 @@
     }
 
     /// Returns how many more tasks of a team may start.
-    fn headroom(&self, team: &str) -> u32 {
-        let cap = self.caps.wanted(team).unwrap_or(u32::MAX).min(self.caps.get(team));
-        cap.saturating_sub(self.running_of(team))
+    fn headroom(&self, config: &Document, team: &str) -> u32 {
+        let limit = config.teams.get(team).map_or(0, |team| team.limit);
+        self.caps.usable(team, limit).saturating_sub(self.running_of(team))
     }
 
     /// Binds the shard to the caps that the planner wants.
-    pub(crate) fn lower(&mut self, teams: &BTreeMap<Name, u32>) {
+    pub(crate) fn lower(&mut self, now: Duration, teams: &BTreeMap<Name, u32>) {
         for (team, to) in teams {
             let running = self.running_of(team);
-            self.caps.lower(team, *to, running);
+            self.caps.lower(now, team, *to, running);
         }
+        // A later wish can be higher than an earlier one.
+        self.is_dirty = true;
     }
 
     /// Returns what the planner of limits has to know.
@@ -244,6 +248,7 @@
         Summary {
             shard: self.id.clone(),
             epoch: self.epoch,
+            ledger: self.caps.revision(),
             bound: self.caps.bound(),
             capacity: *self.table.capacity(),
             teams,
--- a/crates/core/src/shard/room.rs
+++ b/crates/core/src/shard/room.rs
@@ -107,12 +107,12 @@
 
     /// Stops work of teams that run more than the planner wants them to.
     pub(super) fn trim_to_caps(&mut self, env: &mut Env<'_, '_>) {
-        let excess: BTreeMap<Name, u32> = self
-            .caps
-            .wanted_teams()
-            .map(|(team, cap)| (team.clone(), self.running_of(team).saturating_sub(cap)))
-            .filter(|(_, excess)| *excess > 0)
-            .collect();
+        let excess = |(team, running): (&Name, &u32)| {
+            let limit = env.config.teams.get(team).map_or(0, |team| team.limit);
+            (team.clone(), running.saturating_sub(self.caps.usable(team, limit)))
+        };
+        let excess: BTreeMap<Name, u32> =
+            self.running_by_team.iter().map(excess).filter(|(_, excess)| *excess > 0).collect();
         for (team, excess) in excess {
             let victims = self.newest_of(&team, excess);
             self.preempt(env, &victims);
--- a/crates/core/src/shard/shapes.rs
+++ b/crates/core/src/shard/shapes.rs
@@ -1,4 +1,4 @@
-use std::collections::{HashMap, HashSet};
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::time::Duration;
 
 use sycamore_types::Name;
@@ -37,9 +37,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Shapes {
     shapes: Vec<Interned>,
-    by_shape: HashMap<Shape, usize>,
+    by_shape: FxHashMap<Shape, usize>,
     vacant: Vec<usize>,
-    unfit: HashSet<usize>,
+    unfit: FxHashSet<usize>,
 }
 
 #[derive(Debug)]
--- a/crates/core/src/shard/takeover.rs
+++ b/crates/core/src/shard/takeover.rs
@@ -191,7 +191,7 @@
         let is_quiet = self.last_start.is_zero() || env.now() >= quiet;
         let is_settled = !self.running.values().any(|running| running.is_starting());
         let is_loaded = self.has_pages;
-        let is_clean = self.log.is_clean() || !is_loaded;
+        let is_clean = (self.log.is_clean() && !self.keys.has_unlogged()) || !is_loaded;
         (is_quiet && is_settled && is_clean).then(|| to.clone())
     }
 
--- a/crates/core/tests/failures/regression.rs
+++ b/crates/core/tests/failures/regression.rs
@@ -6,7 +6,7 @@
 use sycamore_core::caller::Progress;
 use sycamore_types::job::Kind;
 
-use crate::world::{World, config, spec};
+use crate::world::{StoreFault, World, config, spec};
 
 /// A service whose instances end at once must not starve the batch work of its
 /// own team when the limit leaves few tokens.
@@ -52,3 +52,48 @@
 
     assert_eq!(world.checks.violations, Vec::<String>::new());
 }
+
+/// Found by fuzzing, seed 1: lost replies and outages in turn left every shard
+/// without an owner for good.
+#[test]
+fn shards_find_owners_after_outages_and_lost_replies_in_turn() {
+    let down = StoreFault { is_down: true, ..StoreFault::default() };
+    let lossy = StoreFault { loses_replies: true, ..StoreFault::default() };
+    let mut world = World::new(11, 4);
+    world.settle();
+    world.store_fault = StoreFault { is_slow: true, ..lossy };
+    world.crash(0);
+    world.run(Duration::from_millis(3_860));
+    world.store_fault = down;
+    world.run(Duration::from_millis(4_342));
+    world.store_fault = lossy;
+    world.run(Duration::from_millis(1_994));
+    world.store_fault = down;
+    world.run(Duration::from_millis(403));
+    world.heal();
+
+    world.settle();
+}
+
+/// Found by fuzzing, seed 7: a shard was handed over before keys that had been
+/// taken in during a store outage were on record.
+#[test]
+fn unlogged_keys_are_on_record_before_a_hand_over() {
+    let mut world = World::new(11, 4);
+    world.settle();
+    let shard = world.shards()[0].clone();
+    world.run(Duration::from_millis(898));
+    world.store_fault = StoreFault { is_down: true, ..StoreFault::default() };
+    world.run(Duration::from_millis(2_537));
+    let owner = world.owner(&shard).expect("the owner rides out the outage");
+    world.request(&shard, "a", Some(4));
+    world.run(Duration::from_millis(5));
+    world.deliver(owner, Event::Stop);
+    world.run(Duration::from_millis(10));
+    world.store_fault = StoreFault::default();
+    world.run(Duration::from_millis(1_551));
+    world.request(&shard, "a", Some(4));
+    world.run(Duration::from_secs(2));
+
+    assert_eq!(world.checks.violations, Vec::<String>::new());
+}
--- a/crates/core/tests/failures/world/mod.rs
+++ b/crates/core/tests/failures/world/mod.rs
@@ -31,6 +31,9 @@
 /// Time between two ticks of a core.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Time between two reads of the host list.
+const HOSTS: Duration = Duration::from_secs(1);
+
 /// Time after which a call to the store counts as lost.
 const STORE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -45,6 +48,7 @@
     pub is_cut_from_store: bool,
     pub is_cut_from_peers: bool,
     config: u64,
+    next_hosts: Duration,
 }
 
 /// Something that will happen.
@@ -151,6 +155,7 @@
             is_cut_from_store: false,
             is_cut_from_peers: false,
             config: 0,
+            next_hosts: Duration::ZERO,
         });
         self.greet(at);
     }
@@ -253,6 +258,7 @@
                 if self.is_current(at, life) {
                     self.defer_or(at, life, Happening::Tick(at), |world| {
                         world.schedule(TICK, at, Happening::Tick(at));
+                        world.read_hosts(at);
                         world.step(at, Event::Tick);
                     });
                 }
@@ -284,6 +290,16 @@
         self.check_limits();
     }
 
+    /// Reads the platform's list again and again, as a shell does.
+    fn read_hosts(&mut self, at: usize) {
+        let process = &mut self.processes[at];
+        if self.now >= process.next_hosts {
+            process.next_hosts = self.now + HOSTS;
+            let hosts = self.hosts();
+            self.deliver(at, Event::Hosts(hosts));
+        }
+    }
+
     fn is_current(&self, at: usize, life: u32) -> bool {
         self.processes[at].is_up && self.processes[at].life == life
     }
