Hold released keys in doubt after a gap; cut caps by the tokens that are out

Cause: (1) a successor took a key that had been released before a store outage for unused, though it had been used during the outage; the gap itself was kept in memory only and lost with the next owner. (2) the ledger named the lowered limit as the one its tokens were cut from while more tokens were still out, so owners did not cut their caps. Change: the gap is an entry of the log; the ledger names what is out.

--- a/crates/core/src/ledger/planner.rs
+++ b/crates/core/src/ledger/planner.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use sycamore_types::Name;
-use sycamore_types::config::Document;
+use sycamore_types::config::{Document, Team};
 use sycamore_types::id::{self, Epoch, Revision};
 use sycamore_types::resources::Resources;
 
@@ -118,7 +118,6 @@
         }
         let mut next = book.clone();
         next.config = revision;
-        next.limits = config.teams.iter().map(|(name, team)| (name.clone(), team.limit)).collect();
         let mut plan = Plan::default();
         let mut teams: BTreeSet<Name> = config.teams.keys().cloned().collect();
         teams.extend(book.accounts.values().flat_map(|account| account.tokens.keys().cloned()));
@@ -132,6 +131,11 @@
             plan_team(parts, team, limit, &mut next, &mut plan);
         }
         self.note_bounds(now, &mut next);
+        // While tokens above a lowered limit are still out, the caps have to be
+        // cut by what is out, not by the limit.
+        let out_of =
+            |(name, team): (&Name, &Team)| (name.clone(), team.limit.max(next.total(name)));
+        next.limits = config.teams.iter().map(out_of).collect();
         if next.accounts != book.accounts || next.limits != book.limits {
             plan.book = Some(next);
         }
--- a/crates/core/src/log/entry.rs
+++ b/crates/core/src/log/entry.rs
@@ -9,6 +9,8 @@
 pub enum Entry {
     /// A new owner begins. Pages of earlier epochs end here.
     Barrier(Epoch),
+    /// Idempotency keys that were taken in before may be missing from the log.
+    Gap,
     /// A job is on record.
     Accepted(Submission),
     /// A task that must not run twice may be sent to a worker.
--- a/crates/core/src/node/ownership.rs
+++ b/crates/core/src/node/ownership.rs
@@ -182,11 +182,11 @@
         let mut ready = Vec::new();
         self.each_shard(now, out, |shard, env| {
             if let Some(to) = shard.handover(env) {
-                ready.push((shard.id.clone(), shard.epoch, to));
+                ready.push((shard.id.clone(), shard.epoch, to, shard.owes_gap()));
             }
         });
-        for (shard, epoch, to) in ready {
-            self.owners.wish_hand_over(shard, epoch, to);
+        for (shard, epoch, to, owes_gap) in ready {
+            self.owners.wish_hand_over(shard, epoch, to, owes_gap);
         }
     }
 
--- a/crates/core/src/owners/keeper.rs
+++ b/crates/core/src/owners/keeper.rs
@@ -19,7 +19,7 @@
     /// Take the shards of a fenced member.
     TakeOver(Verdict),
     /// Hand a shard of our own to another member.
-    HandOver { shard: id::Shard, epoch: Epoch, to: id::Member },
+    HandOver { shard: id::Shard, epoch: Epoch, to: id::Member, has_memory_gap: bool },
 }
 
 /// What the keeper needs to know to carry out wishes.
@@ -86,11 +86,17 @@
         }
     }
 
-    pub(crate) fn wish_hand_over(&mut self, shard: id::Shard, epoch: Epoch, to: id::Member) {
+    pub(crate) fn wish_hand_over(
+        &mut self,
+        shard: id::Shard,
+        epoch: Epoch,
+        to: id::Member,
+        has_memory_gap: bool,
+    ) {
         let is_same =
             |wish: &Wish| matches!(wish, Wish::HandOver { shard: other, .. } if *other == shard);
         if !self.wishes.iter().chain(&self.in_flight).any(is_same) {
-            self.wishes.push(Wish::HandOver { shard, epoch, to });
+            self.wishes.push(Wish::HandOver { shard, epoch, to, has_memory_gap });
         }
     }
 
@@ -172,9 +178,9 @@
                 around.live.iter().filter(|member| **member != verdict.subject).cloned().collect();
             map.take_over(&verdict.subject, &others, verdict.has_memory_gap);
         }
-        Wish::HandOver { shard, epoch, to } => {
+        Wish::HandOver { shard, epoch, to, has_memory_gap } => {
             if map.shards.get(shard).is_some_and(|claim| claim.epoch == *epoch) {
-                map.give(shard, to.clone(), false);
+                map.give(shard, to.clone(), *has_memory_gap);
             }
         }
     }
--- a/crates/core/src/owners/map.rs
+++ b/crates/core/src/owners/map.rs
@@ -44,13 +44,14 @@
         else {
             return;
         };
-        self.give(shard, owner, has_memory_gap);
+        // The owner before may have died without putting its gap on record.
+        let had_gap = self.shards.get(shard).is_some_and(|claim| claim.has_memory_gap);
+        self.give(shard, owner, has_memory_gap || had_gap);
     }
 
     /// Makes `owner` the next owner of a shard.
     pub(crate) fn give(&mut self, shard: &id::Shard, owner: id::Member, has_memory_gap: bool) {
-        let before = self.shards.get(shard);
-        let epoch = before.map_or(0, |claim| claim.epoch) + 1;
+        let epoch = self.shards.get(shard).map_or(0, |claim| claim.epoch) + 1;
         self.shards.insert(shard.clone(), Claim { owner, epoch, has_memory_gap });
     }
 
--- a/crates/core/src/shard/keys.rs
+++ b/crates/core/src/shard/keys.rs
@@ -37,6 +37,14 @@
         !self.unlogged.is_empty()
     }
 
+    /// Forgets keys that may be used again.
+    ///
+    /// Where keys may be missing, one that was released may have been used
+    /// since without a trace.
+    pub(crate) fn forget_released(&mut self) {
+        self.states.retain(|_, state| *state != KeyState::Released);
+    }
+
     /// Forgets keys that are older than the retention time.
     pub(crate) fn expire(&mut self, now: Duration, retention: Duration) {
         while self.order.front().is_some_and(|(at, _)| now > *at + retention) {
--- a/crates/core/src/shard/takeover.rs
+++ b/crates/core/src/shard/takeover.rs
@@ -90,6 +90,10 @@
         self.has_pages = true;
         self.phase = Phase::Barrier;
         self.log.push(Entry::Barrier(self.epoch), Ticket::None);
+        if self.has_memory_gap {
+            self.log.push(Entry::Gap, Ticket::None);
+            self.note_gap(env);
+        }
     }
 
     fn replay(&mut self, env: &Env<'_, '_>, page: Page) {
@@ -101,6 +105,7 @@
     fn replay_entry(&mut self, env: &Env<'_, '_>, entry: Entry) {
         match entry {
             Entry::Barrier(_) => {}
+            Entry::Gap => self.note_gap(env),
             Entry::Accepted(submission) => self.replay_job(env, submission),
             Entry::Started { job, index } => {
                 if let Some(job) = self.jobs.get_mut(&job) {
@@ -127,6 +132,13 @@
         }
     }
 
+    /// Holds requests with unseen keys in doubt until every key that may be
+    /// missing is too old to matter.
+    fn note_gap(&mut self, env: &Env<'_, '_>) {
+        self.keys.forget_released();
+        self.doubt_until = env.now() + env.cx.timing.key_retention;
+    }
+
     fn replay_job(&mut self, env: &Env<'_, '_>, submission: Submission) {
         if self.jobs.contains_key(&submission.id) {
             return;
@@ -141,9 +153,6 @@
         let now = env.now();
         self.phase = Phase::Inventory { until: now + env.cx.timing.inventory };
         self.held_until = now + env.cx.timing.lengthened(env.cx.timing.task_lease);
-        if self.has_memory_gap {
-            self.doubt_until = self.doubt_until.max(now + env.cx.timing.key_retention);
-        }
         let owner = env.me.clone();
         self.record(env, String::new(), &Name::from(""), Verdict::Owned { owner });
         if env.breakage.skips_inventory {
@@ -168,6 +177,12 @@
         self.is_dirty = true;
     }
 
+    /// Tells whether a gap in the memory of keys is not on record yet.
+    pub(crate) fn owes_gap(&self) -> bool {
+        let is_logged = !matches!(self.phase, Phase::Ledger | Phase::Loading | Phase::Barrier);
+        self.has_memory_gap && !(is_logged && self.log.is_clean())
+    }
+
     /// Stops starting work, so that the shard can go to another member.
     pub(crate) fn drain(&mut self, env: &mut Env<'_, '_>, to: id::Member) {
         match &self.phase {
--- a/crates/core/tests/failures/regression.rs
+++ b/crates/core/tests/failures/regression.rs
@@ -97,3 +97,29 @@
 
     assert_eq!(world.checks.violations, Vec::<String>::new());
 }
+
+/// Found by fuzzing, seed 24: a key that had been released was used again
+/// during a store outage, and the successor took it for still unused.
+#[test]
+fn a_released_key_is_in_doubt_after_a_gap() {
+    let mut world = World::new(11, 4);
+    world.settle();
+    let shard = world.shards()[1].clone();
+    world.run(Duration::from_secs(1));
+    let first = world.owner(&shard).expect("it is served");
+    world.request(&shard, "a", Some(3));
+    world.deliver(first, Event::Stop);
+    world.run(Duration::from_millis(1_400));
+    world.store_fault = StoreFault { is_down: true, ..StoreFault::default() };
+    world.run(Duration::from_millis(2_800));
+    let second = world.owner(&shard).expect("it rides out the outage");
+    world.request(&shard, "a", Some(3));
+    world.run(Duration::from_millis(5));
+    world.store_fault = StoreFault::default();
+    world.restart(second);
+    world.run(Duration::from_secs(5));
+    world.request(&shard, "a", Some(3));
+    world.run(Duration::from_secs(1));
+
+    assert_eq!(world.checks.violations, Vec::<String>::new());
+}
