Add the kill test and the cost of control; write logs at a bounded rate

Cause: at the design size 32 shards with a page every 20 ms each would make 1,600 store writes a second; the budget is 200. Change: the shards of one process share a write every 50 ms; finished jobs are bounded by number; the layout of shards is worked out when hosts change, not at each tick; a view counts tasks instead of copying them.

--- /dev/null
+++ b/crates/bench/src/decide/mod.rs
@@ -0,0 +1,177 @@
+//! Cost of control: how long the core takes per decision.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Serialize;
+use sycamore_core::caller::Submission;
+use sycamore_types::config::{Document, Team};
+use sycamore_types::host::Host;
+use sycamore_types::job::Spec;
+use sycamore_types::resources::Resources;
+use sycamore_types::{Name, id, label};
+
+use crate::driver::Driver;
+
+/// Tasks that run on each worker while the cost is measured.
+const TASKS_PER_WORKER: f64 = 6.4;
+
+/// Virtual time between two new jobs, so that one core sees about the rate of
+/// one scheduler at the design size.
+const GAP: Duration = Duration::from_micros(3_800);
+
+/// Longest step that is told apart, in nanoseconds.
+const LONGEST_STEP_NS: u64 = 60_000_000_000;
+
+/// Cost at one size.
+#[derive(Clone, Debug, Serialize)]
+pub struct Cost {
+    /// Workers.
+    pub workers: usize,
+    /// Teams.
+    pub teams: usize,
+    /// Tasks that ran on average.
+    pub running: u64,
+    /// Starts that were measured.
+    pub placements: u64,
+    /// Starts per second of the control thread.
+    pub placements_per_second: f64,
+    /// Time of the control thread per start, with everything counted, in microseconds.
+    pub us_per_placement: f64,
+    /// Time of one step of the core: median, in microseconds.
+    pub step_p50_us: f64,
+    /// Time of one step of the core: 99th percentile, in microseconds.
+    pub step_p99_us: f64,
+    /// Time of one step of the core: 99.9th percentile, in microseconds.
+    pub step_p999_us: f64,
+    /// Where the time went, in microseconds per start.
+    pub us_by_kind: BTreeMap<&'static str, f64>,
+    /// Bytes of memory that the process gained per worker, tasks included.
+    pub bytes_per_worker: f64,
+}
+
+/// Measures the cost at every size.
+pub fn run(
+    seed: u64,
+    placements: u64,
+    sizes: &[(usize, usize)],
+    mut say: impl FnMut(&Cost),
+) -> Vec<Cost> {
+    let mut costs = Vec::new();
+    for (workers, teams) in sizes {
+        let cost = measure(seed, placements, *workers, *teams);
+        say(&cost);
+        costs.push(cost);
+    }
+    costs
+}
+
+fn measure(seed: u64, wanted: u64, workers: usize, teams: usize) -> Cost {
+    let before = resident_bytes();
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut driver = Driver::new(hosts(workers), config(teams, workers));
+    let running = (workers as f64 * TASKS_PER_WORKER) as usize;
+    // Each task runs as long as it takes to start `running` others, so that
+    // the number that runs stays the same.
+    let run = GAP * u32::try_from(running).unwrap_or(u32::MAX);
+    for _ in 0..running {
+        submit(&mut driver, &mut rng, teams, run);
+    }
+    let memory = resident_bytes().saturating_sub(before);
+    driver.steps_ns.clear();
+    driver.spent_ns = 0;
+    driver.by_kind.clear();
+    let starts = driver.starts;
+    for _ in 0..wanted {
+        submit(&mut driver, &mut rng, teams, run);
+    }
+    let placements = driver.starts - starts;
+    let mut histogram =
+        Histogram::<u64>::new_with_max(LONGEST_STEP_NS, 3).expect("bounds are valid");
+    for nanos in &driver.steps_ns {
+        histogram.saturating_record(*nanos);
+    }
+    let quantile = |q: f64| histogram.value_at_quantile(q) as f64 / 1e3;
+    Cost {
+        workers,
+        teams,
+        running: running as u64,
+        placements,
+        placements_per_second: placements as f64 / (driver.spent_ns as f64 / 1e9),
+        us_per_placement: driver.spent_ns as f64 / 1e3 / placements as f64,
+        us_by_kind: driver
+            .by_kind
+            .iter()
+            .map(|(kind, share)| (*kind, share.spent_ns as f64 / 1e3 / placements as f64))
+            .collect(),
+        step_p50_us: quantile(0.5),
+        step_p99_us: quantile(0.99),
+        step_p999_us: quantile(0.999),
+        bytes_per_worker: memory as f64 / workers as f64,
+    }
+}
+
+fn submit(driver: &mut Driver, rng: &mut SmallRng, teams: usize, run: Duration) {
+    let shards = driver.shards();
+    let shard = shards[rng.random_range(0..shards.len())].clone();
+    let cpu_millis = rng.random_range(1..=8) * 1_000;
+    let spec = Spec {
+        tasks: 1,
+        size: Resources {
+            cpu_millis,
+            memory_mib: rng.random_range(1..=24) * 1_024,
+            slots: 1,
+            ..Resources::default()
+        },
+        restartable: true,
+        run_ms: u64::try_from(run.as_millis()).unwrap_or(u64::MAX),
+        ..Spec::default()
+    };
+    let team = Name::from(format!("t{:03}", rng.random_range(0..teams)));
+    let id = id::Job::new(shard, rng.random());
+    let jitter = rng.random_range(0.8..1.2);
+    driver.submit(Submission { id, team, spec }, run.mul_f64(jitter));
+    let next = driver.now + GAP;
+    driver.run_until(next);
+}
+
+/// Builds workers of the kind that the users have.
+pub(crate) fn hosts(workers: usize) -> Vec<Host> {
+    let host = |at: usize| Host {
+        name: Name::from(format!("w{at:05}")),
+        address: Name::from(""),
+        rack: Name::from(format!("r{:04}", at / 8)),
+        failure_domain: Name::from(format!("z{}", at / 8 % 4)),
+        capacity: Resources {
+            cpu_millis: 64_000,
+            memory_mib: 256 * 1_024,
+            accelerators: 0,
+            slots: 8,
+            connections: 64,
+        },
+        labels: label::Set::default(),
+        is_leaving: false,
+    };
+    (0..workers).map(host).collect()
+}
+
+fn config(teams: usize, workers: usize) -> Document {
+    let limit = u32::try_from(workers * 8).unwrap_or(u32::MAX);
+    let team = |at: usize| {
+        let settings = Team { weight: 1 + at as u32 % 4, limit, urgent: false };
+        (Name::from(format!("t{at:03}")), settings)
+    };
+    let shards_per_domain = u16::try_from(workers / 1_250).unwrap_or(u16::MAX).max(1);
+    Document { shards_per_domain, teams: (0..teams).map(team).collect(), ..Document::default() }
+}
+
+/// Returns the memory that the process holds, in bytes. Zero where it can't be read.
+fn resident_bytes() -> u64 {
+    const PAGE_BYTES: u64 = 4_096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,108 @@
+//! `sycamore-bench`: measures sycamorechute.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use getopts::{Matches, Options};
+use sycamore_bench::{decide, faults};
+
+const USAGE: &str = "\
+Measures sycamorechute.
+
+Usage:
+  sycamore-bench decide [OPTIONS]   cost of control per decision
+  sycamore-bench faults [OPTIONS]   real processes killed, paused and replaced under load";
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.optopt("", "format", "text or json (default: text)", "FORMAT");
+    options.optopt("", "seed", "seed of everything that is drawn (default: 1)", "N");
+    options.optopt("", "workers", "decide: measure this size only", "N");
+    options.optopt("", "teams", "decide: number of teams (default: 190)", "N");
+    options.optopt("", "placements", "decide: placements per size (default: 20000)", "N");
+    options.optopt("", "outage", "faults: seconds of store outage (default: 20)", "N");
+    options.optflag("h", "help", "print this help and exit");
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("sycamore-bench: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    if matches.opt_present("help") || matches.free.is_empty() {
+        println!("{}", options.usage(USAGE));
+        return ExitCode::SUCCESS;
+    }
+    let is_json = matches.opt_str("format").as_deref() == Some("json");
+    match matches.free[0].as_str() {
+        "decide" => run_decide(&matches, is_json),
+        "faults" => return run_faults(&matches, is_json),
+        other => {
+            eprintln!("sycamore-bench: `{other}` is no measurement");
+            return ExitCode::from(2);
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+fn number(matches: &Matches, name: &str, default: u64) -> u64 {
+    matches.opt_str(name).and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// Runs the kill test. Fails when anything happened that must never happen.
+fn run_faults(matches: &Matches, is_json: bool) -> ExitCode {
+    let outage = Duration::from_secs(number(matches, "outage", 20));
+    let Ok(runtime) = tokio::runtime::Runtime::new() else {
+        return ExitCode::FAILURE;
+    };
+    let outcome = runtime.block_on(faults::run(outage, |line| eprintln!("{line}")));
+    let outcome = match outcome {
+        Ok(outcome) => outcome,
+        Err(error) => {
+            eprintln!("sycamore-bench: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let text = match is_json {
+        true => serde_json::to_string(&outcome),
+        false => serde_json::to_string_pretty(&outcome),
+    };
+    println!("{}", text.unwrap_or_default());
+    let broken =
+        outcome.violations + outcome.lost_jobs + outcome.double_runs + outcome.false_not_run;
+    if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn run_decide(matches: &Matches, is_json: bool) {
+    let seed = number(matches, "seed", 1);
+    let placements = number(matches, "placements", 20_000);
+    let teams = number(matches, "teams", 190) as usize;
+    let sizes = match number(matches, "workers", 0) as usize {
+        0 => vec![(50, 6), (1_250, 6), (1_250, 190), (10_000, 190)],
+        workers => vec![(workers, teams)],
+    };
+    if !is_json {
+        println!(
+            "workers teams running  placements/s us/placement  p50 us  p99 us p99.9 us  bytes/worker"
+        );
+    }
+    let costs = decide::run(seed, placements, &sizes, |cost| {
+        if !is_json {
+            println!(
+                "{:7} {:5} {:7} {:13.0} {:12.1} {:7.1} {:7.1} {:8.1} {:13.0}",
+                cost.workers,
+                cost.teams,
+                cost.running,
+                cost.placements_per_second,
+                cost.us_per_placement,
+                cost.step_p50_us,
+                cost.step_p99_us,
+                cost.step_p999_us,
+                cost.bytes_per_worker
+            );
+        }
+    });
+    if is_json {
+        println!("{}", serde_json::to_string(&costs).unwrap_or_default());
+    }
+}
--- a/crates/core/src/log/mod.rs
+++ b/crates/core/src/log/mod.rs
@@ -23,4 +23,4 @@
 pub(crate) use writer::{Committed, Ticket, Writer};
 
 /// Number of keys that the pages of one shard go round.
-pub const SLOTS: u64 = 64;
+pub const SLOTS: u64 = 256;
--- a/crates/core/src/log/writer.rs
+++ b/crates/core/src/log/writer.rs
@@ -17,9 +17,6 @@
 /// Largest size of the payloads in one page, in bytes.
 const PAGE_BYTES: usize = 256 * 1024;
 
-/// Shortest time between the starts of two page writes of one shard.
-const GAP: Duration = Duration::from_millis(20);
-
 /// What is to be done once an entry is on record.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Ticket {
@@ -167,10 +164,12 @@
     }
 
     /// Sends what is due.
-    pub(crate) fn tick(&mut self, cx: &mut Context<'_>) {
+    ///
+    /// `gap` is the shortest time between the starts of two page writes.
+    pub(crate) fn tick(&mut self, cx: &mut Context<'_>, gap: Duration) {
         self.resume(cx);
         let has_room = self.next <= self.snapshot_sequence + SLOTS;
-        let is_due = cx.now >= self.page_sent_at + GAP || self.page_sent_at == Duration::ZERO;
+        let is_due = cx.now >= self.page_sent_at + gap || self.page_sent_at == Duration::ZERO;
         let must_wait = self.page.is_some() || cx.now < self.retry_at;
         if must_wait || self.buffer.is_empty() || !has_room || !is_due {
             return;
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -13,7 +13,7 @@
 mod routing;
 mod view;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use sycamore_types::config::Document;
@@ -59,6 +59,8 @@
     config: Document,
     config_revision: Revision,
     hosts: Vec<Host>,
+    /// Shards that the hosts make up.
+    layout: BTreeSet<id::Shard>,
     shards: BTreeMap<id::Shard, Shard>,
     fleet: Fleet,
     tokens: BTreeMap<Token, id::Shard>,
@@ -91,6 +93,7 @@
             config: Document::default(),
             config_revision: 0,
             hosts: Vec::new(),
+            layout: BTreeSet::new(),
             shards: BTreeMap::new(),
             fleet: Fleet::default(),
             tokens: BTreeMap::new(),
@@ -157,6 +160,8 @@
     }
 
     fn refresh_hosts(&mut self) {
+        let per_domain = self.config.shards_per_domain;
+        self.layout = self.hosts.iter().map(|host| host.shard(per_domain)).collect();
         for shard in self.shards.values_mut() {
             shard.set_hosts(&self.hosts, &self.config);
         }
@@ -249,6 +254,9 @@
         f: impl FnOnce(&mut Shard, &mut Env<'_, '_>) -> T,
     ) -> Option<T> {
         let is_store_in_reach = self.is_store_in_reach(now);
+        // The store's budget is shared by all shards of the process.
+        let shards = u32::try_from(self.shards.len()).unwrap_or(u32::MAX);
+        let log_gap = self.timing.log_gap * shards;
         let shard = self.shards.get_mut(id)?;
         let mut cx = context(&self.timing, &mut self.calls, now, out);
         let mut env = Env {
@@ -263,6 +271,7 @@
             },
             is_riding_out: self.lease.is_riding_out(now),
             is_store_in_reach,
+            log_gap,
             breakage: self.breakage,
         };
         Some(f(shard, &mut env))
--- a/crates/core/src/node/ownership.rs
+++ b/crates/core/src/node/ownership.rs
@@ -39,9 +39,8 @@
     }
 
     fn surroundings(&self, now: Duration) -> Surroundings {
-        let per_domain = self.config.shards_per_domain;
         Surroundings {
-            shards: self.hosts.iter().map(|host| host.shard(per_domain)).collect(),
+            shards: self.layout.clone(),
             live: self.candidates(now),
             known: self.members.iter().map(|seen| seen.record.member.clone()).collect(),
         }
--- a/crates/core/src/node/view.rs
+++ b/crates/core/src/node/view.rs
@@ -16,8 +16,8 @@
     pub epoch: Epoch,
     /// How far the owner has come with the shard.
     pub phase: Phase,
-    /// Tasks and requests that run or may run, with their hosts.
-    pub running: Vec<(id::Task, Name)>,
+    /// Number of tasks and requests that run or may run.
+    pub running: usize,
     /// Number of tasks and requests that wait.
     pub waiting: u32,
     /// Number of jobs on record.
@@ -42,6 +42,12 @@
 }
 
 impl Node {
+    /// Returns everything that runs or may run, with its host.
+    pub fn running(&self) -> Vec<(id::Task, Name)> {
+        let tasks = self.shards.values().flat_map(|shard| shard.running_tasks());
+        tasks.map(|(task, host)| (task.clone(), host.clone())).collect()
+    }
+
     /// Describes the process at a moment.
     pub fn view(&self, now: Duration) -> View {
         View {
@@ -55,12 +61,11 @@
 }
 
 fn describe(shard: &crate::shard::Shard) -> ShardView {
-    let running = shard.running_tasks().map(|(task, host)| (task.clone(), host.clone()));
     ShardView {
         id: shard.id.clone(),
         epoch: shard.epoch,
         phase: shard.phase.clone(),
-        running: running.collect(),
+        running: shard.running_tasks().len(),
         waiting: shard.waiting(),
         jobs: shard.jobs(),
         free: shard.free(),
--- a/crates/core/src/shard/durable.rs
+++ b/crates/core/src/shard/durable.rs
@@ -5,6 +5,9 @@
 use crate::log::{Committed, Entry, Snapshot, Ticket};
 use crate::store::Reply;
 
+/// Jobs that are over and can still be asked for, at most.
+const MAX_OVER: usize = 2_000;
+
 impl Shard {
     /// Sends pages and snapshots that are due.
     pub(super) fn write_log(&mut self, env: &mut Env<'_, '_>) {
@@ -16,7 +19,7 @@
                 self.log.push(Entry::Key(hash), Ticket::None);
             }
         }
-        self.log.tick(env.cx);
+        self.log.tick(env.cx, env.log_gap);
         if self.log.needs_snapshot(env.now()) {
             let snapshot = self.snapshot(env);
             self.log.send_snapshot(env.cx, &snapshot);
@@ -39,7 +42,8 @@
         let now = env.now();
         self.keys.expire(now, env.cx.timing.key_retention);
         while let Some((ended_at, id)) = self.over.first().cloned() {
-            if now <= ended_at + env.cx.timing.job_retention {
+            let is_old = now > ended_at + env.cx.timing.job_retention;
+            if !is_old && self.over.len() <= MAX_OVER {
                 break;
             }
             self.over.pop_first();
--- a/crates/core/src/shard/intake.rs
+++ b/crates/core/src/shard/intake.rs
@@ -24,7 +24,7 @@
 const MAX_TASKS: u32 = 100_000;
 
 /// Most jobs on record in one shard, bounded by the size of a snapshot.
-const MAX_JOBS: usize = 4_000;
+const MAX_JOBS: usize = 5_000;
 
 /// Longest time for which a caller waits for its job to be put on record.
 const ACCEPT_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -68,6 +68,8 @@
     pub(crate) is_riding_out: bool,
     /// The store has answered lately.
     pub(crate) is_store_in_reach: bool,
+    /// Shortest time between two writes to the log of this shard.
+    pub(crate) log_gap: Duration,
     pub(crate) breakage: Breakage,
 }
 
@@ -280,7 +282,7 @@
     }
 
     /// Returns everything that runs or may run.
-    pub(crate) fn running_tasks(&self) -> impl Iterator<Item = (&id::Task, &Name)> {
+    pub(crate) fn running_tasks(&self) -> impl ExactSizeIterator<Item = (&id::Task, &Name)> {
         self.running.iter().map(|(task, running)| (task, &running.host))
     }
 
--- a/crates/core/src/shard/room.rs
+++ b/crates/core/src/shard/room.rs
@@ -109,10 +109,11 @@
     pub(super) fn trim_to_caps(&mut self, env: &mut Env<'_, '_>) {
         let excess = |(team, running): (&Name, &u32)| {
             let limit = env.config.teams.get(team).map_or(0, |team| team.limit);
-            (team.clone(), running.saturating_sub(self.caps.usable(team, limit)))
+            let excess = running.saturating_sub(self.caps.usable(team, limit));
+            (excess > 0).then(|| (team.clone(), excess))
         };
-        let excess: BTreeMap<Name, u32> =
-            self.running_by_team.iter().map(excess).filter(|(_, excess)| *excess > 0).collect();
+        let busy = self.running_by_team.iter().filter(|(_, running)| **running > 0);
+        let excess: BTreeMap<Name, u32> = busy.filter_map(excess).collect();
         for (team, excess) in excess {
             let victims = self.newest_of(&team, excess);
             self.preempt(env, &victims);
--- a/crates/core/src/timing/mod.rs
+++ b/crates/core/src/timing/mod.rs
@@ -31,6 +31,8 @@
     pub inventory: Duration,
     /// Time between two summaries to the planner of limits.
     pub summary: Duration,
+    /// Shortest time between two writes to the logs of all shards of a process.
+    pub log_gap: Duration,
     /// Time for which an idempotency key is remembered.
     pub key_retention: Duration,
     /// Time for which a finished job can be asked for.
@@ -59,6 +61,7 @@
             task_lease: Duration::from_secs(6),
             inventory: Duration::from_millis(1_500),
             summary: Duration::from_millis(500),
+            log_gap: Duration::from_millis(50),
             key_retention: Duration::from_secs(600),
             job_retention: Duration::from_secs(900),
             reserve_after: Duration::from_secs(5),
--- a/crates/core/tests/failures/world/mod.rs
+++ b/crates/core/tests/failures/world/mod.rs
@@ -599,14 +599,9 @@
             lines.extend(tasks.map(|task| format!("{task} runs on {}", worker.host.name)));
         }
         for process in &self.processes {
-            let view = process.node.view(process.clock.read(self.now));
-            for shard in view.shards {
-                let tasks = shard.running.iter().filter(|(task, _)| task.job == *job);
-                let counted = |(task, host): &(id::Task, Name)| {
-                    format!("{} counts {task} on {host}", view.member)
-                };
-                lines.extend(tasks.map(counted));
-            }
+            let member = process.node.member();
+            let tasks = process.node.running().into_iter().filter(|(task, _)| task.job == *job);
+            lines.extend(tasks.map(|(task, host)| format!("{member} counts {task} on {host}")));
         }
         lines.join("\n")
     }
--- a/crates/scheduler/src/control/thread.rs
+++ b/crates/scheduler/src/control/thread.rs
@@ -4,7 +4,7 @@
 
 use sycamore_core::caller::{Answer, Token};
 use sycamore_core::record::Verdict;
-use sycamore_core::{Action, Event, Node, View};
+use sycamore_core::{Action, Event, Node, Phase, View};
 use tokio::sync::oneshot;
 
 use super::Input;
@@ -120,9 +120,11 @@
     fn describe(&mut self) {
         let view = self.node.view(self.clock.now());
         let sum = |f: fn(&sycamore_core::ShardView) -> usize| view.shards.iter().map(f).sum();
-        let running: usize = sum(|shard| shard.running.len());
+        let running: usize = sum(|shard| shard.running);
         let waiting: usize = sum(|shard| shard.waiting as usize);
+        let is_active = |shard: &&sycamore_core::ShardView| shard.phase == Phase::Active;
         self.meters.shards.set(view.shards.len() as i64);
+        self.meters.active.set(view.shards.iter().filter(is_active).count() as i64);
         self.meters.running.set(running as i64);
         self.meters.waiting.set(waiting as i64);
         self.meters.riding_out.set(i64::from(view.is_riding_out));
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -20,6 +20,7 @@
     /// Time that the control thread has spent deciding, in microseconds.
     pub(crate) control_us: IntCounterVec,
     pub(crate) shards: IntGauge,
+    pub(crate) active: IntGauge,
     pub(crate) running: IntGauge,
     pub(crate) waiting: IntGauge,
     pub(crate) riding_out: IntGauge,
@@ -66,6 +67,7 @@
                 &["kind"],
             ),
             shards: metrics.gauge("sycamore_shards", "Shards owned"),
+            active: metrics.gauge("sycamore_shards_active", "Shards whose work is started"),
             running: metrics.gauge("sycamore_running", "Tasks and requests that run"),
             waiting: metrics.gauge("sycamore_waiting", "Tasks and requests that wait"),
             riding_out: metrics
--- a/crates/standin/src/worker/ledger.rs
+++ b/crates/standin/src/worker/ledger.rs
@@ -40,6 +40,7 @@
     teams: BTreeMap<Name, u32>,
     limits: BTreeMap<Name, u32>,
     starts: u64,
+    paths: HashMap<String, u32>,
 }
 
 impl Ledger {
@@ -76,6 +77,16 @@
         }
     }
 
+    /// Notes the path of a request that runs.
+    pub fn note_path(&self, path: &str) {
+        *self.inner().paths.entry(path.to_string()).or_default() += 1;
+    }
+
+    /// Returns how often a request with this path has run.
+    pub fn runs_of(&self, path: &str) -> u32 {
+        self.inner().paths.get(path).copied().unwrap_or(0)
+    }
+
     /// Notes the end of what was started.
     pub fn ended(&self, launch: &Launch) {
         let mut inner = self.inner();
--- a/crates/standin/src/worker/server.rs
+++ b/crates/standin/src/worker/server.rs
@@ -230,6 +230,7 @@
     let expected = header(TEAM_HEADER).map(str::to_string);
     let work = header(WORK_HEADER).and_then(|text| text.parse().ok());
     let work = work.map_or(DEFAULT_WORK, Duration::from_millis);
+    shared.ledger.note_path(request.uri().path().trim_start_matches("/v1/serve/"));
     begin_request(shared, &launch, expected.as_deref());
     let guard = RequestGuard { shared, launch: &launch };
     let received = request.into_body().collect().await.ok()?.to_bytes();
