Measure the policy against two baselines; bound finished jobs by number

Change: they are forgotten as soon as there are too many; the policy bench plays drawn work against the core, first-fit and random-of-two.

--- a/crates/bench/src/driver/mod.rs
+++ b/crates/bench/src/driver/mod.rs
@@ -356,6 +356,11 @@
         self.node.view(self.now).shards.iter().map(|shard| shard.waiting).sum()
     }
 
+    /// Returns the number of tasks and requests of a team that wait.
+    pub fn waiting_of(&self, team: &str) -> u32 {
+        self.node.waiting_of(team)
+    }
+
     /// Returns the shards that the core serves.
     pub fn shards(&self) -> Vec<id::Shard> {
         self.node.view(self.now).shards.into_iter().map(|shard| shard.id).collect()
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod decide;
 pub mod driver;
 pub mod faults;
+pub mod policy;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use getopts::{Matches, Options};
+use sycamore_bench::policy::{self, Site};
 use sycamore_bench::{decide, faults};
 
 const USAGE: &str = "\
@@ -11,6 +12,7 @@
 
 Usage:
   sycamore-bench decide [OPTIONS]   cost of control per decision
+  sycamore-bench policy [OPTIONS]   waiting, packing and shares against baselines
   sycamore-bench faults [OPTIONS]   real processes killed, paused and replaced under load";
 
 fn main() -> ExitCode {
@@ -36,6 +38,7 @@
     let is_json = matches.opt_str("format").as_deref() == Some("json");
     match matches.free[0].as_str() {
         "decide" => run_decide(&matches, is_json),
+        "policy" => run_policy(&matches, is_json),
         "faults" => return run_faults(&matches, is_json),
         other => {
             eprintln!("sycamore-bench: `{other}` is no measurement");
@@ -49,6 +52,49 @@
     matches.opt_str(name).and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
+fn run_policy(matches: &Matches, is_json: bool) {
+    let seed = number(matches, "seed", 1);
+    let site = |name, workers, memory_mib, teams, interactive, seconds| Site {
+        name,
+        workers,
+        memory_mib,
+        teams,
+        interactive,
+        seconds,
+    };
+    let sites = [
+        site("sialkot", 50, 256 * 1_024, 6, 0.5, 900),
+        site("mwakilema", 50, 128 * 1_024, 6, 0.8, 900),
+        site("letter/8", 1_250, 256 * 1_024, 190, 0.5, 150),
+    ];
+    let scores = policy::run(seed, &sites, |score| {
+        if !is_json {
+            print_score(score);
+        }
+    });
+    if is_json {
+        println!("{}", serde_json::to_string(&scores).unwrap_or_default());
+    }
+}
+
+fn print_score(score: &policy::Score) {
+    println!("{} with {}: {} starts", score.site, score.policy, score.started);
+    for waits in &score.waits {
+        println!(
+            "  wait {:11} n {:7}  p50 {:7.2} s  p99 {:7.2} s  max {:7.2} s",
+            waits.class, waits.count, waits.p50, waits.p99, waits.max
+        );
+    }
+    println!(
+        "  packing {:.1}%  largest task that fits {:.1} cores  share error {:.2}% largest, {:.2}% mean  thrown away {:.2}%",
+        100.0 * score.packing,
+        score.largest_fit_cores,
+        100.0 * score.share_error_largest,
+        100.0 * score.share_error_mean,
+        100.0 * score.thrown_away
+    );
+}
+
 /// Runs the kill test. Fails when anything happened that must never happen.
 fn run_faults(matches: &Matches, is_json: bool) -> ExitCode {
     let outage = Duration::from_secs(number(matches, "outage", 20));
--- /dev/null
+++ b/crates/bench/src/policy/engine.rs
@@ -0,0 +1,40 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sycamore_types::Name;
+use sycamore_types::resources::Resources;
+
+use super::workload::Arrival;
+
+/// A policy that is played against the workload.
+pub(super) trait Engine {
+    /// Returns the virtual time.
+    fn now(&self) -> Duration;
+
+    /// Lets virtual time pass.
+    fn run_until(&mut self, end: Duration);
+
+    /// Hands in work.
+    fn arrive(&mut self, arrival: &Arrival);
+
+    /// Returns the virtual times at which tasks of a piece of work were started.
+    fn starts(&self, number: u128) -> &[Duration];
+
+    /// Returns the capacity in use by team.
+    fn used(&self) -> &BTreeMap<Name, Resources>;
+
+    /// Returns the capacity in use in all.
+    fn used_total(&self) -> Resources;
+
+    /// Returns the number of tasks and requests that wait.
+    fn waiting(&self) -> u32;
+
+    /// Returns the number of tasks and requests of a team that wait.
+    fn waiting_of(&self, team: &str) -> u32;
+
+    /// Returns the largest number of free millicores on a host with a free slot.
+    fn largest_hole(&self) -> u32;
+
+    /// Returns the processor time thrown away by stopping work, in core seconds.
+    fn thrown_away(&self) -> f64;
+}
--- a/crates/core/src/ledger/planner.rs
+++ b/crates/core/src/ledger/planner.rs
@@ -121,9 +121,10 @@
         let mut plan = Plan::default();
         let mut teams: BTreeSet<Name> = config.teams.keys().cloned().collect();
         teams.extend(book.accounts.values().flat_map(|account| account.tokens.keys().cloned()));
+        let holders = self.holders(now, book);
         for team in &teams {
             let limit = config.teams.get(team).map_or(0, |settings| settings.limit);
-            let mut parts = self.parts(now, team, book);
+            let mut parts: Vec<Part<'_>> = holders.iter().map(|h| h.part(team)).collect();
             set_targets(&mut parts, limit);
             if rule == Rule::CreditFirst {
                 parts.iter_mut().for_each(|part| part.held = part.held.min(part.target));
@@ -142,21 +143,13 @@
         plan
     }
 
-    fn parts<'a>(&self, now: Duration, team: &Name, book: &'a Book) -> Vec<Part<'a>> {
-        let part = |(shard, account): (&'a id::Shard, &Account)| {
-            let fresh = self.reported(now, shard, account);
-            let demand = fresh.and_then(|summary| summary.teams.get(team)).copied();
-            let held = account.tokens.get(team).copied().unwrap_or(0);
-            Part {
-                shard,
-                held,
-                demand: demand.unwrap_or_default(),
-                is_reported: fresh.is_some(),
-                has_bound: fresh.is_some_and(|summary| summary.bound > account.bound),
-                target: held,
-            }
+    /// Returns every account with the fresh word of its owner.
+    fn holders<'a>(&'a self, now: Duration, book: &'a Book) -> Vec<Holder<'a>> {
+        let holder = |(shard, account): (&'a id::Shard, &'a Account)| {
+            let summary = self.reported(now, shard, account);
+            Holder { shard, account, summary }
         };
-        book.accounts.iter().map(part).collect()
+        book.accounts.iter().map(holder).collect()
     }
 
     /// Returns the fresh word of the owner that an account was granted to.
@@ -176,6 +169,28 @@
     }
 }
 
+/// One account, with what its owner last said.
+struct Holder<'a> {
+    shard: &'a id::Shard,
+    account: &'a Account,
+    summary: Option<&'a Summary>,
+}
+
+impl<'a> Holder<'a> {
+    fn part(&self, team: &Name) -> Part<'a> {
+        let demand = self.summary.and_then(|summary| summary.teams.get(team)).copied();
+        let held = self.account.tokens.get(team).copied().unwrap_or(0);
+        Part {
+            shard: self.shard,
+            held,
+            demand: demand.unwrap_or_default(),
+            is_reported: self.summary.is_some(),
+            has_bound: self.summary.is_some_and(|summary| summary.bound > self.account.bound),
+            target: held,
+        }
+    }
+}
+
 impl Part<'_> {
     fn wants(&self) -> u32 {
         self.demand.running.saturating_add(self.demand.waiting)
--- a/crates/core/src/node/view.rs
+++ b/crates/core/src/node/view.rs
@@ -48,6 +48,11 @@
         tasks.map(|(task, host)| (task.clone(), host.clone())).collect()
     }
 
+    /// Returns the number of tasks and requests of a team that wait.
+    pub fn waiting_of(&self, team: &str) -> u32 {
+        self.shards.values().map(|shard| shard.waiting_of(team)).sum()
+    }
+
     /// Describes the process at a moment.
     pub fn view(&self, now: Duration) -> View {
         View {
--- a/crates/core/src/placement/table.rs
+++ b/crates/core/src/placement/table.rs
@@ -97,7 +97,15 @@
         host.labels = merged;
         host.is_closed = listed.is_leaving || drained.contains(&listed.name);
         host.listed = listed.clone();
-        self.index.insert(self.slot(at));
+        self.insert_slot(at);
+    }
+
+    /// Puts a host in the index unless all its slots are taken: a search would
+    /// pass over it for every size.
+    fn insert_slot(&mut self, at: usize) {
+        if self.hosts[at].free().slots > 0 {
+            self.index.insert(self.slot(at));
+        }
     }
 
     fn add(&mut self, listed: &host::Host, labels: label::Set) -> usize {
@@ -152,7 +160,7 @@
         if let Some(at) = self.by_name.get(name).copied() {
             self.index.remove(&self.slot(at));
             f(&mut self.hosts[at]);
-            self.index.insert(self.slot(at));
+            self.insert_slot(at);
         }
     }
 
--- a/crates/core/src/shard/durable.rs
+++ b/crates/core/src/shard/durable.rs
@@ -41,6 +41,12 @@
     fn forget_old(&mut self, env: &Env<'_, '_>) {
         let now = env.now();
         self.keys.expire(now, env.cx.timing.key_retention);
+        self.forget_jobs(env);
+    }
+
+    /// Forgets jobs that were over long ago, or too many jobs ago.
+    fn forget_jobs(&mut self, env: &Env<'_, '_>) {
+        let now = env.now();
         while let Some((ended_at, id)) = self.over.first().cloned() {
             let is_old = now > ended_at + env.cx.timing.job_retention;
             if !is_old && self.over.len() <= MAX_OVER {
@@ -117,6 +123,7 @@
             job.ended_at = Some(env.now());
             self.over.insert((env.now(), id.clone()));
             self.making_room.remove(id);
+            self.forget_jobs(env);
         }
     }
 
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -55,6 +55,9 @@
 use running::Running;
 use shapes::Shapes;
 
+/// Time between two comparisons of caps with what runs.
+const TRIM: Duration = Duration::from_millis(500);
+
 /// What a shard needs from its process to act.
 pub(crate) struct Env<'a, 'b> {
     pub(crate) cx: &'a mut Context<'b>,
@@ -132,6 +135,8 @@
     making_room: FxHashMap<id::Job, Duration>,
     /// Some work that was passed over may fit or be allowed now.
     is_dirty: bool,
+    /// Caps are compared with what runs at this time.
+    next_trim: Duration,
     /// Teams with new work since the last look, by lane.
     fresh: BTreeSet<(Class, Name)>,
     sequence: u64,
@@ -172,6 +177,7 @@
             next_reservation: Duration::ZERO,
             making_room: FxHashMap::default(),
             is_dirty: true,
+            next_trim: Duration::ZERO,
             fresh: BTreeSet::new(),
             sequence: 0,
             attempts: 0,
@@ -198,7 +204,10 @@
         self.write_log(env);
         self.wake_delayed(env);
         self.is_dirty |= self.caps.expire(env.now());
-        self.trim_to_caps(env);
+        if env.now() >= self.next_trim {
+            self.next_trim = env.now() + TRIM;
+            self.trim_to_caps(env);
+        }
         self.review_reservation(env);
         self.schedule(env);
     }
@@ -239,6 +248,7 @@
         }
         // A later wish can be higher than an earlier one.
         self.is_dirty = true;
+        self.next_trim = now;
     }
 
     /// Returns what the planner of limits has to know.
@@ -291,6 +301,11 @@
         self.queue.total()
     }
 
+    /// Returns the number of tasks and requests of a team that wait.
+    pub(crate) fn waiting_of(&self, team: &str) -> u32 {
+        self.queue.waiting(team)
+    }
+
     /// Returns the number of jobs on record.
     pub(crate) fn jobs(&self) -> usize {
         self.jobs.len()
