Look deep into the queue of the team with the smallest share

Change: room that was given back is offered to up to 128 jobs per team, checked against the freed hosts only; up to a fifth of the hosts may be held back for several gangs.

--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -23,7 +23,14 @@
 }
 
 impl Queue {
+    /// Returns the first piece of a team's work that waits, in the order of lanes.
+    pub(crate) fn first(&self, team: &str) -> Option<(Place, &Item)> {
+        let mut firsts = self.lanes.iter().filter_map(|lane| lane.items(team).next());
+        firsts.next().map(|(place, item)| (*place, item))
+    }
+
     /// Adds work. Returns its place, by which it is removed.
+    #[allow(clippy::too_many_arguments)]
     pub(crate) fn push(
         &mut self,
         class: Class,
@@ -32,10 +39,11 @@
         rank: u64,
         item: Item,
         tasks: u32,
+        cpu_millis: u32,
     ) -> Place {
         self.arrivals += 1;
         let place = Place::new(class, priority, self.arrivals);
-        self.lanes[class.index()].insert(team, place, rank, item);
+        self.lanes[class.index()].insert(team, place, rank, item, cpu_millis);
         *self.waiting.entry(team.clone()).or_default() += tasks;
         place
     }
--- a/crates/core/src/shard/dispatch.rs
+++ b/crates/core/src/shard/dispatch.rs
@@ -16,11 +16,26 @@
 /// Time within which a start that was decided has to be sent.
 pub(super) const SEND_WINDOW: Duration = Duration::from_millis(200);
 
-/// Pieces of work per team that one look considers.
+/// Pieces of work per team that a look at all hosts considers.
 ///
 /// Work that does not fit is passed over, so a large job does not block the
 /// small ones behind it; the bound keeps the cost of one look small.
-const DEPTH: usize = 8;
+const DEPTH: usize = 16;
+
+/// Pieces of work per team that a look at few hosts considers.
+///
+/// The team with the smallest share must find something that fits, or room
+/// would go to whoever has small work at the front of its queue.
+const DEPTH_FREED: usize = 128;
+
+/// Where a look searches for room.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Look {
+    /// On all hosts.
+    All,
+    /// On hosts where room was given back since the last look.
+    Freed,
+}
 
 /// Most attempts that one owner counts apart.
 const ATTEMPTS_PER_EPOCH: u32 = 1 << 20;
@@ -52,53 +67,106 @@
         if self.is_dirty {
             self.is_dirty = false;
             self.fresh.clear();
-            for class in Class::ALL {
-                self.serve_lane(env, class);
-            }
+            self.freed.clear();
+            self.shapes.clear_notes();
+            self.serve(env, Look::All);
         }
-        for (class, team) in std::mem::take(&mut self.fresh) {
-            while self.serve_team(env, class, &team) {}
+        for (team, place) in std::mem::take(&mut self.fresh) {
+            self.serve_fresh(env, team, place);
+        }
+        if !self.freed.is_empty() {
+            self.serve(env, Look::Freed);
+            self.freed.clear();
+        }
+    }
+
+    fn serve(&mut self, env: &mut Env<'_, '_>, look: Look) {
+        for class in Class::ALL {
+            self.serve_lane(env, class, look);
+        }
+    }
+
+    /// Starts new work, as far as there is room for it.
+    ///
+    /// All other work has been looked at since room was last given back, so
+    /// nothing is overtaken that could start.
+    fn serve_fresh(&mut self, env: &mut Env<'_, '_>, team: Name, place: Place) {
+        let class = place.class;
+        while self.headroom(env.config, &team) > 0 {
+            // Work leaves the queue with the last of its starts.
+            let Some(item) = self.queue.lane(class).get(&team, place).cloned() else {
+                return;
+            };
+            let pick = Pick { class, team: team.clone(), place, item };
+            if !self.try_pick(env, &pick, Look::All) {
+                return;
+            }
         }
     }
 
     /// Serves one lane until nothing in it can start.
-    fn serve_lane(&mut self, env: &mut Env<'_, '_>, class: Class) {
+    fn serve_lane(&mut self, env: &mut Env<'_, '_>, class: Class, look: Look) {
         let mut blocked: BTreeSet<Name> = BTreeSet::new();
         loop {
             let next = self.queue.lane(class).teams().find(|team| !blocked.contains(*team));
             let Some(team) = next.cloned() else {
                 return;
             };
-            if !self.serve_team(env, class, &team) {
+            if !self.serve_team(env, class, &team, look) {
                 blocked.insert(team);
             }
         }
     }
 
     /// Starts the first piece of a team's work that can start.
-    fn serve_team(&mut self, env: &mut Env<'_, '_>, class: Class, team: &Name) -> bool {
+    fn serve_team(&mut self, env: &mut Env<'_, '_>, class: Class, team: &Name, look: Look) -> bool {
         if self.headroom(env.config, team) == 0 {
             return false;
         }
+        let depth = match look {
+            Look::All => DEPTH,
+            Look::Freed if self.queue.lane(class).least_cpu(team) > self.freed_cpu() => {
+                return false;
+            }
+            Look::Freed => DEPTH_FREED,
+        };
         let items: Vec<(Place, Item)> = self
             .queue
             .lane(class)
             .items(team)
-            .take(DEPTH)
+            .take(depth)
             .map(|(place, item)| (*place, item.clone()))
             .collect();
         for (place, item) in items {
             let pick = Pick { class, team: team.clone(), place, item };
-            if self.try_pick(env, &pick) {
+            if self.try_pick(env, &pick, look) {
                 return true;
             }
         }
         false
     }
 
-    fn try_pick(&mut self, env: &mut Env<'_, '_>, pick: &Pick) -> bool {
+    /// Returns the most processor time that is free on a host with room given back.
+    fn freed_cpu(&self) -> u32 {
+        let hosts = self.freed.iter().filter_map(|name| self.table.get(name));
+        let open = hosts.map(|host| host.free()).filter(|free| free.slots > 0);
+        open.map(|free| free.cpu_millis).max().unwrap_or(0)
+    }
+
+    /// Tells whether work of a shape fits where the look searches.
+    fn is_candidate(&self, now: Duration, shape: usize, look: Look) -> bool {
+        match look {
+            Look::All => !self.shapes.is_unfit(shape),
+            Look::Freed => {
+                let fit = self.shapes.get(shape).fit();
+                self.freed.iter().any(|host| self.table.fits_on(now, host, &fit))
+            }
+        }
+    }
+
+    fn try_pick(&mut self, env: &mut Env<'_, '_>, pick: &Pick, look: Look) -> bool {
         match &pick.item {
-            Item::Request(token) => self.try_request(env, pick, *token),
+            Item::Request(token) => self.try_request(env, pick, *token, look),
             Item::Job(id) => {
                 let Some(job) = self.jobs.get(id) else {
                     return false;
@@ -107,9 +175,9 @@
                     return false;
                 }
                 if job.is_gang() {
-                    self.try_gang(env, pick, id)
+                    self.try_gang(env, pick, id, look)
                 } else {
-                    self.try_task(env, pick, id)
+                    self.try_task(env, pick, id, look)
                 }
             }
         }
@@ -121,11 +189,17 @@
         if is_from_before { self.held_until } else { Duration::ZERO }
     }
 
-    fn try_request(&mut self, env: &mut Env<'_, '_>, pick: &Pick, token: Token) -> bool {
+    fn try_request(
+        &mut self,
+        env: &mut Env<'_, '_>,
+        pick: &Pick,
+        token: Token,
+        look: Look,
+    ) -> bool {
         let Some(pending) = self.requests.get(&token) else {
             return false;
         };
-        if self.shapes.is_unfit(pending.shape) {
+        if !self.is_candidate(env.now(), pending.shape, look) {
             return false;
         }
         let fit = self.shapes.get(pending.shape).fit();
@@ -173,12 +247,12 @@
         env.answer(token, Answer::Dispatch { host, address, launch, not_after });
     }
 
-    fn try_task(&mut self, env: &mut Env<'_, '_>, pick: &Pick, id: &id::Job) -> bool {
+    fn try_task(&mut self, env: &mut Env<'_, '_>, pick: &Pick, id: &id::Job, look: Look) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
         let shape = job.shape;
-        if self.shapes.is_unfit(shape) {
+        if !self.is_candidate(env.now(), shape, look) {
             return false;
         }
         let mut fit = self.shapes.get(shape).fit();
@@ -197,7 +271,7 @@
     }
 
     /// Starts every waiting task of a gang, or none.
-    fn try_gang(&mut self, env: &mut Env<'_, '_>, pick: &Pick, id: &id::Job) -> bool {
+    fn try_gang(&mut self, env: &mut Env<'_, '_>, pick: &Pick, id: &id::Job, look: Look) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
@@ -207,9 +281,14 @@
         if !fits_limit {
             return false;
         }
+        let holds_reservation = self.holds_reservation(id);
+        if !holds_reservation && !self.is_candidate(env.now(), shape, look) {
+            self.consider_reservation(env, id);
+            return false;
+        }
         let shape = self.shapes.get(shape).clone();
         let mut fit = shape.fit();
-        fit.holds_reservation = self.holds_reservation(id);
+        fit.holds_reservation = holds_reservation;
         let mut hosts = Vec::new();
         while hosts.len() < count {
             let Some(host) = self.table.find(env.now(), &fit).cloned() else {
@@ -423,8 +502,15 @@
 
     /// Decides whether room that was given back calls for another look.
     fn note_room(&mut self, env: &Env<'_, '_>, running: &Running) {
-        let clears = self.shapes.recheck(env.now(), &self.table, &running.host);
-        let lifts_limit = self.queue.waiting(&running.team) > 0;
-        self.is_dirty |= clears || lifts_limit;
+        if self.queue.total() == 0 {
+            return;
+        }
+        self.freed.insert(running.host.clone());
+        // The team may have been held up by its limit alone, and then has work
+        // that fits on other hosts too.
+        let lifts_limit = self.headroom(env.config, &running.team) == 1;
+        if lifts_limit && let Some((place, _)) = self.queue.first(&running.team) {
+            self.fresh.insert((running.team.clone(), place));
+        }
     }
 }
--- a/crates/core/src/shard/intake.rs
+++ b/crates/core/src/shard/intake.rs
@@ -124,9 +124,11 @@
         };
         let team = pending.request.team.clone();
         let rank = env.rank(&team);
-        let place = self.queue.push(Class::Interactive, &team, 0, rank, Item::Request(token), 1);
+        let item = Item::Request(token);
+        let cpu_millis = pending.request.size.cpu_millis;
+        let place = self.queue.push(Class::Interactive, &team, 0, rank, item, 1, cpu_millis);
         pending.stage = Stage::Queued(place);
-        self.fresh.insert((Class::Interactive, team));
+        self.fresh.insert((team, place));
     }
 
     /// Gives up work that has waited too long, with its final answer at once.
@@ -302,8 +304,10 @@
         let rank = env.fleet.rank(&team, env.config.teams.get(&team).map_or(1, |t| t.weight));
         let priority = job.submission.spec.priority;
         let item = Item::Job(id.clone());
-        job.place = Some(self.queue.push(class, &team, priority, rank, item, tasks));
-        self.fresh.insert((class, team));
+        let cpu_millis = job.submission.spec.size.cpu_millis;
+        let place = self.queue.push(class, &team, priority, rank, item, tasks, cpu_millis);
+        job.place = Some(place);
+        self.fresh.insert((team, place));
     }
 
     /// Takes a job out of the queue.
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -39,7 +39,7 @@
 use crate::node::Breakage;
 use crate::peer::{Demand, Summary};
 use crate::placement::Table;
-use crate::queue::{Class, Queue};
+use crate::queue::{Place, Queue};
 use crate::record::{Decision, Verdict};
 use crate::share::Fleet;
 use crate::worker::Launch;
@@ -130,15 +130,16 @@
     active_since: Duration,
     /// Requests with unseen keys can't be told from repeats until this time.
     doubt_until: Duration,
-    reservation: Option<Reservation>,
-    next_reservation: Duration,
+    reservations: Vec<Reservation>,
     making_room: FxHashMap<id::Job, Duration>,
     /// Some work that was passed over may fit or be allowed now.
     is_dirty: bool,
     /// Caps are compared with what runs at this time.
     next_trim: Duration,
-    /// Teams with new work since the last look, by lane.
-    fresh: BTreeSet<(Class, Name)>,
+    /// New work since the last look.
+    fresh: BTreeSet<(Name, Place)>,
+    /// Hosts on which room was given back since the last look.
+    freed: BTreeSet<Name>,
     sequence: u64,
     attempts: u32,
     last_start: Duration,
@@ -173,12 +174,12 @@
             held_until: Duration::ZERO,
             active_since: Duration::MAX,
             doubt_until: Duration::ZERO,
-            reservation: None,
-            next_reservation: Duration::ZERO,
+            reservations: Vec::new(),
             making_room: FxHashMap::default(),
             is_dirty: true,
             next_trim: Duration::ZERO,
             fresh: BTreeSet::new(),
+            freed: BTreeSet::new(),
             sequence: 0,
             attempts: 0,
             last_start: Duration::ZERO,
@@ -208,7 +209,7 @@
             self.next_trim = env.now() + TRIM;
             self.trim_to_caps(env);
         }
-        self.review_reservation(env);
+        self.review_reservations(env);
         self.schedule(env);
     }
 
--- a/crates/core/src/shard/room.rs
+++ b/crates/core/src/shard/room.rs
@@ -13,8 +13,8 @@
 /// Time for which room that was made for urgent work is waited for.
 const ROOM_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Pause between two reservations, so that small work gets its turn.
-const RESERVATION_GAP: Duration = Duration::from_secs(5);
+/// Part of the hosts that may be held back at once, as one in so many.
+const RESERVED_PART: usize = 5;
 
 /// Hosts that are held back for an all-at-once job.
 #[derive(Debug)]
@@ -140,21 +140,22 @@
 
     /// Tells whether hosts are held back for this job.
     pub(super) fn holds_reservation(&self, id: &id::Job) -> bool {
-        self.reservation.as_ref().is_some_and(|reservation| reservation.job == *id)
+        self.reservations.iter().any(|reservation| reservation.job == *id)
     }
 
     /// Holds hosts back for a gang that has waited for long.
     ///
-    /// One gang at a time holds hosts, for a bounded time, and work that is
-    /// declared to end before that may still use them. So gangs are neither
-    /// starved by small work nor can they wait for one another.
+    /// A gang gets all the hosts it needs or none, a part of the hosts at most
+    /// is held back, for a bounded time, and work that is declared to end
+    /// before that may still use them. So gangs are neither starved by small
+    /// work nor can they wait for one another.
     pub(super) fn consider_reservation(&mut self, env: &mut Env<'_, '_>, id: &id::Job) {
         let now = env.now();
         let Some(job) = self.jobs.get(id) else {
             return;
         };
         let is_patient = now < job.since + env.cx.timing.reserve_after;
-        if self.reservation.is_some() || is_patient || now < self.next_reservation {
+        if is_patient || self.holds_reservation(id) || self.is_enough_reserved() {
             return;
         }
         let spec = &job.submission.spec;
@@ -162,7 +163,8 @@
             .table
             .hosts()
             .iter()
-            .filter(|host| host.is_usable(now) && spec.selector.matches(&host.labels))
+            .filter(|host| host.is_usable(now) && host.reserved_until.is_none())
+            .filter(|host| spec.selector.matches(&host.labels))
             .map(|host| {
                 let count = times(&spec.size, &host.listed.capacity);
                 (self.expected_end(now, host.name()), host.name().clone(), count)
@@ -186,6 +188,11 @@
         }
     }
 
+    fn is_enough_reserved(&self) -> bool {
+        let reserved: usize = self.reservations.iter().map(|kept| kept.hosts.len()).sum();
+        reserved > 0 && reserved * RESERVED_PART >= self.table.hosts().len()
+    }
+
     fn reserve(&mut self, env: &Env<'_, '_>, id: &id::Job, hosts: Vec<Name>, ready_at: Duration) {
         let until = env.now() + env.cx.timing.reserve_for;
         let backfill_until = ready_at.min(until);
@@ -194,8 +201,7 @@
                 host.reserved_until = Some(backfill_until);
             }
         }
-        self.reservation = Some(Reservation { job: id.clone(), hosts, until });
-        self.shapes.clear_notes();
+        self.reservations.push(Reservation { job: id.clone(), hosts, until });
     }
 
     /// Returns when everything on a host is expected to have ended.
@@ -211,35 +217,31 @@
         ends.max().unwrap_or(now)
     }
 
-    /// Ends a reservation that has held hosts back for too long.
-    pub(super) fn review_reservation(&mut self, env: &mut Env<'_, '_>) {
-        let Some(reservation) = &self.reservation else {
-            return;
+    /// Ends reservations that have held hosts back for too long.
+    pub(super) fn review_reservations(&mut self, env: &mut Env<'_, '_>) {
+        let now = env.now();
+        let is_over = |kept: &Reservation| {
+            let job = self.jobs.get(&kept.job);
+            now >= kept.until || job.is_none_or(|job| job.waiting.is_empty())
         };
-        let is_wanted = self.jobs.get(&reservation.job).is_some_and(|job| !job.waiting.is_empty());
-        if !is_wanted || env.now() >= reservation.until {
-            self.next_reservation = env.now() + RESERVATION_GAP;
-            self.drop_reservation();
+        let over: Vec<id::Job> =
+            self.reservations.iter().filter(|kept| is_over(kept)).map(|r| r.job.clone()).collect();
+        for id in over {
+            self.drop_reservation_of(&id);
         }
     }
 
     pub(super) fn drop_reservation_of(&mut self, id: &id::Job) {
-        if self.holds_reservation(id) {
-            self.drop_reservation();
-        }
-    }
-
-    fn drop_reservation(&mut self) {
-        let Some(reservation) = self.reservation.take() else {
+        let Some(at) = self.reservations.iter().position(|kept| kept.job == *id) else {
             return;
         };
-        for host in &reservation.hosts {
-            if let Some(host) = self.table.get_mut(host) {
+        let reservation = self.reservations.remove(at);
+        for name in reservation.hosts {
+            if let Some(host) = self.table.get_mut(&name) {
                 host.reserved_until = None;
             }
+            self.freed.insert(name);
         }
-        self.shapes.clear_notes();
-        self.is_dirty = true;
     }
 }
 
--- a/crates/core/src/shard/shapes.rs
+++ b/crates/core/src/shard/shapes.rs
@@ -1,11 +1,8 @@
 use rustc_hash::{FxHashMap, FxHashSet};
-use std::time::Duration;
-
-use sycamore_types::Name;
 use sycamore_types::resources::Resources;
 use sycamore_types::selector::Selector;
 
-use crate::placement::{Fit, Mode, Table};
+use crate::placement::{Fit, Mode};
 
 /// What matters of a piece of work for where it fits.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -32,8 +29,8 @@
 
 /// Shapes of work, with a note of those that found no host.
 ///
-/// While a shape is noted as unfit, work of that shape is passed over without
-/// a search. Only room that is given back, or a change of hosts, clears it.
+/// Within one look at all hosts, work of a shape that is noted as unfit is
+/// passed over without a search.
 #[derive(Debug, Default)]
 pub(crate) struct Shapes {
     shapes: Vec<Interned>,
@@ -93,19 +90,6 @@
         self.unfit.insert(at);
     }
 
-    /// Clears shapes that fit on a host where room was given back.
-    ///
-    /// Returns whether any did, or whether nothing was known to be unfit.
-    pub(crate) fn recheck(&mut self, now: Duration, table: &Table, host: &Name) -> bool {
-        if self.unfit.is_empty() {
-            return true;
-        }
-        let before = self.unfit.len();
-        let shapes = &self.shapes;
-        self.unfit.retain(|at| !table.fits_on(now, host, &shapes[*at].shape.fit()));
-        self.unfit.len() < before
-    }
-
     /// Clears every note.
     pub(crate) fn clear_notes(&mut self) {
         self.unfit.clear();
