Let the store know of an epoch before the collector does

Cause: an owner that handed over within five seconds had records in the stream but no head in the store yet, which the audit took for invented ones. Change: the first record of an epoch writes its head at once.

--- a/crates/scheduler/src/records/mod.rs
+++ b/crates/scheduler/src/records/mod.rs
@@ -4,8 +4,8 @@
 mod heads;
 mod sink;
 
-use sycamore_audit::{Chain, HEAD_INTERVAL};
-use sycamore_core::record::Decision;
+use sycamore_audit::{Chain, HEAD_INTERVAL, Record};
+use sycamore_core::record::{Decision, Verdict};
 use sycamore_platform::store::Store;
 use tokio::sync::mpsc;
 
@@ -16,6 +16,10 @@
 /// Records taken from the queue at once.
 const BATCH: usize = 1_024;
 
+fn is_first_of_epoch(record: &Record) -> bool {
+    matches!(record.decision.verdict, Verdict::Owned { .. })
+}
+
 /// Chains and streams decisions until the process ends.
 pub(crate) async fn run<S: Store>(
     mut decisions: mpsc::UnboundedReceiver<Decision>,
@@ -35,6 +39,11 @@
                 }
                 let records: Vec<_> =
                     batch.drain(..).map(|decision| chain.append(decision, unix_ms())).collect();
+                // The store must know of an epoch before the collector does, or
+                // its records could not be told from invented ones.
+                if records.iter().any(is_first_of_epoch) {
+                    heads.write(&store, &chain).await;
+                }
                 sink.write(&records).await;
             }
             _ = interval.tick() => heads.write(&store, &chain).await,
