--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -22,6 +22,7 @@
     options.optopt("", "workers", "decide: measure this size only", "N");
     options.optopt("", "teams", "decide: number of teams (default: 190)", "N");
     options.optopt("", "placements", "decide: placements per size (default: 20000)", "N");
+    options.optopt("", "site", "policy: play this site only", "NAME");
     options.optopt("", "outage", "faults: seconds of store outage (default: 20)", "N");
     options.optflag("h", "help", "print this help and exit");
     let matches = match options.parse(std::env::args().skip(1)) {
@@ -67,6 +68,11 @@
         site("mwakilema", 50, 128 * 1_024, 6, 0.8, 900),
         site("letter/8", 1_250, 256 * 1_024, 190, 0.5, 150),
     ];
+    let wanted = matches.opt_str("site");
+    let sites: Vec<Site> = sites
+        .into_iter()
+        .filter(|site| wanted.as_ref().is_none_or(|wanted| *wanted == site.name))
+        .collect();
     let scores = policy::run(seed, &sites, |score| {
         if !is_json {
             print_score(score);
--- a/crates/core/src/queue/lane.rs
+++ b/crates/core/src/queue/lane.rs
@@ -5,6 +5,9 @@
 
 use super::{Item, Place};
 
+/// Pieces of work of one size that a look at few hosts considers.
+const PER_SIZE: usize = 16;
+
 /// Waiting work of one class.
 #[derive(Debug, Default)]
 pub(crate) struct Lane {
@@ -17,8 +20,8 @@
 struct Line {
     rank: u64,
     items: BTreeMap<Place, Entry>,
-    /// Number of pieces of work by processor time that a task needs.
-    sizes: BTreeMap<u32, u32>,
+    /// Places of work by the processor time that a task needs.
+    sizes: BTreeMap<u32, BTreeSet<Place>>,
 }
 
 #[derive(Debug)]
@@ -42,7 +45,7 @@
             self.order.insert((rank, team.clone()));
         }
         line.items.insert(place, Entry { item, cpu_millis });
-        *line.sizes.entry(cpu_millis).or_default() += 1;
+        line.sizes.entry(cpu_millis).or_default().insert(place);
     }
 
     /// Returns one piece of work.
@@ -50,21 +53,15 @@
         self.teams.get(team)?.items.get(&place).map(|entry| &entry.item)
     }
 
-    /// Returns the least processor time that any task of a team needs.
-    pub(crate) fn least_cpu(&self, team: &str) -> u32 {
-        let line = self.teams.get(team);
-        line.and_then(|line| line.sizes.keys().next().copied()).unwrap_or(u32::MAX)
-    }
-
     pub(crate) fn remove(&mut self, team: &Name, place: Place) {
         let Some(line) = self.teams.get_mut(team) else {
             return;
         };
         if let Some(entry) = line.items.remove(&place)
-            && let Some(count) = line.sizes.get_mut(&entry.cpu_millis)
+            && let Some(places) = line.sizes.get_mut(&entry.cpu_millis)
         {
-            *count -= 1;
-            if *count == 0 {
+            places.remove(&place);
+            if places.is_empty() {
                 line.sizes.remove(&entry.cpu_millis);
             }
         }
@@ -74,6 +71,23 @@
         }
     }
 
+    /// Returns work of a team whose tasks need at most this much processor
+    /// time, in the order in which it is served: `count` pieces at most.
+    pub(crate) fn fitting(&self, team: &str, cpu_millis: u32, count: usize) -> Vec<(Place, Item)> {
+        let Some(line) = self.teams.get(team) else {
+            return Vec::new();
+        };
+        let small = line.sizes.range(..=cpu_millis);
+        // Each size gives its first pieces, so that one size can't crowd out
+        // the others.
+        let mut places: Vec<Place> =
+            small.flat_map(|(_, places)| places.iter().take(PER_SIZE)).copied().collect();
+        places.sort_unstable();
+        places.truncate(count);
+        let entry = |place: Place| line.items.get(&place).map(|entry| (place, entry.item.clone()));
+        places.into_iter().filter_map(entry).collect()
+    }
+
     pub(crate) fn set_rank(&mut self, team: &Name, rank: u64) {
         if let Some(line) = self.teams.get_mut(team)
             && line.rank != rank
--- a/crates/core/src/shard/dispatch.rs
+++ b/crates/core/src/shard/dispatch.rs
@@ -123,20 +123,14 @@
         if self.headroom(env.config, team) == 0 {
             return false;
         }
-        let depth = match look {
-            Look::All => DEPTH,
-            Look::Freed if self.queue.lane(class).least_cpu(team) > self.freed_cpu() => {
-                return false;
+        let lane = self.queue.lane(class);
+        let items: Vec<(Place, Item)> = match look {
+            Look::Freed => lane.fitting(team, self.freed_cpu(), DEPTH_FREED),
+            Look::All => {
+                let first = lane.items(team).take(DEPTH);
+                first.map(|(place, item)| (*place, item.clone())).collect()
             }
-            Look::Freed => DEPTH_FREED,
         };
-        let items: Vec<(Place, Item)> = self
-            .queue
-            .lane(class)
-            .items(team)
-            .take(depth)
-            .map(|(place, item)| (*place, item.clone()))
-            .collect();
         for (place, item) in items {
             let pick = Pick { class, team: team.clone(), place, item };
             if self.try_pick(env, &pick, look) {
