--- a/crates/bench/src/decide/mod.rs
+++ b/crates/bench/src/decide/mod.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
 use sycamore_core::caller::Submission;
+use sycamore_core::peer::{Demand, Summary};
 use sycamore_types::config::{Document, Team};
 use sycamore_types::host::Host;
 use sycamore_types::job::Spec;
@@ -49,6 +50,12 @@
     pub step_p999_us: f64,
     /// Where the time went, in microseconds per start.
     pub us_by_kind: BTreeMap<&'static str, f64>,
+    /// Reports of one worker per second.
+    pub reports_per_worker_second: f64,
+    /// Size of one report of a worker, in bytes of JSON.
+    pub report_bytes: f64,
+    /// Size of what one shard tells the planner at once, in bytes.
+    pub summary_bytes: usize,
     /// Bytes of memory that the process gained per worker, tasks included.
     pub bytes_per_worker: f64,
 }
@@ -84,6 +91,9 @@
     driver.steps_ns.clear();
     driver.spent_ns = 0;
     driver.by_kind.clear();
+    driver.reports = 0;
+    driver.report_bytes = 0;
+    let begun = driver.now;
     let starts = driver.starts;
     for _ in 0..wanted {
         submit(&mut driver, &mut rng, teams, run);
@@ -107,6 +117,11 @@
             .iter()
             .map(|(kind, share)| (*kind, share.spent_ns as f64 / 1e3 / placements as f64))
             .collect(),
+        reports_per_worker_second: driver.reports as f64
+            / workers as f64
+            / (driver.now - begun).as_secs_f64(),
+        report_bytes: driver.report_bytes as f64 / driver.reports.max(1) as f64,
+        summary_bytes: summary_bytes(teams),
         step_p50_us: quantile(0.5),
         step_p99_us: quantile(0.99),
         step_p999_us: quantile(0.999),
@@ -138,6 +153,22 @@
     driver.run_until(next);
 }
 
+/// Returns the size of one shard's word to the planner.
+fn summary_bytes(teams: usize) -> usize {
+    let demand = Demand { running: 40, waiting: 12, cap: 60, used: hosts(1)[0].capacity };
+    let teams = (0..teams).map(|at| (Name::from(format!("t{at:03}")), demand)).collect();
+    let summary = Summary {
+        shard: id::Shard::new("z0", 0),
+        epoch: 3,
+        ledger: 40_000,
+        bound: 9,
+        capacity: hosts(1)[0].capacity,
+        teams,
+    };
+    let encoded = bincode::serde::encode_to_vec(summary, bincode::config::standard());
+    encoded.map_or(0, |bytes| bytes.len())
+}
+
 /// Builds workers of the kind that the users have.
 pub(crate) fn hosts(workers: usize) -> Vec<Host> {
     let host = |at: usize| Host {
--- a/crates/bench/src/driver/mod.rs
+++ b/crates/bench/src/driver/mod.rs
@@ -21,6 +21,9 @@
 
 use kv::Kv;
 
+/// One report in so many is written out to measure its size.
+const MEASURED_REPORT: u64 = 16;
+
 /// Time between two ticks of the core.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -109,6 +112,10 @@
     pub spent_ns: u64,
     /// The same by kind of event.
     pub by_kind: BTreeMap<&'static str, Share>,
+    /// Bytes of all reports that workers have sent, as JSON.
+    pub report_bytes: u64,
+    /// Number of these reports.
+    pub reports: u64,
     /// Starts so far.
     pub starts: u64,
     /// Capacity in use by team.
@@ -140,6 +147,8 @@
             steps_ns: Vec::new(),
             spent_ns: 0,
             by_kind: BTreeMap::new(),
+            report_bytes: 0,
+            reports: 0,
             starts: 0,
             used: BTreeMap::new(),
             used_total: Resources::default(),
@@ -348,6 +357,11 @@
             running: worker.running.iter().map(listed).collect(),
             finished: worker.finished.values().cloned().collect(),
         };
+        if self.reports % MEASURED_REPORT == 0 {
+            let bytes = serde_json::to_vec(&report).unwrap_or_default().len();
+            self.report_bytes += u64::try_from(bytes).unwrap_or(0) * MEASURED_REPORT;
+        }
+        self.reports += 1;
         self.step(Event::Worker { call, reply: Reply::Report(report) });
     }
 
