--- a/crates/bench/src/driver/mod.rs
+++ b/crates/bench/src/driver/mod.rs
@@ -357,7 +357,7 @@
             running: worker.running.iter().map(listed).collect(),
             finished: worker.finished.values().cloned().collect(),
         };
-        if self.reports % MEASURED_REPORT == 0 {
+        if self.reports.is_multiple_of(MEASURED_REPORT) {
             let bytes = serde_json::to_vec(&report).unwrap_or_default().len();
             self.report_bytes += u64::try_from(bytes).unwrap_or(0) * MEASURED_REPORT;
         }
--- a/crates/bench/src/faults/load.rs
+++ b/crates/bench/src/faults/load.rs
@@ -116,7 +116,7 @@
         ticks.tick().await;
         number += 1;
         tokio::spawn(one_request(seen.clone(), number));
-        if number % JOBS == 0 {
+        if number.is_multiple_of(JOBS) {
             tokio::spawn(one_job(seen.clone(), number));
         }
     }
@@ -131,7 +131,7 @@
 async fn one_request(seen: Arc<Mutex<Seen>>, number: u64) {
     let path = format!("stock/{number}");
     lock(&seen).paths.push(path.clone());
-    let key = (number % KEYED == 0).then(|| format!("key-{number}"));
+    let key = number.is_multiple_of(KEYED).then(|| format!("key-{number}"));
     let first = caller(&seen, number).request("orderdesk", &path, key.as_deref()).await;
     note(&seen, &path, &first);
     if let Some(key) = key {
