Share the start of both processes; test every sycamorectl command

Cause: entry and scheduler had the same start, settings and signal code twice; sycamorectl had no test. Change: settings::load, Values::required_name and platform::Signals; a test per command and exit code.

--- a/crates/core/src/queue/lane.rs
+++ b/crates/core/src/queue/lane.rs
@@ -1,5 +1,6 @@
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 use sycamore_types::Name;
 
@@ -12,9 +13,12 @@
 #[derive(Debug, Default)]
 pub(crate) struct Lane {
     teams: FxHashMap<Name, Line>,
-    order: BTreeSet<(u64, Name)>,
+    order: BTreeSet<Position>,
 }
 
+/// Place of a team in its lane: its share, then its name.
+pub(crate) type Position = (u64, Name);
+
 /// Waiting work of one team.
 #[derive(Debug, Default)]
 struct Line {
@@ -106,6 +110,12 @@
         }
     }
 
+    /// Returns the team that is served after the given position.
+    pub(crate) fn after(&self, position: Option<&Position>) -> Option<Position> {
+        let start = position.map_or(Bound::Unbounded, Bound::Excluded);
+        self.order.range((start, Bound::Unbounded)).next().cloned()
+    }
+
     /// Returns the teams in the order in which they are served.
     pub(crate) fn teams(&self) -> impl Iterator<Item = &Name> {
         self.order.iter().map(|(_, team)| team)
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -12,7 +12,7 @@
 use sycamore_types::Name;
 
 pub(crate) use item::{Class, Item, Place};
-pub(crate) use lane::Lane;
+pub(crate) use lane::{Lane, Position};
 
 /// All lanes of a shard.
 #[derive(Debug, Default)]
--- a/crates/core/src/shard/dispatch.rs
+++ b/crates/core/src/shard/dispatch.rs
@@ -1,4 +1,3 @@
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sycamore_types::{Name, id};
@@ -9,7 +8,7 @@
 use crate::caller::{Answer, Token};
 use crate::context::Purpose;
 use crate::log::{Entry, Ticket};
-use crate::queue::{Class, Item, Place};
+use crate::queue::{Class, Item, Place, Position};
 use crate::record::{Verdict, Why};
 use crate::worker::{Launch, Op, Tag};
 
@@ -106,14 +105,12 @@
 
     /// Serves one lane until nothing in it can start.
     fn serve_lane(&mut self, env: &mut Env<'_, '_>, class: Class, look: Look) {
-        let mut blocked: BTreeSet<Name> = BTreeSet::new();
-        loop {
-            let next = self.queue.lane(class).teams().find(|team| !blocked.contains(*team));
-            let Some(team) = next.cloned() else {
-                return;
-            };
-            if !self.serve_team(env, class, &team, look) {
-                blocked.insert(team);
+        // A start only moves its team back in the order, so every team up to
+        // this position has nothing that can start.
+        let mut served: Option<Position> = None;
+        while let Some(next) = self.queue.lane(class).after(served.as_ref()) {
+            if !self.serve_team(env, class, &next.1, look) {
+                served = Some(next);
             }
         }
     }
--- /dev/null
+++ b/crates/demo/tests/operator.rs
@@ -0,0 +1,64 @@
+//! `sycamorectl` as an operator uses it, against a whole deployment.
+
+use sycamore_ctl::{Error, run};
+use sycamore_demo::{Caller, Deployment, Profile, Told};
+use sycamore_scheduler::Records;
+
+async fn ctl(deployment: &Deployment, words: &[&str]) -> Result<String, Error> {
+    let entry = format!("--entry={}", deployment.entries[1].operator_address);
+    let words = words.iter().map(|word| word.to_string());
+    run(std::iter::once(entry).chain(words)).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_command_does_what_its_help_says() {
+    let deployment = Deployment::start(Profile::sialkot(), 16, 2, Records::Nowhere).await.unwrap();
+
+    let told = ctl(&deployment, &["team", "night", "weight=2", "limit=5"]).await.unwrap();
+    assert!(told.contains("in_force: 4") && told.contains("of: 4"), "{told}");
+    let created = ctl(&deployment, &["key", "create", "night-1", "night"]).await.unwrap();
+    let secret = created.lines().find_map(|line| line.strip_prefix("key: ")).unwrap().to_string();
+    let caller = Caller::new(deployment.entries[0].address, "night", &secret);
+    let answer = caller.request("orderdesk", "stock", None).await;
+    assert!(matches!(answer, Told::Answered(_)), "{answer:?}");
+    ctl(&deployment, &["queue", "public", "team=night", "open=true"]).await.unwrap();
+    let host = deployment.site.workers[0].host().name.to_string();
+    ctl(&deployment, &["label", &host, "tier=gold", "spot=no"]).await.unwrap();
+    ctl(&deployment, &["label", &host, "spot-"]).await.unwrap();
+    ctl(&deployment, &["drain", &host]).await.unwrap();
+    let text = ctl(&deployment, &["get"]).await.unwrap();
+    assert!(text.contains("tier = \"gold\"") && !text.contains("spot"), "{text}");
+    assert!(text.contains(&format!("drained = [\"{host}\"]")), "{text}");
+    assert!(!text.contains(&secret), "the secret is kept nowhere");
+
+    ctl(&deployment, &["undrain", &host]).await.unwrap();
+    ctl(&deployment, &["key", "withdraw", "night-1"]).await.unwrap();
+    let answer = caller.request("orderdesk", "stock", None).await;
+    assert_eq!(answer, Told::NotRun("key_withdrawn".to_string()));
+    let status = ctl(&deployment, &["--format=json", "status"]).await.unwrap();
+    assert!(status.contains("\"schedulers\":2"), "{status}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn errors_have_their_exit_codes() {
+    let deployment = Deployment::start(Profile::sialkot(), 16, 2, Records::Nowhere).await.unwrap();
+    let file = std::env::temp_dir().join(format!("sycamore-config-{}", std::process::id()));
+    std::fs::write(&file, "[teams.a]\nwieght = 2\n").unwrap();
+    let path = file.to_str().unwrap();
+
+    let bad_file = ctl(&deployment, &["apply", path]).await.unwrap_err();
+    let bad_word = ctl(&deployment, &["fly"]).await.unwrap_err();
+    let refused = ctl(&deployment, &["queue", "q", "team=ghost"]).await.unwrap_err();
+    let unreachable = run(["--entry=127.0.0.1:1", "get"].map(String::from).into_iter()).await;
+
+    assert_eq!(bad_file.exit_code(), 2);
+    assert!(bad_file.to_string().contains("line 2"), "{bad_file}");
+    assert_eq!(bad_word.exit_code(), 2);
+    assert_eq!(refused.exit_code(), 1);
+    assert!(refused.to_string().contains("queues.q.team"), "{refused}");
+    assert_eq!(unreachable.unwrap_err().exit_code(), 3);
+    std::fs::write(&file, "[teams.a]\nweight = 2\n").unwrap();
+    let diff = ctl(&deployment, &["diff", path]).await.unwrap();
+    assert!(diff.contains("+ [teams.a] weight = 2"), "{diff}");
+    let _ = std::fs::remove_file(&file);
+}
--- a/crates/entry/src/arguments/mod.rs
+++ b/crates/entry/src/arguments/mod.rs
@@ -38,65 +38,67 @@
         "sycamore-entry",
         "Takes the calls of callers and operators and passes them to schedulers.",
         vec![
-            setting(
+            Setting::new(
                 "name",
                 "SYCAMORE_NAME",
                 "NAME",
                 "name of the process, unique in the deployment",
                 None,
             ),
-            setting(
+            Setting::new(
                 "failure-domain",
                 "SYCAMORE_FAILURE_DOMAIN",
                 "NAME",
                 "failure domain of this host",
                 None,
             ),
-            setting("listen", "SYCAMORE_LISTEN", "IP:PORT", "address for callers", None),
-            setting(
+            Setting::new("listen", "SYCAMORE_LISTEN", "IP:PORT", "address for callers", None),
+            Setting::new(
                 "operator-listen",
                 "SYCAMORE_OPERATOR_LISTEN",
                 "IP:PORT",
                 "address for operators, metrics and health",
                 None,
             ),
-            setting(
+            Setting::new(
                 "peer-listen",
                 "SYCAMORE_PEER_LISTEN",
                 "IP:PORT",
                 "address for other processes",
                 None,
             ),
-            setting("store", "SYCAMORE_STORE", "IP:PORT", "address of the platform's store", None),
-            setting(
+            Setting::new(
+                "store",
+                "SYCAMORE_STORE",
+                "IP:PORT",
+                "address of the platform's store",
+                None,
+            ),
+            Setting::new(
                 "hosts",
                 "SYCAMORE_HOSTS",
                 "IP:PORT",
                 "address of the platform's host list",
                 None,
             ),
-            setting(
+            Setting::new(
                 "key-patience",
                 "SYCAMORE_KEY_PATIENCE",
                 "MS",
                 "time for which keys are taken while nobody confirms the configuration",
                 Some("10000"),
             ),
-            setting("log-format", "SYCAMORE_LOG_FORMAT", "FORMAT", "text or json", Some("text")),
+            Setting::new(
+                "log-format",
+                "SYCAMORE_LOG_FORMAT",
+                "FORMAT",
+                "text or json",
+                Some("text"),
+            ),
         ],
     )
 }
 
-fn setting(
-    flag: &'static str,
-    variable: &'static str,
-    hint: &'static str,
-    help: &'static str,
-    default: Option<&'static str>,
-) -> Setting {
-    Setting { flag, variable, hint, help, default, is_secret: false }
-}
-
 impl Arguments {
     /// Resolves low-level values.
     ///
@@ -104,8 +106,8 @@
     ///
     /// Names every setting that can't be used.
     pub fn resolve(mut values: Values) -> Result<Arguments, Errors> {
-        let name = values.required::<String>("name");
-        let failure_domain = values.required::<String>("failure-domain");
+        let name = values.required_name("name");
+        let failure_domain = values.required_name("failure-domain");
         let listen = values.required("listen");
         let operator_listen = values.required("operator-listen");
         let peer_listen = values.required("peer-listen");
@@ -113,10 +115,6 @@
         let hosts = values.required("hosts");
         let key_patience = values.required::<u64>("key-patience");
         let log_format = values.required("log-format");
-        let is_plain = |c: char| c.is_ascii_alphanumeric() || c == '-';
-        if name.as_ref().is_some_and(|name| !name.chars().all(is_plain)) {
-            values.invalid("name", "may hold letters, digits and dashes only");
-        }
         values.finish()?;
         let missing = || Errors(Vec::new());
         Ok(Arguments {
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -3,29 +3,13 @@
 use std::process::ExitCode;
 
 use sycamore_entry::{Arguments, Entry, parser};
-use sycamore_settings::Parsed;
+use sycamore_platform::Signals;
 use sycamore_telemetry::logs;
-use tokio::signal::unix::{SignalKind, signal};
-
-/// Exit code for settings that can't be used.
-const BAD_SETTINGS: u8 = 2;
 
 fn main() -> ExitCode {
-    let parsed = parser().parse(std::env::args().skip(1), |name| std::env::var(name).ok());
-    let arguments = match parsed {
-        Ok(Parsed::Print(text)) => {
-            print!("{text}");
-            return ExitCode::SUCCESS;
-        }
-        Ok(Parsed::Run(values)) => Arguments::resolve(values),
-        Err(errors) => Err(errors),
-    };
-    match arguments {
+    match sycamore_settings::load(&parser(), Arguments::resolve) {
         Ok(arguments) => run(arguments),
-        Err(errors) => {
-            eprintln!("{errors}");
-            ExitCode::from(BAD_SETTINGS)
-        }
+        Err(code) => code,
     }
 }
 
@@ -35,19 +19,13 @@
         eprintln!("sycamore-entry: {error}");
         return ExitCode::FAILURE;
     }
-    let (Ok(mut terminate), Ok(mut interrupt)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
+    let Ok(mut signals) = Signals::listen() else {
         eprintln!("sycamore-entry: can't listen for signals");
         return ExitCode::FAILURE;
     };
     match Entry::start(arguments).await {
         Ok(entry) => {
-            log::info!("callers are served on {}", entry.address);
-            tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
-            }
+            signals.stop().await;
             log::info!("told to stop");
             entry.stop().await;
             log::info!("stopped");
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,7 +7,9 @@
 mod address;
 pub mod hosts;
 pub mod http;
+mod signals;
 pub mod store;
 pub mod worker;
 
 pub use address::{Address, AddressError};
+pub use signals::Signals;
--- a/crates/scheduler/src/arguments/mod.rs
+++ b/crates/scheduler/src/arguments/mod.rs
@@ -38,64 +38,66 @@
         "sycamore-scheduler",
         "Owns shards of workers, decides what runs where, and starts it.",
         vec![
-            setting(
+            Setting::new(
                 "name",
                 "SYCAMORE_NAME",
                 "NAME",
                 "name of the process, unique in the deployment",
                 None,
             ),
-            setting(
+            Setting::new(
                 "failure-domain",
                 "SYCAMORE_FAILURE_DOMAIN",
                 "NAME",
                 "failure domain of this host",
                 None,
             ),
-            setting(
+            Setting::new(
                 "listen",
                 "SYCAMORE_LISTEN",
                 "IP:PORT",
                 "address for peers and entry processes",
                 None,
             ),
-            setting(
+            Setting::new(
                 "admin-listen",
                 "SYCAMORE_ADMIN_LISTEN",
                 "IP:PORT",
                 "address for metrics and health",
                 None,
             ),
-            setting("store", "SYCAMORE_STORE", "IP:PORT", "address of the platform's store", None),
-            setting(
+            Setting::new(
+                "store",
+                "SYCAMORE_STORE",
+                "IP:PORT",
+                "address of the platform's store",
+                None,
+            ),
+            Setting::new(
                 "hosts",
                 "SYCAMORE_HOSTS",
                 "IP:PORT",
                 "address of the platform's host list",
                 None,
             ),
-            setting(
+            Setting::new(
                 "records",
                 "SYCAMORE_RECORDS",
                 "WHERE",
                 "where decision records go: none, file:PATH or tcp:IP:PORT",
                 Some("none"),
             ),
-            setting("log-format", "SYCAMORE_LOG_FORMAT", "FORMAT", "text or json", Some("text")),
+            Setting::new(
+                "log-format",
+                "SYCAMORE_LOG_FORMAT",
+                "FORMAT",
+                "text or json",
+                Some("text"),
+            ),
         ],
     )
 }
 
-fn setting(
-    flag: &'static str,
-    variable: &'static str,
-    hint: &'static str,
-    help: &'static str,
-    default: Option<&'static str>,
-) -> Setting {
-    Setting { flag, variable, hint, help, default, is_secret: false }
-}
-
 impl Arguments {
     /// Resolves low-level values.
     ///
@@ -103,16 +105,14 @@
     ///
     /// Names every setting that can't be used.
     pub fn resolve(mut values: Values) -> Result<Arguments, Errors> {
-        let name = values.required::<String>("name");
-        let failure_domain = values.required::<String>("failure-domain");
+        let name = values.required_name("name");
+        let failure_domain = values.required_name("failure-domain");
         let listen = values.required("listen");
         let admin_listen = values.required("admin-listen");
         let store = values.required("store");
         let hosts = values.required("hosts");
         let records = values.required("records");
         let log_format = values.required("log-format");
-        check_name(&mut values, "name", name.as_deref());
-        check_name(&mut values, "failure-domain", failure_domain.as_deref());
         values.finish()?;
         let missing = || Errors(Vec::new());
         Ok(Arguments {
@@ -127,11 +127,3 @@
         })
     }
 }
-
-/// Names become keys in the store, so they are kept plain.
-fn check_name(values: &mut Values, flag: &'static str, name: Option<&str>) {
-    let is_plain = |c: char| c.is_ascii_alphanumeric() || c == '-';
-    if name.is_some_and(|name| !name.chars().all(is_plain)) {
-        values.invalid(flag, "may hold letters, digits and dashes only");
-    }
-}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,11 +6,13 @@
 //! collects every error so that an operator sees all of them at once.
 
 mod error;
+mod load;
 mod parser;
 mod setting;
 mod values;
 
 pub use error::{Errors, Problem};
+pub use load::load;
 pub use parser::{Parsed, Parser};
 pub use setting::Setting;
 pub use values::Values;
--- a/crates/settings/src/setting.rs
+++ b/crates/settings/src/setting.rs
@@ -14,3 +14,16 @@
     /// The value is not shown when settings are printed.
     pub is_secret: bool,
 }
+
+impl Setting {
+    /// Declares a setting that may be shown.
+    pub const fn new(
+        flag: &'static str,
+        variable: &'static str,
+        hint: &'static str,
+        help: &'static str,
+        default: Option<&'static str>,
+    ) -> Setting {
+        Setting { flag, variable, hint, help, default, is_secret: false }
+    }
+}
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -38,6 +38,19 @@
         self.resolve(flag, &text)
     }
 
+    /// Resolves the name of a process or place.
+    ///
+    /// Names become keys in the store, so they are kept plain.
+    pub fn required_name(&mut self, flag: &'static str) -> Option<String> {
+        let name = self.required::<String>(flag)?;
+        let is_plain = |c: char| c.is_ascii_alphanumeric() || c == '-';
+        if !name.chars().all(is_plain) {
+            self.invalid(flag, "may hold letters, digits and dashes only");
+            return None;
+        }
+        Some(name)
+    }
+
     /// Resolves a setting that may be left out.
     pub fn optional<T>(&mut self, flag: &'static str) -> Option<T>
     where
