Begin a span for each hop and export spans by OTLP

Cause: trace contexts were passed on, but no hop told of itself. Change: entry and scheduler each begin a span below the one before, the worker is given the scheduler's; export by OTLP over HTTP with JSON, from a bounded queue that drops rather than holds up requests; no library for it, since the whole protocol side is one JSON document.

--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -157,6 +157,7 @@
         store: Address(site.store.address()),
         hosts: Address(site.list.address()),
         records,
+        otlp: None,
         log_format: logs::Format::Text,
     }
 }
@@ -171,6 +172,7 @@
         store: Address(site.store.address()),
         hosts: Address(site.list.address()),
         key_patience: Duration::from_secs(10),
+        otlp: None,
         log_format: logs::Format::Text,
     }
 }
--- a/crates/demo/tests/path.rs
+++ b/crates/demo/tests/path.rs
@@ -1,16 +1,21 @@
 //! The whole path on loopback: callers, operators, entry, scheduler, workers.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use serde_json::{Value, json};
 use sycamore_ctl::Error;
 use sycamore_demo::{Caller, Deployment, Profile, Told};
+use sycamore_platform::Address;
 use sycamore_platform::http::Client;
+use sycamore_platform::otlp::Tracer;
 use sycamore_platform::store::Faults;
 use sycamore_scheduler::Records;
+use sycamore_standin::Server;
+use sycamore_telemetry::trace::Parent;
 use tokio::sync::Mutex;
 
 const WORKERS: usize = 16;
@@ -184,3 +189,43 @@
     assert_eq!(sycamore_audit::verify(text.lines(), &heads), Vec::new());
     assert!(text.lines().count() >= 20);
 }
+
+/// Takes exports of spans and keeps their bodies.
+async fn collector() -> (std::net::SocketAddr, Arc<std::sync::Mutex<Vec<Value>>>, Server) {
+    let bodies: Arc<std::sync::Mutex<Vec<Value>>> = Arc::default();
+    let kept = bodies.clone();
+    let server = Server::start(Arc::default(), move |request: Request<hyper::body::Incoming>| {
+        let kept = kept.clone();
+        async move {
+            let bytes = request.into_body().collect().await.ok()?.to_bytes();
+            kept.lock().unwrap().push(serde_json::from_slice(&bytes).ok()?);
+            Some(Response::new(Full::new(Bytes::new())))
+        }
+    })
+    .await
+    .unwrap();
+    (server.address, bodies, server)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn spans_of_all_hops_reach_the_collector() {
+    let (address, bodies, _server) = collector().await;
+    let tracer = Tracer::new(Some(Address(address)), "test");
+    let caller = Parent::parse("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01");
+    let outer = tracer.begin("entry", caller);
+    let inner = tracer.begin("scheduler", Some(outer.context()));
+    let inner_parent = format!("{:016x}", outer.context().span);
+    drop(inner);
+    drop(outer);
+
+    let has_both = until(|| async { text_of(&bodies).contains("\"name\":\"entry\"") });
+    assert!(has_both.await);
+    let text = text_of(&bodies);
+    assert!(text.contains(&format!("\"parentSpanId\":\"{inner_parent}\"")), "{text}");
+    assert!(text.contains("\"parentSpanId\":\"b7ad6b7169203331\""), "{text}");
+    assert_eq!(text.matches("0af7651916cd43dd8448eb211c80319c").count(), 2, "{text}");
+}
+
+fn text_of(bodies: &std::sync::Mutex<Vec<Value>>) -> String {
+    bodies.lock().unwrap().iter().map(Value::to_string).collect()
+}
--- a/crates/entry/src/arguments/mod.rs
+++ b/crates/entry/src/arguments/mod.rs
@@ -28,6 +28,8 @@
     /// Time for which keys are taken while neither the store nor a peer
     /// confirms that none was withdrawn.
     pub key_patience: Duration,
+    /// Collector that spans are exported to.
+    pub otlp: Option<Address>,
     /// How log lines look.
     pub log_format: logs::Format,
 }
@@ -88,6 +90,13 @@
                 "time for which keys are taken while nobody confirms the configuration",
                 Some("10000"),
             ),
+            Setting::new(
+                "otlp",
+                "SYCAMORE_OTLP",
+                "IP:PORT",
+                "collector that spans are exported to by OTLP",
+                Some(""),
+            ),
             Setting::new(
                 "log-format",
                 "SYCAMORE_LOG_FORMAT",
@@ -114,6 +123,7 @@
         let store = values.required("store");
         let hosts = values.required("hosts");
         let key_patience = values.required::<u64>("key-patience");
+        let otlp = values.optional("otlp");
         let log_format = values.required("log-format");
         values.finish()?;
         let missing = || Errors(Vec::new());
@@ -126,6 +136,7 @@
             store: store.ok_or_else(missing)?,
             hosts: hosts.ok_or_else(missing)?,
             key_patience: Duration::from_millis(key_patience.ok_or_else(missing)?),
+            otlp,
             log_format: log_format.ok_or_else(missing)?,
         })
     }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -5,6 +5,7 @@
 use http::{Method, Request, Response};
 use hyper::body::Incoming;
 use sycamore_platform::hosts::HttpList;
+use sycamore_platform::otlp::Tracer;
 use sycamore_platform::store::HttpStore;
 use sycamore_rollout::Rollout;
 use sycamore_wire::Pool;
@@ -51,6 +52,7 @@
     pub(crate) rollout: Rollout,
     pub(crate) directory: Directory,
     pub(crate) budget: Budget,
+    pub(crate) tracer: Tracer,
     pub(crate) meters: Meters,
     pub(crate) stopping: watch::Sender<bool>,
     leaving: watch::Sender<bool>,
@@ -99,6 +101,7 @@
             rollout: Rollout::new(),
             directory: Directory::default(),
             budget: Budget::default(),
+            tracer: Tracer::new(arguments.otlp, "sycamore-entry"),
             meters: Meters::new(),
             stopping: watch::Sender::new(false),
             leaving: watch::Sender::new(false),
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use sycamore_core::caller;
+use sycamore_platform::otlp::Span;
 use sycamore_telemetry::trace::{Parent, TRACEPARENT};
 use sycamore_types::id;
 use sycamore_types::outcome::{Certainty, Failure, Reason};
@@ -63,7 +64,7 @@
     selector: Selector,
     key: Option<caller::KeyHash>,
     head: Head,
-    trace: Parent,
+    span: Span,
     deadline: Instant,
 }
 
@@ -74,12 +75,15 @@
     service: &str,
 ) -> Response<Body> {
     shared.budget.earn();
-    let admitted = match admit(&shared, &request, service) {
+    let mut admitted = match admit(&shared, &request, service) {
         Ok(admitted) => admitted,
         Err(refusal) => return *refusal,
     };
     let mut source = Source::new(request.into_body());
     let result = offer_around(&shared, &admitted, &mut source).await;
+    admitted
+        .span
+        .set_outcome(result.as_ref().map_or_else(|told| told.reason.code(), |_| "answered"));
     match result {
         Ok(response) => {
             shared.meters.calls.with_label_values(&["request", "answered"]).inc();
@@ -108,14 +112,14 @@
     let longest = Duration::from_millis(settings.timeout_ms);
     let timeout = timeout_of(headers, longest).map_err(|m| Box::new(malformed(m)))?;
     let incoming = headers.get(TRACEPARENT).and_then(|value| value.to_str().ok());
-    let trace = incoming.and_then(Parent::parse).map_or_else(Parent::random, |p| p.child());
+    let span = shared.tracer.begin("entry", incoming.and_then(Parent::parse));
     Ok(Admitted {
         selector: settings.selector.and(&caller.selector),
         service: name.clone(),
         size: settings.size,
         key,
-        head: head_of(request, &trace),
-        trace,
+        head: head_of(request, &span.context()),
+        span,
         deadline: Instant::now() + timeout,
         caller,
     })
@@ -165,8 +169,7 @@
             value: value.as_bytes().to_vec(),
         })
         .collect();
-    let parent = trace.child().to_string();
-    headers.push(Header { name: TRACEPARENT.to_string(), value: parent.into_bytes() });
+    headers.push(Header { name: TRACEPARENT.to_string(), value: trace.to_string().into_bytes() });
     Head { method: request.method().to_string(), path: format!("/{rest}"), headers }
 }
 
@@ -275,7 +278,7 @@
     let guard = shared.directory.count(shard);
     let attempt = Attempt { pool: &shared.pool, address, start, deadline: admitted.deadline };
     let mut response = attempt.run(source, guard).await?;
-    response.headers_mut().extend(identity(&id, &admitted.trace));
+    response.headers_mut().extend(identity(&id, &admitted.span.context()));
     Ok(response)
 }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 mod address;
 pub mod hosts;
 pub mod http;
+pub mod otlp;
 mod signals;
 pub mod store;
 pub mod worker;
--- /dev/null
+++ b/crates/platform/src/otlp/tracer.rs
@@ -0,0 +1,34 @@
+use sycamore_telemetry::trace::Parent;
+use tokio::sync::mpsc;
+
+use super::span::Finished;
+use super::{Span, export};
+use crate::Address;
+
+/// Spans that wait for export at most.
+const WAITING: usize = 4_096;
+
+/// Begins spans and exports them when they have ended.
+#[derive(Clone, Debug, Default)]
+pub struct Tracer {
+    sender: Option<mpsc::Sender<Finished>>,
+}
+
+impl Tracer {
+    /// Builds a tracer; without an endpoint spans only carry contexts on.
+    ///
+    /// Has to be called on a runtime.
+    pub fn new(endpoint: Option<Address>, service: &str) -> Tracer {
+        let Some(endpoint) = endpoint else {
+            return Tracer::default();
+        };
+        let (sender, receiver) = mpsc::channel(WAITING);
+        tokio::spawn(export::run(endpoint, service.to_string(), receiver));
+        Tracer { sender: Some(sender) }
+    }
+
+    /// Begins a span.
+    pub fn begin(&self, name: &'static str, caused_by: Option<Parent>) -> Span {
+        Span::begin(name, caused_by, self.sender.clone())
+    }
+}
--- a/crates/scheduler/src/arguments/mod.rs
+++ b/crates/scheduler/src/arguments/mod.rs
@@ -28,6 +28,8 @@
     pub hosts: Address,
     /// Where decision records go.
     pub records: Records,
+    /// Collector that spans are exported to.
+    pub otlp: Option<Address>,
     /// How log lines look.
     pub log_format: logs::Format,
 }
@@ -87,6 +89,13 @@
                 "where decision records go: none, file:PATH or tcp:IP:PORT",
                 Some("none"),
             ),
+            Setting::new(
+                "otlp",
+                "SYCAMORE_OTLP",
+                "IP:PORT",
+                "collector that spans are exported to by OTLP",
+                Some(""),
+            ),
             Setting::new(
                 "log-format",
                 "SYCAMORE_LOG_FORMAT",
@@ -112,6 +121,7 @@
         let store = values.required("store");
         let hosts = values.required("hosts");
         let records = values.required("records");
+        let otlp = values.optional("otlp");
         let log_format = values.required("log-format");
         values.finish()?;
         let missing = || Errors(Vec::new());
@@ -123,6 +133,7 @@
             store: store.ok_or_else(missing)?,
             hosts: hosts.ok_or_else(missing)?,
             records: records.ok_or_else(missing)?,
+            otlp,
             log_format: log_format.ok_or_else(missing)?,
         })
     }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 use sycamore_core::{Event, Identity, Node, Timing, View};
 use sycamore_platform::hosts::{HttpList, List};
+use sycamore_platform::otlp::Tracer;
 use sycamore_platform::store::{HttpStore, Store};
 use sycamore_platform::worker::{HttpWorker, Worker};
 use sycamore_rollout::Rollout;
@@ -123,7 +124,9 @@
         };
         let thread = control::spawn(node, clock, received, executor, meters.clone())
             .map_err(Error::Thread)?;
+        let tracer = Tracer::new(arguments.otlp, "sycamore-scheduler");
         let traffic = Arc::new(Traffic {
+            tracer,
             control: control.clone(),
             store: store.clone(),
             worker,
--- a/crates/scheduler/src/traffic/mod.rs
+++ b/crates/scheduler/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 
 use sycamore_core::Event;
 use sycamore_core::caller::Answer;
+use sycamore_platform::otlp::Tracer;
 use sycamore_platform::store::Store;
 use sycamore_platform::worker::Worker;
 use sycamore_rollout::Rollout;
@@ -30,6 +31,7 @@
     /// Interactive requests that have not ended.
     pub(crate) under_way: Arc<AtomicUsize>,
     pub(crate) clock: Clock,
+    pub(crate) tracer: Tracer,
     pub(crate) meters: Meters,
     /// Present identity of the process.
     pub(crate) member: watch::Receiver<id::Member>,
--- a/crates/scheduler/src/traffic/request.rs
+++ b/crates/scheduler/src/traffic/request.rs
@@ -13,6 +13,7 @@
 use sycamore_platform::http::Error;
 use sycamore_platform::store::Store;
 use sycamore_platform::worker::{ServeBody, Worker};
+use sycamore_telemetry::trace::{Parent, TRACEPARENT};
 use sycamore_types::Name;
 use sycamore_types::outcome::{Failure, Reason};
 use sycamore_wire::{Head, Header, Incoming, Reader, ReplyHead, Start, Writer};
@@ -31,11 +32,14 @@
 
 impl<S: Store, W: Worker> Traffic<S, W> {
     /// Serves one interactive request from its arrival to its end.
-    pub(super) async fn start(&self, incoming: Incoming, start: Start) {
+    pub(super) async fn start(&self, incoming: Incoming, mut start: Start) {
         let Ok((reader, mut writer)) = incoming.answer() else {
             return;
         };
         let _guard = Guard::new(&self.under_way);
+        // The span lasts until the answer has been passed on.
+        let span = self.tracer.begin("scheduler", parent_of(&start.head));
+        set_parent(&mut start.head, &span.context());
         let token = self.control.token();
         let event = Event::Request { token, request: start.request.clone() };
         let waiting = self.control.call(token, event);
@@ -154,6 +158,18 @@
     }
 }
 
+fn parent_of(head: &Head) -> Option<Parent> {
+    let header = head.headers.iter().find(|header| header.name == TRACEPARENT)?;
+    Parent::parse(std::str::from_utf8(&header.value).ok()?)
+}
+
+/// Makes the worker's span a child of this hop.
+fn set_parent(head: &mut Head, parent: &Parent) {
+    head.headers.retain(|header| header.name != TRACEPARENT);
+    let value = parent.to_string().into_bytes();
+    head.headers.push(Header { name: TRACEPARENT.to_string(), value });
+}
+
 /// Counts a request as under way until it is dropped.
 struct Guard<'a>(&'a AtomicUsize);
 
