--- /dev/null
+++ b/crates/core/src/shard/accounts.rs
@@ -0,0 +1,57 @@
+use sycamore_types::id;
+
+use super::running::Running;
+use super::{Env, Shard};
+
+impl Shard {
+    /// Counts something that runs, or may run.
+    pub(super) fn add_running(&mut self, env: &mut Env<'_, '_>, task: id::Task, running: Running) {
+        self.table.take(&running.host, &running.size);
+        *self.running_by_team.entry(running.team.clone()).or_default() += 1;
+        let used = self.used_by_team.entry(running.team.clone()).or_default();
+        *used = used.plus(&running.size);
+        env.fleet.started(&running.team, &running.size);
+        let rank = env.rank(&running.team);
+        self.queue.set_rank(&running.team, rank);
+        self.polls.entry(running.host.clone()).or_default().tasks.insert(task.clone());
+        self.running.insert(task, running);
+    }
+
+    /// Stops counting something that certainly does not run any more.
+    pub(super) fn remove_running(
+        &mut self,
+        env: &mut Env<'_, '_>,
+        task: &id::Task,
+    ) -> Option<Running> {
+        let running = self.running.remove(task)?;
+        self.table.give_back(&running.host, &running.size);
+        if let Some(count) = self.running_by_team.get_mut(&running.team) {
+            *count = count.saturating_sub(1);
+        }
+        if let Some(used) = self.used_by_team.get_mut(&running.team) {
+            *used = used.minus(&running.size);
+        }
+        env.fleet.ended(&running.team, &running.size);
+        let rank = env.rank(&running.team);
+        self.queue.set_rank(&running.team, rank);
+        if let Some(poll) = self.polls.get_mut(&running.host) {
+            poll.tasks.remove(task);
+        }
+        self.note_room(env, &running);
+        Some(running)
+    }
+
+    /// Decides whether room that was given back calls for another look.
+    fn note_room(&mut self, env: &Env<'_, '_>, running: &Running) {
+        if self.queue.total() == 0 {
+            return;
+        }
+        self.freed.insert(running.host.clone());
+        // The team may have been held up by its limit alone, and then has work
+        // that fits on other hosts too.
+        let lifts_limit = self.headroom(env.config, &running.team) == 1;
+        if lifts_limit && let Some((place, _)) = self.queue.first(&running.team) {
+            self.fresh.insert((running.team.clone(), place));
+        }
+    }
+}
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -3,11 +3,14 @@
 //! - `takeover`: from the claim to the first start.
 //! - `intake`: what callers ask for.
 //! - `dispatch`: which work starts next and where.
+//! - `start`: sending what was picked, once it may be sent.
+//! - `accounts`: what runs, and the room and limits that it takes.
 //! - `room`: making room for urgent and for all-at-once work.
 //! - `workers`: what workers report.
 //! - `durable`: the log, snapshots and what is forgotten.
 //! - `explain`: why a job waits, in plain words.
 
+mod accounts;
 mod dispatch;
 mod durable;
 mod explain;
@@ -19,6 +22,7 @@
 mod room;
 mod running;
 mod shapes;
+mod start;
 mod takeover;
 mod workers;
 
--- /dev/null
+++ b/crates/core/src/shard/start.rs
@@ -0,0 +1,231 @@
+use std::time::Duration;
+
+use sycamore_types::{Name, id};
+
+use super::dispatch::Pick;
+use super::intake;
+use super::running::{Running, Stage, Work};
+use super::{Env, Phase, Shard};
+use crate::caller::{Answer, Token};
+use crate::context::Purpose;
+use crate::log::{Entry, Ticket};
+use crate::record::{Verdict, Why};
+use crate::worker::{Launch, Op, Tag};
+
+/// Time within which a start that was decided has to be sent.
+pub(super) const SEND_WINDOW: Duration = Duration::from_millis(200);
+
+/// Most attempts that one owner counts apart.
+const ATTEMPTS_PER_EPOCH: u32 = 1 << 20;
+
+/// Something that is about to start.
+struct Start {
+    task: id::Task,
+    running: Running,
+    label: Name,
+    payload: String,
+    subject: String,
+    why: Why,
+}
+
+impl Shard {
+    pub(super) fn start_request(
+        &mut self,
+        env: &mut Env<'_, '_>,
+        pick: &Pick,
+        token: Token,
+        host: Name,
+    ) {
+        let attempt = self.next_attempt();
+        let Some(pending) = self.requests.get(&token) else {
+            return;
+        };
+        let request = pending.request.clone();
+        let since = pending.since;
+        let task = id::Task { job: request.id.clone(), index: 0, attempt };
+        let why = self.why(env, pick, since);
+        let Some(address) = self.address(&host) else {
+            return;
+        };
+        let running = Running {
+            team: request.team.clone(),
+            size: request.size,
+            host: host.clone(),
+            work: Work::Request(token),
+            stage: Stage::Starting,
+            started_at: env.now(),
+            is_preemptible: false,
+            run_ms: 0,
+        };
+        let launch = self.launch(env, &task, &running, &request.service, String::new());
+        self.queue.remove(&request.team, pick.place);
+        self.queue.served(&request.team, 1);
+        self.add_running(env, task.clone(), running);
+        if let Some(pending) = self.requests.get_mut(&token) {
+            pending.stage = intake::Stage::Dispatched(task);
+        }
+        let verdict = Verdict::Started { host: host.clone(), why };
+        self.record(env, request.id.to_string(), &request.team, verdict);
+        let not_after = self.not_after(env);
+        let launch = Box::new(launch);
+        env.answer(token, Answer::Dispatch { host, address, launch, not_after });
+    }
+
+    pub(super) fn start_task(
+        &mut self,
+        env: &mut Env<'_, '_>,
+        pick: &Pick,
+        id: &id::Job,
+        host: Name,
+    ) {
+        let attempt = self.next_attempt();
+        let why = match self.jobs.get(id) {
+            Some(job) => self.why(env, pick, job.since),
+            None => return,
+        };
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(index) = job.waiting.first().copied() else {
+            return;
+        };
+        job.started(index);
+        let spec = &job.submission.spec;
+        let running = Running {
+            team: pick.team.clone(),
+            size: spec.size,
+            host,
+            work: Work::Job,
+            stage: Stage::Starting,
+            started_at: env.now(),
+            is_preemptible: spec.restartable && !spec.urgent,
+            run_ms: spec.run_ms,
+        };
+        let start = Start {
+            task: id::Task { job: id.clone(), index, attempt },
+            label: spec.queue.clone(),
+            payload: spec.payload.clone(),
+            subject: format!("{id}/{index}"),
+            running,
+            why,
+        };
+        if job.waiting.is_empty() {
+            self.dequeue(id);
+        }
+        self.queue.served(&pick.team, 1);
+        self.send_start(env, start);
+    }
+
+    fn send_start(&mut self, env: &mut Env<'_, '_>, start: Start) {
+        let Start { task, running, label, payload, subject, why } = start;
+        let host = running.host.clone();
+        let team = running.team.clone();
+        let launch = self.launch(env, &task, &running, &label, payload);
+        self.add_running(env, task.clone(), running);
+        self.record(env, subject, &team, Verdict::Started { host: host.clone(), why });
+        let runs_once = self.jobs.get(&task.job).is_some_and(|job| job.runs_once());
+        if runs_once {
+            self.log_start(task, launch);
+        } else {
+            self.send_launch(env, task, &host, launch);
+        }
+    }
+
+    /// Puts a start on record before it is sent.
+    ///
+    /// The task must not run twice, so a successor has to know that it may
+    /// have run, also when its host is gone.
+    fn log_start(&mut self, task: id::Task, launch: Launch) {
+        if let Some(running) = self.running.get_mut(&task) {
+            running.stage = Stage::Logging;
+        }
+        let entry = Entry::Started { job: task.job.clone(), index: task.index };
+        self.log.push(entry, Ticket::Start(task.clone()));
+        self.launches.insert(task, launch);
+    }
+
+    /// Sends a start that is on record, unless it has become unwanted.
+    pub(super) fn send_logged(&mut self, env: &mut Env<'_, '_>, task: &id::Task) {
+        let Some(launch) = self.launches.remove(task) else {
+            return;
+        };
+        let Some(running) = self.running.get_mut(task) else {
+            return;
+        };
+        let is_cancelled = self.jobs.get(&task.job).is_none_or(|job| job.is_cancelled);
+        let may_act = env.deadline.is_some_and(|end| env.cx.now < end);
+        if is_cancelled || !may_act || self.phase != Phase::Active {
+            let team = running.team.clone();
+            self.remove_running(env, task);
+            self.return_not_started(env, task, &team);
+            return;
+        }
+        running.stage = Stage::Starting;
+        running.started_at = env.cx.now;
+        let host = running.host.clone();
+        self.send_launch(env, task.clone(), &host, launch);
+    }
+
+    fn send_launch(&mut self, env: &mut Env<'_, '_>, task: id::Task, host: &Name, launch: Launch) {
+        let not_after = self.not_after(env);
+        if let Some(address) = self.address(host) {
+            let op = Op::Start { launch, not_after };
+            env.cx.worker(Purpose::Start(self.id.clone(), task), host, &address, op);
+        }
+    }
+
+    fn launch(
+        &self,
+        env: &Env<'_, '_>,
+        task: &id::Task,
+        running: &Running,
+        label: &Name,
+        payload: String,
+    ) -> Launch {
+        let tag = Tag {
+            team: running.team.clone(),
+            size: running.size,
+            epoch: self.epoch,
+            is_interactive: matches!(running.work, Work::Request(_)),
+            label: label.clone(),
+        };
+        Launch {
+            task: task.clone(),
+            tag,
+            lease: env.cx.timing.task_lease,
+            run_ms: running.run_ms,
+            payload,
+        }
+    }
+
+    /// Returns the time after which a start decided now must not be sent.
+    fn not_after(&mut self, env: &Env<'_, '_>) -> Duration {
+        self.last_start = env.now();
+        let window = env.now() + SEND_WINDOW;
+        env.deadline.map_or(env.now(), |deadline| deadline.min(window))
+    }
+
+    fn next_attempt(&mut self) -> u32 {
+        self.attempts += 1;
+        let epoch = u32::try_from(self.epoch % 4_000).unwrap_or(0);
+        epoch * ATTEMPTS_PER_EPOCH + self.attempts % ATTEMPTS_PER_EPOCH
+    }
+
+    pub(super) fn address(&self, host: &Name) -> Option<Name> {
+        self.table.get(host).map(|host| host.listed.address.clone())
+    }
+
+    fn why(&self, env: &Env<'_, '_>, pick: &Pick, since: Duration) -> Why {
+        let next = self.queue.lane(pick.class).teams().find(|team| **team != pick.team).cloned();
+        let share = |team: &Name| env.fleet.share(team, env.weight(team));
+        Why {
+            class: Name::from(pick.class.name()),
+            share: share(&pick.team),
+            next_share: next.as_ref().map_or(0.0, share),
+            next_team: next,
+            arrival: pick.place.arrival,
+            waited_ms: u64::try_from((env.now().saturating_sub(since)).as_millis())
+                .unwrap_or(u64::MAX),
+        }
+    }
+}
--- a/crates/core/src/shard/takeover.rs
+++ b/crates/core/src/shard/takeover.rs
@@ -202,7 +202,7 @@
         let Phase::Draining { to } = &self.phase else {
             return None;
         };
-        let quiet = self.last_start + super::dispatch::SEND_WINDOW + env.cx.timing.max_delay;
+        let quiet = self.last_start + super::start::SEND_WINDOW + env.cx.timing.max_delay;
         let is_quiet = self.last_start.is_zero() || env.now() >= quiet;
         let is_settled = !self.running.values().any(|running| running.is_starting());
         let is_loaded = self.has_pages;
--- a/crates/core/src/shard/workers.rs
+++ b/crates/core/src/shard/workers.rs
@@ -4,9 +4,9 @@
 use sycamore_types::job::Kind;
 use sycamore_types::{Name, id};
 
-use super::dispatch::SEND_WINDOW;
 use super::polls::Due;
 use super::running::{Running, Stage, Work};
+use super::start::SEND_WINDOW;
 use super::{Env, Phase, Shard};
 use crate::context::Purpose;
 use crate::log::{Entry, Ticket};
