--- /dev/null
+++ b/crates/graph/src/engine/callers.rs
@@ -0,0 +1,104 @@
+//! What callers ask for.
+
+use sycamore_types::Name;
+
+use super::{Effect, Engine};
+use crate::job::{Id, Spec, State};
+use crate::progress::Job;
+use crate::{Answer, Record, Step};
+
+impl Engine {
+    /// Takes a job in. A repeat of a known job is answered like the first.
+    pub(super) fn submit(&mut self, token: u64, id: Id, queue: Name, team: Name, spec: Spec) {
+        let accepted = Effect::Answer { token, answer: Answer::Accepted };
+        if self.jobs.contains_key(&id) {
+            // Waits for all records so far, the acceptance among them.
+            self.when_durable(accepted);
+            return;
+        }
+        let at_unix_ms = self.now.unix_ms;
+        self.append(Record::Accepted {
+            job: id,
+            queue: queue.clone(),
+            team: team.clone(),
+            at_unix_ms,
+            spec: spec.clone(),
+        });
+        self.jobs.insert(id, Job::new(id, queue, team, spec, at_unix_ms));
+        self.when_durable(Effect::Begin(id));
+        self.when_durable(accepted);
+        self.schedule(id);
+        self.needs_dispatch = true;
+    }
+
+    pub(super) fn cancel(&mut self, token: u64, id: Id, team: &str) {
+        let Some(job) = self.jobs.get(&id).filter(|job| &*job.team == team) else {
+            self.answer(token, Answer::NoSuchJob);
+            return;
+        };
+        if job.closed.is_none() {
+            self.close(id, State::Cancelled);
+        }
+        self.when_durable(Effect::Answer { token, answer: Answer::Cancelled });
+    }
+
+    pub(super) fn query(&mut self, token: u64, id: Id, team: &str) {
+        let job = self.jobs.get(&id).filter(|job| &*job.team == team);
+        let answer = match job {
+            // A job that isn't durable yet was not confirmed to anybody.
+            Some(job) => Answer::State(job.state()),
+            None => Answer::NoSuchJob,
+        };
+        self.answer(token, answer);
+    }
+
+    pub(super) fn count(&mut self, token: u64, queue: &str) {
+        let waits = |job: &&Job| {
+            !job.has_started && job.closed.is_none() && job.is_durable && &*job.queue == queue
+        };
+        let waiting = self.jobs.values().filter(waits).count();
+        self.answer(token, Answer::Count(waiting as u64));
+    }
+
+    /// Makes the first or next occurrence of a job ready or due.
+    pub(super) fn schedule(&mut self, id: Id) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.closed.is_some() {
+            return;
+        }
+        let begun = job.occurrences.len() as u32;
+        if begun >= job.times() {
+            return;
+        }
+        if job.spec.schedule.is_some() && job.due_unix_ms(begun) > self.now.unix_ms {
+            self.due.insert((job.due_unix_ms(begun), id));
+            return;
+        }
+        let occurrence = job.begin_occurrence();
+        let steps = job.spec.steps.len() as u16;
+        for index in 0..steps {
+            self.consider(Step { job: id, occurrence, index });
+        }
+        self.schedule(id);
+    }
+
+    pub(super) fn begin_due(&mut self) {
+        while let Some((at, id)) = self.due.first().copied() {
+            if at > self.now.unix_ms {
+                return;
+            }
+            self.due.pop_first();
+            self.schedule(id);
+        }
+    }
+
+    /// Puts a step among those to start if it has tasks that may start.
+    pub(super) fn consider(&mut self, key: Step) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let has_tasks = job.step(key).is_some_and(|step| !step.waiting.is_empty());
+        if job.closed.is_none() && has_tasks && job.is_ready(key) {
+            self.ready.insert(key);
+            self.needs_dispatch = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/graph/src/engine/close.rs
@@ -0,0 +1,64 @@
+//! The last state of a job.
+
+use super::{Effect, Engine};
+use crate::job::{Id, State};
+use crate::{Closed, Record, Task};
+
+impl Engine {
+    /// Decides the last state of a job and stops what runs of it.
+    pub(super) fn close(&mut self, id: Id, state: State) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.closed.is_some() {
+            return;
+        }
+        job.closed = Some(state);
+        job.closed_unix_ms = self.now.unix_ms;
+        let runs: Vec<_> = job
+            .occurrences
+            .iter()
+            .flatten()
+            .flat_map(|step| &step.tasks)
+            .flat_map(|task| task.runs.clone())
+            .collect();
+        let closed = Closed {
+            job: id,
+            queue: job.queue.clone(),
+            team: job.team.clone(),
+            state,
+            at_unix_ms: job.closed_unix_ms,
+        };
+        job.occurrences = Vec::new();
+        job.spec = Default::default();
+        self.closed.push_back((self.now.unix_ms + self.timing.status_ms, id));
+        self.ready.retain(|step| step.job != id);
+        self.append(Record::Closed(closed));
+        self.when_durable(Effect::Show(id));
+        for (host, _) in runs {
+            self.stop_runs_of(&host, id);
+        }
+    }
+
+    fn stop_runs_of(&mut self, host: &str, id: Id) {
+        let Some(entry) = self.hosts.get(host) else { return };
+        let of_job = |(task, _): &&(Task, u32)| task.step.job == id;
+        let runs: Vec<_> = entry.runs.keys().filter(of_job).copied().collect();
+        for (task, attempt) in runs {
+            self.stop(host, task, attempt);
+        }
+    }
+
+    /// Closes a job when all its work is done.
+    pub(super) fn close_if_finished(&mut self, id: Id) {
+        if self.jobs.get(&id).is_some_and(|job| job.closed.is_none() && job.is_finished()) {
+            self.close(id, State::Complete);
+        }
+    }
+
+    pub(super) fn forget_closed(&mut self) {
+        while self.closed.front().is_some_and(|(at, _)| *at <= self.now.unix_ms) {
+            if let Some((_, id)) = self.closed.pop_front() {
+                self.jobs.remove(&id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/graph/src/engine/ends.rs
@@ -0,0 +1,201 @@
+//! Ends of runs and what follows from them.
+
+use sycamore_types::Name;
+
+use super::Engine;
+use crate::host::RunEnd;
+use crate::job::State;
+use crate::{Ended, Record, Step, Task};
+
+impl Engine {
+    /// Takes in the end of a run, by the worker's word or because its lease is over.
+    pub(super) fn end_run(
+        &mut self,
+        name: &Name,
+        task: Task,
+        attempt: u32,
+        how: RunEnd,
+        saved: Option<Name>,
+    ) {
+        let is_known = self.release(name, task, attempt).is_some();
+        self.needs_dispatch = true;
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        if job.closed.is_some() {
+            return;
+        }
+        let Some(step) = job.step_mut(task.step) else { return };
+        let Some(task_run) = step.tasks.get_mut(task.index as usize) else { return };
+        task_run.runs.retain(|(host, number)| !(host == name && *number == attempt));
+        task_run.attempt = task_run.attempt.max(attempt);
+        if task_run.is_done {
+            return;
+        }
+        if let Some(saved) = &saved {
+            self.save_progress(task, saved);
+        }
+        // Only a `done` counts from a run that is not on the books: its room was
+        // given back when its lease ended, and the task may run elsewhere by now.
+        match how {
+            RunEnd::Done => self.finish_task(name, task, attempt),
+            RunEnd::Failed if is_known => self.fail_task(name, task, attempt),
+            _ if is_known => self.interrupt_task(task, attempt, how, saved),
+            _ => self.put_back(task),
+        }
+    }
+
+    fn is_gang(&self, key: Step) -> bool {
+        let job = self.jobs.get(&key.job);
+        let step = job.and_then(|job| job.spec.steps.get(usize::from(key.index)));
+        step.is_some_and(|step| step.is_gang)
+    }
+
+    fn finish_task(&mut self, name: &Name, task: Task, attempt: u32) {
+        let now_ms = self.now.steady_ms;
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.note_end(false, now_ms);
+        }
+        let is_gang = self.is_gang(task.step);
+        self.append(Record::Ended(Ended {
+            task,
+            attempt,
+            how: RunEnd::Done,
+            checkpoint: Name::from(""),
+        }));
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        job.has_started = true;
+        let Some(step) = job.step_mut(task.step) else { return };
+        let finished: Vec<u32> =
+            if is_gang { (0..step.tasks.len() as u32).collect() } else { vec![task.index] };
+        let mut leftover = Vec::new();
+        for index in finished {
+            step.finish(index);
+            // Members of a gang end by themselves; copies have to be stopped.
+            if !is_gang {
+                let runs = &step.tasks[index as usize].runs;
+                leftover.extend(runs.iter().map(|(host, n)| (host.clone(), *n)));
+            }
+        }
+        let is_done = step.is_done();
+        let (id, occurrence) = (task.step.job, task.step.occurrence);
+        let steps = job.spec.steps.len() as u16;
+        for (host, number) in leftover {
+            self.stop(&host, task, number);
+        }
+        if is_done {
+            self.ready.remove(&task.step);
+            for index in task.step.index + 1..steps {
+                self.consider(Step { job: id, occurrence, index });
+            }
+            self.close_if_finished(id);
+        }
+    }
+
+    fn fail_task(&mut self, name: &Name, task: Task, attempt: u32) {
+        let now_ms = self.now.steady_ms;
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.note_end(true, now_ms);
+        }
+        let is_gang = self.is_gang(task.step);
+        self.append(Record::Ended(Ended {
+            task,
+            attempt,
+            how: RunEnd::Failed,
+            checkpoint: Name::from(""),
+        }));
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        let queue = job.queue.clone();
+        let is_service = job.spec.steps[usize::from(task.step.index)].is_service;
+        let Some(step) = job.step_mut(task.step) else { return };
+        step.tasks[task.index as usize].avoid = Some(name.clone());
+        // The members of a gang fail together.
+        let counted = &mut step.tasks[if is_gang { 0 } else { task.index as usize }];
+        if !is_gang || counted.failed_attempt != attempt {
+            counted.failures += 1;
+            counted.failed_attempt = attempt;
+        }
+        let failures = counted.failures;
+        let most = self.queues.get(&queue).map_or(u32::MAX, |queue| queue.max_attempts.max(1));
+        if failures >= most && !is_service {
+            self.close(task.step.job, State::Failed);
+            return;
+        }
+        self.stop_gang_of(task, attempt);
+        self.put_back(task);
+    }
+
+    fn interrupt_task(&mut self, task: Task, attempt: u32, how: RunEnd, saved: Option<Name>) {
+        // What a worker forgets must be on the log: the number, and the progress.
+        let checkpoint = saved.unwrap_or_else(|| Name::from(""));
+        self.append(Record::Ended(Ended { task, attempt, how, checkpoint }));
+        self.stop_gang_of(task, attempt);
+        self.put_back(task);
+    }
+
+    /// Lets a task wait again once none of its runs is left.
+    fn put_back(&mut self, task: Task) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        let Some(step) = job.step_mut(task.step) else { return };
+        let Some(task_run) = step.tasks.get(task.index as usize) else { return };
+        if !task_run.is_done && task_run.runs.is_empty() {
+            step.waiting.insert(task.index);
+            self.consider(task.step);
+        }
+    }
+
+    /// Stops the other members of a gang of which one has ended or can't begin.
+    pub(super) fn stop_gang_of(&mut self, task: Task, attempt: u32) {
+        if !self.is_gang(task.step) {
+            return;
+        }
+        let Some(step) = self.jobs.get(&task.step.job).and_then(|job| job.step(task.step)) else {
+            return;
+        };
+        let mut members = Vec::new();
+        for (index, member) in step.tasks.iter().enumerate() {
+            for (host, number) in &member.runs {
+                if *number == attempt {
+                    members.push((host.clone(), Task { step: task.step, index: index as u32 }));
+                }
+            }
+        }
+        for (host, member) in members {
+            self.stop(&host, member, attempt);
+        }
+    }
+
+    /// Keeps the newest checkpoint. Any member's serves the whole gang.
+    pub(super) fn save_progress(&mut self, task: Task, saved: &Name) {
+        if saved.is_empty() {
+            return;
+        }
+        let at = if self.is_gang(task.step) { 0 } else { task.index as usize };
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        let Some(step) = job.step_mut(task.step) else { return };
+        if let Some(task_run) = step.tasks.get_mut(at) {
+            task_run.checkpoint = Some(saved.clone());
+        }
+    }
+
+    /// Another incarnation answers for a worker: what ran in this one is gone.
+    pub(super) fn incarnation_gone(&mut self, name: &Name) {
+        self.lose_runs(name);
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.is_held = false;
+            host.missed += 1;
+        }
+    }
+
+    pub(super) fn hold_failed(&mut self, name: &Name, look: u64, is_gone: bool) {
+        let (now_ms, retry_ms) = (self.now.steady_ms, self.timing.hold_retry_ms);
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        if host.look == Some(look) {
+            host.look = None;
+            host.look_not_before_ms = now_ms + retry_ms * u64::from(host.missed.clamp(1, 8));
+        }
+        if is_gone {
+            self.incarnation_gone(name);
+        } else {
+            host.missed += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/graph/src/engine/holds.rs
@@ -0,0 +1,145 @@
+//! Looks at workers: what runs there, what has ended, and the lease.
+
+use sycamore_types::Name;
+
+use super::{Effect, Engine};
+use crate::host::{Host, Phase, Run};
+use crate::{Action, Hold, Record, Report, Task};
+
+impl Engine {
+    /// Begins the looks that are due.
+    pub(super) fn look_again(&mut self) {
+        let now_ms = self.now.steady_ms;
+        let is_due = |host: &&Host| {
+            host.look.is_none()
+                && now_ms >= host.look_not_before_ms
+                && (host.is_listed || host.is_held || !host.runs.is_empty() || host.is_logged)
+        };
+        let due: Vec<Name> =
+            self.hosts.values().filter(is_due).map(|host| host.entry.id.clone()).collect();
+        for name in due {
+            let look = self.look(&name, self.timing.hold_wait_ms);
+            if let Some(host) = self.hosts.get_mut(&name) {
+                host.look = Some(look);
+            }
+        }
+    }
+
+    /// Sends one look. The first one under a fence doesn't wait.
+    pub(super) fn look(&mut self, name: &Name, wait_ms: u64) -> u64 {
+        self.looks += 1;
+        let look = self.looks;
+        let (now_ms, lease_ms) = (self.now.steady_ms, self.timing.lease_ms);
+        let Some(host) = self.hosts.get_mut(name) else { return look };
+        // Without a known clock the lease can't be told; the next look renews it.
+        let deadline_ms = host.is_held.then(|| host.clock_at(now_ms) + lease_ms);
+        if deadline_ms.is_some() {
+            host.renewed_ms = now_ms;
+        }
+        let wait_ms = if host.is_held { wait_ms } else { 0 };
+        let hold = Hold { host: name.clone(), look, ack: host.durable, deadline_ms, wait_ms };
+        self.actions.push(Action::Hold(hold));
+        look
+    }
+
+    pub(super) fn held(&mut self, name: &Name, look: u64, report: Report) {
+        let Some(host) = self.hosts.get(name) else { return };
+        if report.born < host.entry.born && report.born != 0 {
+            return;
+        }
+        if report.born > host.entry.born {
+            self.begin_incarnation(name, report.born);
+        }
+        let now_ms = self.now.steady_ms;
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        if host.look == Some(look) {
+            host.look = None;
+        }
+        host.missed = 0;
+        host.clock_offset_ms = report.clock_ms as i64 - now_ms as i64;
+        let is_first = !std::mem::replace(&mut host.is_held, true);
+        self.take_ends(name, &report);
+        self.take_running(name, look, &report);
+        if is_first {
+            self.begin_use(name);
+        }
+        self.finish_recovery();
+        self.look_again();
+        self.needs_dispatch = true;
+    }
+
+    /// Puts a worker that answered for the first time on the log.
+    fn begin_use(&mut self, name: &Name) {
+        if self.hosts.get(name).is_some_and(|host| host.is_logged) {
+            return;
+        }
+        self.append(Record::HostUsed { host: name.clone() });
+        self.when_durable(Effect::Use(name.clone()));
+    }
+
+    fn take_ends(&mut self, name: &Name, report: &Report) {
+        for (seq, task, attempt, how, checkpoint) in &report.ended {
+            let Some(host) = self.hosts.get_mut(name) else { return };
+            if *seq <= host.seen {
+                continue;
+            }
+            host.seen = *seq;
+            self.end_run(name, *task, *attempt, *how, Some(checkpoint.clone()));
+        }
+        let Some(host) = self.hosts.get(name) else { return };
+        let (born, seq) = (host.entry.born, host.seen);
+        if seq > host.durable {
+            self.when_durable(Effect::Acknowledge { host: name.clone(), born, seq });
+        }
+    }
+
+    fn take_running(&mut self, name: &Name, look: u64, report: &Report) {
+        for (task, attempt, checkpoint, percent) in &report.running {
+            self.take_run(name, *task, *attempt, checkpoint, *percent);
+        }
+        if report.is_truncated {
+            return;
+        }
+        let Some(host) = self.hosts.get(name) else { return };
+        let is_there = |key: &(Task, u32)| {
+            report.running.iter().any(|(task, attempt, ..)| (*task, *attempt) == *key)
+        };
+        let absent: Vec<_> = host
+            .runs
+            .iter()
+            .filter(|(key, run)| !is_there(key) && is_over(run, look, report.clock_ms))
+            .map(|(key, _)| *key)
+            .collect();
+        for (task, attempt) in absent {
+            self.end_run(name, task, attempt, crate::RunEnd::Stopped, None);
+        }
+    }
+
+    fn take_run(&mut self, name: &Name, task: Task, attempt: u32, saved: &Name, percent: u8) {
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let known_since = self.looks;
+        match host.runs.get_mut(&(task, attempt)) {
+            Some(run) => {
+                run.percent = percent;
+                if run.phase != Phase::Running {
+                    run.phase = Phase::Running;
+                    run.known_since = known_since;
+                }
+            }
+            None => self.adopt(name, task, attempt),
+        }
+        self.save_progress(task, saved);
+    }
+}
+
+/// Tells whether a run that a look doesn't show is over or never began.
+fn is_over(run: &Run, look: u64, clock_ms: u64) -> bool {
+    match run.phase {
+        Phase::Running => look > run.known_since,
+        Phase::Ordered => false,
+        Phase::Doubt => {
+            run.stop_taken.is_some_and(|taken| look > taken)
+                || (look > run.known_since && clock_ms > run.deadline_ms)
+        }
+    }
+}
--- /dev/null
+++ b/crates/graph/src/engine/hosts.rs
@@ -0,0 +1,128 @@
+//! The platform's list of workers.
+
+use std::collections::BTreeSet;
+
+use sycamore_types::Name;
+
+use super::Engine;
+use crate::host::{Host, RunEnd};
+use crate::{HostEntry, Record};
+
+impl Engine {
+    pub(super) fn list_hosts(&mut self, entries: Vec<HostEntry>) {
+        let listed: BTreeSet<Name> = entries.iter().map(|entry| entry.id.clone()).collect();
+        for entry in entries {
+            self.list_host(entry);
+        }
+        for (name, host) in &mut self.hosts {
+            host.is_listed = listed.contains(name);
+        }
+        self.release_gone();
+        self.look_again();
+        self.needs_dispatch = true;
+    }
+
+    fn list_host(&mut self, entry: HostEntry) {
+        let now_ms = self.now.steady_ms;
+        let Some(host) = self.hosts.get_mut(&entry.id) else {
+            self.hosts.insert(entry.id.clone(), Host::new(entry, now_ms));
+            return;
+        };
+        if entry.born > host.entry.born {
+            let name = entry.id.clone();
+            self.begin_incarnation(&name, entry.born);
+        }
+        if let Some(host) = self.hosts.get_mut(&entry.id)
+            && host.entry.born == entry.born
+        {
+            host.entry = entry;
+        }
+    }
+
+    /// A worker has started anew: whatever ran there is gone.
+    pub(super) fn begin_incarnation(&mut self, name: &Name, born: u64) {
+        self.lose_runs(name);
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.entry.born = born;
+            host.is_held = false;
+            host.seen = 0;
+            host.durable = 0;
+            host.look = None;
+            host.failures = 0;
+            host.quarantined_until_ms = 0;
+        }
+    }
+
+    /// Takes all runs of a worker for ended.
+    pub(super) fn lose_runs(&mut self, name: &Name) {
+        let Some(host) = self.hosts.get(name) else { return };
+        let runs: Vec<_> = host.runs.keys().copied().collect();
+        for (task, attempt) in runs {
+            self.end_run(name, task, attempt, RunEnd::Lapsed, None);
+        }
+    }
+
+    /// Takes the runs of workers out of reach for ended once their lease is over.
+    pub(super) fn expire_leases(&mut self) {
+        let (now_ms, timing) = (self.now.steady_ms, &self.timing);
+        let is_over =
+            |host: &&Host| (host.missed > 0 || !host.is_held) && host.is_lease_over(now_ms, timing);
+        let over: Vec<Name> =
+            self.hosts.values().filter(is_over).map(|host| host.entry.id.clone()).collect();
+        for name in over {
+            self.lose_runs(&name);
+            if let Some(host) = self.hosts.get_mut(&name) {
+                host.is_held = false;
+            }
+        }
+        self.release_gone();
+        self.finish_recovery();
+    }
+
+    /// Forgets workers that are neither listed nor able to run anything.
+    fn release_gone(&mut self) {
+        let (now_ms, timing) = (self.now.steady_ms, &self.timing);
+        let is_gone = |host: &&Host| {
+            !host.is_listed && host.runs.is_empty() && host.is_lease_over(now_ms, timing)
+        };
+        let gone: Vec<Name> =
+            self.hosts.values().filter(is_gone).map(|host| host.entry.id.clone()).collect();
+        for name in gone {
+            if self.hosts.remove(&name).is_some_and(|host| host.is_logged) {
+                self.append(Record::HostReleased { host: name });
+            }
+        }
+    }
+
+    /// Ends the recovery once every worker of the owner before is accounted for.
+    pub(super) fn finish_recovery(&mut self) {
+        if !self.is_recovering {
+            return;
+        }
+        let (now_ms, timing) = (self.now.steady_ms, &self.timing);
+        let is_open =
+            |host: &Host| host.is_logged && !host.is_held && !host.is_lease_over(now_ms, timing);
+        if !self.hosts.values().any(is_open) {
+            self.is_recovering = false;
+            self.needs_dispatch = true;
+            self.stop_partial_gangs();
+        }
+    }
+
+    /// Stops gangs of which the owner before started a part only.
+    fn stop_partial_gangs(&mut self) {
+        let mut partial = Vec::new();
+        for ((task, attempt), _) in self.hosts.values().flat_map(|host| &host.runs) {
+            let step = self.jobs.get(&task.step.job).and_then(|job| job.step(task.step));
+            let is_member = |member: &crate::progress::TaskRun| {
+                member.runs.iter().any(|(_, number)| number == attempt)
+            };
+            if step.is_some_and(|step| !step.tasks.iter().all(is_member)) {
+                partial.push((*task, *attempt));
+            }
+        }
+        for (task, attempt) in partial {
+            self.stop_gang_of(task, attempt);
+        }
+    }
+}
--- /dev/null
+++ b/crates/graph/src/engine/mod.rs
@@ -0,0 +1,229 @@
+//! The state of one owner and how events change it.
+
+mod advice;
+mod callers;
+mod close;
+mod dispatch;
+mod ends;
+mod holds;
+mod hosts;
+mod orders;
+mod rank;
+mod recover;
+mod room;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use rustc_hash::FxHashMap;
+use sycamore_types::Name;
+use sycamore_types::resources::Resources;
+
+use crate::catalog::{Catalog, Queue};
+use crate::host::Host;
+use crate::job;
+use crate::progress::Job;
+use crate::{Action, Answer, Event, Moment, Record, Step, Timing};
+
+pub use recover::Recovered;
+
+/// Something that waits for the log.
+#[derive(Debug)]
+enum Effect {
+    Answer {
+        token: u64,
+        answer: Answer,
+    },
+    /// A job may start.
+    Begin(job::Id),
+    /// The last state of a job may be shown.
+    Show(job::Id),
+    /// Ends of an incarnation of a worker may be forgotten there.
+    Acknowledge {
+        host: Name,
+        born: u64,
+        seq: u64,
+    },
+    /// A worker may be given work.
+    Use(Name),
+}
+
+/// The owner of all workers of a shard.
+#[derive(Debug)]
+pub struct Engine {
+    timing: Timing,
+    now: Moment,
+    catalog: Catalog,
+    /// Queues of this and earlier configurations: accepted jobs outlive their queue.
+    queues: BTreeMap<Name, Queue>,
+    jobs: FxHashMap<job::Id, Job>,
+    hosts: BTreeMap<Name, Host>,
+    /// What each team has running.
+    usage: FxHashMap<Name, Resources>,
+    /// Steps that have tasks to start.
+    ready: BTreeSet<Step>,
+    /// Time of the next occurrence of jobs with a schedule, in milliseconds since 1970.
+    due: BTreeSet<(u64, job::Id)>,
+    /// Closed jobs in the order in which they are forgotten.
+    closed: VecDeque<(u64, job::Id)>,
+    /// Part of the workers asked about that may run a step, by queue.
+    allow_rate: FxHashMap<Name, f64>,
+    appended: u64,
+    durable: u64,
+    effects: VecDeque<(u64, Effect)>,
+    looks: u64,
+    /// Workers of the owner before are not all accounted for.
+    is_recovering: bool,
+    needs_dispatch: bool,
+    actions: Vec<Action>,
+}
+
+impl Engine {
+    /// Handles one event.
+    pub fn step(&mut self, now: Moment, event: Event) -> Vec<Action> {
+        self.now = now;
+        match event {
+            Event::Tick => self.tick(),
+            Event::Configured(catalog) => self.configure(catalog),
+            Event::Listed(entries) => self.list_hosts(entries),
+            Event::Submit { token, job, queue, team, spec } => {
+                self.submit(token, job, queue, team, spec);
+            }
+            Event::Cancel { token, job, team } => self.cancel(token, job, &team),
+            Event::Query { token, job, team } => self.query(token, job, &team),
+            Event::Count { token, queue } => self.count(token, &queue),
+            Event::Committed(records) => self.commit(records),
+            Event::Held { host, look, report } => self.held(&host, look, report),
+            Event::HoldFailed { host, look, is_gone } => self.hold_failed(&host, look, is_gone),
+            Event::Started { host, task, attempt, outcome, clock_ms } => {
+                self.started(&host, task, attempt, outcome, clock_ms);
+            }
+            Event::Stopped { host, task, attempt, is_taken } => {
+                self.stopped(&host, task, attempt, is_taken);
+            }
+            Event::Advised { step, asked, allowed, age_ms } => {
+                self.advised(step, asked, allowed, age_ms);
+            }
+        }
+        if self.needs_dispatch {
+            self.needs_dispatch = false;
+            self.dispatch();
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    fn tick(&mut self) {
+        self.expire_leases();
+        self.begin_due();
+        self.forget_closed();
+        self.repeat_stops();
+        self.look_again();
+        // Tickets run out and quarantines end without an event of their own.
+        self.needs_dispatch = !self.ready.is_empty();
+    }
+
+    fn configure(&mut self, catalog: Catalog) {
+        if catalog.version <= self.catalog.version && self.catalog.version != 0 {
+            return;
+        }
+        self.queues.extend(catalog.queues.iter().map(|(name, q)| (name.clone(), q.clone())));
+        self.catalog = catalog;
+        self.needs_dispatch = true;
+    }
+
+    fn append(&mut self, record: Record) {
+        self.appended += 1;
+        self.actions.push(Action::Append(record));
+    }
+
+    /// Lets something happen once all records so far are durable.
+    fn when_durable(&mut self, effect: Effect) {
+        if self.durable >= self.appended {
+            self.apply(effect);
+        } else {
+            self.effects.push_back((self.appended, effect));
+        }
+    }
+
+    fn commit(&mut self, records: u64) {
+        self.durable = self.durable.max(records);
+        while self.effects.front().is_some_and(|(at, _)| *at <= self.durable) {
+            if let Some((_, effect)) = self.effects.pop_front() {
+                self.apply(effect);
+            }
+        }
+    }
+
+    fn apply(&mut self, effect: Effect) {
+        match effect {
+            Effect::Answer { token, answer } => self.answer(token, answer),
+            Effect::Begin(id) => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.is_durable = true;
+                }
+                self.needs_dispatch = true;
+            }
+            Effect::Show(id) => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.is_shown = true;
+                }
+            }
+            Effect::Acknowledge { host, born, seq } => {
+                if let Some(host) = self.hosts.get_mut(&host)
+                    && host.entry.born == born
+                {
+                    host.durable = host.durable.max(seq);
+                }
+            }
+            Effect::Use(name) => {
+                if let Some(host) = self.hosts.get_mut(&name) {
+                    host.is_logged = true;
+                }
+                self.needs_dispatch = true;
+            }
+        }
+    }
+
+    fn answer(&mut self, token: u64, answer: Answer) {
+        self.actions.push(Action::Answer { token, answer });
+    }
+
+    /// Number of records that were appended so far.
+    pub fn appended(&self) -> u64 {
+        self.appended
+    }
+
+    /// Number of tasks that run or may run.
+    pub fn running(&self) -> usize {
+        self.hosts.values().map(|host| host.runs.len()).sum()
+    }
+
+    /// Number of steps that have tasks to start.
+    pub fn waiting_steps(&self) -> usize {
+        self.ready.len()
+    }
+
+    /// Whether workers of the owner before are not all accounted for.
+    pub fn is_recovering(&self) -> bool {
+        self.is_recovering
+    }
+
+    /// Records that replace all earlier ones of a job. Empty when it is forgotten.
+    pub fn image(&self, id: job::Id) -> Option<Record> {
+        let job = self.jobs.get(&id)?;
+        Some(match job.closed {
+            Some(state) => Record::Closed(crate::Closed {
+                job: id,
+                queue: job.queue.clone(),
+                team: job.team.clone(),
+                state,
+                at_unix_ms: job.closed_unix_ms,
+            }),
+            None => Record::Image(job.image()),
+        })
+    }
+
+    /// Tells whether the log must go on naming a worker.
+    pub fn uses_host(&self, host: &str) -> bool {
+        self.hosts.get(host).is_some_and(|host| host.is_logged)
+    }
+}
--- /dev/null
+++ b/crates/graph/src/engine/orders.rs
@@ -0,0 +1,214 @@
+//! Orders to workers and what becomes of them.
+
+use sycamore_types::Name;
+use sycamore_types::resources::Resources;
+
+use super::Engine;
+use crate::host::{Phase, Run, RunEnd};
+use crate::{Action, Start, StartOutcome, Stop, Task};
+
+/// Time without new work after a worker lacked room that it should have, in milliseconds.
+const NO_ROOM_PAUSE_MS: u64 = 300;
+
+impl Engine {
+    /// Gives a worker the order to start a task.
+    pub(super) fn start(&mut self, name: &Name, task: Task, attempt: u32) {
+        let now_ms = self.now.steady_ms;
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        let spec = job.spec.clone();
+        let step = &spec.steps[usize::from(task.step.index)];
+        let team = job.team.clone();
+        let Some(step_run) = job.step_mut(task.step) else { return };
+        let saved_at = if step.is_gang { 0 } else { task.index as usize };
+        let checkpoint = step_run.tasks[saved_at].checkpoint.clone();
+        let ticket = step_run.advice.allowed.get(name).map(|ticket| ticket.token.clone());
+        step_run.waiting.remove(&task.index);
+        let task_run = &mut step_run.tasks[task.index as usize];
+        task_run.attempt = attempt;
+        task_run.runs.push((name.clone(), attempt));
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let deadline_ms = host.clock_at(now_ms) + self.timing.start_ttl_ms;
+        let run = Run {
+            phase: Phase::Ordered,
+            footprint: step.footprint(),
+            size: step.size,
+            team,
+            deadline_ms,
+            known_since: self.looks,
+            is_stopping: false,
+            is_stop_sent: false,
+            stop_taken: None,
+            percent: 0,
+        };
+        self.occupy(name, task, attempt, run);
+        self.actions.push(Action::Start(Start {
+            host: name.clone(),
+            task,
+            attempt,
+            payload: spec.payload.clone(),
+            deadline_ms,
+            ticket,
+            checkpoint: checkpoint.unwrap_or_else(|| Name::from("")),
+        }));
+    }
+
+    pub(super) fn occupy(&mut self, name: &Name, task: Task, attempt: u32, run: Run) {
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        host.used = host.used.plus(&run.footprint);
+        let usage = self.usage.entry(run.team.clone()).or_default();
+        *usage = usage.plus(&run.size);
+        host.runs.insert((task, attempt), run);
+    }
+
+    /// Gives back what a run takes. Returns the run if it was known.
+    pub(super) fn release(&mut self, name: &Name, task: Task, attempt: u32) -> Option<Run> {
+        let host = self.hosts.get_mut(name)?;
+        let run = host.runs.remove(&(task, attempt))?;
+        host.used = host.used.minus(&run.footprint);
+        if let Some(usage) = self.usage.get_mut(&run.team) {
+            *usage = usage.minus(&run.size);
+        }
+        Some(run)
+    }
+
+    pub(super) fn started(
+        &mut self,
+        name: &Name,
+        task: Task,
+        attempt: u32,
+        outcome: StartOutcome,
+        clock_ms: u64,
+    ) {
+        let (now_ms, looks) = (self.now.steady_ms, self.looks);
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        if clock_ms > 0 && outcome != StartOutcome::Gone && host.is_held {
+            host.clock_offset_ms = clock_ms as i64 - now_ms as i64;
+        }
+        let Some(run) = host.runs.get_mut(&(task, attempt)) else { return };
+        match outcome {
+            StartOutcome::Started => {
+                run.phase = Phase::Running;
+                run.known_since = looks;
+                if let Some(job) = self.jobs.get_mut(&task.step.job) {
+                    job.has_started = true;
+                }
+                if run.is_stopping {
+                    self.stop(name, task, attempt);
+                }
+            }
+            StartOutcome::Unknown => {
+                run.phase = Phase::Doubt;
+                run.known_since = looks;
+                self.stop(name, task, attempt);
+                self.stop_gang_of(task, attempt);
+            }
+            StartOutcome::Fenced => self.actions.push(Action::Deposed),
+            StartOutcome::NoRoom => {
+                host.quarantined_until_ms = now_ms + NO_ROOM_PAUSE_MS;
+                self.end_run(name, task, attempt, RunEnd::Stopped, None);
+            }
+            StartOutcome::BadTicket => {
+                if let Some(job) = self.jobs.get_mut(&task.step.job)
+                    && let Some(step) = job.step_mut(task.step)
+                    && let Some(ticket) = step.advice.allowed.get_mut(name)
+                {
+                    ticket.expires_ms = 0;
+                }
+                self.end_run(name, task, attempt, RunEnd::Stopped, None);
+            }
+            StartOutcome::Rejected => {
+                self.end_run(name, task, attempt, RunEnd::Stopped, None);
+            }
+            StartOutcome::Gone => {
+                self.end_run(name, task, attempt, RunEnd::Stopped, None);
+                self.incarnation_gone(name);
+            }
+        }
+        self.needs_dispatch = true;
+    }
+
+    /// Wants a run stopped.
+    pub(super) fn stop(&mut self, name: &str, task: Task, attempt: u32) {
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let Some(run) = host.runs.get_mut(&(task, attempt)) else { return };
+        run.is_stopping = true;
+        // An order under way could overtake the stop; it is stopped once it is answered.
+        if run.phase == Phase::Ordered || run.is_stop_sent || run.stop_taken.is_some() {
+            return;
+        }
+        run.is_stop_sent = true;
+        let host = host.entry.id.clone();
+        self.actions.push(Action::Stop(Stop { host, task, attempt }));
+    }
+
+    pub(super) fn stopped(&mut self, name: &Name, task: Task, attempt: u32, is_taken: bool) {
+        let looks = self.looks;
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let Some(run) = host.runs.get_mut(&(task, attempt)) else { return };
+        run.is_stop_sent = false;
+        if !is_taken {
+            return;
+        }
+        run.stop_taken = Some(looks);
+        if run.phase == Phase::Doubt {
+            // The worker lists no end for a run that never began.
+            self.look(name, 0);
+        }
+    }
+
+    pub(super) fn repeat_stops(&mut self) {
+        let mut again = Vec::new();
+        for (name, host) in &self.hosts {
+            for ((task, attempt), run) in &host.runs {
+                if run.is_stopping && !run.is_stop_sent && run.stop_taken.is_none() {
+                    again.push((name.clone(), *task, *attempt));
+                }
+            }
+        }
+        for (name, task, attempt) in again {
+            self.stop(&name, task, attempt);
+        }
+    }
+
+    /// Takes in a run that the worker lists and this owner didn't order.
+    pub(super) fn adopt(&mut self, name: &Name, task: Task, attempt: u32) {
+        let looks = self.looks;
+        let Some(host) = self.hosts.get(name) else { return };
+        let capacity = host.entry.capacity;
+        let mut run = Run {
+            phase: Phase::Running,
+            // What it takes is not known; nothing may be put beside it.
+            footprint: capacity,
+            size: Resources::default(),
+            team: Name::from(""),
+            deadline_ms: 0,
+            known_since: looks,
+            is_stopping: false,
+            is_stop_sent: false,
+            stop_taken: None,
+            percent: 0,
+        };
+        let mut is_wanted = false;
+        if let Some(job) = self.jobs.get_mut(&task.step.job)
+            && job.closed.is_none()
+            && let Some(step) = job.spec.clone().steps.get(usize::from(task.step.index))
+        {
+            run.footprint = step.footprint();
+            run.size = step.size;
+            run.team = job.team.clone();
+            job.has_started = true;
+            if let Some(step_run) = job.step_mut(task.step)
+                && let Some(task_run) = step_run.tasks.get_mut(task.index as usize)
+            {
+                is_wanted = !task_run.is_done && task_run.runs.is_empty();
+                task_run.attempt = task_run.attempt.max(attempt);
+                task_run.runs.push((name.clone(), attempt));
+                step_run.waiting.remove(&task.index);
+            }
+        }
+        self.occupy(name, task, attempt, run);
+        if !is_wanted {
+            self.stop(name, task, attempt);
+        }
+    }
+}
--- /dev/null
+++ b/crates/graph/src/engine/recover.rs
@@ -0,0 +1,215 @@
+//! Rebuilds an owner's state from the log.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use rustc_hash::FxHashMap;
+use sycamore_types::Name;
+
+use super::Engine;
+use crate::catalog::Catalog;
+use crate::host::{Host, RunEnd};
+use crate::job::Id;
+use crate::progress::Job;
+use crate::{Ended, HostEntry, Image, Moment, Record, Step, Timing};
+
+/// Room left in the numbers of starts for orders of the owner before that nobody saw.
+const ATTEMPT_GAP: u32 = 1;
+
+/// Collects the records of a log, in order.
+#[derive(Debug, Default)]
+pub struct Recovered {
+    jobs: FxHashMap<Id, Job>,
+    hosts: BTreeSet<Name>,
+}
+
+impl Recovered {
+    /// Takes in the next record.
+    pub fn apply(&mut self, record: Record) {
+        match record {
+            Record::Accepted { job, queue, team, at_unix_ms, spec } => {
+                self.jobs
+                    .entry(job)
+                    .or_insert_with(|| begun(Job::new(job, queue, team, spec, at_unix_ms)));
+            }
+            Record::Ended(ended) => self.end(&ended),
+            Record::Closed(closed) => {
+                let id = closed.job;
+                let mut job =
+                    Job::new(id, closed.queue, closed.team, Default::default(), closed.at_unix_ms);
+                job.closed = Some(closed.state);
+                job.is_shown = true;
+                job.is_durable = true;
+                job.has_started = true;
+                job.closed_unix_ms = closed.at_unix_ms;
+                self.jobs.insert(id, job);
+            }
+            Record::HostUsed { host } => {
+                self.hosts.insert(host);
+            }
+            Record::HostReleased { host } => {
+                self.hosts.remove(&host);
+            }
+            Record::Image(image) => self.restore(image),
+        }
+    }
+
+    fn restore(&mut self, image: Image) {
+        let job = Job::new(image.job, image.queue, image.team, image.spec, image.at_unix_ms);
+        let mut job = begun(job);
+        job.has_started = image.has_started;
+        for (key, index, is_done, failures, attempt, checkpoint) in image.tasks {
+            reach(&mut job, key);
+            let Some(step) = job.step_mut(key) else { continue };
+            if is_done {
+                step.finish(index);
+            }
+            if let Some(task) = step.tasks.get_mut(index as usize) {
+                task.failures = failures;
+                task.attempt = attempt;
+                task.checkpoint = (!checkpoint.is_empty()).then_some(checkpoint);
+            }
+        }
+        self.jobs.insert(image.job, job);
+    }
+
+    fn end(&mut self, ended: &Ended) {
+        let key = ended.task.step;
+        let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.closed.is_none()) else {
+            return;
+        };
+        job.has_started = true;
+        reach(job, key);
+        let Some(is_gang) = job.spec.steps.get(usize::from(key.index)).map(|s| s.is_gang) else {
+            return;
+        };
+        let Some(step) = job.step_mut(key) else { return };
+        let Some(task) = step.tasks.get_mut(ended.task.index as usize) else { return };
+        task.attempt = task.attempt.max(ended.attempt);
+        if !ended.checkpoint.is_empty() {
+            let at = if is_gang { 0 } else { ended.task.index as usize };
+            step.tasks[at].checkpoint = Some(ended.checkpoint.clone());
+        }
+        match ended.how {
+            RunEnd::Done if is_gang => {
+                (0..step.tasks.len() as u32).for_each(|index| {
+                    step.finish(index);
+                });
+            }
+            RunEnd::Done => {
+                step.finish(ended.task.index);
+            }
+            RunEnd::Failed => {
+                let at = if is_gang { 0 } else { ended.task.index as usize };
+                let counted = &mut step.tasks[at];
+                if !is_gang || counted.failed_attempt != ended.attempt {
+                    counted.failures += 1;
+                    counted.failed_attempt = ended.attempt;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Number of jobs that are known.
+    pub fn jobs(&self) -> usize {
+        self.jobs.len()
+    }
+}
+
+fn begun(mut job: Job) -> Job {
+    job.is_durable = true;
+    job.is_recovered = true;
+    if job.spec.schedule.is_none() {
+        job.begin_occurrence();
+    }
+    job
+}
+
+/// Adds occurrences up to that of a step.
+fn reach(job: &mut Job, key: Step) {
+    while job.occurrences.len() as u32 <= key.occurrence
+        && (job.occurrences.len() as u32) < job.times()
+    {
+        job.begin_occurrence();
+    }
+}
+
+impl Engine {
+    /// Begins with what the log says.
+    pub fn new(now: Moment, timing: Timing, catalog: Catalog, recovered: Recovered) -> Engine {
+        let hosts: BTreeMap<Name, Host> = recovered
+            .hosts
+            .into_iter()
+            .map(|name| {
+                let mut host = Host::new(unlisted(name.clone()), now.steady_ms);
+                host.is_listed = false;
+                host.is_logged = true;
+                (name, host)
+            })
+            .collect();
+        let is_recovering = !hosts.is_empty();
+        let mut engine = Engine {
+            timing,
+            now,
+            queues: catalog.queues.clone(),
+            catalog,
+            jobs: recovered.jobs,
+            hosts,
+            usage: FxHashMap::default(),
+            ready: BTreeSet::new(),
+            due: BTreeSet::new(),
+            closed: VecDeque::new(),
+            allow_rate: FxHashMap::default(),
+            appended: 0,
+            durable: 0,
+            effects: VecDeque::new(),
+            looks: 0,
+            is_recovering,
+            needs_dispatch: false,
+            actions: Vec::new(),
+        };
+        engine.resume();
+        engine
+    }
+
+    /// Puts the jobs of the log back in their places.
+    fn resume(&mut self) {
+        let mut ids: Vec<(u64, Id)> =
+            self.jobs.values().map(|job| (job.closed_unix_ms, job.id)).collect();
+        ids.sort_unstable();
+        for (closed_unix_ms, id) in ids {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            if job.closed.is_some() {
+                self.closed.push_back((closed_unix_ms + self.timing.status_ms, id));
+                job.spec = Arc::default();
+                continue;
+            }
+            let mut keys = Vec::new();
+            for (occurrence, steps) in job.occurrences.iter_mut().enumerate() {
+                for (index, step) in steps.iter_mut().enumerate() {
+                    step.tasks.iter_mut().for_each(|task| task.attempt += ATTEMPT_GAP);
+                    keys.push(Step { job: id, occurrence: occurrence as u32, index: index as u16 });
+                }
+            }
+            for key in keys {
+                self.consider(key);
+            }
+            self.close_if_finished(id);
+            self.schedule(id);
+        }
+    }
+}
+
+/// A worker that the log names and no list has shown yet.
+fn unlisted(name: Name) -> HostEntry {
+    HostEntry {
+        id: name,
+        born: 0,
+        service: Name::from(""),
+        capacity: Default::default(),
+        labels: Vec::new(),
+        rack: Name::from(""),
+        is_draining: false,
+    }
+}
--- /dev/null
+++ b/crates/graph/src/host/mod.rs
@@ -0,0 +1,117 @@
+//! What the owner knows of one worker: its room, its runs and its lease.
+
+mod run;
+
+use std::collections::BTreeMap;
+
+use sycamore_types::resources::Resources;
+
+pub use run::RunEnd;
+pub(crate) use run::{Phase, Run};
+
+use crate::{HostEntry, Task, Timing};
+
+/// Failures in a row after which a worker gets no new work for a while.
+const MAX_FAILURES_IN_A_ROW: u32 = 4;
+
+/// Time without new work after failures in a row, in milliseconds.
+const QUARANTINE_MS: u64 = 4_000;
+
+/// One incarnation of a worker.
+#[derive(Debug)]
+pub(crate) struct Host {
+    pub entry: HostEntry,
+    /// The platform's list shows the worker.
+    pub is_listed: bool,
+    /// The worker has answered a look under this owner's fence.
+    pub is_held: bool,
+    /// The log says that the worker may hold runs.
+    pub is_logged: bool,
+    /// What the runs take.
+    pub used: Resources,
+    /// Runs that may take room.
+    pub runs: BTreeMap<(Task, u32), Run>,
+    /// Number of the last end that was taken in.
+    pub seen: u64,
+    /// Number of the last end whose record is durable.
+    pub durable: u64,
+    /// Worker's clock less the owner's steady clock, in milliseconds.
+    pub clock_offset_ms: i64,
+    /// Time at which the lease was last renewed, or may have been, in milliseconds.
+    pub renewed_ms: u64,
+    /// Number of the look under way.
+    pub look: Option<u64>,
+    /// Time before which no look is due, in milliseconds.
+    pub look_not_before_ms: u64,
+    /// Looks without an answer in a row.
+    pub missed: u32,
+    /// Failed ends in a row, of different jobs.
+    pub failures: u32,
+    /// Time until which the worker gets no new work, in milliseconds.
+    pub quarantined_until_ms: u64,
+}
+
+impl Host {
+    pub fn new(entry: HostEntry, now_ms: u64) -> Host {
+        Host {
+            entry,
+            is_listed: true,
+            is_held: false,
+            is_logged: false,
+            used: Resources::default(),
+            runs: BTreeMap::new(),
+            seen: 0,
+            durable: 0,
+            clock_offset_ms: 0,
+            renewed_ms: now_ms,
+            look: None,
+            look_not_before_ms: 0,
+            missed: 0,
+            failures: 0,
+            quarantined_until_ms: 0,
+        }
+    }
+
+    /// Tells whether new work may go to the worker.
+    pub fn is_usable(&self, now_ms: u64) -> bool {
+        self.is_listed
+            && self.is_held
+            && self.is_logged
+            && !self.entry.is_draining
+            && self.missed == 0
+            && now_ms >= self.quarantined_until_ms
+    }
+
+    /// Returns the room that is left.
+    pub fn free(&self) -> Resources {
+        self.entry.capacity.minus(&self.used)
+    }
+
+    /// Tells whether nothing of this owner or an earlier one can run any more.
+    pub fn is_lease_over(&self, now_ms: u64, timing: &Timing) -> bool {
+        now_ms > self.renewed_ms + timing.lease_over_ms()
+    }
+
+    /// Returns the worker's clock at a time of the owner, in milliseconds.
+    pub fn clock_at(&self, now_ms: u64) -> u64 {
+        u64::try_from(now_ms as i64 + self.clock_offset_ms).unwrap_or(0)
+    }
+
+    /// Takes in how a run ended, for the worker's own health.
+    pub fn note_end(&mut self, is_failure: bool, now_ms: u64) {
+        if !is_failure {
+            self.failures = 0;
+            return;
+        }
+        self.failures += 1;
+        if self.failures >= MAX_FAILURES_IN_A_ROW {
+            self.quarantined_until_ms = now_ms + QUARANTINE_MS;
+            // One further failure after the pause closes the worker again.
+            self.failures = MAX_FAILURES_IN_A_ROW - 1;
+        }
+    }
+
+    pub fn has_label(&self, label: &str) -> bool {
+        self.entry.labels.iter().any(|own| &**own == label)
+    }
+}
--- /dev/null
+++ b/crates/graph/src/job/check.rs
@@ -0,0 +1,65 @@
+use displaydoc::Display;
+
+use super::Spec;
+
+/// Longest payload of a job, in bytes. Platform documentation.
+const MAX_PAYLOAD_BYTES: usize = 4_000;
+
+/// Largest number of steps of one job. Bounds the memory that one caller can take.
+const MAX_STEPS: usize = 256;
+
+/// Largest number of tasks of one occurrence. Bounds the memory that one caller can take.
+const MAX_TASKS: u64 = 10_000;
+
+/// Tells which field of a job is unusable.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum SpecError {
+    /// the payload is longer than 4000 bytes
+    Payload,
+    /// a job has between 1 and 256 steps
+    Steps,
+    /// step {0} has no tasks
+    NoTasks(usize),
+    /// a job has at most 10000 tasks
+    Tasks,
+    /// step {0} may only come after earlier steps
+    After(usize),
+    /// a job that runs at set times needs an interval
+    Interval,
+}
+
+impl std::error::Error for SpecError {}
+
+impl Spec {
+    /// Checks what can be told from the job alone.
+    ///
+    /// # Errors
+    ///
+    /// Names the first field that is out of its range.
+    pub fn check(&self) -> Result<(), SpecError> {
+        if self.payload.len() > MAX_PAYLOAD_BYTES {
+            return Err(SpecError::Payload);
+        }
+        if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
+            return Err(SpecError::Steps);
+        }
+        for (at, step) in self.steps.iter().enumerate() {
+            if step.tasks == 0 {
+                return Err(SpecError::NoTasks(at));
+            }
+            if step.after.iter().any(|earlier| usize::from(*earlier) >= at) {
+                return Err(SpecError::After(at));
+            }
+        }
+        if self.steps.iter().map(|step| u64::from(step.tasks)).sum::<u64>() > MAX_TASKS {
+            return Err(SpecError::Tasks);
+        }
+        match self.schedule {
+            Some(schedule) if schedule.times > 1 && schedule.interval_ms == 0 => {
+                Err(SpecError::Interval)
+            }
+            _ => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/graph/src/job/state.rs
@@ -0,0 +1,24 @@
+use serde::{Deserialize, Serialize};
+
+/// State of a job as its caller sees it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// No task has started.
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks have ended well.
+    Complete,
+    /// A task has used up its attempts.
+    Failed,
+    /// The caller has cancelled it.
+    Cancelled,
+}
+
+impl State {
+    /// Tells whether nothing of the job runs any more.
+    pub fn is_closed(self) -> bool {
+        matches!(self, State::Complete | State::Failed | State::Cancelled)
+    }
+}
--- /dev/null
+++ b/crates/graph/src/lib.rs
@@ -0,0 +1,28 @@
+//! The decision core for jobs that are graphs of steps, on workers that fence.
+//!
+//! [`Engine::step`] takes the time and an [`Event`] and returns [`Action`]s. It
+//! knows no clock, no socket and no random source. One engine owns all hosts of
+//! a shard; its epoch is the fencing token of every order that it gives.
+//!
+//! Durability is the caller's part: [`Action::Append`] hands over log records in
+//! order and [`Event::Committed`] reports how many of them are kept. Nothing that
+//! a caller or a worker is told runs ahead of the log.
+
+mod action;
+pub mod catalog;
+mod engine;
+mod event;
+mod host;
+pub mod job;
+mod progress;
+mod record;
+mod task;
+mod timing;
+
+pub use action::{Action, Advise, Answer, Hold, Start, Stop};
+pub use engine::{Engine, Recovered};
+pub use event::{Event, HostEntry, Moment, Report, StartOutcome};
+pub use host::RunEnd;
+pub use record::{Closed, Ended, Image, Record};
+pub use task::{Step, Task};
+pub use timing::Timing;
--- /dev/null
+++ b/crates/graph/src/progress/job.rs
@@ -0,0 +1,142 @@
+use std::sync::Arc;
+
+use sycamore_types::Name;
+
+use super::StepRun;
+use crate::job::{Id, Spec, State};
+use crate::{Image, Step};
+
+/// One job.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub id: Id,
+    pub queue: Name,
+    pub team: Name,
+    pub spec: Arc<Spec>,
+    pub at_unix_ms: u64,
+    /// The record of acceptance is durable.
+    pub is_durable: bool,
+    /// An earlier owner may have started tasks.
+    pub is_recovered: bool,
+    pub has_started: bool,
+    /// Last state, once it is decided.
+    pub closed: Option<State>,
+    /// The last state is durable and may be shown.
+    pub is_shown: bool,
+    /// Time of the last state, in milliseconds since 1970.
+    pub closed_unix_ms: u64,
+    /// Occurrences that are due, in order.
+    pub occurrences: Vec<Vec<StepRun>>,
+}
+
+impl Job {
+    pub fn new(id: Id, queue: Name, team: Name, spec: Spec, at_unix_ms: u64) -> Job {
+        Job {
+            id,
+            queue,
+            team,
+            spec: Arc::new(spec),
+            at_unix_ms,
+            is_durable: false,
+            is_recovered: false,
+            has_started: false,
+            closed: None,
+            is_shown: false,
+            closed_unix_ms: 0,
+            occurrences: Vec::new(),
+        }
+    }
+
+    /// Number of occurrences over the job's life.
+    pub fn times(&self) -> u32 {
+        self.spec.schedule.map_or(1, |schedule| schedule.times.max(1))
+    }
+
+    /// Time at which an occurrence is due, in milliseconds since 1970.
+    pub fn due_unix_ms(&self, occurrence: u32) -> u64 {
+        self.spec.schedule.map_or(self.at_unix_ms, |schedule| {
+            schedule.first_unix_ms + u64::from(occurrence) * schedule.interval_ms
+        })
+    }
+
+    /// Adds the next occurrence.
+    pub fn begin_occurrence(&mut self) -> u32 {
+        self.occurrences.push(self.spec.steps.iter().map(|s| StepRun::new(s.tasks)).collect());
+        self.occurrences.len() as u32 - 1
+    }
+
+    pub fn step(&self, key: Step) -> Option<&StepRun> {
+        self.occurrences.get(key.occurrence as usize)?.get(usize::from(key.index))
+    }
+
+    pub fn step_mut(&mut self, key: Step) -> Option<&mut StepRun> {
+        self.occurrences.get_mut(key.occurrence as usize)?.get_mut(usize::from(key.index))
+    }
+
+    /// Tells whether all steps that must come first are done.
+    pub fn is_ready(&self, key: Step) -> bool {
+        let Some(steps) = self.occurrences.get(key.occurrence as usize) else { return false };
+        let after = &self.spec.steps[usize::from(key.index)].after;
+        after.iter().all(|at| steps[usize::from(*at)].is_done())
+    }
+
+    /// Tells whether all work of all occurrences is done.
+    pub fn is_finished(&self) -> bool {
+        self.occurrences.len() as u32 == self.times()
+            && self.occurrences.iter().flatten().all(StepRun::is_done)
+    }
+
+    /// The state that may be shown to the caller.
+    pub fn state(&self) -> State {
+        match self.closed {
+            Some(state) if self.is_shown => state,
+            _ if self.has_started => State::Running,
+            _ => State::Queued,
+        }
+    }
+
+    /// Declared run time of the longest chain from a step on, in milliseconds.
+    pub fn rest_of_chain_ms(&self, from: u16) -> u64 {
+        let steps = &self.spec.steps;
+        let mut rest = vec![0; steps.len()];
+        for at in (0..steps.len()).rev() {
+            rest[at] += steps[at].estimate_ms;
+            for earlier in &steps[at].after {
+                rest[usize::from(*earlier)] = rest[usize::from(*earlier)].max(rest[at]);
+            }
+        }
+        rest.get(usize::from(from)).copied().unwrap_or(0)
+    }
+
+    /// Everything that must last.
+    pub fn image(&self) -> Image {
+        let mut tasks = Vec::new();
+        for (occurrence, steps) in self.occurrences.iter().enumerate() {
+            for (index, step) in steps.iter().enumerate() {
+                let key = Step { job: self.id, occurrence: occurrence as u32, index: index as u16 };
+                for (at, task) in step.tasks.iter().enumerate() {
+                    let checkpoint = task.checkpoint.clone().unwrap_or_else(|| Name::from(""));
+                    if task.is_done || task.failures > 0 || task.attempt > 0 {
+                        tasks.push((
+                            key,
+                            at as u32,
+                            task.is_done,
+                            task.failures,
+                            task.attempt,
+                            checkpoint,
+                        ));
+                    }
+                }
+            }
+        }
+        Image {
+            job: self.id,
+            queue: self.queue.clone(),
+            team: self.team.clone(),
+            at_unix_ms: self.at_unix_ms,
+            spec: (*self.spec).clone(),
+            has_started: self.has_started,
+            tasks,
+        }
+    }
+}
--- /dev/null
+++ b/crates/graph/src/progress/mod.rs
@@ -0,0 +1,7 @@
+//! How far the jobs are.
+
+mod job;
+mod step;
+
+pub(crate) use job::Job;
+pub(crate) use step::{StepRun, TaskRun, Ticket};
--- /dev/null
+++ b/crates/graph/src/progress/step.rs
@@ -0,0 +1,74 @@
+use std::collections::BTreeMap;
+
+use sycamore_types::Name;
+
+/// How far one task is.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TaskRun {
+    pub is_done: bool,
+    /// Number of the last start.
+    pub attempt: u32,
+    pub failures: u32,
+    /// Last attempt that failed, so that members of one gang count once.
+    pub failed_attempt: u32,
+    /// Runs that may exist: host and attempt.
+    pub runs: Vec<(Name, u32)>,
+    pub checkpoint: Option<Name>,
+    /// Host of the last failed run.
+    pub avoid: Option<Name>,
+}
+
+/// A ticket of the advice service.
+#[derive(Clone, Debug)]
+pub(crate) struct Ticket {
+    pub token: Name,
+    pub expires_ms: u64,
+}
+
+/// What the advice service said of a step. The answer for a worker never changes.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Advice {
+    /// Allowed workers, each with its last ticket.
+    pub allowed: BTreeMap<Name, Ticket>,
+    pub denied: Vec<Name>,
+    pub is_asking: bool,
+    /// No call before this time, in milliseconds.
+    pub not_before_ms: u64,
+}
+
+/// How far one step of one occurrence is.
+#[derive(Clone, Debug)]
+pub(crate) struct StepRun {
+    pub tasks: Vec<TaskRun>,
+    pub done: u32,
+    pub advice: Advice,
+    /// Indices of tasks that wait to be started, in order.
+    pub waiting: std::collections::BTreeSet<u32>,
+}
+
+impl StepRun {
+    pub fn new(tasks: u32) -> StepRun {
+        StepRun {
+            tasks: vec![TaskRun::default(); tasks as usize],
+            done: 0,
+            advice: Advice::default(),
+            waiting: (0..tasks).collect(),
+        }
+    }
+
+    pub fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    /// Marks a task as done. Returns whether it was not before.
+    pub fn finish(&mut self, index: u32) -> bool {
+        let Some(task) = self.tasks.get_mut(index as usize) else { return false };
+        if task.is_done {
+            return false;
+        }
+        task.is_done = true;
+        self.waiting.remove(&index);
+        self.done += 1;
+        true
+    }
+}
--- /dev/null
+++ b/crates/node/src/clock.rs
@@ -0,0 +1,24 @@
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use sycamore_graph::Moment;
+
+/// The clocks of the process, read together.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    origin: Instant,
+}
+
+impl Clock {
+    pub fn new() -> Clock {
+        Clock { origin: Instant::now() }
+    }
+
+    pub fn now(&self) -> Moment {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        Moment { steady_ms: millis(self.origin.elapsed()), unix_ms: millis(unix) }
+    }
+}
+
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/config.rs
@@ -0,0 +1,113 @@
+//! The configuration in force. It never goes back within one process.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use sycamore_platform::site::{Config, Store, StoreError, key};
+use tokio::sync::watch;
+
+use crate::timing::{CONFIG_WAIT, STORE_RETRY, STORE_TIMEOUT};
+
+/// A configuration with the bytes that it was read from.
+#[derive(Debug, Default)]
+pub(crate) struct Current {
+    pub config: Config,
+    /// For processes that can't reach the store themselves.
+    pub source: Vec<u8>,
+}
+
+/// Hands out the configuration in force.
+#[derive(Clone, Debug)]
+pub(crate) struct Configs {
+    sender: Arc<watch::Sender<Option<Arc<Current>>>>,
+    /// Time of the last answer of the store.
+    reached: Arc<std::sync::Mutex<Option<Instant>>>,
+}
+
+impl Configs {
+    pub fn new() -> Configs {
+        Configs { sender: Arc::new(watch::Sender::new(None)), reached: Arc::default() }
+    }
+
+    pub fn current(&self) -> Option<Arc<Current>> {
+        self.sender.borrow().clone()
+    }
+
+    pub fn subscribe(&self) -> watch::Receiver<Option<Arc<Current>>> {
+        self.sender.subscribe()
+    }
+
+    /// Version in force, 0 before the first.
+    pub fn version(&self) -> u64 {
+        self.current().map_or(0, |current| current.config.catalog.version)
+    }
+
+    /// Tells whether the store answered a short while ago.
+    pub fn store_is_near(&self) -> bool {
+        let reached = self.reached.lock().map(|reached| *reached).unwrap_or(None);
+        reached.is_some_and(|at| at.elapsed() < 2 * CONFIG_WAIT)
+    }
+
+    fn note_store(&self) {
+        if let Ok(mut reached) = self.reached.lock() {
+            *reached = Some(Instant::now());
+        }
+    }
+
+    /// Takes a configuration if it is newer.
+    pub fn offer(&self, source: Vec<u8>, origin: &str) {
+        let config = match Config::parse(&source) {
+            Ok(config) => config,
+            Err(error) => {
+                log::error!("configuration from {origin} not used: {error}");
+                return;
+            }
+        };
+        let version = config.catalog.version;
+        if version <= self.version() {
+            return;
+        }
+        log::info!("configuration version={version} in force from={origin}");
+        self.sender.send_replace(Some(Arc::new(Current { config, source })));
+    }
+
+    /// Follows the store for as long as the process lives.
+    pub async fn follow(self, store: Store) {
+        loop {
+            match self.read_and_watch(&store).await {
+                StoreError::Compacted => {}
+                error => {
+                    log::debug!("configuration watch: {error}");
+                    tokio::time::sleep(STORE_RETRY).await;
+                }
+            }
+        }
+    }
+
+    async fn read_and_watch(&self, store: &Store) -> StoreError {
+        let mut after = match store.get(key::CONFIG, STORE_TIMEOUT).await {
+            Ok(Some(item)) => {
+                self.note_store();
+                let rev = item.rev;
+                self.offer(item.value, "store");
+                rev
+            }
+            Ok(None) => return StoreError::Refused(404),
+            Err(error) => return error,
+        };
+        loop {
+            match store.watch(key::CONFIG, after, CONFIG_WAIT).await {
+                Ok(watched) => {
+                    self.note_store();
+                    after = watched.as_of.max(after);
+                    for change in watched.events {
+                        if change.key == key::CONFIG && !change.removed {
+                            self.offer(change.value, "store");
+                        }
+                    }
+                }
+                Err(error) => return error,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/door/ask.rs
@@ -0,0 +1,59 @@
+use std::sync::Arc;
+use std::time::Instant;
+
+use sycamore_wire::{Lane, Pool};
+
+use crate::lead::Leader;
+use crate::node::Node;
+use crate::peer::{Ask, Command, Reply, Verdict};
+use crate::timing::{ASK_RETRY, ASK_TIMEOUT};
+
+/// Gets the owner's answer to a request, through changes of the owner.
+///
+/// Repeating is safe: jobs are known by their name, and the rest only reads or can be
+/// done twice.
+pub(super) async fn ask_owner(node: &Arc<Node>, ask: Ask, until: Instant) -> Verdict {
+    let mut last = Verdict::NotOwner;
+    loop {
+        let verdict = attempt(node, &ask, until).await;
+        match verdict {
+            Verdict::NotOwner => {}
+            Verdict::Unknown => last = Verdict::Unknown,
+            // Once an attempt may have been kept, "nothing was done" is not certain.
+            Verdict::StoreAway if last == Verdict::Unknown => return last,
+            other => return other,
+        }
+        if Instant::now() + ASK_RETRY >= until {
+            return last;
+        }
+        tokio::time::sleep(ASK_RETRY).await;
+    }
+}
+
+async fn attempt(node: &Arc<Node>, ask: &Ask, until: Instant) -> Verdict {
+    let rest = until.saturating_duration_since(Instant::now());
+    match node.lead.leader() {
+        Leader::Unknown => Verdict::NotOwner,
+        Leader::Here(handle) => {
+            let answer = handle.ask(ask.clone());
+            tokio::time::timeout(rest, answer).await.unwrap_or(Verdict::Unknown)
+        }
+        Leader::Peer { address } => {
+            let command = Command::Ask(ask.clone());
+            let call = call(&node.pool, address, &command);
+            tokio::time::timeout(rest.min(ASK_TIMEOUT), call).await.unwrap_or(Verdict::Unknown)
+        }
+    }
+}
+
+async fn call(pool: &Pool, address: std::net::SocketAddr, command: &Command) -> Verdict {
+    match pool.call::<Reply>(address, Lane::Traffic, command).await {
+        Ok(Reply::Verdict(verdict)) => verdict,
+        Ok(_) => Verdict::Unknown,
+        Err(error) if error.is_not_sent() => Verdict::NotOwner,
+        Err(error) => {
+            log::debug!("owner at {address}: {error}");
+            Verdict::Unknown
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/door/listener.rs
@@ -0,0 +1,92 @@
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::request::handle;
+use crate::node::Node;
+
+/// Pause after a failed accept, so that a lack of descriptors doesn't spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time between looks whether all connections have ended.
+const CLOSE_POLL: Duration = Duration::from_millis(20);
+
+/// Connections of callers.
+#[derive(Debug)]
+pub(crate) struct Door {
+    node: Arc<Node>,
+    /// Set when connections are to end after the request under way.
+    closing: watch::Sender<bool>,
+}
+
+impl Door {
+    pub fn new(node: Arc<Node>) -> Door {
+        Door { node, closing: watch::Sender::new(false) }
+    }
+
+    /// Ends all connections, each after the request under way.
+    pub async fn close(&self, patience: Duration) {
+        self.closing.send_replace(true);
+        let end = tokio::time::Instant::now() + patience;
+        while self.closing.receiver_count() > 0 && tokio::time::Instant::now() < end {
+            tokio::time::sleep(CLOSE_POLL).await;
+        }
+    }
+}
+
+/// Serves callers for as long as the process lives.
+pub(crate) async fn serve(door: Arc<Door>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                tokio::spawn(serve_connection(door.clone(), socket));
+            }
+            Err(error) => {
+                log::warn!("caller's connection not accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(door: Arc<Door>, socket: TcpStream) {
+    if let Err(error) = socket.set_nodelay(true) {
+        log::debug!("caller's connection without nodelay: {error}");
+    }
+    let limits = door.node.configs.current().map(|current| current.config.limits);
+    let limits = limits.unwrap_or_default();
+    let node = door.node.clone();
+    let service = service_fn(move |request| {
+        let node = node.clone();
+        async move { Ok::<_, Infallible>(handle(node, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(
+            limits.header_timeout_ms.max(limits.idle_timeout_ms),
+        ))
+        .max_buf_size(limits.max_header_bytes.max(8_192))
+        .serve_connection(TokioIo::new(socket), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut closing = door.closing.subscribe();
+    tokio::select! {
+        ended = connection.as_mut() => log_end(ended),
+        // Changes only once, from open to closing.
+        _ = closing.changed() => {
+            connection.as_mut().graceful_shutdown();
+            log_end(connection.await);
+        }
+    }
+}
+
+fn log_end(ended: hyper::Result<()>) {
+    if let Err(error) = ended {
+        log::debug!("caller's connection ended: {error}");
+    }
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,208 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use displaydoc::Display;
+use rustc_hash::FxHashMap;
+use sycamore_graph::Step;
+use sycamore_platform::Signals;
+use sycamore_platform::http::Client;
+use sycamore_platform::site::{Adviser, Settings, Store};
+use sycamore_types::Name;
+use sycamore_wire::Pool;
+use tokio::net::TcpListener;
+use tokio::sync::{Mutex, Notify};
+
+use crate::clock::Clock;
+use crate::config::Configs;
+use crate::lead::{Lead, Leader};
+use crate::peer::{Ask, Ping, Pong, Role, Verdict};
+use crate::timing::{DRAIN_DELAY, EXIT_MARGIN, OWNER_SILENCE, SETTINGS_EVERY};
+use crate::{door, lead, peer};
+
+/// Time for which idle connections are kept: connections are paid for one by one.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time after which a peer that pinged no more is not dealt calls.
+const PEER_SILENCE: Duration = Duration::from_millis(900);
+
+/// Why a process can't run.
+#[derive(Debug, Display)]
+#[non_exhaustive]
+pub enum Error {
+    /// can't listen on {0}: {1}
+    Listen(SocketAddr, std::io::Error),
+    /// can't listen for signals: {0}
+    Signals(std::io::Error),
+}
+
+impl std::error::Error for Error {}
+
+/// One process.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub settings: Settings,
+    pub clock: Clock,
+    pub nonce: u64,
+    pub store: Store,
+    pub client: Client,
+    pub pool: Pool,
+    pub configs: Configs,
+    pub lead: Lead,
+    pub stopping: Notify,
+    is_stopping: AtomicBool,
+    adviser: Option<Adviser>,
+    /// One call at a time: the service handles a host's calls in turn.
+    advising: Mutex<()>,
+    /// Processes that pinged this one while it owned.
+    members: std::sync::Mutex<FxHashMap<Name, (SocketAddr, Instant)>>,
+}
+
+impl Node {
+    fn new(settings: Settings) -> Node {
+        let client = Client::with_idle_timeout(IDLE_TIMEOUT);
+        Node {
+            clock: Clock::new(),
+            nonce: rand::random(),
+            store: Store::new(settings.store, client.clone()),
+            adviser: settings.advice.map(|address| Adviser::new(address, client.clone())),
+            client,
+            pool: Pool::default(),
+            configs: Configs::new(),
+            lead: Lead::default(),
+            stopping: Notify::new(),
+            is_stopping: AtomicBool::new(false),
+            advising: Mutex::new(()),
+            members: Default::default(),
+            settings,
+        }
+    }
+
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+        self.stopping.notify_waiters();
+    }
+
+    /// Tells whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        if self.is_stopping() || self.configs.current().is_none() {
+            return false;
+        }
+        match self.lead.leader() {
+            Leader::Here(_) => true,
+            Leader::Peer { .. } => {
+                self.lead.silence().is_some_and(|silence| silence < 2 * OWNER_SILENCE)
+            }
+            Leader::Unknown => false,
+        }
+    }
+
+    pub fn pong(self: &Arc<Node>, ping: &Ping) -> Pong {
+        if let Ok(mut members) = self.members.lock() {
+            members.insert(ping.host.clone(), (ping.address, Instant::now()));
+        }
+        lead::catch_up(self, ping.address, ping.config_version);
+        let role = match self.lead.leader() {
+            Leader::Here(handle) => Role::Owner { epoch: handle.epoch },
+            _ => Role::Follower,
+        };
+        Pong {
+            role,
+            config_version: self.configs.version(),
+            store_is_near: self.configs.store_is_near(),
+            peers: self.members(),
+        }
+    }
+
+    /// Processes that pinged a short while ago, in order of their names.
+    pub fn members(&self) -> Vec<(Name, SocketAddr)> {
+        let Ok(mut members) = self.members.lock() else { return Vec::new() };
+        members.retain(|_, (_, at)| at.elapsed() < PEER_SILENCE);
+        let mut list: Vec<_> =
+            members.iter().map(|(name, (address, _))| (name.clone(), *address)).collect();
+        list.sort();
+        list
+    }
+
+    /// Answers a caller's request if this process owns.
+    pub async fn ask_here(&self, ask: Ask) -> Verdict {
+        match self.lead.leader() {
+            Leader::Here(handle) => handle.ask(ask).await,
+            _ => Verdict::NotOwner,
+        }
+    }
+
+    /// Asks the advice service.
+    pub async fn advise(
+        &self,
+        step: &Step,
+        hosts: &[Name],
+        timeout: Duration,
+    ) -> Option<Vec<(Name, Name)>> {
+        let adviser = self.adviser.as_ref()?;
+        let _turn = self.advising.lock().await;
+        adviser.ask(step, hosts, timeout).await
+    }
+}
+
+/// Runs a process until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when an address can't be listened on.
+pub async fn run(settings: Settings, path: &str) -> Result<(), Error> {
+    let mut signals = Signals::listen().map_err(Error::Signals)?;
+    let callers = listen(settings.callers).await?;
+    let peers = listen(settings.peers).await?;
+    let readiness = match settings.readiness {
+        Some(address) => Some(listen(address).await?),
+        None => None,
+    };
+    log::info!("start host={} domain={}", settings.host, settings.failure_domain);
+    let grace = Duration::from_millis(settings.grace_ms);
+    let node = Arc::new(Node::new(settings));
+    tokio::spawn(node.configs.clone().follow(node.store.clone()));
+    tokio::spawn(peer::serve(node.clone(), peers));
+    let door = Arc::new(door::Door::new(node.clone()));
+    tokio::spawn(door::serve(door.clone(), callers));
+    if let Some(listener) = readiness {
+        tokio::spawn(door::serve_readiness(node.clone(), listener));
+    }
+    tokio::spawn(watch_settings(path.to_string()));
+    let following = tokio::spawn(lead::follow(node.clone()));
+    signals.stop().await;
+    log::info!("stop asked for");
+    let told = Instant::now();
+    node.begin_stop();
+    if let Err(error) = following.await {
+        log::error!("follower ended: {error}");
+    }
+    let last = grace.saturating_sub(EXIT_MARGIN);
+    tokio::time::sleep(DRAIN_DELAY.min(last).saturating_sub(told.elapsed())).await;
+    door.close(last.saturating_sub(told.elapsed())).await;
+    log::info!("stopped");
+    Ok(())
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
+}
+
+/// Notes changes of the settings file. All that a running process could take over
+/// from it are bounds, which don't change during its life.
+async fn watch_settings(path: String) {
+    let mut last = std::fs::read(&path).ok();
+    loop {
+        tokio::time::sleep(SETTINGS_EVERY).await;
+        let now = std::fs::read(&path).ok();
+        if now.is_some() && now != last {
+            log::info!("settings file changed");
+            last = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/execute.rs
@@ -0,0 +1,111 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use sycamore_graph::{Action, Event, Hold, Start, Stop};
+use sycamore_platform::site::{Order, Worker};
+use tokio::sync::mpsc;
+
+use super::dealer::Dealer;
+use super::journal::Journal;
+use super::{End, Handle};
+use crate::node::Node;
+use crate::timing::{HOLD_MARGIN, ORDER_TIMEOUT};
+
+/// Pause before a look at a worker without a known address is given up.
+const NO_ADDRESS_PAUSE: Duration = Duration::from_millis(200);
+
+/// Carries the engine's actions out until this process no longer owns.
+pub(super) async fn run(
+    node: Arc<Node>,
+    handle: Handle,
+    mut actions: mpsc::UnboundedReceiver<Action>,
+    journal: Journal,
+) -> End {
+    let worker = Worker::new(node.client.clone(), handle.epoch);
+    let (records, received) = mpsc::unbounded_channel();
+    let (mut dealer, mut ended) = Dealer::new(node.clone(), handle.clone());
+    let mut journal = std::pin::pin!(journal.run(received));
+    loop {
+        tokio::select! {
+            () = &mut journal => return End::Deposed,
+            host = ended.recv() => {
+                if let Some(host) = host {
+                    dealer.free(&host);
+                }
+            }
+            action = actions.recv() => match action {
+                None | Some(Action::Deposed) => return End::Deposed,
+                Some(Action::Append(record)) => {
+                    if records.send(record).is_err() {
+                        return End::Deposed;
+                    }
+                }
+                Some(Action::Advise(advise)) => dealer.take(advise),
+                Some(Action::Start(order)) => start(&handle, &worker, order),
+                Some(Action::Stop(order)) => stop(&handle, &worker, order),
+                Some(Action::Hold(look)) => hold(&handle, &worker, look),
+                // Answers stay with the control thread.
+                Some(Action::Answer { .. }) => {}
+            },
+        }
+    }
+}
+
+fn start(handle: &Handle, worker: &Worker, start: Start) {
+    let (handle, worker) = (handle.clone(), worker.clone());
+    tokio::spawn(async move {
+        let (outcome, clock_ms) = match handle.addresses.get(&start.host) {
+            Some(address) => worker.start(address, &start, ORDER_TIMEOUT).await,
+            None => (sycamore_graph::StartOutcome::Rejected, 0),
+        };
+        if outcome != sycamore_graph::StartOutcome::Started {
+            log::info!(
+                "start job={} task={}.{}.{} attempt={} host={} outcome={outcome:?}",
+                start.task.step.job,
+                start.task.step.occurrence,
+                start.task.step.index,
+                start.task.index,
+                start.attempt,
+                start.host
+            );
+        }
+        let Start { host, task, attempt, .. } = start;
+        handle.tell(Event::Started { host, task, attempt, outcome, clock_ms });
+    });
+}
+
+fn stop(handle: &Handle, worker: &Worker, stop: Stop) {
+    let (handle, worker) = (handle.clone(), worker.clone());
+    tokio::spawn(async move {
+        let order = match handle.addresses.get(&stop.host) {
+            Some(address) => worker.stop(address, &stop, ORDER_TIMEOUT).await,
+            None => Order::Unknown,
+        };
+        if order == Order::Unknown {
+            // The engine repeats at its next tick, not at once.
+            tokio::time::sleep(NO_ADDRESS_PAUSE).await;
+        }
+        let is_taken = order == Order::Taken;
+        let Stop { host, task, attempt } = stop;
+        handle.tell(Event::Stopped { host, task, attempt, is_taken });
+    });
+}
+
+fn hold(handle: &Handle, worker: &Worker, hold: Hold) {
+    let (handle, worker) = (handle.clone(), worker.clone());
+    tokio::spawn(async move {
+        let timeout = Duration::from_millis(hold.wait_ms) + HOLD_MARGIN;
+        let report = match handle.addresses.get(&hold.host) {
+            Some(address) => worker.hold(address, &hold, timeout).await,
+            None => {
+                tokio::time::sleep(NO_ADDRESS_PAUSE).await;
+                Err(Order::Unknown)
+            }
+        };
+        let (host, look) = (hold.host, hold.look);
+        handle.tell(match report {
+            Ok(report) => Event::Held { host, look, report },
+            Err(order) => Event::HoldFailed { host, look, is_gone: order == Order::Gone },
+        });
+    });
+}
--- /dev/null
+++ b/crates/node/src/owner/handle.rs
@@ -0,0 +1,83 @@
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Sender;
+
+use sycamore_graph::{Answer, Event, Record, job};
+use tokio::sync::oneshot;
+
+use super::Shared;
+use super::listing::Addresses;
+use crate::peer::{Ask, Verdict};
+
+/// What the control thread is told.
+#[derive(Debug)]
+pub(super) enum Input {
+    Event(Event),
+    Ask {
+        ask: Ask,
+        respond: oneshot::Sender<Verdict>,
+    },
+    /// Records that replace all earlier ones of some jobs, for the log.
+    Images {
+        jobs: Vec<job::Id>,
+        respond: oneshot::Sender<Vec<Record>>,
+    },
+    Stop,
+}
+
+/// Reaches the control thread of this process's owner.
+#[derive(Clone, Debug)]
+pub(crate) struct Handle {
+    pub epoch: u64,
+    pub(super) addresses: Arc<Addresses>,
+    control: Sender<Input>,
+    shared: Arc<Shared>,
+}
+
+impl Handle {
+    pub(super) fn new(epoch: u64, control: Sender<Input>, shared: Arc<Shared>) -> Handle {
+        Handle { epoch, addresses: Arc::default(), control, shared }
+    }
+
+    /// Hands an event to the engine. After its end, events have no effect.
+    pub(super) fn tell(&self, event: Event) {
+        let _ = self.control.send(Input::Event(event));
+    }
+
+    pub(super) fn stop(&self) {
+        let _ = self.control.send(Input::Stop);
+    }
+
+    /// Gets the engine's answer to a caller's request.
+    pub async fn ask(&self, ask: Ask) -> Verdict {
+        let needs_log = matches!(ask, Ask::Submit { .. } | Ask::Cancel { .. });
+        if needs_log && self.shared.is_store_away.load(Ordering::Relaxed) {
+            return Verdict::StoreAway;
+        }
+        let (respond, answer) = oneshot::channel();
+        if self.control.send(Input::Ask { ask, respond }).is_err() {
+            return Verdict::NotOwner;
+        }
+        answer.await.unwrap_or(Verdict::Unknown)
+    }
+
+    pub(super) async fn images(&self, jobs: Vec<job::Id>) -> Vec<Record> {
+        let (respond, answer) = oneshot::channel();
+        if self.control.send(Input::Images { jobs, respond }).is_err() {
+            return Vec::new();
+        }
+        answer.await.unwrap_or_default()
+    }
+}
+
+impl From<Answer> for Verdict {
+    fn from(answer: Answer) -> Verdict {
+        match answer {
+            Answer::Accepted => Verdict::Accepted,
+            Answer::Cancelled => Verdict::Cancelled,
+            Answer::State(state) => Verdict::State(state),
+            Answer::Count(count) => Verdict::Count(count),
+            Answer::NoSuchJob => Verdict::NoSuchJob,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/listing.rs
@@ -0,0 +1,68 @@
+//! Reads the platform's list of workers and keeps their addresses.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rustc_hash::FxHashMap;
+use sycamore_graph::{Event, HostEntry};
+use sycamore_platform::site::{Store, StoreError, key, parse_entry};
+use sycamore_types::Name;
+
+use super::Handle;
+use crate::node::Node;
+use crate::timing::{LIST_EVERY, STORE_TIMEOUT};
+
+/// Addresses of workers by name.
+#[derive(Debug, Default)]
+pub(super) struct Addresses {
+    known: std::sync::Mutex<FxHashMap<Name, SocketAddr>>,
+}
+
+impl Addresses {
+    pub fn get(&self, name: &str) -> Option<SocketAddr> {
+        self.known.lock().ok()?.get(name).copied()
+    }
+
+    fn set(&self, name: Name, address: SocketAddr) {
+        if let Ok(mut known) = self.known.lock() {
+            known.insert(name, address);
+        }
+    }
+}
+
+/// Reads the list again and again.
+pub(super) async fn run(node: Arc<Node>, handle: Handle) {
+    let mut last = Vec::new();
+    loop {
+        match read(&node.store, &handle.addresses).await {
+            Ok(entries) => {
+                if entries != last {
+                    last = entries.clone();
+                    handle.tell(Event::Listed(entries));
+                }
+            }
+            Err(error) => log::debug!("list of workers not read: {error}"),
+        }
+        tokio::time::sleep(LIST_EVERY).await;
+    }
+}
+
+async fn read(store: &Store, addresses: &Addresses) -> Result<Vec<HostEntry>, StoreError> {
+    let mut entries = Vec::new();
+    let mut after = String::new();
+    loop {
+        let page = store.range(key::WORKERS, &after, STORE_TIMEOUT).await?;
+        for item in &page.items {
+            let id = item.key.strip_prefix(key::WORKERS).unwrap_or(&item.key);
+            // An entry that can't be read names no worker to use.
+            if let Some((entry, address)) = parse_entry(id, &item.value) {
+                addresses.set(entry.id.clone(), address);
+                entries.push(entry);
+            }
+        }
+        match page.items.last() {
+            Some(last) if page.more_pages => after = last.key.clone(),
+            _ => return Ok(entries),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/mod.rs
@@ -0,0 +1,126 @@
+//! What the owner does: the control thread with the engine, the log, the workers.
+
+mod control;
+mod dealer;
+mod execute;
+mod handle;
+mod journal;
+mod listing;
+mod page;
+mod recover;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use sycamore_graph::{Engine, Event, Timing};
+use sycamore_platform::site::StoreError;
+use tokio::sync::mpsc;
+
+pub(crate) use handle::Handle;
+
+use crate::lead::{Claim, Leader};
+use crate::node::Node;
+use crate::timing::STORE_RETRY;
+
+/// What the parts of an owner share.
+#[derive(Debug, Default)]
+pub(crate) struct Shared {
+    /// The log has not been written for a while though records wait.
+    pub is_store_away: AtomicBool,
+}
+
+/// Why an owner ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum End {
+    /// Another process has won a higher epoch.
+    Deposed,
+    /// This process is stopping.
+    Stopping,
+}
+
+/// Owns the workers from the moment the claim is won until it is lost.
+pub(crate) async fn own(node: &Arc<Node>, claim: Claim, rev: u64) {
+    let (recovered, pages) = loop {
+        match recover::read_log(&node.store).await {
+            Ok(found) => break found,
+            Err(error) => log::warn!("log not read: {error}"),
+        }
+        tokio::time::sleep(STORE_RETRY).await;
+        // The claim may be lost meanwhile; a reader would not notice by itself.
+        if !matches!(Claim::read(&node.store).await, Ok((_, now)) if now == rev)
+            || node.is_stopping()
+        {
+            return;
+        }
+    };
+    let catalog = node.configs.current().map(|c| c.config.catalog.clone()).unwrap_or_default();
+    log::info!(
+        "owning epoch={} pages={} jobs={} config={}",
+        claim.epoch,
+        pages.len(),
+        recovered.jobs(),
+        catalog.version
+    );
+    let timing = Timing {
+        lease_ms: node.settings.lease_ms,
+        status_ms: node.settings.status_ms + node.settings.status_ms / 4,
+        gang_ms: node.settings.gang_ms,
+        cross_rack_factor: node.settings.cross_rack_factor,
+        ..Timing::default()
+    };
+    let engine = Engine::new(node.clock.now(), timing, catalog, recovered);
+    let (actions, received) = mpsc::unbounded_channel();
+    let shared = Arc::new(Shared::default());
+    let control = match control::spawn(engine, node.clock, actions) {
+        Ok(control) => control,
+        Err(error) => {
+            log::error!("control thread not started: {error}");
+            return;
+        }
+    };
+    let handle = Handle::new(claim.epoch, control, shared.clone());
+    node.lead.set(Leader::Here(handle.clone()), claim.epoch);
+    let journal = journal::Journal::new(node.store.clone(), handle.clone(), shared, rev, pages);
+    let end = tokio::select! {
+        end = execute::run(node.clone(), handle.clone(), received, journal) => end,
+        _ = listing::run(node.clone(), handle.clone()) => End::Deposed,
+        _ = follow_config(node, &handle) => End::Deposed,
+        _ = node.stopping.notified() => End::Stopping,
+    };
+    log::info!("no longer owning epoch={} why={end:?}", claim.epoch);
+    handle.stop();
+    node.lead.set(Leader::Unknown, claim.epoch);
+    if end == End::Stopping {
+        resign(node, claim, rev).await;
+    }
+}
+
+/// Lets another process take over at once.
+async fn resign(node: &Arc<Node>, claim: Claim, rev: u64) {
+    let vacant = Claim { is_vacant: true, ..claim };
+    match vacant.write(&node.store, rev).await {
+        Ok(_) | Err(StoreError::Conflict) => {}
+        Err(error) => log::warn!("not resigned, peers will notice: {error}"),
+    }
+}
+
+async fn follow_config(node: &Arc<Node>, handle: &Handle) {
+    let mut configs = node.configs.subscribe();
+    loop {
+        let current = configs.borrow_and_update().clone();
+        if let Some(current) = current {
+            handle.tell(Event::Configured(current.config.catalog.clone()));
+        }
+        if configs.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Shared {
+    pub fn set_store_away(&self, is_away: bool) {
+        if self.is_store_away.swap(is_away, Ordering::Relaxed) != is_away {
+            log::warn!("store is {}", if is_away { "away" } else { "back" });
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/page.rs
@@ -0,0 +1,45 @@
+//! Pages of the log in the store.
+
+use displaydoc::Display;
+use sycamore_graph::{Record, job};
+
+/// Beginning of the keys of all pages.
+pub(super) const PREFIX: &str = "sycamore/log/";
+
+/// a page of the log is malformed: {0}
+#[derive(Debug, Display)]
+pub(crate) struct PageError(String);
+
+impl std::error::Error for PageError {}
+
+/// Returns the key of a page. Keys sort like numbers.
+pub(super) fn key(number: u64) -> String {
+    format!("{PREFIX}{number:012}")
+}
+
+/// Returns the number of a page from its key.
+pub(super) fn number(key: &str) -> Option<u64> {
+    key.strip_prefix(PREFIX)?.parse().ok()
+}
+
+pub(super) fn encode(records: &[Record]) -> Result<Vec<u8>, PageError> {
+    bincode::serde::encode_to_vec(records, bincode::config::standard())
+        .map_err(|error| PageError(error.to_string()))
+}
+
+pub(super) fn decode(bytes: &[u8]) -> Result<Vec<Record>, PageError> {
+    bincode::serde::decode_from_slice(bytes, bincode::config::standard())
+        .map(|(records, _)| records)
+        .map_err(|error| PageError(error.to_string()))
+}
+
+/// Returns the job that a record is about.
+pub(super) fn job_of(record: &Record) -> Option<job::Id> {
+    match record {
+        Record::Accepted { job, .. } => Some(*job),
+        Record::Ended(ended) => Some(ended.task.step.job),
+        Record::Closed(closed) => Some(closed.job),
+        Record::Image(image) => Some(image.job),
+        Record::HostUsed { .. } | Record::HostReleased { .. } => None,
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/recover.rs
@@ -0,0 +1,37 @@
+use displaydoc::Display;
+use sycamore_graph::Recovered;
+use sycamore_platform::site::{Store, StoreError};
+
+use super::journal::Page;
+use super::page::{self, PageError};
+use crate::timing::STORE_TIMEOUT;
+
+/// Why the log can't be read.
+#[derive(Debug, Display)]
+pub(super) enum Error {
+    /// {0}
+    Store(StoreError),
+    /// {0}
+    Page(PageError),
+}
+
+/// Reads the whole log.
+pub(super) async fn read_log(store: &Store) -> Result<(Recovered, Vec<Page>), Error> {
+    let mut recovered = Recovered::default();
+    let mut pages = Vec::new();
+    let mut after = String::new();
+    loop {
+        let found =
+            store.range(page::PREFIX, &after, 3 * STORE_TIMEOUT).await.map_err(Error::Store)?;
+        for item in &found.items {
+            let Some(number) = page::number(&item.key) else { continue };
+            let records = page::decode(&item.value).map_err(Error::Page)?;
+            pages.push(Page::of(number, &records));
+            records.into_iter().for_each(|record| recovered.apply(record));
+        }
+        match found.items.last() {
+            Some(last) if found.more_pages => after = last.key.clone(),
+            _ => return Ok((recovered, pages)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/peer/message.rs
@@ -0,0 +1,88 @@
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use sycamore_graph::Step;
+use sycamore_graph::job::{Id, Spec, State};
+use sycamore_types::Name;
+
+/// A call between processes.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) enum Command {
+    Ping(Ping),
+    /// A caller's request, for the owner.
+    Ask(Ask),
+    /// Ask the advice service in the owner's place.
+    Advise {
+        step: Step,
+        hosts: Vec<Name>,
+        timeout_ms: u64,
+    },
+    /// Send the configuration in force.
+    Config,
+    /// Tell when the owner was last heard.
+    Heard,
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) enum Reply {
+    Pong(Pong),
+    Verdict(Verdict),
+    /// Allowed workers with their tickets; `None` when there was no advice.
+    Advice(Option<Vec<(Name, Name)>>),
+    Config(Option<Vec<u8>>),
+    /// Epoch of the owner that was heard within the last moments.
+    Heard(Option<u64>),
+}
+
+/// Asks whether the owner is there.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Ping {
+    pub host: Name,
+    pub address: SocketAddr,
+    pub config_version: u64,
+    /// Highest epoch that the sender knows of.
+    pub epoch: u64,
+}
+
+/// What a process is, and what it knows of the others.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Pong {
+    pub role: Role,
+    pub config_version: u64,
+    /// The store answers to this process.
+    pub store_is_near: bool,
+    /// Processes that the owner has heard of.
+    pub peers: Vec<(Name, SocketAddr)>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) enum Role {
+    Owner { epoch: u64 },
+    Follower,
+}
+
+/// A caller's request.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) enum Ask {
+    Submit { job: Id, queue: Name, team: Name, spec: Spec },
+    Cancel { job: Id, team: Name },
+    Query { job: Id, team: Name },
+    Count { queue: Name },
+}
+
+/// The owner's answer to a caller's request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) enum Verdict {
+    Accepted,
+    Cancelled,
+    State(State),
+    Count(u64),
+    NoSuchJob,
+    /// This process does not own; nothing was done.
+    NotOwner,
+    /// The store is away; nothing was done.
+    StoreAway,
+    /// The owner stopped before it could tell.
+    Unknown,
+}
--- /dev/null
+++ b/crates/node/src/timing.rs
@@ -0,0 +1,69 @@
+//! Time limits of the process.
+
+use std::time::Duration;
+
+/// Time between two pings of the owner. Two misses fit into [`OWNER_SILENCE`].
+pub(crate) const PING_EVERY: Duration = Duration::from_millis(200);
+
+/// Longest wait for the answer to a ping.
+pub(crate) const PING_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Silence of the owner after which a process tries to take over.
+///
+/// A takeover by mistake is safe, so that this only weighs its cost, about 200 ms
+/// without starts, against the time lost when the owner is gone.
+pub(crate) const OWNER_SILENCE: Duration = Duration::from_millis(700);
+
+/// Longest random pause before a claim, which spreads the contenders.
+pub(crate) const CLAIM_JITTER: Duration = Duration::from_millis(120);
+
+/// Longest wait for an ordinary call of the store. Its documented answer takes 4 ms;
+/// when it is slow, 60 times that.
+pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a failed call of the store.
+pub(crate) const STORE_RETRY: Duration = Duration::from_millis(150);
+
+/// Wait of one watch of the configuration. Bounds how long a connection that has gone
+/// silent stays unnoticed.
+pub(crate) const CONFIG_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Time between two reads of the workers' list.
+pub(crate) const LIST_EVERY: Duration = Duration::from_millis(500);
+
+/// Time for which records gather before they are written together.
+pub(crate) const COMMIT_DELAY: Duration = Duration::from_millis(10);
+
+/// Time between two ticks of the engine.
+pub(crate) const TICK: Duration = Duration::from_millis(50);
+
+/// Longest wait for the answer to a start or stop order.
+pub(crate) const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Allowance on top of a look's own wait.
+pub(crate) const HOLD_MARGIN: Duration = Duration::from_millis(600);
+
+/// Allowance on top of the expected time of a call for advice.
+pub(crate) const ADVICE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Longest wait for the owner's answer in one attempt.
+pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Pause before a request is offered to the owner again.
+pub(crate) const ASK_RETRY: Duration = Duration::from_millis(60);
+
+/// Part of a caller's deadline that is kept for the way back.
+pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(250);
+
+/// Time for which the store may fail before new jobs are refused at once.
+pub(crate) const STORE_DOWN_AFTER: Duration = Duration::from_millis(600);
+
+/// Time after SIGTERM for which a process goes on as before. The balancer needs two
+/// probes, a second apart, to see that it is not ready.
+pub(crate) const DRAIN_DELAY: Duration = Duration::from_millis(2_300);
+
+/// Part of the grace period that is left when a process exits by itself.
+pub(crate) const EXIT_MARGIN: Duration = Duration::from_millis(700);
+
+/// Time between looks at the settings file for changes without a signal.
+pub(crate) const SETTINGS_EVERY: Duration = Duration::from_millis(1_000);
--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -40,9 +40,14 @@
 impl Client {
     /// Builds a client.
     pub fn new() -> Client {
+        Client::with_idle_timeout(IDLE_TIMEOUT)
+    }
+
+    /// Builds a client that keeps idle connections for so long.
+    pub fn with_idle_timeout(idle_timeout: Duration) -> Client {
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_idle_timeout(idle_timeout)
             .pool_max_idle_per_host(IDLE_PER_HOST)
             .build(connector());
         Client { inner }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http;
 pub mod otlp;
 mod signals;
+pub mod site;
 pub mod store;
 pub mod worker;
 
--- /dev/null
+++ b/crates/platform/src/site/advice.rs
@@ -0,0 +1,69 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
+use sycamore_graph::Step;
+use sycamore_types::Name;
+
+use super::task::step_name;
+use crate::http::Client;
+
+#[derive(Serialize)]
+struct Body<'a> {
+    step: String,
+    workers: &'a [Name],
+}
+
+#[derive(Deserialize)]
+struct Answer {
+    /// Worker and ticket.
+    allowed: Vec<(Name, Name)>,
+}
+
+/// The service that tells which workers may run a step.
+#[derive(Clone, Debug)]
+pub struct Adviser {
+    address: SocketAddr,
+    client: Client,
+}
+
+impl Adviser {
+    /// Builds a client of the service at an address.
+    pub fn new(address: SocketAddr, client: Client) -> Adviser {
+        Adviser { address, client }
+    }
+
+    /// Asks which of some workers may run a step. `None` when there was no answer.
+    pub async fn ask(
+        &self,
+        step: &Step,
+        workers: &[Name],
+        timeout: Duration,
+    ) -> Option<Vec<(Name, Name)>> {
+        let body = serde_json::to_vec(&Body { step: step_name(step), workers }).ok()?;
+        let request = Request::post(format!("http://{}/sycamorechute/advise", self.address))
+            .header("content-type", "application/json")
+            .body(Full::new(body.into()))
+            .ok()?;
+        match self.client.call(request, timeout).await {
+            Ok(response) if response.status() == StatusCode::OK => {
+                let answer: Result<Answer, _> = serde_json::from_slice(response.body());
+                answer.map(|answer| answer.allowed).map_err(|error| warn(&error)).ok()
+            }
+            Ok(response) => {
+                log::debug!("advice refused with status {}", response.status());
+                None
+            }
+            Err(error) => {
+                warn(&error);
+                None
+            }
+        }
+    }
+}
+
+fn warn(error: &dyn std::fmt::Display) {
+    log::warn!("no advice: {error}");
+}
--- /dev/null
+++ b/crates/platform/src/site/config.rs
@@ -0,0 +1,202 @@
+use std::collections::BTreeMap;
+
+use displaydoc::Display;
+use serde::Deserialize;
+use sycamore_graph::catalog::{Advice, Catalog, Queue, Team};
+use sycamore_types::Name;
+use sycamore_types::resources::Resources;
+
+/// The operators' configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    /// Queues and teams.
+    pub catalog: Catalog,
+    /// Where requests come in.
+    pub routes: Vec<Route>,
+    /// Team of each key.
+    pub keys: BTreeMap<Name, Name>,
+    /// Bounds of requests.
+    pub limits: Limits,
+}
+
+/// Maps requests to a queue.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// Host name of the request.
+    pub host: Name,
+    /// Beginning of the path.
+    pub prefix: Name,
+    /// Queue that takes the job.
+    pub queue: Name,
+    /// No key is needed.
+    pub is_open: bool,
+    /// Longest time of a request, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+/// Bounds of requests.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, rename_all = "kebab-case")]
+pub struct Limits {
+    /// Largest head, in bytes.
+    pub max_header_bytes: usize,
+    /// Largest body, in bytes.
+    pub max_body_bytes: usize,
+    /// Time within which a head must arrive, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Time after which an idle connection is closed, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for Limits {
+    // The figures of the documented example.
+    fn default() -> Limits {
+        Limits {
+            max_header_bytes: 16_384,
+            max_body_bytes: 262_144,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
+/// a configuration is malformed: {0}
+#[derive(Debug, Display)]
+pub struct ConfigError(serde_json::Error);
+
+impl std::error::Error for ConfigError {}
+
+#[derive(Deserialize)]
+struct Document {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<RouteEntry>,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    tenants: Vec<Tenant>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RouteEntry {
+    name: Name,
+    host: Name,
+    prefix: Name,
+    service: Name,
+    #[serde(default)]
+    timeout_ms: f64,
+    /// The objective's allowance on top of the work, not an objective by itself.
+    #[serde(default)]
+    slo_ms: f64,
+    #[serde(default)]
+    priority: u32,
+    /// Failed attempts of a task after which its job has failed.
+    #[serde(default = "default_attempts")]
+    attempts: u32,
+    #[serde(default = "default_slack")]
+    slack_factor: f64,
+    /// Cost of placement advice.
+    #[serde(default)]
+    hint: Option<Hint>,
+    #[serde(default)]
+    public: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Hint {
+    #[serde(default)]
+    decide_ms: f64,
+    #[serde(default)]
+    per_item_ms: f64,
+    #[serde(default)]
+    valid_ms: f64,
+}
+
+#[derive(Deserialize)]
+struct Tenant {
+    name: Name,
+    #[serde(default)]
+    keys: Vec<Name>,
+    #[serde(default)]
+    weight: f64,
+    #[serde(default)]
+    cap: Cap,
+}
+
+/// Upper limit of what a team has running; zero means none.
+#[derive(Default, Deserialize)]
+#[serde(default, rename_all = "kebab-case")]
+struct Cap {
+    cpu: u32,
+    mem_mb: u32,
+    gpu: u32,
+}
+
+/// Attempts of a queue that sets none.
+fn default_attempts() -> u32 {
+    4
+}
+
+/// Slack of a queue that sets none.
+fn default_slack() -> f64 {
+    2.0
+}
+
+impl Config {
+    /// Reads a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Tells what of it can't be used.
+    pub fn parse(bytes: &[u8]) -> Result<Config, ConfigError> {
+        let document: Document = serde_json::from_slice(bytes).map_err(ConfigError)?;
+        let mut config = Config { limits: document.limits, ..Config::default() };
+        config.catalog.version = document.version;
+        for entry in document.routes {
+            config.routes.push(Route {
+                host: entry.host.clone(),
+                prefix: entry.prefix.clone(),
+                queue: entry.name.clone(),
+                is_open: entry.public,
+                timeout_ms: entry.timeout_ms as u64,
+            });
+            config.catalog.queues.insert(entry.name.clone(), entry.into_queue());
+        }
+        // The longest prefix wins.
+        config.routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        for tenant in document.tenants {
+            let limit = Resources {
+                cpu_millis: tenant.cap.cpu,
+                memory_mib: tenant.cap.mem_mb,
+                accelerators: tenant.cap.gpu,
+                slots: 0,
+                connections: 0,
+            };
+            let weight = tenant.weight.max(1.0) as u32;
+            config.catalog.teams.insert(tenant.name.clone(), Team { weight, limit });
+            for key in tenant.keys {
+                config.keys.insert(key, tenant.name.clone());
+            }
+        }
+        Ok(config)
+    }
+}
+
+impl RouteEntry {
+    fn into_queue(self) -> Queue {
+        Queue {
+            service: self.service,
+            priority: self.priority,
+            max_attempts: self.attempts,
+            slack_factor: self.slack_factor,
+            objective_ms: self.slo_ms as u64,
+            advice: self.hint.map(|hint| Advice {
+                base_ms: hint.decide_ms,
+                per_host_ms: hint.per_item_ms,
+                valid_ms: hint.valid_ms as u64,
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/site/job.rs
@@ -0,0 +1,124 @@
+use displaydoc::Display;
+use serde::Deserialize;
+use sycamore_graph::job::{Schedule, Spec, SpecError, State, Step};
+use sycamore_types::Name;
+use sycamore_types::resources::Resources;
+
+/// Why a submission can't be taken.
+#[derive(Debug, Display)]
+#[non_exhaustive]
+pub enum JobError {
+    /// the body is malformed: {0}
+    Syntax(serde_json::Error),
+    /// {0}
+    Spec(SpecError),
+}
+
+impl std::error::Error for JobError {}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Body {
+    #[serde(default)]
+    spec: Name,
+    #[serde(default)]
+    steps: Vec<StepBody>,
+    #[serde(default)]
+    start_at_ms: u64,
+    #[serde(default)]
+    interval_ms: u64,
+    #[serde(default)]
+    times: u32,
+}
+
+/// A step; the platform leaves out what is zero, false or empty.
+#[derive(Default, Deserialize)]
+#[serde(default, rename_all = "kebab-case")]
+struct StepBody {
+    count: u32,
+    cpu: u32,
+    mem_mb: u32,
+    gpu: u32,
+    est_ms: f64,
+    after: Vec<u16>,
+    gang: bool,
+    same_rack: bool,
+    constraints: Option<Name>,
+    affinity: Option<Name>,
+    max_per_server: u32,
+    checkpointing: bool,
+    speculative: bool,
+    long_running: bool,
+    image: Option<Name>,
+    goal_ms: f64,
+    fills: bool,
+    max_unavailable: Option<u32>,
+}
+
+impl From<StepBody> for Step {
+    fn from(body: StepBody) -> Step {
+        let label = |name: Option<Name>| name.filter(|name| !name.is_empty());
+        Step {
+            tasks: body.count,
+            size: Resources {
+                cpu_millis: body.cpu,
+                memory_mib: body.mem_mb,
+                accelerators: body.gpu,
+                slots: 0,
+                connections: 0,
+            },
+            estimate_ms: body.est_ms as u64,
+            after: body.after,
+            is_gang: body.gang,
+            prefers_one_rack: body.same_rack,
+            required_label: label(body.constraints),
+            data_rack: label(body.affinity),
+            max_per_host: body.max_per_server,
+            is_speculative: body.speculative,
+            is_checkpointing: body.checkpointing,
+            is_service: body.long_running,
+            image: label(body.image),
+            latency_objective_ms: body.goal_ms as u64,
+            is_best_effort: body.fills,
+            max_unavailable: body.max_unavailable,
+        }
+    }
+}
+
+/// Reads a submission.
+///
+/// # Errors
+///
+/// Tells what of it can't be used.
+pub fn parse_job(body: &[u8]) -> Result<Spec, JobError> {
+    let body: Body = serde_json::from_slice(body).map_err(JobError::Syntax)?;
+    let schedule = (body.times > 0).then_some(Schedule {
+        first_unix_ms: body.start_at_ms,
+        interval_ms: body.interval_ms,
+        times: body.times,
+    });
+    let spec = Spec {
+        payload: body.spec,
+        steps: body.steps.into_iter().map(Step::from).collect(),
+        schedule,
+    };
+    spec.check().map_err(JobError::Spec)?;
+    Ok(spec)
+}
+
+/// Writes the state of a submission.
+pub fn render_state(state: State) -> String {
+    let word = match state {
+        State::Queued => "queued",
+        State::Running => "running",
+        State::Complete => "complete",
+        State::Failed => "failed",
+        State::Cancelled => "cancelled",
+    };
+    format!("{{\"state\":\"{word}\"}}")
+}
+
+/// Writes how many submissions of a queue wait.
+pub fn render_count(count: u64) -> String {
+    format!("{{\"pending\":{count}}}")
+}
--- /dev/null
+++ b/crates/platform/src/site/settings.rs
@@ -0,0 +1,156 @@
+use std::net::SocketAddr;
+
+use displaydoc::Display;
+use serde::Deserialize;
+use sycamore_types::Name;
+
+/// Settings that the platform gives to a process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the host.
+    pub host: Name,
+    /// Failure domain of the host.
+    pub failure_domain: Name,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for readiness probes.
+    pub readiness: Option<SocketAddr>,
+    /// Address for other processes of the system.
+    pub peers: SocketAddr,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Largest value of the store, in bytes.
+    pub max_value_bytes: usize,
+    /// Address of the advice service.
+    pub advice: Option<SocketAddr>,
+    /// Longest lease of a worker, in milliseconds.
+    pub lease_ms: u64,
+    /// Time a gang waits for its members, in milliseconds.
+    pub gang_ms: u64,
+    /// Time a closed job stays known, in milliseconds.
+    pub status_ms: u64,
+    /// Time from SIGTERM to SIGKILL, in milliseconds.
+    pub grace_ms: u64,
+    /// Slowdown of work away from its data.
+    pub cross_rack_factor: f64,
+}
+
+/// Why settings can't be used.
+#[derive(Debug, Display)]
+#[non_exhaustive]
+pub enum SettingsError {
+    /// can't read the settings file: {0}
+    Read(std::io::Error),
+    /// the settings file is malformed: {0}
+    Syntax(String),
+    /// setting `{0}` is missing or malformed
+    Field(&'static str),
+}
+
+impl std::error::Error for SettingsError {}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct File {
+    node: Name,
+    ip: String,
+    zone: Name,
+    internal_ports: Vec<u16>,
+    #[serde(default)]
+    hint: String,
+    listen: Listen,
+    bounds: Bounds,
+    platform: Platform,
+}
+
+#[derive(Deserialize)]
+struct Listen {
+    front: String,
+    #[serde(default)]
+    ready: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Bounds {
+    // Spelled with dashes or with underscores, as the platform has it.
+    #[serde(rename = "hold-max-ms", default = "default_lease_ms")]
+    hold_max_ms: u64,
+    #[serde(rename = "gang-ms", default = "default_gang_ms")]
+    gang_ms: u64,
+    #[serde(rename = "grace-s", default = "default_grace_s")]
+    grace_s: f64,
+    #[serde(default = "default_status_s")]
+    status_s: f64,
+    #[serde(rename = "cross-rack-factor", default = "default_cross_rack_factor")]
+    cross_rack_factor: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Platform {
+    addr: String,
+    #[serde(default = "default_value_bytes")]
+    value_bytes: usize,
+}
+
+// The figures of the documented sites, for files that leave them out.
+fn default_lease_ms() -> u64 {
+    6_000
+}
+fn default_gang_ms() -> u64 {
+    3_000
+}
+fn default_grace_s() -> f64 {
+    6.0
+}
+fn default_status_s() -> f64 {
+    120.0
+}
+fn default_cross_rack_factor() -> f64 {
+    2.0
+}
+fn default_value_bytes() -> usize {
+    1 << 20
+}
+
+impl Settings {
+    /// Reads the settings file.
+    ///
+    /// # Errors
+    ///
+    /// Names the first field that can't be used.
+    pub fn read(path: &str) -> Result<Settings, SettingsError> {
+        Settings::parse(&std::fs::read_to_string(path).map_err(SettingsError::Read)?)
+    }
+
+    /// Reads the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Names the first field that can't be used.
+    pub fn parse(text: &str) -> Result<Settings, SettingsError> {
+        let file: File =
+            toml::from_str(text).map_err(|error| SettingsError::Syntax(error.to_string()))?;
+        let address = |text: &str, field| text.parse().map_err(|_| SettingsError::Field(field));
+        let port = file.internal_ports.first().ok_or(SettingsError::Field("internal-ports"))?;
+        let readiness = file.listen.ready.as_deref();
+        Ok(Settings {
+            callers: address(&file.listen.front, "listen.front")?,
+            readiness: readiness.map(|text| address(text, "listen.ready")).transpose()?,
+            peers: address(&format!("{}:{port}", file.ip), "ip")?,
+            store: address(&file.platform.addr, "platform.addr")?,
+            max_value_bytes: file.platform.value_bytes,
+            advice: match file.hint.as_str() {
+                "" => None,
+                text => Some(address(text, "hint")?),
+            },
+            host: file.node,
+            failure_domain: file.zone,
+            lease_ms: file.bounds.hold_max_ms,
+            gang_ms: file.bounds.gang_ms,
+            status_ms: (file.bounds.status_s * 1_000.0) as u64,
+            grace_ms: (file.bounds.grace_s * 1_000.0) as u64,
+            cross_rack_factor: file.bounds.cross_rack_factor,
+        })
+    }
+}
--- /dev/null
+++ b/crates/platform/src/site/store.rs
@@ -0,0 +1,269 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use displaydoc::Display;
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
+
+use crate::http::{Client, Error};
+
+/// Allowance on top of a watch's own wait, in milliseconds.
+const WATCH_MARGIN: Duration = Duration::from_millis(800);
+
+/// Why a call of the store failed.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum StoreError {
+    /// the store refused the call and did nothing: status {0}
+    Refused(u16),
+    /// the store can't be reached, nothing was sent: {0}
+    NotSent(String),
+    /// the call may have been carried out: {0}
+    Unknown(String),
+    /// the condition does not hold
+    Conflict,
+    /// the history asked for is gone
+    Compacted,
+}
+
+impl std::error::Error for StoreError {}
+
+impl From<Error> for StoreError {
+    fn from(error: Error) -> StoreError {
+        match error {
+            Error::NotSent(text) => StoreError::NotSent(text),
+            Error::Unknown(text) => StoreError::Unknown(text),
+        }
+    }
+}
+
+/// One key with its value.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Item {
+    /// The key.
+    pub key: String,
+    /// The value.
+    #[serde(default, deserialize_with = "from_base64")]
+    pub value: Vec<u8>,
+    /// Revision of the last change.
+    pub rev: u64,
+}
+
+/// One page of a range.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Page {
+    /// Items in order of their keys.
+    pub items: Vec<Item>,
+    /// Another page follows.
+    #[serde(default)]
+    pub more_pages: bool,
+    /// Revision of the store.
+    pub as_of: u64,
+}
+
+/// Outcome of a watch.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Watched {
+    /// Changes in order.
+    pub events: Vec<Change>,
+    /// Revision to go on from.
+    pub as_of: u64,
+}
+
+/// One change of a key.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Change {
+    /// The key.
+    pub key: String,
+    /// The value. Empty when removed.
+    #[serde(default, deserialize_with = "from_base64")]
+    pub value: Vec<u8>,
+    /// The key was removed.
+    #[serde(default)]
+    pub removed: bool,
+}
+
+/// A change that happens as a whole or not at all.
+#[derive(Clone, Debug, Default, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Transaction {
+    /// Revisions that keys must have; 0 for a key that must not exist.
+    #[serde(rename = "expected-rev")]
+    pub expected: Vec<Expected>,
+    /// Keys to write.
+    pub puts: Vec<Put>,
+    /// Keys to remove.
+    pub remove: Vec<String>,
+}
+
+/// A condition of a change.
+#[derive(Clone, Debug, Serialize)]
+pub struct Expected {
+    /// The key.
+    pub key: String,
+    /// Its revision.
+    pub rev: u64,
+}
+
+/// A key to write.
+#[derive(Clone, Debug, Serialize)]
+pub struct Put {
+    /// The key.
+    pub key: String,
+    /// Its value in base64.
+    pub value: String,
+}
+
+impl Transaction {
+    /// Demands that a key has a revision.
+    pub fn expect(mut self, key: &str, rev: u64) -> Transaction {
+        self.expected.push(Expected { key: key.to_string(), rev });
+        self
+    }
+
+    /// Writes a key.
+    pub fn put(mut self, key: &str, value: &[u8]) -> Transaction {
+        self.puts.push(Put { key: key.to_string(), value: STANDARD.encode(value) });
+        self
+    }
+
+    /// Removes a key.
+    pub fn remove(mut self, key: &str) -> Transaction {
+        self.remove.push(key.to_string());
+        self
+    }
+}
+
+#[derive(Deserialize)]
+struct Written {
+    rev: u64,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    address: SocketAddr,
+    client: Client,
+}
+
+impl Store {
+    /// Builds a client of the store at an address.
+    pub fn new(address: SocketAddr, client: Client) -> Store {
+        Store { address, client }
+    }
+
+    /// Reads one key. `None` when it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store refuses or does not answer.
+    pub async fn get(&self, key: &str, timeout: Duration) -> Result<Option<Item>, StoreError> {
+        let path = format!("/sycamorechute/kv-key?key={key}");
+        let (status, body) = self.call(Method::GET, &path, Bytes::new(), timeout).await?;
+        match status {
+            StatusCode::OK => decode(&body).map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            other => Err(StoreError::Refused(other.as_u16())),
+        }
+    }
+
+    /// Reads the first page of a range after a key.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store refuses or does not answer.
+    pub async fn range(
+        &self,
+        prefix: &str,
+        after: &str,
+        timeout: Duration,
+    ) -> Result<Page, StoreError> {
+        let mut path = format!("/sycamorechute/kv-range?prefix={prefix}");
+        if !after.is_empty() {
+            path.push_str("&after=");
+            path.push_str(after);
+        }
+        let (status, body) = self.call(Method::GET, &path, Bytes::new(), timeout).await?;
+        match status {
+            StatusCode::OK => decode(&body),
+            other => Err(StoreError::Refused(other.as_u16())),
+        }
+    }
+
+    /// Waits for changes after a revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store refuses or does not answer, or lacks the history.
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Watched, StoreError> {
+        let wait_ms = wait.as_millis();
+        let path =
+            format!("/sycamorechute/kv-watch?prefix={prefix}&after={after}&wait-ms={wait_ms}");
+        let (status, body) =
+            self.call(Method::GET, &path, Bytes::new(), wait + WATCH_MARGIN).await?;
+        match status {
+            StatusCode::OK => decode(&body),
+            StatusCode::GONE => Err(StoreError::Compacted),
+            other => Err(StoreError::Refused(other.as_u16())),
+        }
+    }
+
+    /// Changes keys under a condition. Returns the new revision.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Conflict`] when the condition does not hold.
+    pub async fn commit(
+        &self,
+        transaction: &Transaction,
+        timeout: Duration,
+    ) -> Result<u64, StoreError> {
+        let body = serde_json::to_vec(transaction)
+            .map_err(|error| StoreError::NotSent(error.to_string()))?;
+        let path = "/sycamorechute/kv-txn";
+        let (status, body) = self.call(Method::POST, path, body.into(), timeout).await?;
+        match status {
+            StatusCode::OK => decode::<Written>(&body).map(|written| written.rev),
+            StatusCode::PRECONDITION_FAILED => Err(StoreError::Conflict),
+            other => Err(StoreError::Refused(other.as_u16())),
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header("content-type", "application/json")
+            .body(Full::new(body))
+            .map_err(|error| StoreError::NotSent(error.to_string()))?;
+        let response = self.client.call(request, timeout).await?;
+        let status = response.status();
+        Ok((status, response.into_body()))
+    }
+}
+
+fn decode<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(body).map_err(|error| StoreError::Unknown(error.to_string()))
+}
+
+fn from_base64<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
+    let text = std::borrow::Cow::<str>::deserialize(deserializer)?;
+    STANDARD.decode(text.as_bytes()).map_err(serde::de::Error::custom)
+}
--- a/crates/telemetry/src/logs/mod.rs
+++ b/crates/telemetry/src/logs/mod.rs
@@ -4,7 +4,9 @@
 
 use displaydoc::Display;
 use log::LevelFilter;
-use log4rs::append::console::{ConsoleAppender, Target};
+pub use log4rs::append::console::Target;
+
+use log4rs::append::console::ConsoleAppender;
 use log4rs::config::{Appender, Config, Root};
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
@@ -49,7 +51,16 @@
 ///
 /// Fails when logging is set up already.
 pub fn start(format: Format) -> Result<(), Error> {
-    let builder = ConsoleAppender::builder().target(Target::Stderr);
+    start_on(format, Target::Stderr)
+}
+
+/// Writes log lines to one of the standard streams from now on.
+///
+/// # Errors
+///
+/// Fails when logging is set up already.
+pub fn start_on(format: Format, target: Target) -> Result<(), Error> {
+    let builder = ConsoleAppender::builder().target(target);
     let appender = match format {
         Format::Json => builder.encoder(Box::new(JsonEncoder::new())).build(),
         Format::Text => {
@@ -58,8 +69,8 @@
         }
     };
     let config = Config::builder()
-        .appender(Appender::builder().build("stderr", Box::new(appender)))
-        .build(Root::builder().appender("stderr").build(LevelFilter::Info))
+        .appender(Appender::builder().build("console", Box::new(appender)))
+        .build(Root::builder().appender("console").build(LevelFilter::Info))
         .map_err(|_| Error::Repeated)?;
     log4rs::init_config(config).map(|_| ()).map_err(|_| Error::Repeated)
 }
--- a/crates/wire/src/channel/pool.rs
+++ b/crates/wire/src/channel/pool.rs
@@ -5,12 +5,13 @@
 use bytes::Bytes;
 use h2::client::SendRequest;
 use http::Request;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::Mutex;
 
 use super::{Call, connection};
+use crate::Error;
 use crate::frame::Writer;
-use crate::{Command, Error};
 
 /// Which connection a call travels on.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -39,7 +40,7 @@
         &self,
         address: SocketAddr,
         lane: Lane,
-        command: &Command,
+        command: &impl Serialize,
     ) -> Result<T, Error> {
         let call = self.open(address, lane, command, true).await?;
         let mut reader = call.answer().await?;
@@ -55,7 +56,7 @@
         &self,
         address: SocketAddr,
         lane: Lane,
-        command: &Command,
+        command: &impl Serialize,
         is_last: bool,
     ) -> Result<Call, Error> {
         let mut sender = self.sender(address, lane).await?;
--- a/crates/wire/src/server/mod.rs
+++ b/crates/wire/src/server/mod.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use h2::server::SendResponse;
 use http::{Response, StatusCode};
+use serde::de::DeserializeOwned;
 use tokio::io::{AsyncRead, AsyncWrite};
 
 use crate::frame::{Reader, Writer};
@@ -19,15 +20,15 @@
 
 /// One call that has come in.
 #[derive(Debug)]
-pub struct Incoming {
+pub struct Incoming<C = Command> {
     /// What is asked.
-    pub command: Command,
+    pub command: C,
     /// Raw bytes that follow.
     pub reader: Reader,
     respond: SendResponse<Bytes>,
 }
 
-impl Incoming {
+impl<C> Incoming<C> {
     /// Begins the answer.
     ///
     /// # Errors
@@ -48,10 +49,11 @@
 /// # Errors
 ///
 /// Fails when the connection breaks.
-pub async fn serve<S, F, Fut>(socket: S, take: F) -> Result<(), Error>
+pub async fn serve<S, C, F, Fut>(socket: S, take: F) -> Result<(), Error>
 where
     S: AsyncRead + AsyncWrite + Unpin,
-    F: Fn(Incoming) -> Fut + Clone + Send + 'static,
+    C: DeserializeOwned + Send,
+    F: Fn(Incoming<C>) -> Fut + Clone + Send + 'static,
     Fut: Future<Output = ()> + Send,
 {
     let mut connection = h2::server::Builder::new()
@@ -65,7 +67,7 @@
         let take = take.clone();
         tokio::spawn(async move {
             let mut reader = Reader::new(request.into_body());
-            if let Ok(command) = reader.frame::<Command>().await {
+            if let Ok(command) = reader.frame::<C>().await {
                 take(Incoming { command, reader, respond }).await;
             }
         });
