--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -10,9 +10,9 @@
 
 use super::Engine;
 use super::dispatch::{Demand, enough};
-use super::room::{Candidate, Claims};
+use super::room::{Candidate, Spot};
 use crate::catalog::Advice;
-use crate::progress::Ticket;
+use crate::progress::{self, Ticket};
 use crate::{Action, Advise, Step};
 
 /// Most workers in one call. Platform documentation: at most 100; more than 40 costs
@@ -38,8 +38,8 @@
         demand: &Demand,
         queue: &Name,
         cost: Advice,
-        candidates: Vec<Candidate>,
-        claims: &mut Claims,
+        found: Vec<Candidate>,
+        spots: &[Spot],
     ) -> Vec<Candidate> {
         let now_ms = self.now.steady_ms;
         let rate = self.allow_rate.get(queue).copied().unwrap_or(FIRST_RATE);
@@ -47,54 +47,17 @@
             return Vec::new();
         };
         let advice = &step.advice;
-        let valid_until = now_ms + self.timing.ticket_margin_ms;
-        let mut ready = Vec::new();
-        let mut allowed = Vec::new();
-        let mut unknown = Vec::new();
-        for candidate in candidates {
-            match advice.allowed.get(&candidate.host) {
-                Some(ticket) => {
-                    if ticket.expires_ms > valid_until {
-                        ready.push(candidate.clone());
-                    }
-                    allowed.push(candidate);
-                }
-                None if advice.denied.contains(&candidate.host) => {}
-                None => unknown.push(candidate),
-            }
-        }
-        let wanted = demand.waiting.min(demand.allowed);
-        if enough(&ready, wanted) {
-            return ready;
-        }
+        let sorted = Sorted::new(found, advice, spots, now_ms + self.timing.ticket_margin_ms);
+        let wanted = demand.wanted();
         let may_ask = !advice.is_asking && now_ms >= advice.not_before_ms;
-        let asked = if !may_ask {
-            Vec::new()
-        } else if enough(&allowed, wanted) {
-            renewals(&allowed, &ready, wanted)
-        } else {
-            let most: u32 = allowed.iter().map(|candidate| candidate.most).sum();
-            let room: u32 = allowed.iter().map(|candidate| candidate.slots).sum();
-            // A gang that its workers could hold waits for room there.
-            if demand.is_gang && most >= wanted {
-                Vec::new()
-            } else {
-                let known = if demand.is_gang { most } else { room };
-                let asked = newcomers(unknown, wanted.saturating_sub(known), rate, demand.is_gang);
-                if asked.is_empty() && !demand.is_gang && room > 0 {
-                    renewals(&allowed, &ready, wanted)
-                } else {
-                    asked
-                }
+        if may_ask && !enough(&sorted.ready, wanted) {
+            let asked = sorted.to_ask(demand, rate);
+            if !asked.is_empty() {
+                let hosts = asked.into_iter().map(|at| spots[at].host.clone()).collect();
+                self.ask(demand.key, hosts, cost);
             }
-        };
-        if !asked.is_empty() {
-            self.ask(demand.key, asked, cost);
-        }
-        if demand.is_gang {
-            self.claim(demand, &allowed, claims);
         }
-        ready
+        sorted.ready
     }
 
     fn ask(&mut self, key: Step, hosts: Vec<Name>, cost: Advice) {
@@ -126,62 +89,115 @@
         };
         let expires_ms = (now_ms + valid_ms.unwrap_or(0)).saturating_sub(age_ms);
         let rate = self.allow_rate.entry(queue).or_insert(FIRST_RATE);
-        for host in &asked {
-            let is_new =
-                !step.advice.allowed.contains_key(host) && !step.advice.denied.contains(host);
-            let is_allowed = allowed.iter().any(|(name, _)| name == host);
-            if is_new {
-                *rate += RATE_GAIN * (f64::from(u8::from(is_allowed)) - *rate);
+        for name in &asked {
+            let Some(slot) = self.hosts.get(name).map(|host| host.slot) else { continue };
+            let ticket = allowed.iter().find(|(host, _)| host == name);
+            let advice = &mut step.advice;
+            if !advice.allowed.contains_key(&slot) && !advice.denied.contains(&slot) {
+                *rate += RATE_GAIN * (f64::from(u8::from(ticket.is_some())) - *rate);
             }
-            if is_new && !is_allowed {
-                step.advice.denied.push(host.clone());
+            match ticket {
+                Some((_, token)) => {
+                    let ticket = Ticket { token: token.clone(), expires_ms };
+                    advice.allowed.insert(slot, ticket);
+                }
+                None => {
+                    advice.denied.insert(slot);
+                }
             }
         }
-        for (host, token) in allowed {
-            step.advice.allowed.insert(host, Ticket { token, expires_ms });
-        }
     }
 }
 
-/// Allowed workers whose ticket has run out, as few as give the room.
-fn renewals(allowed: &[Candidate], ready: &[Candidate], wanted: u32) -> Vec<Name> {
-    let mut rest = wanted.saturating_sub(ready.iter().map(|candidate| candidate.slots).sum());
-    let is_stale = |candidate: &&Candidate| {
-        candidate.slots > 0 && !ready.iter().any(|other| other.host == candidate.host)
-    };
-    let mut stale: Vec<&Candidate> = allowed.iter().filter(is_stale).collect();
-    stale.sort_by_key(|candidate| Reverse(candidate.slots));
-    let mut chosen = Vec::new();
-    for candidate in stale {
-        if rest == 0 {
-            break;
+/// The workers that suit a step, by what is known of them.
+struct Sorted {
+    /// Allowed, with a valid ticket.
+    ready: Vec<Candidate>,
+    /// Allowed, with a ticket or without.
+    allowed: Vec<Candidate>,
+    /// Never asked about.
+    unknown: Vec<Candidate>,
+}
+
+impl Sorted {
+    fn new(
+        found: Vec<Candidate>,
+        advice: &progress::Advice,
+        spots: &[Spot],
+        valid_until_ms: u64,
+    ) -> Sorted {
+        let mut sorted = Sorted { ready: Vec::new(), allowed: Vec::new(), unknown: Vec::new() };
+        for candidate in found {
+            let slot = spots[candidate.at].slot;
+            match advice.allowed.get(&slot) {
+                Some(ticket) => {
+                    if ticket.expires_ms > valid_until_ms {
+                        sorted.ready.push(candidate);
+                    }
+                    sorted.allowed.push(candidate);
+                }
+                None if advice.denied.contains(&slot) => {}
+                None => sorted.unknown.push(candidate),
+            }
         }
-        rest = rest.saturating_sub(candidate.slots);
-        chosen.push(candidate.host.clone());
+        sorted
+    }
+
+    /// Returns the workers to ask about, none when asking does not help now.
+    fn to_ask(&self, demand: &Demand, rate: f64) -> Vec<usize> {
+        let wanted = demand.wanted();
+        if enough(&self.allowed, wanted) {
+            return self.renewals(wanted);
+        }
+        let most: u32 = self.allowed.iter().map(|candidate| candidate.most).sum();
+        let room: u32 = self.allowed.iter().map(|candidate| candidate.slots).sum();
+        if demand.is_gang {
+            // A gang that its workers could hold waits for room there.
+            return self.newcomers(wanted.saturating_sub(most), rate, true);
+        }
+        let newcomers = self.newcomers(wanted.saturating_sub(room), rate, false);
+        if newcomers.is_empty() && room > 0 { self.renewals(wanted) } else { newcomers }
     }
-    chosen
-}
 
-/// Workers that nothing is known of, enough to expect the room.
-fn newcomers(mut unknown: Vec<Candidate>, missing: u32, rate: f64, is_gang: bool) -> Vec<Name> {
-    if missing == 0 {
-        return Vec::new();
+    /// Allowed workers whose ticket has run out, as few as give the room.
+    fn renewals(&self, wanted: u32) -> Vec<usize> {
+        let ready: u32 = self.ready.iter().map(|candidate| candidate.slots).sum();
+        let mut rest = wanted.saturating_sub(ready);
+        let is_stale = |candidate: &&Candidate| {
+            candidate.slots > 0 && !self.ready.iter().any(|other| other.at == candidate.at)
+        };
+        let mut stale: Vec<&Candidate> = self.allowed.iter().filter(is_stale).collect();
+        stale.sort_by_key(|candidate| Reverse(candidate.slots));
+        let mut chosen = Vec::new();
+        for candidate in stale {
+            if rest == 0 {
+                break;
+            }
+            rest = rest.saturating_sub(candidate.slots);
+            chosen.push(candidate.at);
+        }
+        chosen
     }
-    // A gang plans ahead with workers that are full now; others need room at once.
-    let value = |candidate: &Candidate| if is_gang { candidate.most } else { candidate.slots };
-    unknown.retain(|candidate| value(candidate) > 0);
-    unknown.sort_by_key(|candidate| {
-        (!candidate.is_near, Reverse(candidate.slots), Reverse(candidate.free_cpu))
-    });
-    let needed = f64::from(missing) * SPARE_FACTOR;
-    let mut expected = 0.0;
-    let mut chosen = Vec::new();
-    for candidate in unknown {
-        if expected >= needed || chosen.len() >= MAX_ASKED {
-            break;
+
+    /// Workers that nothing is known of, enough to expect the room.
+    fn newcomers(&self, missing: u32, rate: f64, is_gang: bool) -> Vec<usize> {
+        // A gang plans ahead with workers that are full now; others need room at once.
+        let value = |candidate: &Candidate| if is_gang { candidate.most } else { candidate.slots };
+        let mut order: Vec<&Candidate> =
+            self.unknown.iter().filter(|candidate| value(candidate) > 0).collect();
+        order.sort_by_key(|candidate| {
+            (!candidate.is_near, Reverse(candidate.slots), Reverse(candidate.free_cpu))
+        });
+        let needed = f64::from(missing) * SPARE_FACTOR;
+        let mut expected = 0.0;
+        let mut chosen = Vec::new();
+        for candidate in order {
+            if expected >= needed || chosen.len() >= MAX_ASKED {
+                break;
+            }
+            expected += rate * f64::from(value(candidate).min(missing));
+            chosen.push(candidate.at);
         }
-        expected += rate * f64::from(value(&candidate));
-        chosen.push(candidate.host);
+        chosen
     }
-    chosen
 }
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -1,12 +1,13 @@
 //! Starts what waits, in order of rank.
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 
 use sycamore_types::Name;
 use sycamore_types::resources::Resources;
 
 use super::Engine;
-use super::room::{Candidate, Claims};
+use super::room::{Candidate, Spot, candidates};
 use crate::{Step, Task};
 
 /// What a step needs, looked up once for a pass.
@@ -21,16 +22,25 @@
     pub allowed: u32,
 }
 
+impl Demand {
+    pub fn wanted(&self) -> u32 {
+        self.waiting.min(self.allowed)
+    }
+}
+
 impl Engine {
     pub(super) fn dispatch(&mut self) {
-        let mut claims = Claims::default();
+        if self.ready.is_empty() {
+            return;
+        }
+        let mut spots = self.spots();
         for (_, key) in self.ranked() {
-            self.serve(key, &mut claims);
+            self.serve(key, &mut spots);
         }
     }
 
     /// Starts what can be started of one step.
-    fn serve(&mut self, key: Step, claims: &mut Claims) {
+    fn serve(&mut self, key: Step, spots: &mut [Spot]) {
         let Some(job) = self.jobs.get(&key.job) else { return };
         let Some(queue) = self.queues.get(&job.queue) else { return };
         let (Some(run), Some(spec)) = (job.step(key), job.spec.steps.get(usize::from(key.index)))
@@ -50,7 +60,6 @@
         if allowed == 0 || (spec.is_gang && allowed < waiting) {
             return;
         }
-        let candidates = self.candidates(job, spec, run, &queue.service, claims);
         let demand = Demand {
             key,
             is_gang: spec.is_gang,
@@ -59,52 +68,51 @@
             waiting,
             allowed,
         };
+        let found = candidates(spots, spec, run, &queue.service);
         let is_durable = job.is_durable;
-        let cost = queue.advice;
+        let (cost, queue) = (queue.advice, job.queue.clone());
         let ready = match cost {
-            None => candidates,
-            Some(cost) => {
-                let queue = job.queue.clone();
-                self.advised_candidates(&demand, &queue, cost, candidates, claims)
-            }
+            None => found,
+            Some(cost) => self.advised_candidates(&demand, &queue, cost, found, spots),
         };
-        if is_durable {
-            self.place(&demand, ready, claims);
+        let is_placed = is_durable && self.place(&demand, ready, spots);
+        if demand.is_gang && !is_placed {
+            self.keep_room(&demand, spots);
         }
     }
 
-    /// Puts tasks on workers. A gang goes as a whole or not at all.
-    fn place(&mut self, demand: &Demand, candidates: Vec<Candidate>, claims: &mut Claims) {
-        let wanted = demand.waiting.min(demand.allowed);
-        let plan = plan(candidates, wanted, demand);
+    /// Puts tasks on workers, a gang as a whole or not at all. Returns whether any was.
+    fn place(&mut self, demand: &Demand, ready: Vec<Candidate>, spots: &mut [Spot]) -> bool {
+        let plan = plan(ready, demand, spots);
         let planned: u32 = plan.iter().map(|(_, tasks)| tasks).sum();
         if planned == 0 || (demand.is_gang && planned < demand.waiting) {
-            return;
+            return false;
         }
-        let Some(step) = self.jobs.get(&demand.key.job).and_then(|job| job.step(demand.key)) else {
-            return;
-        };
+        let step = self.jobs.get(&demand.key.job).and_then(|job| job.step(demand.key));
+        let Some(step) = step else { return false };
         let mut waiting: Vec<u32> = step.waiting.iter().copied().collect();
         let gang_attempt = step.tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
-        for (host, tasks) in plan {
+        for (at, tasks) in plan {
+            let host = spots[at].host.clone();
             for _ in 0..tasks {
-                let Some(index) = self.take_for(demand.key, &mut waiting, &host) else { break };
+                let Some((index, last)) = self.take_for(demand.key, &mut waiting, &host) else {
+                    break;
+                };
                 let task = Task { step: demand.key, index };
-                let own = self.jobs.get(&demand.key.job).and_then(|job| job.step(demand.key));
-                let last = own.map_or(0, |step| step.tasks[index as usize].attempt);
                 let attempt = if demand.is_gang { gang_attempt } else { last + 1 };
+                spots[at].free = spots[at].free.minus(&demand.size);
                 self.start(&host, task, attempt);
             }
         }
-        claims.retain(|_, room| *room != Resources::default());
-        let is_empty = self.jobs.get(&demand.key.job).and_then(|job| job.step(demand.key));
-        if is_empty.is_some_and(|step| step.waiting.is_empty()) {
+        if waiting.is_empty() {
             self.ready.remove(&demand.key);
         }
+        true
     }
 
     /// Takes a waiting task for a worker, one that did not fail there if there is one.
-    fn take_for(&self, key: Step, waiting: &mut Vec<u32>, host: &Name) -> Option<u32> {
+    /// Returns its index and last attempt.
+    fn take_for(&self, key: Step, waiting: &mut Vec<u32>, host: &Name) -> Option<(u32, u32)> {
         let step = self.jobs.get(&key.job)?.step(key)?;
         let failed_here =
             |index: &u32| step.tasks[*index as usize].avoid.as_ref().is_some_and(|h| h == host);
@@ -113,56 +121,68 @@
         }
         // A task that failed here and has no better place is tried again.
         let at = waiting.iter().position(|index| !failed_here(index)).unwrap_or(0);
-        Some(waiting.remove(at))
+        let index = waiting.remove(at);
+        Some((index, step.tasks[index as usize].attempt))
     }
 
-    /// Keeps the room that a gang will need on workers that may run it.
-    pub(super) fn claim(&self, demand: &Demand, allowed: &[Candidate], claims: &mut Claims) {
+    /// Keeps the room that a gang will need on the workers that may run it from steps
+    /// that go after it.
+    fn keep_room(&self, demand: &Demand, spots: &mut [Spot]) {
+        let job = self.jobs.get(&demand.key.job);
+        let Some((job, run)) = job.and_then(|job| Some((job, job.step(demand.key)?))) else {
+            return;
+        };
+        let Some(queue) = self.queues.get(&job.queue) else { return };
+        let spec = &job.spec.steps[usize::from(demand.key.index)];
+        let mut order = candidates(spots, spec, run, &queue.service);
+        if queue.advice.is_some() {
+            order.retain(|found| run.advice.allowed.contains_key(&spots[found.at].slot));
+        }
+        order.sort_by_key(|found| (Reverse(found.slots), Reverse(found.free_cpu)));
         let mut wanted = demand.waiting;
-        let mut order: Vec<&Candidate> = allowed.iter().collect();
-        order.sort_by_key(|candidate| (Reverse(candidate.slots), Reverse(candidate.free_cpu)));
-        for candidate in order {
+        for found in order {
             if wanted == 0 {
                 return;
             }
-            let tasks = candidate.most.min(wanted);
+            let tasks = found.most.min(wanted);
             wanted -= tasks;
-            let room = claims.entry(candidate.host.clone()).or_default();
+            let spot = &mut spots[found.at];
             for _ in 0..tasks {
-                *room = room.plus(&demand.size);
+                spot.free = spot.free.minus(&demand.size);
             }
         }
     }
 }
 
-/// Chooses workers for so many tasks.
-fn plan(mut candidates: Vec<Candidate>, wanted: u32, demand: &Demand) -> Vec<(Name, u32)> {
-    candidates.retain(|candidate| candidate.slots > 0);
+/// Chooses workers for a step's tasks.
+fn plan(mut ready: Vec<Candidate>, demand: &Demand, spots: &[Spot]) -> Vec<(usize, u32)> {
+    let wanted = demand.wanted();
+    ready.retain(|candidate| candidate.slots > 0);
     if demand.one_rack
-        && let Some(rack) = rack_with_room(&candidates, wanted)
+        && let Some(rack) = rack_with_room(&ready, wanted, spots)
     {
-        candidates.retain(|candidate| candidate.rack == rack);
+        ready.retain(|candidate| spots[candidate.at].rack == rack);
     }
     // Near the data first, then the fullest worker that still has room, so that
     // large holes stay for large tasks.
-    candidates.sort_by_key(|candidate| (!candidate.is_near, candidate.free_cpu));
+    ready.sort_by_key(|candidate| (!candidate.is_near, candidate.free_cpu));
     let mut plan = Vec::new();
     let mut rest = wanted;
-    for candidate in candidates {
+    for candidate in ready {
         if rest == 0 {
             break;
         }
         let tasks = candidate.slots.min(rest);
         rest -= tasks;
-        plan.push((candidate.host, tasks));
+        plan.push((candidate.at, tasks));
     }
     plan
 }
 
-fn rack_with_room(candidates: &[Candidate], wanted: u32) -> Option<Name> {
-    let mut racks: std::collections::BTreeMap<&Name, u32> = Default::default();
-    for candidate in candidates {
-        *racks.entry(&candidate.rack).or_default() += candidate.slots;
+fn rack_with_room(ready: &[Candidate], wanted: u32, spots: &[Spot]) -> Option<Name> {
+    let mut racks: BTreeMap<&Name, u32> = BTreeMap::new();
+    for candidate in ready {
+        *racks.entry(&spots[candidate.at].rack).or_default() += candidate.slots;
     }
     let fitting = racks.into_iter().filter(|(_, slots)| *slots >= wanted);
     fitting.min_by_key(|(_, slots)| *slots).map(|(rack, _)| rack.clone())
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -25,7 +25,8 @@
     fn list_host(&mut self, entry: HostEntry) {
         let now_ms = self.now.steady_ms;
         let Some(host) = self.hosts.get_mut(&entry.id) else {
-            self.hosts.insert(entry.id.clone(), Host::new(entry, now_ms));
+            self.slots += 1;
+            self.hosts.insert(entry.id.clone(), Host::new(entry, self.slots, now_ms));
             return;
         };
         if entry.born > host.entry.born {
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -57,6 +57,8 @@
     queues: BTreeMap<Name, Queue>,
     jobs: FxHashMap<job::Id, Job>,
     hosts: BTreeMap<Name, Host>,
+    /// Number of the newest worker.
+    slots: u32,
     /// What each team has running.
     usage: FxHashMap<Name, Resources>,
     /// Steps that have tasks to start.
@@ -78,7 +80,7 @@
 }
 
 impl Engine {
-    /// Handles one event.
+    /// Handles one event. [`Engine::settle`] makes the decisions that follow from it.
     pub fn step(&mut self, now: Moment, event: Event) -> Vec<Action> {
         self.now = now;
         match event {
@@ -104,8 +106,18 @@
                 self.advised(step, asked, allowed, age_ms);
             }
         }
-        if self.needs_dispatch {
-            self.needs_dispatch = false;
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Tells whether something may be started that could not be before.
+    pub fn is_unsettled(&self) -> bool {
+        self.needs_dispatch
+    }
+
+    /// Starts what can be started. One pass serves all events handled before it.
+    pub fn settle(&mut self, now: Moment) -> Vec<Action> {
+        self.now = now;
+        if std::mem::take(&mut self.needs_dispatch) {
             self.dispatch();
         }
         std::mem::take(&mut self.actions)
@@ -118,7 +130,7 @@
         self.repeat_stops();
         self.look_again();
         // Tickets run out and quarantines end without an event of their own.
-        self.needs_dispatch = !self.ready.is_empty();
+        self.needs_dispatch |= !self.ready.is_empty();
     }
 
     fn configure(&mut self, catalog: Catalog) {
--- a/crates/graph/src/engine/orders.rs
+++ b/crates/graph/src/engine/orders.rs
@@ -21,7 +21,8 @@
         let Some(step_run) = job.step_mut(task.step) else { return };
         let saved_at = if step.is_gang { 0 } else { task.index as usize };
         let checkpoint = step_run.tasks[saved_at].checkpoint.clone();
-        let ticket = step_run.advice.allowed.get(name).map(|ticket| ticket.token.clone());
+        let slot = self.hosts.get(name).map_or(0, |host| host.slot);
+        let ticket = step_run.advice.allowed.get(&slot).map(|ticket| ticket.token.clone());
         step_run.waiting.remove(&task.index);
         let task_run = &mut step_run.tasks[task.index as usize];
         task_run.attempt = attempt;
@@ -110,7 +111,7 @@
             StartOutcome::BadTicket => {
                 if let Some(job) = self.jobs.get_mut(&task.step.job)
                     && let Some(step) = job.step_mut(task.step)
-                    && let Some(ticket) = step.advice.allowed.get_mut(name)
+                    && let Some(ticket) = step.advice.allowed.get_mut(&host.slot)
                 {
                     ticket.expires_ms = 0;
                 }
--- a/crates/graph/src/engine/rank.rs
+++ b/crates/graph/src/engine/rank.rs
@@ -1,9 +1,11 @@
 //! Which step goes first.
 
+use sycamore_types::Name;
 use sycamore_types::resources::Resources;
 
 use super::Engine;
 use crate::Step;
+use crate::catalog::Team;
 
 /// Multiple of the objective after which a job earns nothing. Platform documentation.
 const HOPELESS_FACTOR: f64 = 3.0;
@@ -24,43 +26,38 @@
 impl Engine {
     /// Returns all steps that wait, first the one to serve first.
     pub(super) fn ranked(&self) -> Vec<(Rank, Step)> {
-        let capacity = self.capacity();
-        let mut order: Vec<(Rank, Step)> =
-            self.ready.iter().filter_map(|key| Some((self.rank(*key, &capacity)?, *key))).collect();
+        let over_share = self.teams_over_share();
+        let rank = |key: &Step| Some((self.rank(*key, &over_share)?, *key));
+        let mut order: Vec<(Rank, Step)> = self.ready.iter().filter_map(rank).collect();
         order.sort_unstable();
         order
     }
 
-    fn capacity(&self) -> Resources {
-        let listed = self.hosts.values().filter(|host| host.is_listed);
-        listed.fold(Resources::default(), |sum, host| sum.plus(&host.entry.capacity))
-    }
-
-    fn rank(&self, key: Step, capacity: &Resources) -> Option<Rank> {
+    fn rank(&self, key: Step, over_share: &[Name]) -> Option<Rank> {
         let job = self.jobs.get(&key.job)?;
         let queue = self.queues.get(&job.queue)?;
-        let chain_ms = job.spec.longest_chain_ms() as f64;
-        let objective_ms = queue.slack_factor * chain_ms + queue.objective_ms as f64;
+        let objective_ms = queue.slack_factor * job.chain_ms as f64 + queue.objective_ms as f64;
         let age_ms = self.now.unix_ms as i64 - job.due_unix_ms(key.occurrence) as i64;
-        let rest_ms = job.rest_of_chain_ms(key.index) as i64;
-        let slack_ms = objective_ms as i64 - age_ms - rest_ms;
+        let rest_ms = job.rest_ms.get(usize::from(key.index)).copied().unwrap_or(0) as i64;
         let last_ms = (HOPELESS_FACTOR * objective_ms) as i64;
         Some(Rank {
             is_hopeless: age_ms + rest_ms > last_ms,
-            is_over_share: self.is_over_share(&job.team, capacity),
+            is_over_share: over_share.contains(&job.team),
             priority: queue.priority,
-            slack_ms,
+            slack_ms: objective_ms as i64 - age_ms - rest_ms,
         })
     }
 
-    fn is_over_share(&self, team: &str, capacity: &Resources) -> bool {
-        let Some(own) = self.catalog.teams.get(team) else { return false };
+    fn teams_over_share(&self) -> Vec<Name> {
+        let listed = self.hosts.values().filter(|host| host.is_listed);
+        let capacity =
+            listed.fold(Resources::default(), |sum, host| sum.plus(&host.entry.capacity));
         let total: u64 = self.catalog.teams.values().map(|team| u64::from(team.weight)).sum();
-        if total == 0 {
-            return false;
-        }
-        let share = f64::from(own.weight) / total as f64;
-        let used = self.usage.get(team).map_or(0.0, |usage| usage.dominant_share(capacity));
-        used > share * SHARE_TOLERANCE
+        let is_over = |(name, team): &(&Name, &Team)| {
+            let share = f64::from(team.weight) / total.max(1) as f64;
+            let used = self.usage.get(*name).map_or(0.0, |usage| usage.dominant_share(&capacity));
+            used > share * SHARE_TOLERANCE
+        };
+        self.catalog.teams.iter().filter(is_over).map(|(name, _)| name.clone()).collect()
     }
 }
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -141,14 +141,16 @@
         let hosts: BTreeMap<Name, Host> = recovered
             .hosts
             .into_iter()
-            .map(|name| {
-                let mut host = Host::new(unlisted(name.clone()), now.steady_ms);
+            .zip(0..)
+            .map(|(name, slot)| {
+                let mut host = Host::new(unlisted(name.clone()), slot, now.steady_ms);
                 host.is_listed = false;
                 host.is_logged = true;
                 (name, host)
             })
             .collect();
         let is_recovering = !hosts.is_empty();
+        let slots = hosts.len() as u32;
         let mut engine = Engine {
             timing,
             now,
@@ -156,6 +158,7 @@
             catalog,
             jobs: recovered.jobs,
             hosts,
+            slots,
             usage: FxHashMap::default(),
             ready: BTreeSet::new(),
             due: BTreeSet::new(),
@@ -208,7 +211,7 @@
         born: 0,
         service: Name::from(""),
         capacity: Default::default(),
-        labels: Vec::new(),
+        labels: Arc::default(),
         rack: Name::from(""),
         is_draining: false,
     }
--- a/crates/graph/src/engine/room.rs
+++ b/crates/graph/src/engine/room.rs
@@ -1,5 +1,7 @@
 //! Where a step's tasks fit, and how many of them.
 
+use std::sync::Arc;
+
 use rustc_hash::FxHashMap;
 use sycamore_types::Name;
 use sycamore_types::resources::Resources;
@@ -7,16 +9,26 @@
 use super::Engine;
 use crate::host::Host;
 use crate::job;
-use crate::progress::{Job, StepRun};
-
-/// Room that a pass of the dispatcher keeps for steps that go first.
-pub(super) type Claims = FxHashMap<Name, Resources>;
+use crate::progress::StepRun;
 
-/// A worker that may take tasks of a step.
+/// A worker that takes new work, as one pass of the dispatcher sees it.
 #[derive(Clone, Debug)]
-pub(super) struct Candidate {
+pub(super) struct Spot {
     pub host: Name,
+    pub slot: u32,
     pub rack: Name,
+    service: Name,
+    labels: Arc<[Name]>,
+    capacity: Resources,
+    /// Room that this pass has neither used nor kept for steps that go first.
+    pub free: Resources,
+}
+
+/// How many tasks of a step a worker may take.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate {
+    /// Place of the worker among the pass's spots.
+    pub at: usize,
     /// Tasks that fit now.
     pub slots: u32,
     /// Tasks that fit when the worker is empty.
@@ -27,52 +39,27 @@
     pub is_near: bool,
 }
 
+impl Spot {
+    fn has_label(&self, label: &Name) -> bool {
+        self.labels.contains(label)
+    }
+}
+
 impl Engine {
-    /// Lists the workers that may run a step, with room or without.
-    pub(super) fn candidates(
-        &self,
-        job: &Job,
-        step: &job::Step,
-        run: &StepRun,
-        service: &str,
-        claims: &Claims,
-    ) -> Vec<Candidate> {
+    /// Lists the workers that take new work.
+    pub(super) fn spots(&self) -> Vec<Spot> {
         let now_ms = self.now.steady_ms;
-        let is_suitable = |host: &&Host| {
-            host.is_usable(now_ms)
-                && &*host.entry.service == service
-                && step.required_label.as_ref().is_none_or(|label| host.has_label(label))
+        let usable = self.hosts.values().filter(|host| host.is_usable(now_ms));
+        let spot = |host: &Host| Spot {
+            host: host.entry.id.clone(),
+            slot: host.slot,
+            rack: host.entry.rack.clone(),
+            service: host.entry.service.clone(),
+            labels: host.entry.labels.clone(),
+            capacity: host.entry.capacity,
+            free: host.free(),
         };
-        let placed =
-            if step.max_per_host > 0 { placed_per_host(run) } else { FxHashMap::default() };
-        self.hosts
-            .values()
-            .filter(is_suitable)
-            .map(|host| {
-                let name = &host.entry.id;
-                let claimed = claims.get(name).copied().unwrap_or_default();
-                let free = host.free().minus(&claimed);
-                let mut slots = fits(&step.footprint(), &free);
-                let mut most = fits(&step.footprint(), &host.entry.capacity);
-                if step.max_per_host > 0 {
-                    let taken = placed.get(name).copied().unwrap_or(0);
-                    slots = slots.min(step.max_per_host.saturating_sub(taken));
-                    most = most.min(step.max_per_host);
-                }
-                let rack = step.data_rack.as_ref();
-                Candidate {
-                    host: name.clone(),
-                    rack: host.entry.rack.clone(),
-                    slots,
-                    most,
-                    free_cpu: free.cpu_millis,
-                    is_near: rack
-                        .is_none_or(|rack| *rack == host.entry.rack || host.has_label(rack)),
-                }
-            })
-            .filter(|candidate| candidate.most > 0)
-            .filter(|_| job.closed.is_none())
-            .collect()
+        usable.map(spot).collect()
     }
 
     /// Returns how many tasks of a size the team's limit leaves room for.
@@ -106,6 +93,36 @@
     }
 }
 
+/// Lists the workers that may run a step, with room or without.
+pub(super) fn candidates(
+    spots: &[Spot],
+    step: &job::Step,
+    run: &StepRun,
+    service: &Name,
+) -> Vec<Candidate> {
+    let footprint = step.footprint();
+    let placed = if step.max_per_host > 0 { placed_per_host(run) } else { FxHashMap::default() };
+    let mut found = Vec::with_capacity(spots.len());
+    for (at, spot) in spots.iter().enumerate() {
+        let is_suitable = spot.service == *service
+            && step.required_label.as_ref().is_none_or(|label| spot.has_label(label));
+        let mut most = fits(&footprint, &spot.capacity);
+        if !is_suitable || most == 0 {
+            continue;
+        }
+        let mut slots = fits(&footprint, &spot.free);
+        if step.max_per_host > 0 {
+            let taken = placed.get(&spot.host).copied().unwrap_or(0);
+            slots = slots.min(step.max_per_host.saturating_sub(taken));
+            most = most.min(step.max_per_host);
+        }
+        let is_near =
+            step.data_rack.as_ref().is_none_or(|rack| *rack == spot.rack || spot.has_label(rack));
+        found.push(Candidate { at, slots, most, free_cpu: spot.free.cpu_millis, is_near });
+    }
+    found
+}
+
 fn placed_per_host(run: &StepRun) -> FxHashMap<Name, u32> {
     let mut placed = FxHashMap::default();
     for (host, _) in run.tasks.iter().flat_map(|task| &task.runs) {
@@ -115,12 +132,12 @@
 }
 
 /// Returns how many tasks of a size fit into some room.
-pub(super) fn fits(size: &Resources, room: &Resources) -> u32 {
+fn fits(size: &Resources, room: &Resources) -> u32 {
     let pairs = [
         (size.cpu_millis, room.cpu_millis),
         (size.memory_mib, room.memory_mib),
         (size.accelerators, room.accelerators),
     ];
     let most = pairs.iter().filter(|(each, _)| *each > 0).map(|(each, free)| free / each).min();
-    most.unwrap_or(u32::MAX).min(10_000)
+    most.unwrap_or(u32::MAX).min(job::MAX_TASKS)
 }
--- a/crates/graph/src/event.rs
+++ b/crates/graph/src/event.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use sycamore_types::Name;
 use sycamore_types::resources::Resources;
 
@@ -27,7 +29,7 @@
     /// What the worker can hold.
     pub capacity: Resources,
     /// Labels of the worker.
-    pub labels: Vec<Name>,
+    pub labels: Arc<[Name]>,
     /// Rack that the worker stands in.
     pub rack: Name,
     /// The worker is leaving.
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -21,6 +21,8 @@
 #[derive(Debug)]
 pub(crate) struct Host {
     pub entry: HostEntry,
+    /// Number of the worker in this engine.
+    pub slot: u32,
     /// The platform's list shows the worker.
     pub is_listed: bool,
     /// The worker has answered a look under this owner's fence.
@@ -52,9 +54,10 @@
 }
 
 impl Host {
-    pub fn new(entry: HostEntry, now_ms: u64) -> Host {
+    pub fn new(entry: HostEntry, slot: u32, now_ms: u64) -> Host {
         Host {
             entry,
+            slot,
             is_listed: true,
             is_held: false,
             is_logged: false,
@@ -110,8 +113,4 @@
             self.failures = MAX_FAILURES_IN_A_ROW - 1;
         }
     }
-
-    pub fn has_label(&self, label: &str) -> bool {
-        self.entry.labels.iter().any(|own| &**own == label)
-    }
 }
--- a/crates/graph/src/job/check.rs
+++ b/crates/graph/src/job/check.rs
@@ -9,7 +9,7 @@
 const MAX_STEPS: usize = 256;
 
 /// Largest number of tasks of one occurrence. Bounds the memory that one caller can take.
-const MAX_TASKS: u64 = 10_000;
+pub(crate) const MAX_TASKS: u32 = 10_000;
 
 /// Tells which field of a job is unusable.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -52,7 +52,7 @@
                 return Err(SpecError::After(at));
             }
         }
-        if self.steps.iter().map(|step| u64::from(step.tasks)).sum::<u64>() > MAX_TASKS {
+        if self.steps.iter().map(|step| u64::from(step.tasks)).sum::<u64>() > u64::from(MAX_TASKS) {
             return Err(SpecError::Tasks);
         }
         match self.schedule {
--- a/crates/graph/src/job/spec.rs
+++ b/crates/graph/src/job/spec.rs
@@ -69,13 +69,16 @@
 }
 
 impl Spec {
-    /// Returns the length of the longest chain of declared run times, in milliseconds.
-    pub fn longest_chain_ms(&self) -> u64 {
-        let mut finish: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let begin = step.after.iter().filter_map(|at| finish.get(usize::from(*at))).max();
-            finish.push(begin.copied().unwrap_or(0) + step.estimate_ms);
+    /// Returns the declared run time of the longest chain from each step on, in milliseconds.
+    pub fn rest_of_chain_ms(&self) -> Vec<u64> {
+        let mut rest = vec![0; self.steps.len()];
+        for at in (0..self.steps.len()).rev() {
+            rest[at] += self.steps[at].estimate_ms;
+            for earlier in &self.steps[at].after {
+                let earlier = usize::from(*earlier);
+                rest[earlier] = rest[earlier].max(rest[at]);
+            }
         }
-        finish.into_iter().max().unwrap_or(0)
+        rest
     }
 }
--- a/crates/graph/src/progress/job.rs
+++ b/crates/graph/src/progress/job.rs
@@ -14,6 +14,10 @@
     pub team: Name,
     pub spec: Arc<Spec>,
     pub at_unix_ms: u64,
+    /// Declared run time of the longest chain from each step on, in milliseconds.
+    pub rest_ms: Vec<u64>,
+    /// Declared run time of the longest chain, in milliseconds.
+    pub chain_ms: u64,
     /// The record of acceptance is durable.
     pub is_durable: bool,
     /// An earlier owner may have started tasks.
@@ -31,12 +35,15 @@
 
 impl Job {
     pub fn new(id: Id, queue: Name, team: Name, spec: Spec, at_unix_ms: u64) -> Job {
+        let rest_ms = spec.rest_of_chain_ms();
         Job {
             id,
             queue,
             team,
             spec: Arc::new(spec),
             at_unix_ms,
+            chain_ms: rest_ms.iter().copied().max().unwrap_or(0),
+            rest_ms,
             is_durable: false,
             is_recovered: false,
             has_started: false,
@@ -95,19 +102,6 @@
         }
     }
 
-    /// Declared run time of the longest chain from a step on, in milliseconds.
-    pub fn rest_of_chain_ms(&self, from: u16) -> u64 {
-        let steps = &self.spec.steps;
-        let mut rest = vec![0; steps.len()];
-        for at in (0..steps.len()).rev() {
-            rest[at] += steps[at].estimate_ms;
-            for earlier in &steps[at].after {
-                rest[usize::from(*earlier)] = rest[usize::from(*earlier)].max(rest[at]);
-            }
-        }
-        rest.get(usize::from(from)).copied().unwrap_or(0)
-    }
-
     /// Everything that must last.
     pub fn image(&self) -> Image {
         let mut tasks = Vec::new();
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -1,5 +1,6 @@
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
+use rustc_hash::{FxHashMap, FxHashSet};
 use sycamore_types::Name;
 
 /// How far one task is.
@@ -28,9 +29,10 @@
 /// What the advice service said of a step. The answer for a worker never changes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Advice {
-    /// Allowed workers, each with its last ticket.
-    pub allowed: BTreeMap<Name, Ticket>,
-    pub denied: Vec<Name>,
+    /// Allowed workers by slot, each with its last ticket.
+    pub allowed: FxHashMap<u32, Ticket>,
+    /// Slots of workers that are not allowed.
+    pub denied: FxHashSet<u32>,
     pub is_asking: bool,
     /// No call before this time, in milliseconds.
     pub not_before_ms: u64,
@@ -43,7 +45,7 @@
     pub done: u32,
     pub advice: Advice,
     /// Indices of tasks that wait to be started, in order.
-    pub waiting: std::collections::BTreeSet<u32>,
+    pub waiting: BTreeSet<u32>,
 }
 
 impl StepRun {
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -1,5 +1,5 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rustc_hash::FxHashMap;
 use sycamore_graph::{Action, Engine, Event};
@@ -10,12 +10,21 @@
 use crate::peer::{Ask, Verdict};
 use crate::timing::TICK;
 
+/// Pause after a pass of decisions, in multiples of what it took: passes take at most a
+/// quarter of the thread's time, so that orders and answers never wait for long.
+const SETTLE_PAUSE_FACTOR: u32 = 3;
+
+/// Shortest pause between two passes of decisions.
+const MIN_SETTLE_PAUSE: Duration = Duration::from_millis(2);
+
 struct Control {
     engine: Engine,
     clock: Clock,
     actions: mpsc::UnboundedSender<Action>,
     callers: FxHashMap<u64, oneshot::Sender<Verdict>>,
     last_token: u64,
+    /// Time before which the engine does not decide again.
+    next_settle: Instant,
 }
 
 /// Starts the control thread. It ends when told to, or when nobody can reach it.
@@ -27,7 +36,8 @@
     let (sender, inputs) = channel();
     std::thread::Builder::new().name("control".to_string()).spawn(move || {
         let callers = FxHashMap::default();
-        let mut control = Control { engine, clock, actions, callers, last_token: 0 };
+        let next_settle = Instant::now();
+        let mut control = Control { engine, clock, actions, callers, last_token: 0, next_settle };
         control.run(&inputs);
     })?;
     Ok(sender)
@@ -38,19 +48,43 @@
         let mut next_tick = Instant::now();
         loop {
             let wait = next_tick.saturating_duration_since(Instant::now());
+            let wait = if self.engine.is_unsettled() {
+                wait.min(self.next_settle.saturating_duration_since(Instant::now()))
+            } else {
+                wait
+            };
             match inputs.recv_timeout(wait) {
                 Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return,
                 Ok(input) => self.take(input),
                 Err(RecvTimeoutError::Timeout) => {}
             }
-            // Under load inputs never run out, and the tick must still come.
+            // What has gathered meanwhile is decided on together.
+            while let Ok(input) = inputs.try_recv() {
+                if matches!(input, Input::Stop) {
+                    return;
+                }
+                self.take(input);
+            }
             if Instant::now() >= next_tick {
                 next_tick = Instant::now() + TICK;
                 self.step(Event::Tick);
             }
+            self.settle();
         }
     }
 
+    /// Lets the engine decide, but not more often than its own cost allows.
+    fn settle(&mut self) {
+        let begun = Instant::now();
+        if !self.engine.is_unsettled() || begun < self.next_settle {
+            return;
+        }
+        let actions = self.engine.settle(self.clock.now());
+        self.carry_out(actions);
+        let spent = begun.elapsed();
+        self.next_settle = Instant::now() + (spent * SETTLE_PAUSE_FACTOR).max(MIN_SETTLE_PAUSE);
+    }
+
     fn take(&mut self, input: Input) {
         match input {
             Input::Event(event) => self.step(event),
@@ -69,7 +103,12 @@
     }
 
     fn step(&mut self, event: Event) {
-        for action in self.engine.step(self.clock.now(), event) {
+        let actions = self.engine.step(self.clock.now(), event);
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
             if let Action::Answer { token, answer } = action {
                 if let Some(respond) = self.callers.remove(&token) {
                     // A caller that went away needs no answer.
--- a/crates/platform/src/site/worker.rs
+++ b/crates/platform/src/site/worker.rs
@@ -60,7 +60,7 @@
             slots: 0,
             connections: 0,
         },
-        labels: entry.labels,
+        labels: entry.labels.into(),
         rack,
         is_draining,
     };
