Count each failed attempt once, wherever its end is seen; let silent workers' leases end

(2) looks at a worker that did not answer went on renewing the owner's idea of its lease, so that runs of crashed workers never ended and their gangs never started again: LOST. Found by the new lines on long waits, which name the obstacle.

--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -28,6 +28,10 @@
 /// Room asked for beyond the expected need, for workers that fill up meanwhile.
 const SPARE_FACTOR: f64 = 1.3;
 
+/// Room for a gang, empty or not, that its allowed workers should have together, in
+/// multiples of what it needs.
+const GANG_CHOICE: u32 = 3;
+
 /// Pause after a failed call, in milliseconds.
 const RETRY_MS: u64 = 100;
 
@@ -152,8 +156,8 @@
         let most: u32 = self.allowed.iter().map(|candidate| candidate.most).sum();
         let room: u32 = self.allowed.iter().map(|candidate| candidate.slots).sum();
         if demand.is_gang {
-            // A gang that its workers could hold waits for room there.
-            return self.newcomers(wanted.saturating_sub(most), rate, true);
+            // With a choice of workers, room for all members comes up sooner.
+            return self.newcomers((wanted * GANG_CHOICE).saturating_sub(most), rate, true);
         }
         let newcomers = self.newcomers(wanted.saturating_sub(room), rate, false);
         if newcomers.is_empty() && room > 0 { self.renewals(wanted) } else { newcomers }
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -8,7 +8,7 @@
 
 use super::Engine;
 use super::room::{Candidate, Spot, candidates};
-use crate::{Step, Task};
+use crate::{Obstacle, Step, Task};
 
 /// What a step needs, looked up once for a pass.
 pub(super) struct Demand {
@@ -35,30 +35,30 @@
         }
         let mut spots = self.spots();
         for (_, key) in self.ranked() {
-            self.serve(key, &mut spots);
+            let obstacle = self.serve(key, &mut spots);
+            if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
+                step.obstacle = obstacle;
+            }
         }
     }
 
-    /// Starts what can be started of one step.
-    fn serve(&mut self, key: Step, spots: &mut [Spot]) {
-        let Some(job) = self.jobs.get(&key.job) else { return };
-        let Some(queue) = self.queues.get(&job.queue) else { return };
-        let (Some(run), Some(spec)) = (job.step(key), job.spec.steps.get(usize::from(key.index)))
-        else {
-            return;
-        };
+    /// Starts what can be started of one step. Returns why the rest waits.
+    fn serve(&mut self, key: Step, spots: &mut [Spot]) -> Option<Obstacle> {
+        let job = self.jobs.get(&key.job)?;
+        let queue = self.queues.get(&job.queue)?;
+        let (run, spec) = (job.step(key)?, job.spec.steps.get(usize::from(key.index))?);
         // Until all workers of the owner before are accounted for, a task of an
         // older job may run unseen.
         if job.is_recovered && self.is_recovering {
-            return;
+            return Some(Obstacle::Recovering);
         }
         let waiting = run.waiting.len() as u32;
         if waiting == 0 || (spec.is_gang && waiting < spec.tasks) {
-            return;
+            return Some(Obstacle::GangEnding);
         }
         let allowed = self.limit_room(&job.team, &spec.size);
         if allowed == 0 || (spec.is_gang && allowed < waiting) {
-            return;
+            return Some(Obstacle::Limit);
         }
         let demand = Demand {
             key,
@@ -79,6 +79,13 @@
         if demand.is_gang && !is_placed {
             self.keep_room(&demand, spots);
         }
+        let step = self.jobs.get(&key.job)?.step(key)?;
+        match step {
+            step if step.waiting.is_empty() => None,
+            _ if !is_durable => Some(Obstacle::NotDurable),
+            step if step.advice.is_asking => Some(Obstacle::Advice),
+            _ => Some(Obstacle::NoRoom),
+        }
     }
 
     /// Puts tasks on workers, a gang as a whole or not at all. Returns whether any was.
--- a/crates/graph/src/engine/ends.rs
+++ b/crates/graph/src/engine/ends.rs
@@ -33,11 +33,11 @@
         if let Some(saved) = &saved {
             self.save_progress(task, saved);
         }
-        // Only a `done` counts from a run that is not on the books: its room was
-        // given back when its lease ended, and the task may run elsewhere by now.
+        // A run may be off the books: the owner before started it, or its lease was
+        // taken for over. Then only what the worker did with it counts.
         match how {
             RunEnd::Done => self.finish_task(name, task, attempt),
-            RunEnd::Failed if is_known => self.fail_task(name, task, attempt),
+            RunEnd::Failed => self.fail_task(name, task, attempt),
             _ if is_known => self.interrupt_task(task, attempt, how, saved),
             _ => self.put_back(task),
         }
@@ -108,12 +108,8 @@
         let Some(step) = job.step_mut(task.step) else { return };
         step.tasks[task.index as usize].avoid = Some(name.clone());
         // The members of a gang fail together.
-        let counted = &mut step.tasks[if is_gang { 0 } else { task.index as usize }];
-        if !is_gang || counted.failed_attempt != attempt {
-            counted.failures += 1;
-            counted.failed_attempt = attempt;
-        }
-        let failures = counted.failures;
+        let counted = if is_gang { 0 } else { task.index as usize };
+        let failures = step.tasks[counted].note_failed(attempt);
         let most = self.queues.get(&queue).map_or(u32::MAX, |queue| queue.max_attempts.max(1));
         if failures >= most && !is_service {
             self.close(task.step.job, State::Failed);
--- a/crates/graph/src/engine/holds.rs
+++ b/crates/graph/src/engine/holds.rs
@@ -31,8 +31,10 @@
         let look = self.looks;
         let (now_ms, lease_ms) = (self.now.steady_ms, self.timing.lease_ms);
         let Some(host) = self.hosts.get_mut(name) else { return look };
-        // Without a known clock the lease can't be told; the next look renews it.
-        let deadline_ms = host.is_held.then(|| host.clock_at(now_ms) + lease_ms);
+        // Without a known clock the lease can't be told. Nor is it renewed for a worker
+        // that doesn't answer: it may get the looks, and its lease would never end.
+        let may_renew = host.is_held && host.missed == 0;
+        let deadline_ms = may_renew.then(|| host.clock_at(now_ms) + lease_ms);
         if deadline_ms.is_some() {
             host.renewed_ms = now_ms;
         }
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -22,7 +22,7 @@
 use crate::host::Host;
 use crate::job;
 use crate::progress::Job;
-use crate::{Action, Answer, Event, Moment, Record, Step, Timing};
+use crate::{Action, Answer, Event, Moment, Record, Step, Timing, Wait};
 
 pub use recover::Recovered;
 
@@ -214,6 +214,19 @@
         self.ready.len()
     }
 
+    /// Returns the steps that have waited for so long, in milliseconds.
+    pub fn long_waits(&self, min_age_ms: u64) -> Vec<Wait> {
+        let wait = |key: &Step| {
+            let job = self.jobs.get(&key.job)?;
+            let step = job.step(*key)?;
+            let age_ms = self.now.unix_ms.saturating_sub(job.due_unix_ms(key.occurrence));
+            let (allowed, denied) = (step.advice.allowed.len(), step.advice.denied.len());
+            let obstacle = step.obstacle?;
+            Some(Wait { step: *key, age_ms, obstacle, allowed, denied })
+        };
+        self.ready.iter().filter_map(wait).filter(|wait| wait.age_ms >= min_age_ms).collect()
+    }
+
     /// Whether workers of the owner before are not all accounted for.
     pub fn is_recovering(&self) -> bool {
         self.is_recovering
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -65,7 +65,7 @@
                 step.finish(index);
             }
             if let Some(task) = step.tasks.get_mut(index as usize) {
-                task.failures = failures;
+                task.failed = failures;
                 task.attempt = attempt;
                 task.checkpoint = (!checkpoint.is_empty()).then_some(checkpoint);
             }
@@ -101,11 +101,7 @@
             }
             RunEnd::Failed => {
                 let at = if is_gang { 0 } else { ended.task.index as usize };
-                let counted = &mut step.tasks[at];
-                if !is_gang || counted.failed_attempt != ended.attempt {
-                    counted.failures += 1;
-                    counted.failed_attempt = ended.attempt;
-                }
+                step.tasks[at].note_failed(ended.attempt);
             }
             _ => {}
         }
--- a/crates/graph/src/progress/job.rs
+++ b/crates/graph/src/progress/job.rs
@@ -110,12 +110,12 @@
                 let key = Step { job: self.id, occurrence: occurrence as u32, index: index as u16 };
                 for (at, task) in step.tasks.iter().enumerate() {
                     let checkpoint = task.checkpoint.clone().unwrap_or_else(|| Name::from(""));
-                    if task.is_done || task.failures > 0 || task.attempt > 0 {
+                    if task.is_done || !task.failed.is_empty() || task.attempt > 0 {
                         tasks.push((
                             key,
                             at as u32,
                             task.is_done,
-                            task.failures,
+                            task.failed.clone(),
                             task.attempt,
                             checkpoint,
                         ));
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -3,15 +3,17 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use sycamore_types::Name;
 
+use crate::Obstacle;
+
 /// How far one task is.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TaskRun {
     pub is_done: bool,
     /// Number of the last start.
     pub attempt: u32,
-    pub failures: u32,
-    /// Last attempt that failed, so that members of one gang count once.
-    pub failed_attempt: u32,
+    /// Attempts that failed. An end that is listed twice, or by several members of a
+    /// gang, counts once.
+    pub failed: Vec<u32>,
     /// Runs that may exist: host and attempt.
     pub runs: Vec<(Name, u32)>,
     pub checkpoint: Option<Name>,
@@ -44,16 +46,29 @@
     pub tasks: Vec<TaskRun>,
     pub done: u32,
     pub advice: Advice,
+    /// Why the step's tasks waited at the last pass.
+    pub obstacle: Option<Obstacle>,
     /// Indices of tasks that wait to be started, in order.
     pub waiting: BTreeSet<u32>,
 }
 
+impl TaskRun {
+    /// Counts a failed attempt. Returns how many have failed.
+    pub fn note_failed(&mut self, attempt: u32) -> u32 {
+        if !self.failed.contains(&attempt) {
+            self.failed.push(attempt);
+        }
+        self.failed.len() as u32
+    }
+}
+
 impl StepRun {
     pub fn new(tasks: u32) -> StepRun {
         StepRun {
             tasks: vec![TaskRun::default(); tasks as usize],
             done: 0,
             advice: Advice::default(),
+            obstacle: None,
             waiting: (0..tasks).collect(),
         }
     }
--- a/crates/graph/src/record.rs
+++ b/crates/graph/src/record.rs
@@ -82,6 +82,6 @@
     pub spec: Spec,
     /// A task has started.
     pub has_started: bool,
-    /// Tasks that are not as new: task, done, failures, last attempt, checkpoint.
-    pub tasks: Vec<(Step, u32, bool, u32, u32, Name)>,
+    /// Tasks that are not as new: task, done, failed attempts, last attempt, checkpoint.
+    pub tasks: Vec<(Step, u32, bool, Vec<u32>, u32, Name)>,
 }
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -2,7 +2,7 @@
 use std::time::{Duration, Instant};
 
 use rustc_hash::FxHashMap;
-use sycamore_graph::{Action, Engine, Event};
+use sycamore_graph::{Action, Engine, Event, Wait};
 use tokio::sync::{mpsc, oneshot};
 
 use super::handle::Input;
@@ -17,6 +17,15 @@
 /// Shortest pause between two passes of decisions.
 const MIN_SETTLE_PAUSE: Duration = Duration::from_millis(2);
 
+/// Time between two descriptions of what waits.
+const DESCRIBE_EVERY: Duration = Duration::from_secs(2);
+
+/// Age from which a wait is described, in milliseconds.
+const LONG_WAIT_MS: u64 = 8_000;
+
+/// Most waits in one description.
+const DESCRIBED: usize = 5;
+
 struct Control {
     engine: Engine,
     clock: Clock,
@@ -25,6 +34,7 @@
     last_token: u64,
     /// Time before which the engine does not decide again.
     next_settle: Instant,
+    described: Instant,
 }
 
 /// Starts the control thread. It ends when told to, or when nobody can reach it.
@@ -37,7 +47,9 @@
     std::thread::Builder::new().name("control".to_string()).spawn(move || {
         let callers = FxHashMap::default();
         let next_settle = Instant::now();
-        let mut control = Control { engine, clock, actions, callers, last_token: 0, next_settle };
+        let described = next_settle;
+        let mut control =
+            Control { engine, clock, actions, callers, last_token: 0, next_settle, described };
         control.run(&inputs);
     })?;
     Ok(sender)
@@ -68,11 +80,33 @@
             if Instant::now() >= next_tick {
                 next_tick = Instant::now() + TICK;
                 self.step(Event::Tick);
+                self.describe();
             }
             self.settle();
         }
     }
 
+    /// Logs the steps that wait longest, a bounded number at a bounded rate.
+    fn describe(&mut self) {
+        if self.described.elapsed() < DESCRIBE_EVERY {
+            return;
+        }
+        self.described = Instant::now();
+        let mut waits = self.engine.long_waits(LONG_WAIT_MS);
+        waits.sort_by_key(|wait| std::cmp::Reverse(wait.age_ms));
+        let total = waits.len();
+        for wait in waits.into_iter().take(DESCRIBED) {
+            let Wait { step, age_ms, obstacle, allowed, denied } = wait;
+            log::info!(
+                "waiting job={} step={}.{} age_ms={age_ms} obstacle=\"{obstacle}\" \
+                 allowed_workers={allowed} denied_workers={denied} waiting_steps={total}",
+                step.job,
+                step.occurrence,
+                step.index
+            );
+        }
+    }
+
     /// Lets the engine decide, but not more often than its own cost allows.
     fn settle(&mut self) {
         let begun = Instant::now();
