Ask for advice in order of rank; put late jobs behind those in time

Ruled out: takeovers (0.3 s each). Now a step asks only when a lane of its length class is free, in order of rank, and jobs that can't meet their objective go behind those that can.

--- a/crates/graph/src/action.rs
+++ b/crates/graph/src/action.rs
@@ -1,7 +1,7 @@
 use sycamore_types::Name;
 
 use crate::job::State;
-use crate::{Record, Step, Task};
+use crate::{CallClass, Record, Step, Task};
 
 /// Start a task on a worker.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -53,6 +53,8 @@
 pub struct Advise {
     /// The step.
     pub step: Step,
+    /// Length class of the call.
+    pub class: CallClass,
     /// Workers to ask about.
     pub hosts: Vec<Name>,
     /// Expected time of the call, in milliseconds.
--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -13,7 +13,7 @@
 use super::room::{Candidate, Spot};
 use crate::catalog::Advice;
 use crate::progress::{self, Ticket};
-use crate::{Action, Advise, Step};
+use crate::{Action, Advise, CallClass, Step};
 
 /// Most workers in one call. Platform documentation: at most 100; more than 40 costs
 /// more than a second call.
@@ -53,7 +53,7 @@
         let advice = &step.advice;
         let sorted = Sorted::new(found, advice, spots, now_ms + self.timing.ticket_margin_ms);
         let wanted = demand.wanted();
-        let may_ask = !advice.is_asking && now_ms >= advice.not_before_ms;
+        let may_ask = advice.asking.is_none() && now_ms >= advice.not_before_ms;
         if may_ask && !enough(&sorted.ready, wanted) {
             let asked = sorted.to_ask(demand, rate);
             if !asked.is_empty() {
@@ -68,25 +68,34 @@
         let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) else {
             return;
         };
-        step.advice.is_asking = true;
         let cost_ms = cost.base_ms + cost.per_host_ms * hosts.len() as f64;
-        self.actions.push(Action::Advise(Advise { step: key, hosts, cost_ms }));
+        let class = CallClass::of(cost_ms);
+        // Steps are served in order of rank: the first ones get the lanes.
+        if self.asking[class as usize] >= self.lanes[class as usize] {
+            return;
+        }
+        self.asking[class as usize] += 1;
+        step.advice.asking = Some(class);
+        self.actions.push(Action::Advise(Advise { step: key, class, hosts, cost_ms }));
     }
 
     pub(super) fn advised(
         &mut self,
         key: Step,
+        class: CallClass,
         asked: Vec<Name>,
         allowed: Option<Vec<(Name, Name)>>,
         age_ms: u64,
     ) {
         let now_ms = self.now.steady_ms;
         self.needs_dispatch = true;
+        // The call is over, whatever became of its step.
+        self.asking[class as usize] = self.asking[class as usize].saturating_sub(1);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let queue = job.queue.clone();
         let valid_ms = self.queues.get(&queue).and_then(|queue| queue.advice).map(|a| a.valid_ms);
         let Some(step) = job.step_mut(key) else { return };
-        step.advice.is_asking = false;
+        step.advice.asking = None;
         let Some(allowed) = allowed else {
             step.advice.not_before_ms = now_ms + RETRY_MS;
             return;
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -83,7 +83,7 @@
         match step {
             step if step.waiting.is_empty() => None,
             _ if !is_durable => Some(Obstacle::NotDurable),
-            step if step.advice.is_asking => Some(Obstacle::Advice),
+            step if step.advice.asking.is_some() => Some(Obstacle::Advice),
             _ => Some(Obstacle::NoRoom),
         }
     }
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -22,7 +22,7 @@
 use crate::host::Host;
 use crate::job;
 use crate::progress::Job;
-use crate::{Action, Answer, Event, Moment, Record, Step, Timing, Wait};
+use crate::{Action, Answer, CallClass, Event, Moment, Record, Step, Timing, Wait};
 
 pub use recover::Recovered;
 
@@ -69,6 +69,9 @@
     closed: VecDeque<(u64, job::Id)>,
     /// Part of the workers asked about that may run a step, by queue.
     allow_rate: FxHashMap<Name, f64>,
+    /// Calls for advice that may be under way, and those that are, by class.
+    lanes: [u32; CallClass::COUNT],
+    asking: [u32; CallClass::COUNT],
     appended: u64,
     durable: u64,
     effects: VecDeque<(u64, Effect)>,
@@ -102,8 +105,12 @@
             Event::Stopped { host, task, attempt, is_taken } => {
                 self.stopped(&host, task, attempt, is_taken);
             }
-            Event::Advised { step, asked, allowed, age_ms } => {
-                self.advised(step, asked, allowed, age_ms);
+            Event::AdviceLanes(lanes) => {
+                self.lanes = lanes;
+                self.needs_dispatch = true;
+            }
+            Event::Advised { step, class, asked, allowed, age_ms } => {
+                self.advised(step, class, asked, allowed, age_ms);
             }
         }
         std::mem::take(&mut self.actions)
--- a/crates/graph/src/engine/rank.rs
+++ b/crates/graph/src/engine/rank.rs
@@ -18,6 +18,9 @@
 pub(super) struct Rank {
     is_hopeless: bool,
     is_over_share: bool,
+    /// The objective can't be met any more. Serving such jobs first would make all
+    /// others late in turn.
+    is_late: bool,
     priority: u32,
     /// Time left until the job must go on to meet its objective, in milliseconds.
     slack_ms: i64,
@@ -40,11 +43,13 @@
         let age_ms = self.now.unix_ms as i64 - job.due_unix_ms(key.occurrence) as i64;
         let rest_ms = job.rest_ms.get(usize::from(key.index)).copied().unwrap_or(0) as i64;
         let last_ms = (HOPELESS_FACTOR * objective_ms) as i64;
+        let slack_ms = objective_ms as i64 - age_ms - rest_ms;
         Some(Rank {
+            is_late: slack_ms < 0,
             is_hopeless: age_ms + rest_ms > last_ms,
             is_over_share: over_share.contains(&job.team),
             priority: queue.priority,
-            slack_ms: objective_ms as i64 - age_ms - rest_ms,
+            slack_ms,
         })
     }
 
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -11,11 +11,14 @@
 use crate::host::{Host, RunEnd};
 use crate::job::Id;
 use crate::progress::Job;
-use crate::{Ended, HostEntry, Image, Moment, Record, Step, Timing};
+use crate::{CallClass, Ended, HostEntry, Image, Moment, Record, Step, Timing};
 
 /// Room left in the numbers of starts for orders of the owner before that nobody saw.
 const ATTEMPT_GAP: u32 = 1;
 
+/// Calls for advice under way in each class before it is known how many can be.
+const FIRST_LANES: u32 = 1;
+
 /// Collects the records of a log, in order.
 #[derive(Debug, Default)]
 pub struct Recovered {
@@ -160,6 +163,8 @@
             due: BTreeSet::new(),
             closed: VecDeque::new(),
             allow_rate: FxHashMap::default(),
+            lanes: [FIRST_LANES; CallClass::COUNT],
+            asking: [0; CallClass::COUNT],
             appended: 0,
             durable: 0,
             effects: VecDeque::new(),
--- a/crates/graph/src/event.rs
+++ b/crates/graph/src/event.rs
@@ -6,7 +6,7 @@
 use crate::catalog::Catalog;
 use crate::host::RunEnd;
 use crate::job::{self, Spec};
-use crate::{Step, Task};
+use crate::{CallClass, Step, Task};
 
 /// The time at which an event is handled.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -161,10 +161,14 @@
         /// The worker has taken the order.
         is_taken: bool,
     },
+    /// So many calls for advice can be under way at once, by class of their length.
+    AdviceLanes([u32; CallClass::COUNT]),
     /// Advice came for a step.
     Advised {
         /// The step.
         step: Step,
+        /// Length class of the call.
+        class: CallClass,
         /// Workers that were asked about.
         asked: Vec<Name>,
         /// Workers that may run the step, with their tickets. `None` when the call failed.
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -9,6 +9,7 @@
 //! a caller or a worker is told runs ahead of the log.
 
 mod action;
+mod call_class;
 pub mod catalog;
 mod engine;
 mod event;
@@ -21,6 +22,7 @@
 mod timing;
 
 pub use action::{Action, Advise, Answer, Hold, Start, Stop};
+pub use call_class::CallClass;
 pub use engine::{Engine, Recovered};
 pub use event::{Event, HostEntry, Moment, Report, StartOutcome};
 pub use host::RunEnd;
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -3,7 +3,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use sycamore_types::Name;
 
-use crate::Obstacle;
+use crate::{CallClass, Obstacle};
 
 /// How far one task is.
 #[derive(Clone, Debug, Default)]
@@ -35,7 +35,8 @@
     pub allowed: FxHashMap<u32, Ticket>,
     /// Slots of workers that are not allowed.
     pub denied: FxHashSet<u32>,
-    pub is_asking: bool,
+    /// Class of the call under way.
+    pub asking: Option<CallClass>,
     /// No call before this time, in milliseconds.
     pub not_before_ms: u64,
 }
--- a/crates/node/src/owner/dealer.rs
+++ b/crates/node/src/owner/dealer.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use rustc_hash::FxHashMap;
-use sycamore_graph::{Advise, Event};
+use sycamore_graph::{Advise, CallClass, Event};
 use sycamore_types::Name;
 use sycamore_wire::Lane;
 use tokio::sync::mpsc;
@@ -21,27 +21,19 @@
 use crate::peer::{Command, Reply};
 use crate::timing::ADVICE_MARGIN;
 
-/// Calls up to this length are short, in milliseconds.
-const SHORT_MS: f64 = 40.0;
-
-/// Calls from this length on are long, in milliseconds.
-const LONG_MS: f64 = 250.0;
-
-/// Length classes of calls.
-const CLASSES: usize = 3;
-
 /// Parts of the hosts that take short and short or middle calls first. Long calls need
 /// half of all time by the price list of the sites.
 const SHORT_SHARE: f64 = 0.25;
 const MIDDLE_SHARE: f64 = 0.55;
 
-fn class_of(cost_ms: f64) -> usize {
-    if cost_ms <= SHORT_MS {
-        0
-    } else if cost_ms < LONG_MS {
-        1
+/// What a host is for, by its place among all.
+fn duty(place: f64) -> CallClass {
+    if place < SHORT_SHARE {
+        CallClass::Short
+    } else if place < MIDDLE_SHARE {
+        CallClass::Middle
     } else {
-        2
+        CallClass::Long
     }
 }
 
@@ -50,7 +42,9 @@
 pub(super) struct Dealer {
     node: Arc<Node>,
     handle: Handle,
-    waiting: [VecDeque<Advise>; CLASSES],
+    waiting: [VecDeque<Advise>; CallClass::COUNT],
+    /// Lanes that the engine was told of.
+    lanes: [u32; CallClass::COUNT],
     /// Hosts with a call under way.
     busy: FxHashMap<Name, Instant>,
     done: mpsc::UnboundedSender<Name>,
@@ -60,11 +54,13 @@
     pub fn new(node: Arc<Node>, handle: Handle) -> (Dealer, mpsc::UnboundedReceiver<Name>) {
         let (done, ended) = mpsc::unbounded_channel();
         let busy = FxHashMap::default();
-        (Dealer { node, handle, waiting: Default::default(), busy, done }, ended)
+        let waiting = Default::default();
+        let lanes = [0; CallClass::COUNT];
+        (Dealer { node, handle, waiting, lanes, busy, done }, ended)
     }
 
     pub fn take(&mut self, advise: Advise) {
-        self.waiting[class_of(advise.cost_ms)].push_back(advise);
+        self.waiting[advise.class as usize].push_back(advise);
         self.deal();
     }
 
@@ -74,24 +70,42 @@
         self.deal();
     }
 
-    fn deal(&mut self) {
+    /// Hosts in order, each with what it is for. Of a few hosts each does everything.
+    fn hosts(&self) -> Vec<(Name, SocketAddr, Option<CallClass>)> {
         let mut hosts = self.node.members();
         hosts.push((self.node.settings.host.clone(), self.node.settings.peers));
         hosts.sort();
-        let count = hosts.len() as f64;
-        for (at, (name, address)) in hosts.into_iter().enumerate() {
+        let count = hosts.len();
+        let duty =
+            |at: usize| (count >= CallClass::COUNT).then(|| duty((at as f64 + 0.5) / count as f64));
+        hosts.into_iter().enumerate().map(|(at, (name, addr))| (name, addr, duty(at))).collect()
+    }
+
+    /// Tells the engine how many calls of each class can be under way. One more waits
+    /// here, so that no host idles until the engine has heard of it.
+    pub fn refresh(&mut self) {
+        let hosts = self.hosts();
+        let takes = |class: CallClass| {
+            hosts.iter().filter(|(.., duty)| duty.is_none_or(|duty| duty >= class)).count() as u32
+        };
+        let lanes = [CallClass::Short, CallClass::Middle, CallClass::Long].map(|c| takes(c) + 1);
+        if lanes != self.lanes {
+            self.lanes = lanes;
+            self.handle.tell(Event::AdviceLanes(lanes));
+        }
+    }
+
+    fn deal(&mut self) {
+        for (name, address, duty) in self.hosts() {
             if self.busy.contains_key(&name) {
                 continue;
             }
-            let place = (at as f64 + 0.5) / count;
-            let order: &[usize] = if count < CLASSES as f64 {
-                &[0, 1, 2]
-            } else if place < SHORT_SHARE {
-                &[0]
-            } else if place < MIDDLE_SHARE {
-                &[1, 0]
-            } else {
-                &[2, 1, 0]
+            // A host helps out with shorter calls than its own.
+            let order: &[usize] = match duty {
+                None => &[0, 1, 2],
+                Some(CallClass::Short) => &[0],
+                Some(CallClass::Middle) => &[1, 0],
+                Some(CallClass::Long) => &[2, 1, 0],
             };
             let next = order.iter().find_map(|class| self.waiting[*class].pop_front());
             if let Some(advise) = next {
@@ -114,8 +128,8 @@
             // The tickets were made at the end of the call's own time at the earliest.
             let spent_ms = millis(begun.elapsed());
             let age_ms = spent_ms.saturating_sub(advise.cost_ms as u64);
-            let asked = advise.hosts;
-            handle.tell(Event::Advised { step: advise.step, asked, allowed, age_ms });
+            let Advise { step, class, hosts: asked, .. } = advise;
+            handle.tell(Event::Advised { step, class, asked, allowed, age_ms });
             // The owner may have ended; nobody deals any more then.
             let _ = done.send(host);
         });
--- a/crates/node/src/owner/execute.rs
+++ b/crates/node/src/owner/execute.rs
@@ -9,7 +9,7 @@
 use super::journal::Journal;
 use super::{End, Handle};
 use crate::node::Node;
-use crate::timing::{HOLD_MARGIN, ORDER_TIMEOUT};
+use crate::timing::{HOLD_MARGIN, LANES_EVERY, ORDER_TIMEOUT};
 
 /// Pause before a look at a worker without a known address is given up.
 const NO_ADDRESS_PAUSE: Duration = Duration::from_millis(200);
@@ -25,8 +25,10 @@
     let (records, received) = mpsc::unbounded_channel();
     let (mut dealer, mut ended) = Dealer::new(node.clone(), handle.clone());
     let mut journal = std::pin::pin!(journal.run(received));
+    let mut refresh = tokio::time::interval(LANES_EVERY);
     loop {
         tokio::select! {
+            _ = refresh.tick() => dealer.refresh(),
             () = &mut journal => return End::Deposed,
             host = ended.recv() => {
                 if let Some(host) = host {
--- a/crates/node/src/timing.rs
+++ b/crates/node/src/timing.rs
@@ -67,3 +67,6 @@
 
 /// Time between looks at the settings file for changes without a signal.
 pub(crate) const SETTINGS_EVERY: Duration = Duration::from_millis(1_000);
+
+/// Time between two looks at which processes can make calls for advice.
+pub(crate) const LANES_EVERY: Duration = Duration::from_millis(250);
