Answer every request before the process exits; tell the owner before; back off from the store

It follows on now, and requests end before the exit. Also: a new owner tells the one before, which may not see the store; calls of the store that fail are repeated after growing pauses.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -6,7 +6,8 @@
 use sycamore_platform::site::{Config, Store, StoreError, key};
 use tokio::sync::watch;
 
-use crate::timing::{CONFIG_WAIT, STORE_RETRY, STORE_TIMEOUT};
+use crate::backoff::Backoff;
+use crate::timing::{CONFIG_WAIT, STORE_RETRY, STORE_RETRY_MAX, STORE_TIMEOUT};
 
 /// A configuration with the bytes that it was read from.
 #[derive(Debug, Default)]
@@ -73,18 +74,19 @@
 
     /// Follows the store for as long as the process lives.
     pub async fn follow(self, store: Store) {
+        let mut backoff = Backoff::new(STORE_RETRY, STORE_RETRY_MAX);
         loop {
-            match self.read_and_watch(&store).await {
+            match self.read_and_watch(&store, &mut backoff).await {
                 StoreError::Compacted => {}
                 error => {
                     log::debug!("configuration watch: {error}");
-                    tokio::time::sleep(STORE_RETRY).await;
+                    backoff.pause().await;
                 }
             }
         }
     }
 
-    async fn read_and_watch(&self, store: &Store) -> StoreError {
+    async fn read_and_watch(&self, store: &Store, backoff: &mut Backoff) -> StoreError {
         let mut after = match store.get(key::CONFIG, STORE_TIMEOUT).await {
             Ok(Some(item)) => {
                 self.note_store();
@@ -99,6 +101,7 @@
             match store.watch(key::CONFIG, after, CONFIG_WAIT).await {
                 Ok(watched) => {
                     self.note_store();
+                    backoff.reset();
                     after = watched.as_of.max(after);
                     for change in watched.events {
                         if change.key == key::CONFIG && !change.removed {
--- a/crates/node/src/door/ask.rs
+++ b/crates/node/src/door/ask.rs
@@ -15,6 +15,8 @@
 pub(super) async fn ask_owner(node: &Arc<Node>, ask: Ask, until: Instant) -> Verdict {
     let mut last = Verdict::NotOwner;
     loop {
+        // The process may have been told to stop meanwhile.
+        let until = node.answer_by(until);
         let verdict = attempt(node, &ask, until).await;
         match verdict {
             Verdict::NotOwner => {}
@@ -36,7 +38,7 @@
         Leader::Unknown => Verdict::NotOwner,
         Leader::Here(handle) => {
             let answer = handle.ask(ask.clone());
-            tokio::time::timeout(rest, answer).await.unwrap_or(Verdict::Unknown)
+            tokio::time::timeout(rest.min(ASK_TIMEOUT), answer).await.unwrap_or(Verdict::Unknown)
         }
         Leader::Peer { address } => {
             let command = Command::Ask(ask.clone());
--- a/crates/node/src/lead/follow.rs
+++ b/crates/node/src/lead/follow.rs
@@ -6,13 +6,16 @@
 use sycamore_wire::Lane;
 
 use super::{Claim, Leader};
+use crate::backoff::Backoff;
 use crate::node::Node;
 use crate::owner;
 use crate::peer::{Command, Ping, Pong, Reply, Role};
-use crate::timing::{CLAIM_JITTER, OWNER_SILENCE, PING_EVERY, PING_TIMEOUT, STORE_RETRY};
+use crate::timing::{
+    CLAIM_JITTER, OWNER_SILENCE, PING_EVERY, PING_TIMEOUT, STORE_RETRY, STORE_RETRY_MAX,
+};
 
 /// Pings without the store behind the owner after which a process that has it takes over.
-const STORE_LOST_PINGS: u32 = 4;
+const STORE_LOST_PINGS: u32 = 2;
 
 /// Most peers asked whether they hear the owner before a takeover.
 const WITNESSES: usize = 2;
@@ -20,18 +23,22 @@
 /// Longest wait for a witness.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Follows the owner, and takes over when it is lost, until the process stops.
+/// Follows the owner for as long as the process lives, and takes over when it is lost.
+/// A process that stops follows on, for the requests that it still has.
 pub(crate) async fn follow(node: Arc<Node>) {
-    while !node.is_stopping() {
+    let mut backoff = Backoff::new(STORE_RETRY, STORE_RETRY_MAX);
+    loop {
         let (claim, rev) = match Claim::read(&node.store).await {
             Ok(found) => found,
             Err(error) => {
                 log::debug!("owner record not read: {error}");
-                tokio::time::sleep(STORE_RETRY).await;
+                backoff.pause().await;
                 continue;
             }
         };
+        backoff.reset();
         match claim {
+            None => take_over(&node, None, rev, "first").await,
             Some(claim) if claim.is_vacant => take_over(&node, Some(claim), rev, "vacant").await,
             Some(claim) if claim.nonce == node.nonce => {
                 // A claim whose answer was lost has succeeded.
@@ -43,7 +50,6 @@
                     take_over(&node, Some(claim), rev, why).await;
                 }
             }
-            None => take_over(&node, None, rev, "first").await,
         }
     }
 }
@@ -56,7 +62,7 @@
     let mut heard = Instant::now();
     let mut refusals = 0;
     let mut without_store = 0;
-    while !node.is_stopping() {
+    loop {
         match ping(node, claim.address).await {
             Ok(pong) => match pong.role {
                 Role::Owner { epoch } if epoch == claim.epoch => {
@@ -66,8 +72,16 @@
                     catch_up(node, claim.address, pong.config_version);
                     let is_lost = !pong.store_is_near && node.configs.store_is_near();
                     without_store = if is_lost { without_store + 1 } else { 0 };
+                    // Only the store's own answer tells that this process has it.
                     if without_store >= STORE_LOST_PINGS {
-                        return Some("owner without store");
+                        without_store = 0;
+                        match Claim::read(&node.store).await {
+                            Ok((Some(now), _)) if now == *claim => {
+                                return Some("owner without store");
+                            }
+                            Ok(_) => return None,
+                            Err(error) => log::debug!("owner record not read: {error}"),
+                        }
                     }
                 }
                 // It begins, has resigned, or is another incarnation.
@@ -98,7 +112,6 @@
         }
         tokio::time::sleep(PING_EVERY).await;
     }
-    None
 }
 
 /// Asks other processes whether they hear the owner.
@@ -153,13 +166,33 @@
     });
 }
 
+/// Tells the owner before, which may not reach the store, that it was replaced.
+fn depose(node: &Arc<Node>, address: SocketAddr, epoch: u64) {
+    let node = node.clone();
+    tokio::spawn(async move {
+        let ping = Command::Ping(Ping {
+            host: node.settings.host.clone(),
+            address: node.settings.peers,
+            config_version: node.configs.version(),
+            epoch,
+        });
+        let call = node.pool.call::<Reply>(address, Lane::Control, &ping);
+        if !matches!(tokio::time::timeout(PING_TIMEOUT, call).await, Ok(Ok(_))) {
+            log::debug!("owner before at {address} not told of epoch {epoch}");
+        }
+    });
+}
+
 /// Claims the workers and, with the claim won, owns them until it is lost.
 async fn take_over(node: &Arc<Node>, claim: Option<Claim>, rev: u64, why: &str) {
     let jitter = rand::rng().random_range(Duration::ZERO..CLAIM_JITTER);
     tokio::time::sleep(jitter).await;
     if node.is_stopping() {
+        // Others take over; this process only waits to follow.
+        tokio::time::sleep(PING_EVERY).await;
         return;
     }
+    let before = claim.as_ref().map(|claim| claim.address);
     let epoch = claim.map_or(0, |claim| claim.epoch) + 1;
     let own = Claim {
         epoch,
@@ -171,6 +204,9 @@
     match own.write(&node.store, rev).await {
         Ok(rev) => {
             log::info!("takeover epoch={epoch} why=\"{why}\"");
+            if let Some(address) = before {
+                depose(node, address, epoch);
+            }
             owner::own(node, own, rev).await;
         }
         Err(error) => {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use displaydoc::Display;
@@ -18,7 +18,7 @@
 use crate::config::Configs;
 use crate::lead::{Lead, Leader};
 use crate::peer::{Ask, Ping, Pong, Role, Verdict};
-use crate::timing::{DRAIN_DELAY, EXIT_MARGIN, OWNER_SILENCE, SETTINGS_EVERY};
+use crate::timing::{DRAIN_DELAY, EXIT_MARGIN, LAST_ANSWER_MARGIN, OWNER_SILENCE, SETTINGS_EVERY};
 use crate::{door, lead, peer};
 
 /// Time for which idle connections are kept: connections are paid for one by one.
@@ -51,6 +51,10 @@
     pub configs: Configs,
     pub lead: Lead,
     pub stopping: Notify,
+    /// A peer knows of a higher epoch than this owner's.
+    pub outranked: Notify,
+    /// Time by which all answers must be given, once the process stops.
+    last_answer: OnceLock<Instant>,
     is_stopping: AtomicBool,
     adviser: Option<Adviser>,
     /// One call at a time: the service handles a host's calls in turn.
@@ -72,6 +76,8 @@
             configs: Configs::new(),
             lead: Lead::default(),
             stopping: Notify::new(),
+            outranked: Notify::new(),
+            last_answer: OnceLock::new(),
             is_stopping: AtomicBool::new(false),
             advising: Mutex::new(()),
             members: Default::default(),
@@ -83,7 +89,14 @@
         self.is_stopping.load(Ordering::Relaxed)
     }
 
-    fn begin_stop(&self) {
+    /// Returns the time by which a request must be answered.
+    pub fn answer_by(&self, until: Instant) -> Instant {
+        self.last_answer.get().map_or(until, |last| until.min(*last))
+    }
+
+    fn begin_stop(&self, last_answer: Instant) {
+        // Set once; a second signal changes nothing.
+        let _ = self.last_answer.set(last_answer);
         self.is_stopping.store(true, Ordering::Relaxed);
         self.stopping.notify_waiters();
     }
@@ -107,16 +120,19 @@
             members.insert(ping.host.clone(), (ping.address, Instant::now()));
         }
         lead::catch_up(self, ping.address, ping.config_version);
+        let mut store_is_near = self.configs.store_is_near();
         let role = match self.lead.leader() {
-            Leader::Here(handle) => Role::Owner { epoch: handle.epoch },
+            Leader::Here(handle) if ping.epoch > handle.epoch => {
+                self.outranked.notify_waiters();
+                Role::Follower
+            }
+            Leader::Here(handle) => {
+                store_is_near &= !handle.is_store_away();
+                Role::Owner { epoch: handle.epoch }
+            }
             _ => Role::Follower,
         };
-        Pong {
-            role,
-            config_version: self.configs.version(),
-            store_is_near: self.configs.store_is_near(),
-            peers: self.members(),
-        }
+        Pong { role, config_version: self.configs.version(), store_is_near, peers: self.members() }
     }
 
     /// Processes that pinged a short while ago, in order of their names.
@@ -178,13 +194,11 @@
     signals.stop().await;
     log::info!("stop asked for");
     let told = Instant::now();
-    node.begin_stop();
-    if let Err(error) = following.await {
-        log::error!("follower ended: {error}");
-    }
     let last = grace.saturating_sub(EXIT_MARGIN);
+    node.begin_stop(told + last.saturating_sub(LAST_ANSWER_MARGIN));
     tokio::time::sleep(DRAIN_DELAY.min(last).saturating_sub(told.elapsed())).await;
     door.close(last.saturating_sub(told.elapsed())).await;
+    following.abort();
     log::info!("stopped");
     Ok(())
 }
--- a/crates/node/src/owner/handle.rs
+++ b/crates/node/src/owner/handle.rs
@@ -44,6 +44,11 @@
         let _ = self.control.send(Input::Event(event));
     }
 
+    /// The log has not been written for a while though records wait.
+    pub fn is_store_away(&self) -> bool {
+        self.shared.is_store_away.load(Ordering::Relaxed)
+    }
+
     pub(super) fn stop(&self) {
         let _ = self.control.send(Input::Stop);
     }
@@ -51,7 +56,7 @@
     /// Gets the engine's answer to a caller's request.
     pub async fn ask(&self, ask: Ask) -> Verdict {
         let needs_log = matches!(ask, Ask::Submit { .. } | Ask::Cancel { .. });
-        if needs_log && self.shared.is_store_away.load(Ordering::Relaxed) {
+        if needs_log && self.is_store_away() {
             return Verdict::StoreAway;
         }
         let (respond, answer) = oneshot::channel();
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -14,8 +14,9 @@
 
 use super::page;
 use super::{Handle, Shared};
+use crate::backoff::Backoff;
 use crate::lead::{Claim, OWNER_KEY};
-use crate::timing::{COMMIT_DELAY, STORE_DOWN_AFTER, STORE_RETRY, STORE_TIMEOUT};
+use crate::timing::{COMMIT_DELAY, LOG_RETRY_MAX, STORE_DOWN_AFTER, STORE_RETRY, STORE_TIMEOUT};
 
 /// Most records of one page, which keeps pages well under the store's largest value.
 const MAX_RECORDS: usize = 200;
@@ -124,6 +125,7 @@
     /// Repeats a change until it is certain that it was made, or can't be any more.
     async fn commit(&self, key: &str, change: &Transaction) -> bool {
         let begun = Instant::now();
+        let mut backoff = Backoff::new(STORE_RETRY / 2, LOG_RETRY_MAX);
         let mut may_be_done = false;
         loop {
             let outcome = self.store.commit(change, STORE_TIMEOUT).await;
@@ -143,7 +145,7 @@
             if begun.elapsed() > STORE_DOWN_AFTER {
                 self.shared.set_store_away(true);
             }
-            tokio::time::sleep(STORE_RETRY).await;
+            backoff.pause().await;
         }
         self.shared.set_store_away(false);
         true
--- a/crates/node/src/owner/listing.rs
+++ b/crates/node/src/owner/listing.rs
@@ -9,8 +9,9 @@
 use sycamore_types::Name;
 
 use super::Handle;
+use crate::backoff::Backoff;
 use crate::node::Node;
-use crate::timing::{LIST_EVERY, STORE_TIMEOUT};
+use crate::timing::{LIST_EVERY, STORE_RETRY_MAX, STORE_TIMEOUT};
 
 /// Addresses of workers by name.
 #[derive(Debug, Default)]
@@ -33,15 +34,21 @@
 /// Reads the list again and again.
 pub(super) async fn run(node: Arc<Node>, handle: Handle) {
     let mut last = Vec::new();
+    let mut backoff = Backoff::new(LIST_EVERY, STORE_RETRY_MAX);
     loop {
         match read(&node.store, &handle.addresses).await {
             Ok(entries) => {
+                backoff.reset();
                 if entries != last {
                     last = entries.clone();
                     handle.tell(Event::Listed(entries));
                 }
             }
-            Err(error) => log::debug!("list of workers not read: {error}"),
+            Err(error) => {
+                log::debug!("list of workers not read: {error}");
+                backoff.pause().await;
+                continue;
+            }
         }
         tokio::time::sleep(LIST_EVERY).await;
     }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -53,6 +53,10 @@
             return;
         }
     };
+    if node.is_stopping() {
+        resign(node, claim, rev).await;
+        return;
+    }
     let catalog = node.configs.current().map(|c| c.config.catalog.clone()).unwrap_or_default();
     log::info!(
         "owning epoch={} pages={} jobs={} config={}",
@@ -85,7 +89,8 @@
         end = execute::run(node.clone(), handle.clone(), received, journal) => end,
         _ = listing::run(node.clone(), handle.clone()) => End::Deposed,
         _ = follow_config(node, &handle) => End::Deposed,
-        _ = node.stopping.notified() => End::Stopping,
+        () = node.outranked.notified() => End::Deposed,
+        () = node.stopping.notified() => End::Stopping,
     };
     log::info!("no longer owning epoch={} why={end:?}", claim.epoch);
     handle.stop();
--- a/crates/node/src/timing.rs
+++ b/crates/node/src/timing.rs
@@ -21,8 +21,13 @@
 /// when it is slow, 60 times that.
 pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Pause after a failed call of the store.
+/// First and longest pause after a failed call of the store. All calls are paid for,
+/// refused ones too; the longest pause leaves time to catch up within 2 s.
 pub(crate) const STORE_RETRY: Duration = Duration::from_millis(150);
+pub(crate) const STORE_RETRY_MAX: Duration = Duration::from_millis(900);
+
+/// Longest pause after a failed write of the log, which everything waits for.
+pub(crate) const LOG_RETRY_MAX: Duration = Duration::from_millis(300);
 
 /// Wait of one watch of the configuration. Bounds how long a connection that has gone
 /// silent stays unnoticed.
@@ -65,6 +70,9 @@
 /// Part of the grace period that is left when a process exits by itself.
 pub(crate) const EXIT_MARGIN: Duration = Duration::from_millis(700);
 
+/// Time before its exit by which a process has answered all requests.
+pub(crate) const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(300);
+
 /// Time between looks at the settings file for changes without a signal.
 pub(crate) const SETTINGS_EVERY: Duration = Duration::from_millis(1_000);
 
