--- a/crates/graph/src/engine/close.rs
+++ b/crates/graph/src/engine/close.rs
@@ -1,7 +1,8 @@
 //! The last state of a job.
 
 use super::{Effect, Engine};
-use crate::job::{Id, State};
+use crate::job::{self, Id, State};
+use crate::progress::{StepRun, TaskRun};
 use crate::{Closed, Record, Task};
 
 impl Engine {
@@ -54,6 +55,29 @@
         }
     }
 
+    /// Closes the jobs of which a task has used up its attempts. An owner may have been
+    /// lost between counting the last one and closing the job, or not have known then
+    /// how many there are.
+    pub(super) fn close_spent(&mut self) {
+        let mut spent = Vec::new();
+        for job in self.jobs.values().filter(|job| job.closed.is_none()) {
+            let Some(queue) = self.queues.get(&job.queue) else { continue };
+            let is_spent = |(step, run): (&job::Step, &StepRun)| {
+                let is_used_up =
+                    |task: &TaskRun| task.failed.len() as u32 >= queue.max_attempts.max(1);
+                !step.is_service && run.tasks.iter().any(is_used_up)
+            };
+            let mut steps =
+                job.occurrences.iter().flat_map(|steps| job.spec.steps.iter().zip(steps));
+            if steps.any(is_spent) {
+                spent.push(job.id);
+            }
+        }
+        for id in spent {
+            self.close(id, State::Failed);
+        }
+    }
+
     pub(super) fn forget_closed(&mut self) {
         while self.closed.front().is_some_and(|(at, _)| *at <= self.now.unix_ms) {
             if let Some((_, id)) = self.closed.pop_front() {
--- a/crates/graph/src/engine/holds.rs
+++ b/crates/graph/src/engine/holds.rs
@@ -10,8 +10,13 @@
     /// Begins the looks that are due.
     pub(super) fn look_again(&mut self) {
         let now_ms = self.now.steady_ms;
+        let unacked_pause_ms = self.timing.unacked_pause_ms;
         let is_due = |host: &&Host| {
+            // A worker answers at once while it has ends that were not acknowledged.
+            let is_acked =
+                host.seen <= host.durable || now_ms >= host.answered_ms + unacked_pause_ms;
             host.look.is_none()
+                && is_acked
                 && now_ms >= host.look_not_before_ms
                 && (host.is_listed || host.is_held || !host.runs.is_empty() || host.is_logged)
         };
@@ -58,6 +63,7 @@
             host.look = None;
         }
         host.missed = 0;
+        host.answered_ms = now_ms;
         host.clock_offset_ms = report.clock_ms as i64 - now_ms as i64;
         let is_first = !std::mem::replace(&mut host.is_held, true);
         self.take_ends(name, &report);
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -79,6 +79,7 @@
     /// Workers of the owner before are not all accounted for.
     is_recovering: bool,
     needs_dispatch: bool,
+    look_is_due: bool,
     actions: Vec<Action>,
 }
 
@@ -146,6 +147,7 @@
         }
         self.queues.extend(catalog.queues.iter().map(|(name, q)| (name.clone(), q.clone())));
         self.catalog = catalog;
+        self.close_spent();
         self.needs_dispatch = true;
     }
 
@@ -170,6 +172,9 @@
                 self.apply(effect);
             }
         }
+        if std::mem::take(&mut self.look_is_due) {
+            self.look_again();
+        }
     }
 
     fn apply(&mut self, effect: Effect) {
@@ -192,6 +197,7 @@
                 {
                     host.durable = host.durable.max(seq);
                 }
+                self.look_is_due = true;
             }
             Effect::Use(name) => {
                 if let Some(host) = self.hosts.get_mut(&name) {
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -172,9 +172,11 @@
             looks: 0,
             is_recovering,
             needs_dispatch: false,
+            look_is_due: false,
             actions: Vec::new(),
         };
         engine.resume();
+        engine.close_spent();
         engine
     }
 
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -45,6 +45,8 @@
     pub look: Option<u64>,
     /// Time before which no look is due, in milliseconds.
     pub look_not_before_ms: u64,
+    /// Time of the last answer to a look, in milliseconds.
+    pub answered_ms: u64,
     /// Looks without an answer in a row.
     pub missed: u32,
     /// Failed ends in a row, of different jobs.
@@ -69,6 +71,7 @@
             renewed_ms: now_ms,
             look: None,
             look_not_before_ms: 0,
+            answered_ms: 0,
             missed: 0,
             failures: 0,
             quarantined_until_ms: 0,
--- a/crates/graph/src/timing.rs
+++ b/crates/graph/src/timing.rs
@@ -13,6 +13,9 @@
     pub start_ttl_ms: u64,
     /// Longest wait of one look at a worker, in milliseconds.
     pub hold_wait_ms: u64,
+    /// Pause before the next look at a worker whose ends can't be acknowledged yet, in
+    /// milliseconds. Only reached while the log can't be written.
+    pub unacked_pause_ms: u64,
     /// Pause after a failed look at a worker, in milliseconds.
     pub hold_retry_ms: u64,
     /// Time a job's last state stays known, in milliseconds. Platform setting.
@@ -33,6 +36,7 @@
             lease_margin_ms: 300,
             start_ttl_ms: 1_500,
             hold_wait_ms: 1_000,
+            unacked_pause_ms: 300,
             hold_retry_ms: 100,
             status_ms: 150_000,
             ticket_margin_ms: 60,
--- a/crates/graph/tests/engine/regression.rs
+++ b/crates/graph/tests/engine/regression.rs
@@ -1,5 +1,6 @@
 //! Failures that were found, each by the way it showed.
 
+use sycamore_graph::Event;
 use sycamore_graph::job::State;
 
 use crate::fixture::{catalog, gang, id, job, queue, step};
@@ -68,3 +69,25 @@
     assert_eq!(world.state(id(1)), Some(State::Queued));
     assert_eq!(world.state(id(2)), Some(State::Complete));
 }
+
+/// A process that took over right after its start did not know the configuration, nor
+/// so how many attempts a task has; when it learned it, nothing closed the job: BUDGET.
+#[test]
+fn an_owner_without_configuration_closes_spent_jobs_when_it_learns_it() {
+    let mut world = World::new(2, catalog(queue()), 1);
+    world.fail_share = 1.0;
+    world.submit(id(1), job(vec![step(1, 1_000)]));
+    while world.oracle.starts < 3 {
+        world.run(5);
+    }
+    let known = std::mem::take(&mut world.catalog);
+
+    world.take_over();
+    world.run(1_000);
+    world.catalog = known.clone();
+    world.give(Event::Configured(known));
+    world.run(5_000);
+
+    assert_eq!(world.state(id(1)), Some(State::Failed));
+    assert_eq!(world.oracle.starts, 3);
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -49,7 +49,8 @@
         reached.is_some_and(|at| at.elapsed() < 2 * CONFIG_WAIT)
     }
 
-    fn note_store(&self) {
+    /// Notes that the store answers.
+    pub fn note_store(&self) {
         if let Ok(mut reached) = self.reached.lock() {
             *reached = Some(Instant::now());
         }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use sycamore_graph::catalog::Catalog;
 use sycamore_graph::{Engine, Event, Timing};
 use sycamore_platform::site::StoreError;
 use tokio::sync::mpsc;
@@ -20,7 +21,7 @@
 
 use crate::lead::{Claim, Leader};
 use crate::node::Node;
-use crate::timing::STORE_RETRY;
+use crate::timing::{STORE_RETRY, STORE_TIMEOUT};
 
 /// What the parts of an owner share.
 #[derive(Debug, Default)]
@@ -57,7 +58,9 @@
         resign(node, claim, rev).await;
         return;
     }
-    let catalog = node.configs.current().map(|c| c.config.catalog.clone()).unwrap_or_default();
+    // The store has just answered; only the watch of the configuration may be behind.
+    node.configs.note_store();
+    let catalog = first_catalog(node).await;
     log::info!(
         "owning epoch={} pages={} jobs={} config={}",
         claim.epoch,
@@ -100,6 +103,19 @@
     }
 }
 
+/// Waits a moment for the configuration, without which little can be decided.
+async fn first_catalog(node: &Arc<Node>) -> Catalog {
+    let mut configs = node.configs.subscribe();
+    let known = configs.wait_for(|current| current.is_some());
+    match tokio::time::timeout(STORE_TIMEOUT, known).await {
+        Ok(Ok(current)) => current.as_ref().map(|c| c.config.catalog.clone()).unwrap_or_default(),
+        _ => {
+            log::warn!("owning without a configuration");
+            Catalog::default()
+        }
+    }
+}
+
 /// Lets another process take over at once.
 async fn resign(node: &Arc<Node>, claim: Claim, rev: u64) {
     let vacant = Claim { is_vacant: true, ..claim };
--- a/crates/node/src/timing.rs
+++ b/crates/node/src/timing.rs
@@ -37,7 +37,7 @@
 pub(crate) const LIST_EVERY: Duration = Duration::from_millis(500);
 
 /// Time for which records gather before they are written together.
-pub(crate) const COMMIT_DELAY: Duration = Duration::from_millis(10);
+pub(crate) const COMMIT_DELAY: Duration = Duration::from_millis(20);
 
 /// Time between two ticks of the engine.
 pub(crate) const TICK: Duration = Duration::from_millis(50);
