--- a/crates/node/src/door/ask.rs
+++ b/crates/node/src/door/ask.rs
@@ -35,7 +35,7 @@
 async fn attempt(node: &Arc<Node>, ask: &Ask, until: Instant) -> Verdict {
     let rest = until.saturating_duration_since(Instant::now());
     match node.lead.leader() {
-        Leader::Unknown => Verdict::NotOwner,
+        Leader::Beginning { .. } | Leader::Unknown => Verdict::NotOwner,
         Leader::Here(handle) => {
             let answer = handle.ask(ask.clone());
             tokio::time::timeout(rest.min(ASK_TIMEOUT), answer).await.unwrap_or(Verdict::Unknown)
--- a/crates/node/src/lead/follow.rs
+++ b/crates/node/src/lead/follow.rs
@@ -17,6 +17,10 @@
 /// Pings without the store behind the owner after which a process that has it takes over.
 const STORE_LOST_PINGS: u32 = 2;
 
+/// Pause after a refused connection: the process at the owner's address is gone, and
+/// one more try tells whether that was all.
+const REFUSED_PAUSE: Duration = Duration::from_millis(60);
+
 /// Most peers asked whether they hear the owner before a takeover.
 const WITNESSES: usize = 2;
 
@@ -102,7 +106,7 @@
             // Read the record first: another may own already.
             match Claim::read(&node.store).await {
                 Ok((Some(now), _)) if now.epoch == claim.epoch && !now.is_vacant => {
-                    if silence > PING_EVERY && !others_hear(node, claim).await {
+                    if !others_hear(node, claim).await {
                         return Some("refuses connections");
                     }
                 }
@@ -110,7 +114,7 @@
                 Err(error) => log::debug!("owner record not read: {error}"),
             }
         }
-        tokio::time::sleep(PING_EVERY).await;
+        tokio::time::sleep(if refusals == 0 { PING_EVERY } else { REFUSED_PAUSE }).await;
     }
 }
 
--- a/crates/node/src/lead/mod.rs
+++ b/crates/node/src/lead/mod.rs
@@ -20,6 +20,8 @@
     Unknown,
     /// Another process.
     Peer { address: SocketAddr },
+    /// This process, which reads the log and can't answer yet.
+    Beginning { epoch: u64 },
     /// This process.
     Here(Handle),
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -111,7 +111,7 @@
             Leader::Peer { .. } => {
                 self.lead.silence().is_some_and(|silence| silence < 2 * OWNER_SILENCE)
             }
-            Leader::Unknown => false,
+            Leader::Beginning { .. } | Leader::Unknown => false,
         }
     }
 
@@ -130,6 +130,10 @@
                 store_is_near &= !handle.is_store_away();
                 Role::Owner { epoch: handle.epoch }
             }
+            Leader::Beginning { epoch } => {
+                store_is_near = true;
+                Role::Owner { epoch }
+            }
             _ => Role::Follower,
         };
         Pong { role, config_version: self.configs.version(), store_is_near, peers: self.members() }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -41,6 +41,7 @@
 
 /// Owns the workers from the moment the claim is won until it is lost.
 pub(crate) async fn own(node: &Arc<Node>, claim: Claim, rev: u64) {
+    node.lead.set(Leader::Beginning { epoch: claim.epoch }, claim.epoch);
     let (recovered, pages) = loop {
         match recover::read_log(&node.store).await {
             Ok(found) => break found,
@@ -51,10 +52,12 @@
         if !matches!(Claim::read(&node.store).await, Ok((_, now)) if now == rev)
             || node.is_stopping()
         {
+            node.lead.set(Leader::Unknown, claim.epoch);
             return;
         }
     };
     if node.is_stopping() {
+        node.lead.set(Leader::Unknown, claim.epoch);
         resign(node, claim, rev).await;
         return;
     }
