Learn of a new owner from peers; refuse at once where a host is cut off

Pings and pongs carry the newest owner known; without the store peers and seeds are asked; a host that reaches nobody refuses with Retry-After 0.

--- a/crates/node/src/door/answer.rs
+++ b/crates/node/src/door/answer.rs
@@ -8,6 +8,9 @@
 /// Time after which a caller may come back while ownership moves, in seconds.
 pub(super) const RETRY_SOON_S: u32 = 1;
 
+/// Time after which a caller may come back to another host, in seconds.
+const RETRY_ELSEWHERE_S: u32 = 0;
+
 /// Time after which a caller may come back while the store is away, in seconds.
 pub(super) const RETRY_STORE_S: u32 = 2;
 
@@ -43,6 +46,7 @@
         Verdict::Count(count) => text(StatusCode::OK, render_count(count)),
         Verdict::NoSuchJob => refusal(StatusCode::GONE, "no such job"),
         Verdict::NotOwner => come_back(RETRY_SOON_S, "no owner at present"),
+        Verdict::Detached => come_back(RETRY_ELSEWHERE_S, "this host is cut off"),
         Verdict::StoreAway => come_back(RETRY_STORE_S, "the store is away"),
         Verdict::Unknown => refusal(StatusCode::GATEWAY_TIMEOUT, "outcome not known"),
     }
--- a/crates/node/src/door/ask.rs
+++ b/crates/node/src/door/ask.rs
@@ -19,6 +19,9 @@
         let until = node.answer_by(until);
         let verdict = attempt(node, &ask, until).await;
         match verdict {
+            Verdict::NotOwner if node.lead.is_detached() && last == Verdict::NotOwner => {
+                return Verdict::Detached;
+            }
             Verdict::NotOwner => {}
             Verdict::Unknown => last = Verdict::Unknown,
             // Once an attempt may have been kept, "nothing was done" is not certain.
@@ -40,6 +43,8 @@
             let answer = handle.ask(ask.clone());
             tokio::time::timeout(rest.min(ASK_TIMEOUT), answer).await.unwrap_or(Verdict::Unknown)
         }
+        // What is not sent has certainly not run.
+        Leader::Peer { .. } if node.lead.is_silent() => Verdict::NotOwner,
         Leader::Peer { address } => {
             let command = Command::Ask(ask.clone());
             let call = call(&node.pool, address, &command);
--- a/crates/node/src/lead/claim.rs
+++ b/crates/node/src/lead/claim.rs
@@ -4,7 +4,8 @@
 use sycamore_platform::site::{Store, StoreError, Transaction};
 use sycamore_types::Name;
 
-use crate::timing::STORE_TIMEOUT;
+use crate::peer::Owner;
+use crate::timing::{CLAIM_TIMEOUT, STORE_TIMEOUT};
 
 /// Key of the record that names the owner.
 pub(crate) const OWNER_KEY: &str = "sycamore/owner";
@@ -23,9 +24,13 @@
 }
 
 impl Claim {
+    pub fn owner(&self) -> Owner {
+        Owner { epoch: self.epoch, host: self.host.clone(), address: self.address }
+    }
+
     /// Reads the record with its revision, 0 when there is none.
     pub async fn read(store: &Store) -> Result<(Option<Claim>, u64), StoreError> {
-        let Some(item) = store.get(OWNER_KEY, STORE_TIMEOUT).await? else {
+        let Some(item) = store.get(OWNER_KEY, CLAIM_TIMEOUT).await? else {
             return Ok((None, 0));
         };
         match serde_json::from_slice(&item.value) {
--- a/crates/node/src/lead/follow.rs
+++ b/crates/node/src/lead/follow.rs
@@ -3,13 +3,14 @@
 use std::time::{Duration, Instant};
 
 use rand::Rng;
+use sycamore_platform::site::StoreError;
 use sycamore_wire::Lane;
 
 use super::{Claim, Leader};
 use crate::backoff::Backoff;
 use crate::node::Node;
 use crate::owner;
-use crate::peer::{Command, Ping, Pong, Reply, Role};
+use crate::peer::{Command, Owner, Ping, Pong, Reply, Role};
 use crate::timing::{
     CLAIM_JITTER, OWNER_SILENCE, PING_EVERY, PING_TIMEOUT, STORE_RETRY, STORE_RETRY_MAX,
 };
@@ -21,118 +22,171 @@
 /// one more try tells whether that was all.
 const REFUSED_PAUSE: Duration = Duration::from_millis(60);
 
+/// Refusals in a row after which an owner is taken for gone.
+const MAX_REFUSALS: u32 = 2;
+
 /// Most peers asked whether they hear the owner before a takeover.
-const WITNESSES: usize = 2;
+const WITNESSES: usize = 4;
 
 /// Longest wait for a witness.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// What a process does next.
+enum Next {
+    /// Replace the owner, for a reason.
+    TakeOver(&'static str),
+    /// Read the record again.
+    Read,
+    /// Follow a newer owner that peers know of.
+    Follow(Owner),
+}
+
 /// Follows the owner for as long as the process lives, and takes over when it is lost.
 /// A process that stops follows on, for the requests that it still has.
 pub(crate) async fn follow(node: Arc<Node>) {
     let mut backoff = Backoff::new(STORE_RETRY, STORE_RETRY_MAX);
     loop {
-        let (claim, rev) = match Claim::read(&node.store).await {
-            Ok(found) => found,
+        match Claim::read(&node.store).await {
+            Ok((claim, rev)) => {
+                node.lead.set_detached(false);
+                backoff.reset();
+                act_on(&node, claim, rev).await;
+            }
             Err(error) => {
                 log::debug!("owner record not read: {error}");
-                backoff.pause().await;
-                continue;
-            }
-        };
-        backoff.reset();
-        match claim {
-            None => take_over(&node, None, rev, "first").await,
-            Some(claim) if claim.is_vacant => take_over(&node, Some(claim), rev, "vacant").await,
-            Some(claim) if claim.nonce == node.nonce => {
-                // A claim whose answer was lost has succeeded.
-                owner::own(&node, claim, rev).await;
-            }
-            Some(claim) => {
-                let why = watch_owner(&node, &claim).await;
-                if let Some(why) = why {
-                    take_over(&node, Some(claim), rev, why).await;
+                // Peers may know of the owner though the store is out of reach.
+                match ask_peers(&node).await {
+                    Some(owner) => follow_on(&node, owner).await,
+                    None => backoff.pause().await,
                 }
             }
         }
     }
 }
 
-/// Pings the owner until it is lost. Returns why it should be replaced, or `None` when
-/// the record must be read again first.
-async fn watch_owner(node: &Arc<Node>, claim: &Claim) -> Option<&'static str> {
-    node.lead.set(Leader::Peer { address: claim.address }, claim.epoch);
-    log::info!("following owner={} epoch={}", claim.host, claim.epoch);
+async fn act_on(node: &Arc<Node>, claim: Option<Claim>, rev: u64) {
+    let Some(claim) = claim else {
+        take_over(node, None, rev, "first").await;
+        return;
+    };
+    node.lead.learn(&claim.owner());
+    if claim.is_vacant {
+        take_over(node, Some(claim), rev, "vacant").await;
+    } else if claim.nonce == node.nonce {
+        // A claim whose answer was lost has succeeded.
+        owner::own(node, claim, rev).await;
+    } else if claim.host == node.settings.host {
+        take_over(node, Some(claim), rev, "restarted").await;
+    } else {
+        match watch_owner(node, &claim.owner()).await {
+            Next::TakeOver(why) => take_over(node, Some(claim), rev, why).await,
+            Next::Follow(owner) => follow_on(node, owner).await,
+            Next::Read => {}
+        }
+    }
+}
+
+/// Follows an owner that only peers know of, and those that replace it.
+async fn follow_on(node: &Arc<Node>, mut owner: Owner) {
+    // A takeover needs the record, which is read by the caller.
+    while let Next::Follow(newer) = watch_owner(node, &owner).await {
+        owner = newer;
+    }
+}
+
+/// Pings the owner until it is lost or replaced.
+async fn watch_owner(node: &Arc<Node>, owner: &Owner) -> Next {
+    node.lead.learn(owner);
+    node.lead.set(Leader::Peer { address: owner.address });
+    log::info!("following owner={} epoch={}", owner.host, owner.epoch);
     let mut heard = Instant::now();
     let mut refusals = 0;
     let mut without_store = 0;
     loop {
-        match ping(node, claim.address).await {
+        if let Some(newer) = node.lead.owner().filter(|known| known.epoch > owner.epoch) {
+            return if newer.host == node.settings.host { Next::Read } else { Next::Follow(newer) };
+        }
+        match ping(node, owner.address).await {
             Ok(pong) => match pong.role {
-                Role::Owner { epoch } if epoch == claim.epoch => {
+                Role::Owner { epoch } if epoch == owner.epoch => {
                     heard = Instant::now();
                     refusals = 0;
                     node.lead.note_heard(pong.peers);
-                    catch_up(node, claim.address, pong.config_version);
+                    catch_up(node, owner.address, pong.config_version);
                     let is_lost = !pong.store_is_near && node.configs.store_is_near();
                     without_store = if is_lost { without_store + 1 } else { 0 };
                     // Only the store's own answer tells that this process has it.
                     if without_store >= STORE_LOST_PINGS {
                         without_store = 0;
-                        match Claim::read(&node.store).await {
-                            Ok((Some(now), _)) if now == *claim => {
-                                return Some("owner without store");
-                            }
-                            Ok(_) => return None,
-                            Err(error) => log::debug!("owner record not read: {error}"),
+                        if let Some(next) = check_record(node, owner, "owner without store").await {
+                            return next;
                         }
                     }
                 }
-                // It begins, has resigned, or is another incarnation.
-                _ => {
-                    refusals += 1;
-                    if heard.elapsed() > OWNER_SILENCE {
-                        return Some("not owning");
-                    }
-                }
+                // It has resigned, or is another incarnation.
+                _ => refusals += 1,
             },
             Err(is_refused) => refusals += u32::from(is_refused),
         }
-        let silence = heard.elapsed();
-        if silence > OWNER_SILENCE && !others_hear(node, claim).await {
-            return Some("silent");
-        }
-        if refusals >= 2 {
-            // Read the record first: another may own already.
-            match Claim::read(&node.store).await {
-                Ok((Some(now), _)) if now.epoch == claim.epoch && !now.is_vacant => {
-                    if !others_hear(node, claim).await {
-                        return Some("refuses connections");
+        let why = if heard.elapsed() > OWNER_SILENCE {
+            Some("silent")
+        } else if refusals >= MAX_REFUSALS {
+            Some("refuses connections")
+        } else {
+            None
+        };
+        if let Some(why) = why {
+            match ask_peers(node).await {
+                Some(newer) if newer.epoch > owner.epoch => return Next::Follow(newer),
+                Some(_) => {}
+                None => {
+                    if let Some(next) = check_record(node, owner, why).await {
+                        return next;
                     }
                 }
-                Ok(_) => return None,
-                Err(error) => log::debug!("owner record not read: {error}"),
             }
         }
         tokio::time::sleep(if refusals == 0 { PING_EVERY } else { REFUSED_PAUSE }).await;
     }
 }
 
-/// Asks other processes whether they hear the owner.
-async fn others_hear(node: &Arc<Node>, claim: &Claim) -> bool {
-    let peers = node.lead.peers();
-    let others =
-        peers.iter().filter(|(name, _)| *name != node.settings.host && *name != claim.host);
-    for (_, address) in others.take(WITNESSES) {
-        let asked = node.pool.call::<Reply>(*address, Lane::Control, &Command::Heard);
-        if let Ok(Ok(Reply::Heard(Some(epoch)))) =
-            tokio::time::timeout(WITNESS_TIMEOUT, asked).await
-            && epoch >= claim.epoch
-        {
-            return true;
+/// Reads the record before the owner is replaced: another may own already. `None` when
+/// the store does not answer; without it there is no taking over.
+async fn check_record(node: &Arc<Node>, owner: &Owner, why: &'static str) -> Option<Next> {
+    match Claim::read(&node.store).await {
+        Ok((Some(now), _)) if now.owner() == *owner && !now.is_vacant => Some(Next::TakeOver(why)),
+        Ok(_) => Some(Next::Read),
+        Err(StoreError::Refused(_)) => None,
+        Err(error) => {
+            log::debug!("owner record not read: {error}");
+            if node.lead.is_silent() {
+                node.lead.set_detached(true);
+            }
+            None
         }
     }
-    false
+}
+
+/// Asks other processes which owner they hear.
+async fn ask_peers(node: &Arc<Node>) -> Option<Owner> {
+    let known = node.lead.owner();
+    let mut addresses: Vec<SocketAddr> =
+        node.lead.peers().into_iter().map(|(_, address)| address).collect();
+    addresses.extend(&node.settings.seeds);
+    let own = node.settings.peers;
+    let suspect = known.map(|owner| owner.address);
+    addresses.retain(|address| *address != own && Some(*address) != suspect);
+    let calls = addresses.into_iter().take(WITNESSES).map(|address| {
+        let node = node.clone();
+        async move {
+            let call = node.pool.call::<Reply>(address, Lane::Control, &Command::Heard);
+            match tokio::time::timeout(WITNESS_TIMEOUT, call).await {
+                Ok(Ok(Reply::Heard(owner))) => owner,
+                _ => None,
+            }
+        }
+    });
+    futures::future::join_all(calls).await.into_iter().flatten().max_by_key(|owner| owner.epoch)
 }
 
 /// Fails with whether the connection was refused.
@@ -141,11 +195,16 @@
         host: node.settings.host.clone(),
         address: node.settings.peers,
         config_version: node.configs.version(),
-        epoch: node.lead.epoch(),
+        owner: node.lead.owner(),
     });
     let call = node.pool.call::<Reply>(address, Lane::Control, &ping);
     match tokio::time::timeout(PING_TIMEOUT, call).await {
-        Ok(Ok(Reply::Pong(pong))) => Ok(pong),
+        Ok(Ok(Reply::Pong(pong))) => {
+            if let Some(owner) = &pong.owner {
+                node.lead.learn(owner);
+            }
+            Ok(pong)
+        }
         Ok(Ok(_)) => Err(false),
         Ok(Err(error)) => {
             log::debug!("ping of {address}: {error}");
@@ -171,18 +230,11 @@
 }
 
 /// Tells the owner before, which may not reach the store, that it was replaced.
-fn depose(node: &Arc<Node>, address: SocketAddr, epoch: u64) {
+fn depose(node: &Arc<Node>, address: SocketAddr) {
     let node = node.clone();
     tokio::spawn(async move {
-        let ping = Command::Ping(Ping {
-            host: node.settings.host.clone(),
-            address: node.settings.peers,
-            config_version: node.configs.version(),
-            epoch,
-        });
-        let call = node.pool.call::<Reply>(address, Lane::Control, &ping);
-        if !matches!(tokio::time::timeout(PING_TIMEOUT, call).await, Ok(Ok(_))) {
-            log::debug!("owner before at {address} not told of epoch {epoch}");
+        if ping(&node, address).await.is_err() {
+            log::debug!("owner before at {address} not told that it was replaced");
         }
     });
 }
@@ -208,8 +260,9 @@
     match own.write(&node.store, rev).await {
         Ok(rev) => {
             log::info!("takeover epoch={epoch} why=\"{why}\"");
-            if let Some(address) = before {
-                depose(node, address, epoch);
+            node.lead.learn(&own.owner());
+            if let Some(address) = before.filter(|address| *address != own.address) {
+                depose(node, address);
             }
             owner::own(node, own, rev).await;
         }
--- a/crates/node/src/lead/mod.rs
+++ b/crates/node/src/lead/mod.rs
@@ -10,8 +10,11 @@
 pub(crate) use claim::{Claim, OWNER_KEY};
 pub(crate) use follow::{catch_up, follow};
 
+use sycamore_types::Name;
+
 use crate::owner::Handle;
-use crate::timing::OWNER_SILENCE;
+use crate::peer::Owner;
+use crate::timing::{OWNER_SILENCE, PING_EVERY, PING_TIMEOUT};
 
 /// Who owns, as far as this process knows.
 #[derive(Clone, Debug, Default)]
@@ -29,9 +32,12 @@
 #[derive(Debug, Default)]
 struct State {
     leader: Leader,
-    epoch: u64,
+    /// The newest owner known, from the store or from peers.
+    owner: Option<Owner>,
     heard: Option<Instant>,
-    peers: Vec<(sycamore_types::Name, SocketAddr)>,
+    /// Neither the owner nor the store nor any peer can be reached.
+    is_detached: bool,
+    peers: Vec<(Name, SocketAddr)>,
 }
 
 /// What this process knows of the owner.
@@ -50,41 +56,66 @@
         self.with(|state| state.leader.clone())
     }
 
-    pub fn epoch(&self) -> u64 {
-        self.with(|state| state.epoch)
+    pub fn owner(&self) -> Option<Owner> {
+        self.with(|state| state.owner.clone())
+    }
+
+    pub fn set(&self, leader: Leader) {
+        self.with(|state| state.leader = leader);
     }
 
-    pub fn set(&self, leader: Leader, epoch: u64) {
+    /// Learns of an owner. Older ones than the newest known change nothing.
+    pub fn learn(&self, owner: &Owner) {
         self.with(|state| {
-            state.leader = leader;
-            state.epoch = state.epoch.max(epoch);
+            if state.owner.as_ref().is_none_or(|known| known.epoch < owner.epoch) {
+                state.owner = Some(owner.clone());
+            }
         });
     }
 
     /// Notes that the owner has answered, and which processes it knows.
-    pub fn note_heard(&self, peers: Vec<(sycamore_types::Name, SocketAddr)>) {
+    pub fn note_heard(&self, peers: Vec<(Name, SocketAddr)>) {
         self.with(|state| {
             state.heard = Some(Instant::now());
+            state.is_detached = false;
             if !peers.is_empty() {
                 state.peers = peers;
             }
         });
     }
 
-    /// Epoch of the owner if it was heard a moment ago.
-    pub fn heard(&self) -> Option<u64> {
+    /// Notes whether this process is cut off from all that could serve a request.
+    pub fn set_detached(&self, is_detached: bool) {
+        let was = self.with(|state| std::mem::replace(&mut state.is_detached, is_detached));
+        if was != is_detached {
+            log::warn!("detached={is_detached}");
+        }
+    }
+
+    pub fn is_detached(&self) -> bool {
+        self.with(|state| state.is_detached)
+    }
+
+    /// The owner if it was heard a moment ago.
+    pub fn heard(&self) -> Option<Owner> {
         self.with(|state| {
             let is_recent = state.heard.is_some_and(|at| at.elapsed() < OWNER_SILENCE / 2);
-            (is_recent || matches!(state.leader, Leader::Here(_))).then_some(state.epoch)
+            let is_here = matches!(state.leader, Leader::Here(_) | Leader::Beginning { .. });
+            state.owner.clone().filter(|_| is_recent || is_here)
         })
     }
 
+    /// Tells whether the owner has missed pings.
+    pub fn is_silent(&self) -> bool {
+        self.silence().is_some_and(|silence| silence > 2 * PING_EVERY + PING_TIMEOUT / 2)
+    }
+
     /// Time since the owner answered last.
     pub fn silence(&self) -> Option<std::time::Duration> {
         self.with(|state| state.heard.map(|at| at.elapsed()))
     }
 
-    pub fn peers(&self) -> Vec<(sycamore_types::Name, SocketAddr)> {
+    pub fn peers(&self) -> Vec<(Name, SocketAddr)> {
         self.with(|state| state.peers.clone())
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -120,9 +120,12 @@
             members.insert(ping.host.clone(), (ping.address, Instant::now()));
         }
         lead::catch_up(self, ping.address, ping.config_version);
+        if let Some(owner) = &ping.owner {
+            self.lead.learn(owner);
+        }
         let mut store_is_near = self.configs.store_is_near();
         let role = match self.lead.leader() {
-            Leader::Here(handle) if ping.epoch > handle.epoch => {
+            Leader::Here(handle) if self.is_outranked(handle.epoch) => {
                 self.outranked.notify_waiters();
                 Role::Follower
             }
@@ -136,7 +139,17 @@
             }
             _ => Role::Follower,
         };
-        Pong { role, config_version: self.configs.version(), store_is_near, peers: self.members() }
+        Pong {
+            role,
+            owner: self.lead.owner(),
+            config_version: self.configs.version(),
+            store_is_near,
+            peers: self.members(),
+        }
+    }
+
+    fn is_outranked(&self, epoch: u64) -> bool {
+        self.lead.owner().is_some_and(|owner| owner.epoch > epoch)
     }
 
     /// Processes that pinged a short while ago, in order of their names.
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -41,7 +41,7 @@
 
 /// Owns the workers from the moment the claim is won until it is lost.
 pub(crate) async fn own(node: &Arc<Node>, claim: Claim, rev: u64) {
-    node.lead.set(Leader::Beginning { epoch: claim.epoch }, claim.epoch);
+    node.lead.set(Leader::Beginning { epoch: claim.epoch });
     let (recovered, pages) = loop {
         match recover::read_log(&node.store).await {
             Ok(found) => break found,
@@ -52,12 +52,12 @@
         if !matches!(Claim::read(&node.store).await, Ok((_, now)) if now == rev)
             || node.is_stopping()
         {
-            node.lead.set(Leader::Unknown, claim.epoch);
+            node.lead.set(Leader::Unknown);
             return;
         }
     };
     if node.is_stopping() {
-        node.lead.set(Leader::Unknown, claim.epoch);
+        node.lead.set(Leader::Unknown);
         resign(node, claim, rev).await;
         return;
     }
@@ -89,7 +89,7 @@
         }
     };
     let handle = Handle::new(claim.epoch, control, shared.clone());
-    node.lead.set(Leader::Here(handle.clone()), claim.epoch);
+    node.lead.set(Leader::Here(handle.clone()));
     let journal = journal::Journal::new(node.store.clone(), handle.clone(), shared, rev, pages);
     let end = tokio::select! {
         end = execute::run(node.clone(), handle.clone(), received, journal) => end,
@@ -100,7 +100,7 @@
     };
     log::info!("no longer owning epoch={} why={end:?}", claim.epoch);
     handle.stop();
-    node.lead.set(Leader::Unknown, claim.epoch);
+    node.lead.set(Leader::Unknown);
     if end == End::Stopping {
         resign(node, claim, rev).await;
     }
--- a/crates/node/src/peer/message.rs
+++ b/crates/node/src/peer/message.rs
@@ -31,8 +31,16 @@
     /// Allowed workers with their tickets; `None` when there was no advice.
     Advice(Option<Vec<(Name, Name)>>),
     Config(Option<Vec<u8>>),
-    /// Epoch of the owner that was heard within the last moments.
-    Heard(Option<u64>),
+    /// The owner, if it was heard within the last moments.
+    Heard(Option<Owner>),
+}
+
+/// The process that owns, as far as somebody knows.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Owner {
+    pub epoch: u64,
+    pub host: Name,
+    pub address: SocketAddr,
 }
 
 /// Asks whether the owner is there.
@@ -41,14 +49,16 @@
     pub host: Name,
     pub address: SocketAddr,
     pub config_version: u64,
-    /// Highest epoch that the sender knows of.
-    pub epoch: u64,
+    /// The newest owner that the sender knows of.
+    pub owner: Option<Owner>,
 }
 
 /// What a process is, and what it knows of the others.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct Pong {
     pub role: Role,
+    /// The newest owner that the sender knows of.
+    pub owner: Option<Owner>,
     pub config_version: u64,
     /// The store answers to this process.
     pub store_is_near: bool,
@@ -81,6 +91,8 @@
     NoSuchJob,
     /// This process does not own; nothing was done.
     NotOwner,
+    /// This process can't reach anybody; nothing was done.
+    Detached,
     /// The store is away; nothing was done.
     StoreAway,
     /// The owner stopped before it could tell.
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -3,5 +3,5 @@
 mod message;
 mod serve;
 
-pub(crate) use message::{Ask, Command, Ping, Pong, Reply, Role, Verdict};
+pub(crate) use message::{Ask, Command, Owner, Ping, Pong, Reply, Role, Verdict};
 pub(crate) use serve::serve;
--- a/crates/node/src/timing.rs
+++ b/crates/node/src/timing.rs
@@ -21,6 +21,9 @@
 /// when it is slow, 60 times that.
 pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Longest wait for the owner's record. Twice the store's answer when it is slow.
+pub(crate) const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// First and longest pause after a failed call of the store. All calls are paid for,
 /// refused ones too; the longest pause leaves time to catch up within 2 s.
 pub(crate) const STORE_RETRY: Duration = Duration::from_millis(150);
--- a/crates/platform/src/site/settings.rs
+++ b/crates/platform/src/site/settings.rs
@@ -17,6 +17,8 @@
     pub readiness: Option<SocketAddr>,
     /// Address for other processes of the system.
     pub peers: SocketAddr,
+    /// Addresses of some other processes of the system. Any of them may be gone.
+    pub seeds: Vec<SocketAddr>,
     /// Address of the store.
     pub store: SocketAddr,
     /// Largest value of the store, in bytes.
@@ -56,6 +58,9 @@
     ip: String,
     zone: Name,
     internal_ports: Vec<u16>,
+    /// Addresses of another interface of the same hosts; only the hosts matter.
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
     #[serde(default)]
     hint: String,
     listen: Listen,
@@ -138,6 +143,7 @@
             callers: address(&file.listen.front, "listen.front")?,
             readiness: readiness.map(|text| address(text, "listen.ready")).transpose()?,
             peers: address(&format!("{}:{port}", file.ip), "ip")?,
+            seeds: file.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), *port)).collect(),
             store: address(&file.platform.addr, "platform.addr")?,
             max_value_bytes: file.platform.value_bytes,
             advice: match file.hint.as_str() {
