--- a/crates/audit/src/explain.rs
+++ b/crates/audit/src/explain.rs
@@ -1,4 +1,4 @@
-use sycamore_core::record::{Verdict, Why};
+use sycamore_core::record::{Grounds, Verdict, Why};
 
 use crate::Record;
 
@@ -7,7 +7,7 @@
     let records = lines.filter_map(|line| serde_json::from_str::<Record>(line).ok());
     let is_about = |record: &Record| {
         let of = &record.decision.subject;
-        of == subject || of.strip_prefix(subject).is_some_and(|rest| rest.starts_with('/'))
+        of == subject || of.strip_prefix(subject).is_some_and(|rest| rest.starts_with(['/', '.']))
     };
     records.filter(is_about).map(|record| describe(&record)).collect()
 }
@@ -22,6 +22,14 @@
         Verdict::Refused { reason } => format!("refused: {reason}"),
         Verdict::Ended { is_success: true } => "ended well".to_string(),
         Verdict::Ended { is_success: false } => "ended without success".to_string(),
+        Verdict::Accepted => "accepted".to_string(),
+        Verdict::Placed { host, attempt, grounds } => {
+            format!("started on {host}, attempt {attempt}: {}", place(grounds))
+        }
+        Verdict::RunEnded { host, attempt, how } => {
+            format!("attempt {attempt} on {host} ended: {how}")
+        }
+        Verdict::Closed { state } => format!("closed: {state}"),
         Verdict::Owned { owner } => format!("{owner} became the owner"),
     };
     format!(
@@ -51,3 +59,25 @@
         }
     }
 }
+
+fn place(grounds: &Grounds) -> String {
+    let mut text = format!(
+        "number {} of {} steps that waited, priority {}, {} ms of slack, waited {} ms; the team's \
+         share was {:.2}%{}",
+        grounds.place,
+        grounds.waiting,
+        grounds.priority,
+        grounds.slack_ms,
+        grounds.waited_ms,
+        100.0 * grounds.share,
+        if grounds.is_over_share { ", over what it is due" } else { "" },
+    );
+    text.push_str(&format!(
+        "; the host had {} thousandths of a core free by a report {} ms old",
+        grounds.free_cpu_millis, grounds.report_age_ms
+    ));
+    if let Some(left_ms) = grounds.ticket_left_ms {
+        text.push_str(&format!("; its ticket was good for {left_ms} ms"));
+    }
+    text
+}
--- a/crates/core/src/record/decision.rs
+++ b/crates/core/src/record/decision.rs
@@ -2,7 +2,7 @@
 use sycamore_types::id::{Epoch, Revision};
 use sycamore_types::{Name, id};
 
-use super::Why;
+use super::{Grounds, Why};
 
 /// What was decided.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -30,6 +30,31 @@
         /// It ended well.
         is_success: bool,
     },
+    /// A job of a graph of steps was accepted.
+    Accepted,
+    /// A task of a graph was started.
+    Placed {
+        /// Host that runs it.
+        host: Name,
+        /// Number of the start.
+        attempt: u32,
+        /// What decided.
+        grounds: Grounds,
+    },
+    /// A run of a task of a graph ended.
+    RunEnded {
+        /// Host that ran it.
+        host: Name,
+        /// Number of the start.
+        attempt: u32,
+        /// How it ended.
+        how: Name,
+    },
+    /// A job of a graph has its last state.
+    Closed {
+        /// The state.
+        state: Name,
+    },
     /// A member became the owner of the shard.
     Owned {
         /// The owner.
--- a/crates/graph/src/action.rs
+++ b/crates/graph/src/action.rs
@@ -1,7 +1,7 @@
 use sycamore_types::Name;
 
 use crate::job::State;
-use crate::{CallClass, Record, Step, Task};
+use crate::{CallClass, Decision, Record, Step, Task};
 
 /// Start a task on a worker.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -96,6 +96,8 @@
     Hold(Hold),
     /// Ask for advice.
     Advise(Advise),
+    /// Put a decision on record.
+    Decide(Decision),
     /// A worker has seen a higher fencing token: this owner is deposed.
     Deposed,
 }
--- a/crates/graph/src/engine/callers.rs
+++ b/crates/graph/src/engine/callers.rs
@@ -5,7 +5,7 @@
 use super::{Effect, Engine};
 use crate::job::{Id, Spec, State};
 use crate::progress::Job;
-use crate::{Answer, Record, Step};
+use crate::{Answer, Record, Step, Verdict};
 
 impl Engine {
     /// Takes a job in. A repeat of a known job is answered like the first.
@@ -24,6 +24,7 @@
             at_unix_ms,
             spec: spec.clone(),
         });
+        self.decide(team.clone(), Verdict::Accepted(id));
         self.jobs.insert(id, Job::new(id, queue, team, spec, at_unix_ms));
         self.when_durable(Effect::Begin(id));
         self.when_durable(accepted);
--- a/crates/graph/src/engine/close.rs
+++ b/crates/graph/src/engine/close.rs
@@ -3,7 +3,7 @@
 use super::{Effect, Engine};
 use crate::job::{self, Id, State};
 use crate::progress::{StepRun, TaskRun};
-use crate::{Closed, Record, Task};
+use crate::{Closed, Record, Task, Verdict};
 
 impl Engine {
     /// Decides the last state of a job and stops what runs of it.
@@ -32,6 +32,7 @@
         job.spec = Default::default();
         self.closed.push_back((self.now.unix_ms + self.timing.status_ms, id));
         self.ready.retain(|step| step.job != id);
+        self.decide(closed.team.clone(), Verdict::Closed(id, state));
         self.append(Record::Closed(closed));
         self.when_durable(Effect::Show(id));
         for (host, _) in runs {
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -6,9 +6,9 @@
 use sycamore_types::Name;
 use sycamore_types::resources::Resources;
 
-use super::Engine;
 use super::room::{Candidate, Spot, candidates};
-use crate::{Obstacle, Step, Task};
+use super::{Engine, Rank};
+use crate::{Grounds, Obstacle, Step, Task, Verdict};
 
 /// What a step needs, looked up once for a pass.
 pub(super) struct Demand {
@@ -22,6 +22,14 @@
     pub allowed: u32,
 }
 
+/// A step's place in one pass.
+struct Turn {
+    rank: Rank,
+    place: u32,
+    waiting: u32,
+    capacity: Resources,
+}
+
 impl Demand {
     pub fn wanted(&self) -> u32 {
         self.waiting.min(self.allowed)
@@ -34,8 +42,12 @@
             return;
         }
         let mut spots = self.spots();
-        for (_, key) in self.ranked() {
-            let obstacle = self.serve(key, &mut spots);
+        let order = self.ranked();
+        let capacity = self.capacity();
+        let waiting = order.len() as u32;
+        for (at, (rank, key)) in order.into_iter().enumerate() {
+            let turn = Turn { rank, place: at as u32 + 1, waiting, capacity };
+            let obstacle = self.serve(key, &turn, &mut spots);
             if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
                 step.obstacle = obstacle;
             }
@@ -43,7 +55,7 @@
     }
 
     /// Starts what can be started of one step. Returns why the rest waits.
-    fn serve(&mut self, key: Step, spots: &mut [Spot]) -> Option<Obstacle> {
+    fn serve(&mut self, key: Step, turn: &Turn, spots: &mut [Spot]) -> Option<Obstacle> {
         let job = self.jobs.get(&key.job)?;
         let queue = self.queues.get(&job.queue)?;
         let (run, spec) = (job.step(key)?, job.spec.steps.get(usize::from(key.index))?);
@@ -75,7 +87,7 @@
             None => found,
             Some(cost) => self.advised_candidates(&demand, &queue, cost, found, spots),
         };
-        let is_placed = is_durable && self.place(&demand, ready, spots);
+        let is_placed = is_durable && self.place(&demand, turn, ready, spots);
         if demand.is_gang && !is_placed {
             self.keep_room(&demand, spots);
         }
@@ -89,7 +101,13 @@
     }
 
     /// Puts tasks on workers, a gang as a whole or not at all. Returns whether any was.
-    fn place(&mut self, demand: &Demand, ready: Vec<Candidate>, spots: &mut [Spot]) -> bool {
+    fn place(
+        &mut self,
+        demand: &Demand,
+        turn: &Turn,
+        ready: Vec<Candidate>,
+        spots: &mut [Spot],
+    ) -> bool {
         let plan = plan(ready, demand, spots);
         let planned: u32 = plan.iter().map(|(_, tasks)| tasks).sum();
         if planned == 0 || (demand.is_gang && planned < demand.waiting) {
@@ -107,7 +125,9 @@
                 };
                 let task = Task { step: demand.key, index };
                 let attempt = if demand.is_gang { gang_attempt } else { last + 1 };
-                spots[at].free = spots[at].free.minus(&demand.size);
+                let free = spots[at].free;
+                spots[at].free = free.minus(&demand.size);
+                self.justify(turn, task, attempt, &host, free);
                 self.start(&host, task, attempt);
             }
         }
@@ -117,6 +137,28 @@
         true
     }
 
+    /// Puts on record why a task is started now and here.
+    fn justify(&mut self, turn: &Turn, task: Task, attempt: u32, name: &Name, free: Resources) {
+        let now_ms = self.now.steady_ms;
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        let Some(host) = self.hosts.get(name) else { return };
+        let team = job.team.clone();
+        let ticket = job.step(task.step).and_then(|step| step.advice.allowed.get(&host.slot));
+        let usage = self.usage.get(&team).copied().unwrap_or_default();
+        let due_ms = job.due_unix_ms(task.step.occurrence);
+        let grounds = Grounds {
+            rank: turn.rank,
+            place: turn.place,
+            waiting: turn.waiting,
+            waited_ms: self.now.unix_ms.saturating_sub(due_ms),
+            share: usage.dominant_share(&turn.capacity),
+            free_cpu_millis: free.cpu_millis,
+            report_age_ms: now_ms.saturating_sub(host.answered_ms),
+            ticket_left_ms: ticket.map(|ticket| ticket.expires_ms.saturating_sub(now_ms)),
+        };
+        self.decide(team, Verdict::Placed { task, attempt, host: name.clone(), grounds });
+    }
+
     /// Takes a waiting task for a worker, one that did not fail there if there is one.
     /// Returns its index and last attempt.
     fn take_for(&self, key: Step, waiting: &mut Vec<u32>, host: &Name) -> Option<(u32, u32)> {
--- a/crates/graph/src/engine/ends.rs
+++ b/crates/graph/src/engine/ends.rs
@@ -5,7 +5,7 @@
 use super::Engine;
 use crate::host::RunEnd;
 use crate::job::State;
-use crate::{Ended, Record, Step, Task};
+use crate::{Ended, Record, Step, Task, Verdict};
 
 impl Engine {
     /// Takes in the end of a run, by the worker's word or because its lease is over.
@@ -19,6 +19,9 @@
     ) {
         let is_known = self.release(name, task, attempt).is_some();
         self.needs_dispatch = true;
+        if let Some(team) = self.jobs.get(&task.step.job).map(|job| job.team.clone()) {
+            self.decide(team, Verdict::Ended { task, attempt, host: name.clone(), how });
+        }
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         if job.closed.is_some() {
             return;
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -22,8 +22,11 @@
 use crate::host::Host;
 use crate::job;
 use crate::progress::Job;
-use crate::{Action, Answer, CallClass, Event, Moment, Record, Step, Timing, Wait};
+use crate::{
+    Action, Answer, CallClass, Decision, Event, Moment, Record, Step, Timing, Verdict, Wait,
+};
 
+pub use rank::Rank;
 pub use recover::Recovered;
 
 /// Something that waits for the log.
@@ -156,6 +159,12 @@
         self.actions.push(Action::Append(record));
     }
 
+    /// Puts a decision about a team's work on record.
+    fn decide(&mut self, team: Name, verdict: Verdict) {
+        let config = self.catalog.version;
+        self.actions.push(Action::Decide(Decision { team, config, verdict }));
+    }
+
     /// Lets something happen once all records so far are durable.
     fn when_durable(&mut self, effect: Effect) {
         if self.durable >= self.appended {
--- a/crates/graph/src/engine/rank.rs
+++ b/crates/graph/src/engine/rank.rs
@@ -15,15 +15,18 @@
 
 /// Order of a step among all that wait. Smaller goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) struct Rank {
-    is_hopeless: bool,
-    is_over_share: bool,
+pub struct Rank {
+    /// The job can't earn anything any more.
+    pub is_hopeless: bool,
+    /// The team is over its weighted share.
+    pub is_over_share: bool,
     /// The objective can't be met any more. Serving such jobs first would make all
     /// others late in turn.
-    is_late: bool,
-    priority: u32,
+    pub is_late: bool,
+    /// Priority class of the queue.
+    pub priority: u32,
     /// Time left until the job must go on to meet its objective, in milliseconds.
-    slack_ms: i64,
+    pub slack_ms: i64,
 }
 
 impl Engine {
@@ -53,10 +56,13 @@
         })
     }
 
-    fn teams_over_share(&self) -> Vec<Name> {
+    pub(super) fn capacity(&self) -> Resources {
         let listed = self.hosts.values().filter(|host| host.is_listed);
-        let capacity =
-            listed.fold(Resources::default(), |sum, host| sum.plus(&host.entry.capacity));
+        listed.fold(Resources::default(), |sum, host| sum.plus(&host.entry.capacity))
+    }
+
+    fn teams_over_share(&self) -> Vec<Name> {
+        let capacity = self.capacity();
         let total: u64 = self.catalog.teams.values().map(|team| u64::from(team.weight)).sum();
         let is_over = |(name, team): &(&Name, &Team)| {
             let share = f64::from(team.weight) / total.max(1) as f64;
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -11,6 +11,7 @@
 mod action;
 mod call_class;
 pub mod catalog;
+mod decision;
 mod engine;
 mod event;
 mod host;
@@ -23,7 +24,8 @@
 
 pub use action::{Action, Advise, Answer, Hold, Start, Stop};
 pub use call_class::CallClass;
-pub use engine::{Engine, Recovered};
+pub use decision::{Decision, Grounds, Verdict};
+pub use engine::{Engine, Rank, Recovered};
 pub use event::{Event, HostEntry, Moment, Report, StartOutcome};
 pub use host::RunEnd;
 pub use obstacle::{Obstacle, Wait};
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -290,7 +290,7 @@
                     let host = hold.host.clone();
                     self.send(&host, action, 0.0);
                 }
-                Action::Deposed => {}
+                Action::Decide(_) | Action::Deposed => {}
             }
         }
     }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,7 +4,7 @@
 
 use getopts::Options;
 use sycamore_platform::site::{SETTINGS_PATH, SETTINGS_VARIABLE, Settings};
-use sycamore_telemetry::logs;
+use sycamore_telemetry::logs::{self, Lines};
 
 fn main() -> ExitCode {
     let mut options = Options::new();
@@ -33,18 +33,18 @@
         println!("{settings:#?}");
         return ExitCode::SUCCESS;
     }
-    if let Err(error) = logs::start_on(logs::Format::Text, logs::Target::Stdout) {
-        return fail(&error);
+    match logs::start_bounded() {
+        Ok(lines) => start(settings, &path, lines),
+        Err(error) => fail(&error),
     }
-    start(settings, &path)
 }
 
-fn start(settings: Settings, path: &str) -> ExitCode {
+fn start(settings: Settings, path: &str, lines: Lines) -> ExitCode {
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => return fail(&error),
     };
-    match runtime.block_on(sycamore_node::run(settings, path)) {
+    match runtime.block_on(sycamore_node::run(settings, path, lines)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error),
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,6 +9,7 @@
 use sycamore_platform::Signals;
 use sycamore_platform::http::Client;
 use sycamore_platform::site::{Adviser, Settings, Store};
+use sycamore_telemetry::logs::Lines;
 use sycamore_types::Name;
 use sycamore_wire::Pool;
 use tokio::net::TcpListener;
@@ -46,6 +47,8 @@
     pub clock: Clock,
     pub nonce: u64,
     pub store: Store,
+    /// Where records of decisions are streamed to.
+    pub lines: Lines,
     pub client: Client,
     pub pool: Pool,
     pub configs: Configs,
@@ -64,11 +67,12 @@
 }
 
 impl Node {
-    fn new(settings: Settings) -> Node {
+    fn new(settings: Settings, lines: Lines) -> Node {
         let client = Client::with_idle_timeout(IDLE_TIMEOUT);
         Node {
             clock: Clock::new(),
             nonce: rand::random(),
+            lines,
             store: Store::new(settings.store, client.clone()),
             adviser: settings.advice.map(|address| Adviser::new(address, client.clone())),
             client,
@@ -188,7 +192,7 @@
 /// # Errors
 ///
 /// Fails when an address can't be listened on.
-pub async fn run(settings: Settings, path: &str) -> Result<(), Error> {
+pub async fn run(settings: Settings, path: &str, lines: Lines) -> Result<(), Error> {
     let mut signals = Signals::listen().map_err(Error::Signals)?;
     let callers = listen(settings.callers).await?;
     let peers = listen(settings.peers).await?;
@@ -198,7 +202,7 @@
     };
     log::info!("start host={} domain={}", settings.host, settings.failure_domain);
     let grace = Duration::from_millis(settings.grace_ms);
-    let node = Arc::new(Node::new(settings));
+    let node = Arc::new(Node::new(settings, lines));
     tokio::spawn(node.configs.clone().follow(node.store.clone()));
     tokio::spawn(peer::serve(node.clone(), peers));
     let door = Arc::new(door::Door::new(node.clone()));
--- a/crates/node/src/owner/execute.rs
+++ b/crates/node/src/owner/execute.rs
@@ -7,6 +7,7 @@
 
 use super::dealer::Dealer;
 use super::journal::Journal;
+use super::records::{HEAD_POLL, Records, write_heads};
 use super::{End, Handle};
 use crate::node::Node;
 use crate::timing::{HOLD_MARGIN, LANES_EVERY, ORDER_TIMEOUT};
@@ -22,13 +23,20 @@
     journal: Journal,
 ) -> End {
     let worker = Worker::new(node.client.clone(), handle.epoch);
-    let (records, received) = mpsc::unbounded_channel();
+    let (pages, received) = mpsc::unbounded_channel();
     let (mut dealer, mut ended) = Dealer::new(node.clone(), handle.clone());
     let mut journal = std::pin::pin!(journal.run(received));
+    let mut records = Records::new(node.lines.clone(), node.clock, handle.epoch);
     let mut refresh = tokio::time::interval(LANES_EVERY);
+    let mut heads = tokio::time::interval(HEAD_POLL);
     loop {
         tokio::select! {
             _ = refresh.tick() => dealer.refresh(),
+            _ = heads.tick() => {
+                if let Some(newest) = records.due_head() {
+                    tokio::spawn(write_heads(node.store.clone(), newest));
+                }
+            }
             () = &mut journal => return End::Deposed,
             host = ended.recv() => {
                 if let Some(host) = host {
@@ -38,10 +46,11 @@
             action = actions.recv() => match action {
                 None | Some(Action::Deposed) => return End::Deposed,
                 Some(Action::Append(record)) => {
-                    if records.send(record).is_err() {
+                    if pages.send(record).is_err() {
                         return End::Deposed;
                     }
                 }
+                Some(Action::Decide(decision)) => records.add(decision),
                 Some(Action::Advise(advise)) => dealer.take(advise),
                 Some(Action::Start(order)) => start(&handle, &worker, order),
                 Some(Action::Stop(order)) => stop(&handle, &worker, order),
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -7,6 +7,7 @@
 mod journal;
 mod listing;
 mod page;
+mod records;
 mod recover;
 
 use std::sync::Arc;
--- /dev/null
+++ b/crates/node/src/owner/records.rs
@@ -0,0 +1,171 @@
+//! Decisions on record: chained by hash, streamed with the logs, heads in the store.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use sycamore_audit::{Chain, HEAD_INTERVAL, Heads};
+use sycamore_core::record::{self, Decision};
+use sycamore_graph::{self as graph, RunEnd, job};
+use sycamore_platform::site::{Store, StoreError, Transaction};
+use sycamore_telemetry::logs::Lines;
+use sycamore_types::{Name, id};
+
+use crate::clock::Clock;
+use crate::timing::STORE_TIMEOUT;
+
+/// Key of the heads of all chains.
+const HEADS_KEY: &str = "sycamore/heads";
+
+/// Name of the one shard of today's sites.
+fn shard() -> id::Shard {
+    id::Shard::new("site", 0)
+}
+
+/// Chains the decisions of one owner.
+#[derive(Debug)]
+pub(super) struct Records {
+    chain: Chain,
+    lines: Lines,
+    clock: Clock,
+    epoch: u64,
+    sequence: u64,
+    written: u64,
+    last_head: Instant,
+}
+
+impl Records {
+    pub fn new(lines: Lines, clock: Clock, epoch: u64) -> Records {
+        let chain = Chain::default();
+        Records { chain, lines, clock, epoch, sequence: 0, written: 0, last_head: Instant::now() }
+    }
+
+    /// Chains a decision and streams it.
+    pub fn add(&mut self, decision: graph::Decision) {
+        self.sequence += 1;
+        let (subject, verdict) = record_of(decision.verdict);
+        let decision = Decision {
+            shard: shard(),
+            epoch: self.epoch,
+            sequence: self.sequence,
+            config: decision.config,
+            subject,
+            team: decision.team,
+            verdict,
+        };
+        let record = self.chain.append(decision, self.clock.now().unix_ms);
+        match serde_json::to_vec(&record) {
+            Ok(mut line) => {
+                line.push(b'\n');
+                self.lines.send(line);
+            }
+            Err(error) => log::error!("record can't be written: {error}"),
+        }
+    }
+
+    /// Returns the newest head when it is time to write it.
+    pub fn due_head(&mut self) -> Option<BTreeMap<id::Shard, Heads>> {
+        if self.written == self.sequence || self.last_head.elapsed() < HEAD_INTERVAL {
+            return None;
+        }
+        self.last_head = Instant::now();
+        self.written = self.sequence;
+        let mut newest = BTreeMap::new();
+        for (shard, (epoch, head)) in self.chain.heads() {
+            let mut heads = Heads::default();
+            heads.set(epoch, head);
+            newest.insert(shard, heads);
+        }
+        Some(newest)
+    }
+}
+
+/// Adds heads to those in the store. What fails is made up for by the next head.
+pub(super) async fn write_heads(store: Store, newest: BTreeMap<id::Shard, Heads>) {
+    if let Err(error) = try_write_heads(&store, newest).await {
+        log::debug!("heads not written: {error}");
+    }
+}
+
+async fn try_write_heads(
+    store: &Store,
+    newest: BTreeMap<id::Shard, Heads>,
+) -> Result<(), StoreError> {
+    let found = store.get(HEADS_KEY, STORE_TIMEOUT).await?;
+    let rev = found.as_ref().map_or(0, |item| item.rev);
+    let mut kept: BTreeMap<id::Shard, Heads> = match found {
+        Some(item) => serde_json::from_slice(&item.value).unwrap_or_else(|error| {
+            log::error!("heads can't be read, begun anew: {error}");
+            BTreeMap::new()
+        }),
+        None => BTreeMap::new(),
+    };
+    for (shard, heads) in newest {
+        let own = kept.entry(shard).or_default();
+        heads.epochs.into_iter().for_each(|(epoch, head)| own.set(epoch, head));
+    }
+    let body = serde_json::to_vec(&kept).map_err(|e| StoreError::NotSent(e.to_string()))?;
+    let change = Transaction::default().expect(HEADS_KEY, rev).put(HEADS_KEY, &body);
+    store.commit(&change, STORE_TIMEOUT).await.map(|_| ())
+}
+
+fn record_of(verdict: graph::Verdict) -> (String, record::Verdict) {
+    match verdict {
+        graph::Verdict::Accepted(job) => (job.to_string(), record::Verdict::Accepted),
+        graph::Verdict::Closed(job, state) => {
+            (job.to_string(), record::Verdict::Closed { state: Name::from(state_word(state)) })
+        }
+        graph::Verdict::Placed { task, attempt, host, grounds } => {
+            let grounds = grounds_of(&grounds);
+            (subject(&task), record::Verdict::Placed { host, attempt, grounds })
+        }
+        graph::Verdict::Ended { task, attempt, host, how } => {
+            let how = Name::from(end_word(how));
+            (subject(&task), record::Verdict::RunEnded { host, attempt, how })
+        }
+    }
+}
+
+fn subject(task: &graph::Task) -> String {
+    let step = &task.step;
+    format!("{}.{}.{}.{}", step.job, step.occurrence, step.index, task.index)
+}
+
+fn grounds_of(grounds: &graph::Grounds) -> record::Grounds {
+    record::Grounds {
+        place: grounds.place,
+        waiting: grounds.waiting,
+        priority: grounds.rank.priority,
+        slack_ms: grounds.rank.slack_ms,
+        waited_ms: grounds.waited_ms,
+        share: grounds.share,
+        is_over_share: grounds.rank.is_over_share,
+        is_hopeless: grounds.rank.is_hopeless,
+        free_cpu_millis: grounds.free_cpu_millis,
+        report_age_ms: grounds.report_age_ms,
+        ticket_left_ms: grounds.ticket_left_ms,
+    }
+}
+
+fn state_word(state: job::State) -> &'static str {
+    match state {
+        job::State::Queued => "queued",
+        job::State::Running => "running",
+        job::State::Complete => "complete",
+        job::State::Failed => "failed",
+        job::State::Cancelled => "cancelled",
+    }
+}
+
+fn end_word(how: RunEnd) -> &'static str {
+    match how {
+        RunEnd::Done => "done",
+        RunEnd::Failed => "failed",
+        RunEnd::Stopped => "stopped",
+        RunEnd::Lapsed => "lapsed",
+        RunEnd::Broken => "broken",
+        RunEnd::Alone => "alone",
+    }
+}
+
+/// Time between looks whether a head is due.
+pub(super) const HEAD_POLL: Duration = Duration::from_millis(500);
--- a/crates/scheduler/src/control/thread.rs
+++ b/crates/scheduler/src/control/thread.rs
@@ -187,6 +187,10 @@
         Verdict::Preempted { .. } => "preempted",
         Verdict::Refused { .. } => "refused",
         Verdict::Ended { .. } => "ended",
+        Verdict::Accepted => "accepted",
+        Verdict::Placed { .. } => "placed",
+        Verdict::RunEnded { .. } => "run_ended",
+        Verdict::Closed { .. } => "closed",
         Verdict::Owned { .. } => "owned",
     }
 }
--- a/crates/telemetry/src/logs/mod.rs
+++ b/crates/telemetry/src/logs/mod.rs
@@ -1,12 +1,15 @@
 //! Structured log lines by `log4rs`.
 
+mod bounded;
+
+pub use bounded::Lines;
+
 use std::str::FromStr;
 
 use displaydoc::Display;
 use log::LevelFilter;
-pub use log4rs::append::console::Target;
-
-use log4rs::append::console::ConsoleAppender;
+use log4rs::append::Append;
+use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Config, Root};
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
@@ -29,6 +32,8 @@
     Format,
     /// logging is set up already
     Repeated,
+    /// the thread that writes log lines can't be started
+    Thread,
 }
 
 impl std::error::Error for Error {}
@@ -51,16 +56,7 @@
 ///
 /// Fails when logging is set up already.
 pub fn start(format: Format) -> Result<(), Error> {
-    start_on(format, Target::Stderr)
-}
-
-/// Writes log lines to one of the standard streams from now on.
-///
-/// # Errors
-///
-/// Fails when logging is set up already.
-pub fn start_on(format: Format, target: Target) -> Result<(), Error> {
-    let builder = ConsoleAppender::builder().target(target);
+    let builder = ConsoleAppender::builder().target(Target::Stderr);
     let appender = match format {
         Format::Json => builder.encoder(Box::new(JsonEncoder::new())).build(),
         Format::Text => {
@@ -68,8 +64,26 @@
             builder.encoder(Box::new(PatternEncoder::new(pattern))).build()
         }
     };
+    install(Box::new(appender))
+}
+
+/// Writes one JSON object a line to standard output from now on, at a bounded rate for
+/// each kind of line and without ever holding the caller up. Returns where lines of
+/// another format go, in order with the others.
+///
+/// # Errors
+///
+/// Fails when logging is set up already, or its thread can't be started.
+pub fn start_bounded() -> Result<Lines, Error> {
+    let appender = bounded::Bounded::start().map_err(|_| Error::Thread)?;
+    let lines = appender.lines();
+    install(Box::new(appender))?;
+    Ok(lines)
+}
+
+fn install(appender: Box<dyn Append>) -> Result<(), Error> {
     let config = Config::builder()
-        .appender(Appender::builder().build("console", Box::new(appender)))
+        .appender(Appender::builder().build("console", appender))
         .build(Root::builder().appender("console").build(LevelFilter::Info))
         .map_err(|_| Error::Repeated)?;
     log4rs::init_config(config).map(|_| ()).map_err(|_| Error::Repeated)
