--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -61,7 +61,7 @@
         let config = match Config::parse(&source) {
             Ok(config) => config,
             Err(error) => {
-                log::error!("configuration from {origin} not used: {error}");
+                log::error!(target: "config", origin, error:%; "not used");
                 return;
             }
         };
@@ -69,7 +69,7 @@
         if version <= self.version() {
             return;
         }
-        log::info!("configuration version={version} in force from={origin}");
+        log::info!(target: "config", version, origin; "in force");
         self.sender.send_replace(Some(Arc::new(Current { config, source })));
     }
 
--- a/crates/node/src/door/request.rs
+++ b/crates/node/src/door/request.rs
@@ -10,47 +10,76 @@
 
 use super::answer::{Answer, RETRY_SOON_S, come_back, of_verdict, refusal};
 use super::ask::ask_owner;
+use crate::clock::millis;
 use crate::node::Node;
-use crate::peer::Ask;
+use crate::peer::{Ask, Verdict};
 use crate::timing::ANSWER_MARGIN;
 
 /// Time a caller waits when it names none and the route sets none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Serves one request of a caller.
+/// Serves one request of a caller, and logs what became of it.
 pub(super) async fn handle(node: Arc<Node>, request: Request<Incoming>) -> Answer {
     let begun = Instant::now();
+    let method = request.method().clone();
+    let path = request.uri().path().to_string();
+    let (answer, verdict) = serve(&node, request, begun).await;
+    let job = path.rsplit('/').next().unwrap_or_default();
+    let (config, epoch) = (node.configs.version(), node.lead.owner().map_or(0, |o| o.epoch));
+    log::info!(
+        target: "request", job, method:%, path, status = answer.status().as_u16(),
+        verdict:? = verdict, ms = millis(begun.elapsed()), config, epoch; "answered"
+    );
+    answer
+}
+
+/// Returns the answer, and the owner's verdict where it was asked.
+async fn serve(
+    node: &Arc<Node>,
+    request: Request<Incoming>,
+    begun: Instant,
+) -> (Answer, Option<Verdict>) {
+    match read(node, request, begun).await {
+        Ok((ask, until)) => {
+            let verdict = ask_owner(node, ask, until).await;
+            (of_verdict(verdict), Some(verdict))
+        }
+        Err(answer) => (answer, None),
+    }
+}
+
+/// Reads what is asked for, and until when the answer must be on its way.
+async fn read(
+    node: &Arc<Node>,
+    request: Request<Incoming>,
+    begun: Instant,
+) -> Result<(Ask, Instant), Answer> {
     let Some(current) = node.configs.current() else {
-        return come_back(RETRY_SOON_S, "no configuration yet");
+        return Err(come_back(RETRY_SOON_S, "no configuration yet"));
     };
     let config = &current.config;
     let path = request.uri().path().to_string();
     let Some(route) = find_route(config, &request, &path) else {
-        return refusal(StatusCode::NOT_FOUND, "no such queue");
+        return Err(refusal(StatusCode::NOT_FOUND, "no such queue"));
     };
     let Some(team) = find_team(config, route, &request) else {
-        return refusal(StatusCode::UNAUTHORIZED, "unknown key");
+        return Err(refusal(StatusCode::UNAUTHORIZED, "unknown key"));
     };
-    let rest = &path[route.prefix.len()..];
     let until = begun + patience(route, &request);
-    let ask = match (request.method().clone(), rest) {
-        (Method::GET, "") => Ask::Count { queue: route.queue.clone() },
-        (method, name) => {
-            let Ok(job) = name.parse::<Id>() else {
-                return refusal(StatusCode::BAD_REQUEST, "a job name has 16 hexadecimal digits");
-            };
-            match method {
-                Method::GET => Ask::Query { job, team },
-                Method::DELETE => Ask::Cancel { job, team },
-                Method::POST => match read_job(config, request, job, route, team, until).await {
-                    Ok(ask) => ask,
-                    Err(answer) => return answer,
-                },
-                _ => return refusal(StatusCode::METHOD_NOT_ALLOWED, "method not allowed"),
-            }
-        }
+    let name = &path[route.prefix.len()..];
+    if name.is_empty() && request.method() == Method::GET {
+        return Ok((Ask::Count { queue: route.queue.clone() }, until));
+    }
+    let Ok(job) = name.parse::<Id>() else {
+        return Err(refusal(StatusCode::BAD_REQUEST, "a job name has 16 hexadecimal digits"));
+    };
+    let ask = match *request.method() {
+        Method::GET => Ask::Query { job, team },
+        Method::DELETE => Ask::Cancel { job, team },
+        Method::POST => read_job(config, request, job, route, team, until).await?,
+        _ => return Err(refusal(StatusCode::METHOD_NOT_ALLOWED, "method not allowed")),
     };
-    of_verdict(ask_owner(&node, ask, until).await)
+    Ok((ask, until))
 }
 
 fn find_route<'a>(
--- a/crates/node/src/lead/follow.rs
+++ b/crates/node/src/lead/follow.rs
@@ -98,7 +98,7 @@
 async fn watch_owner(node: &Arc<Node>, owner: &Owner) -> Next {
     node.lead.learn(owner);
     node.lead.set(Leader::Peer { address: owner.address });
-    log::info!("following owner={} epoch={}", owner.host, owner.epoch);
+    log::info!(target: "lead", owner:% = owner.host, epoch = owner.epoch; "following");
     let mut heard = Instant::now();
     let mut refusals = 0;
     let mut without_store = 0;
@@ -259,7 +259,7 @@
     };
     match own.write(&node.store, rev).await {
         Ok(rev) => {
-            log::info!("takeover epoch={epoch} why=\"{why}\"");
+            log::info!(target: "lead", epoch, why; "claim won");
             node.lead.learn(&own.owner());
             if let Some(address) = before.filter(|address| *address != own.address) {
                 depose(node, address);
@@ -267,7 +267,7 @@
             owner::own(node, own, rev).await;
         }
         Err(error) => {
-            log::info!("takeover epoch={epoch} why=\"{why}\" not won: {error}");
+            log::info!(target: "lead", epoch, why, error:%; "claim not won");
             tokio::time::sleep(STORE_RETRY).await;
         }
     }
--- a/crates/node/src/lead/mod.rs
+++ b/crates/node/src/lead/mod.rs
@@ -88,7 +88,7 @@
     pub fn set_detached(&self, is_detached: bool) {
         let was = self.with(|state| std::mem::replace(&mut state.is_detached, is_detached));
         if was != is_detached {
-            log::warn!("detached={is_detached}");
+            log::warn!(target: "lead", is_detached; "reach of this host changed");
         }
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -200,7 +200,9 @@
         Some(address) => Some(listen(address).await?),
         None => None,
     };
-    log::info!("start host={} domain={}", settings.host, settings.failure_domain);
+    log::info!(
+        target: "process", host:% = settings.host, domain:% = settings.failure_domain; "start"
+    );
     let grace = Duration::from_millis(settings.grace_ms);
     let node = Arc::new(Node::new(settings, lines));
     tokio::spawn(node.configs.clone().follow(node.store.clone()));
@@ -213,14 +215,14 @@
     tokio::spawn(watch_settings(path.to_string()));
     let following = tokio::spawn(lead::follow(node.clone()));
     signals.stop().await;
-    log::info!("stop asked for");
+    log::info!(target: "process", "stop asked for");
     let told = Instant::now();
     let last = grace.saturating_sub(EXIT_MARGIN);
     node.begin_stop(told + last.saturating_sub(LAST_ANSWER_MARGIN));
     tokio::time::sleep(DRAIN_DELAY.min(last).saturating_sub(told.elapsed())).await;
     door.close(last.saturating_sub(told.elapsed())).await;
     following.abort();
-    log::info!("stopped");
+    log::info!(target: "process", "stopped");
     Ok(())
 }
 
@@ -236,7 +238,7 @@
         tokio::time::sleep(SETTINGS_EVERY).await;
         let now = std::fs::read(&path).ok();
         if now.is_some() && now != last {
-            log::info!("settings file changed");
+            log::info!(target: "process", path; "settings file changed");
             last = now;
         }
     }
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -98,11 +98,9 @@
         for wait in waits.into_iter().take(DESCRIBED) {
             let Wait { step, age_ms, obstacle, allowed, denied } = wait;
             log::info!(
-                "waiting job={} step={}.{} age_ms={age_ms} obstacle=\"{obstacle}\" \
-                 allowed_workers={allowed} denied_workers={denied} waiting_steps={total}",
-                step.job,
-                step.occurrence,
-                step.index
+                target: "wait", job:% = step.job, occurrence = step.occurrence,
+                step = step.index, age_ms, obstacle:%, allowed_workers = allowed,
+                denied_workers = denied, waiting_steps = total; "waiting"
             );
         }
     }
--- a/crates/node/src/owner/execute.rs
+++ b/crates/node/src/owner/execute.rs
@@ -71,13 +71,9 @@
         };
         if outcome != sycamore_graph::StartOutcome::Started {
             log::info!(
-                "start job={} task={}.{}.{} attempt={} host={} outcome={outcome:?}",
-                start.task.step.job,
-                start.task.step.occurrence,
-                start.task.step.index,
-                start.task.index,
-                start.attempt,
-                start.host
+                target: "start", job:% = start.task.step.job, step = start.task.step.index,
+                task = start.task.index, attempt = start.attempt, host:% = start.host,
+                epoch = handle.epoch, outcome:? = outcome; "start not taken"
             );
         }
         let Start { host, task, attempt, .. } = start;
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -46,7 +46,7 @@
     let (recovered, pages) = loop {
         match recover::read_log(&node.store).await {
             Ok(found) => break found,
-            Err(error) => log::warn!("log not read: {error}"),
+            Err(error) => log::warn!(target: "store", error:%; "log not read"),
         }
         tokio::time::sleep(STORE_RETRY).await;
         // The claim may be lost meanwhile; a reader would not notice by itself.
@@ -66,11 +66,8 @@
     node.configs.note_store();
     let catalog = first_catalog(node).await;
     log::info!(
-        "owning epoch={} pages={} jobs={} config={}",
-        claim.epoch,
-        pages.len(),
-        recovered.jobs(),
-        catalog.version
+        target: "lead", epoch = claim.epoch, pages = pages.len(), jobs = recovered.jobs(),
+        config = catalog.version; "owning"
     );
     let timing = Timing {
         lease_ms: node.settings.lease_ms,
@@ -99,7 +96,7 @@
         () = node.outranked.notified() => End::Deposed,
         () = node.stopping.notified() => End::Stopping,
     };
-    log::info!("no longer owning epoch={} why={end:?}", claim.epoch);
+    log::info!(target: "lead", epoch = claim.epoch, why:? = end; "no longer owning");
     handle.stop();
     node.lead.set(Leader::Unknown);
     if end == End::Stopping {
@@ -114,7 +111,7 @@
     match tokio::time::timeout(STORE_TIMEOUT, known).await {
         Ok(Ok(current)) => current.as_ref().map(|c| c.config.catalog.clone()).unwrap_or_default(),
         _ => {
-            log::warn!("owning without a configuration");
+            log::warn!(target: "lead", epoch = node.lead.owner().map_or(0, |o| o.epoch); "owning without a configuration");
             Catalog::default()
         }
     }
@@ -145,7 +142,7 @@
 impl Shared {
     pub fn set_store_away(&self, is_away: bool) {
         if self.is_store_away.swap(is_away, Ordering::Relaxed) != is_away {
-            log::warn!("store is {}", if is_away { "away" } else { "back" });
+            log::warn!(target: "store", is_away; "log can be written or not");
         }
     }
 }
--- a/crates/telemetry/src/logs/bounded.rs
+++ b/crates/telemetry/src/logs/bounded.rs
@@ -13,15 +13,19 @@
 use log::Record;
 use log4rs::append::Append;
 use log4rs::encode::Encode;
-use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::writer::simple::SimpleWriter;
 
+use super::flat::Flat;
+
 /// Lines that wait for the writer. A full pipe costs lines, not time.
 const QUEUE_LINES: usize = 2_048;
 
 /// Lines of one kind a second.
 const LINES_PER_S: u32 = 400;
 
+/// Most bytes of one write, which collectors take as a whole.
+const PART_BYTES: usize = 4_096;
+
 /// Time for which lines gather before they are written together.
 const GATHER: Duration = Duration::from_millis(25);
 
@@ -50,7 +54,7 @@
 /// Writes JSON lines to standard output.
 #[derive(Debug)]
 pub(super) struct Bounded {
-    encoder: JsonEncoder,
+    encoder: Flat,
     lines: SyncSender<Vec<u8>>,
     budgets: Mutex<HashMap<String, Budget>>,
 }
@@ -60,7 +64,7 @@
     pub fn start() -> std::io::Result<Bounded> {
         let (lines, queue) = sync_channel(QUEUE_LINES);
         std::thread::Builder::new().name("logs".to_string()).spawn(move || write(&queue))?;
-        Ok(Bounded { encoder: JsonEncoder::new(), lines, budgets: Mutex::default() })
+        Ok(Bounded { encoder: Flat, lines, budgets: Mutex::default() })
     }
 
     pub fn lines(&self) -> Lines {
@@ -127,8 +131,24 @@
         while let Ok(line) = queue.try_recv() {
             buf.extend_from_slice(&line);
         }
-        // Nobody is left to tell when standard output is gone.
-        let _ = std::io::stdout().write_all(&buf);
+        for part in parts(&buf) {
+            // Nobody is left to tell when standard output is gone.
+            let _ = std::io::stdout().write_all(part);
+        }
         buf.clear();
     }
 }
+
+/// Cuts whole lines into parts of bounded length. A longer line is a part of its own.
+fn parts(mut rest: &[u8]) -> Vec<&[u8]> {
+    let mut parts = Vec::new();
+    while !rest.is_empty() {
+        let is_end = |byte: &u8| *byte == b'\n';
+        let window = &rest[..rest.len().min(PART_BYTES)];
+        let end = window.iter().rposition(is_end).or_else(|| rest.iter().position(is_end));
+        let (part, left) = rest.split_at(end.map_or(rest.len(), |at| at + 1));
+        parts.push(part);
+        rest = left;
+    }
+    parts
+}
--- /dev/null
+++ b/crates/telemetry/src/logs/flat.rs
@@ -0,0 +1,45 @@
+//! One flat JSON object a line: `at_ms`, `level`, `kind`, `message`, then the fields.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use log::Record;
+use log::kv::{Error, Key, Value, VisitSource};
+use log4rs::encode::{Encode, Write as EncodeWrite};
+use serde_json::{Map, Value as Json};
+
+/// Writes log records as flat JSON objects.
+#[derive(Debug)]
+pub(super) struct Flat;
+
+struct Fields<'a>(&'a mut Map<String, Json>);
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let json = if let Some(number) = value.to_u64() {
+            Json::from(number)
+        } else if let Some(number) = value.to_i64() {
+            Json::from(number)
+        } else if let Some(flag) = value.to_bool() {
+            Json::from(flag)
+        } else {
+            Json::from(value.to_string())
+        };
+        self.0.insert(key.to_string(), json);
+        Ok(())
+    }
+}
+
+impl Encode for Flat {
+    fn encode(&self, writer: &mut dyn EncodeWrite, record: &Record<'_>) -> anyhow::Result<()> {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let mut line = Map::new();
+        line.insert("at_ms".to_string(), Json::from(now.as_millis() as u64));
+        line.insert("level".to_string(), Json::from(record.level().as_str()));
+        line.insert("kind".to_string(), Json::from(record.target()));
+        line.insert("message".to_string(), Json::from(record.args().to_string()));
+        record.key_values().visit(&mut Fields(&mut line))?;
+        serde_json::to_writer(&mut *writer, &line)?;
+        writer.write_all(b"\n")?;
+        Ok(())
+    }
+}
--- a/crates/telemetry/src/logs/mod.rs
+++ b/crates/telemetry/src/logs/mod.rs
@@ -1,6 +1,7 @@
 //! Structured log lines by `log4rs`.
 
 mod bounded;
+mod flat;
 
 pub use bounded::Lines;
 
