--- a/crates/audit/tests/tampering.rs
+++ b/crates/audit/tests/tampering.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use sycamore_audit::{Chain, Finding, Heads, Record, explain, verify};
-use sycamore_core::record::{Decision, Verdict};
+use sycamore_core::record::{Decision, Grounds, Verdict};
 use sycamore_types::id;
 use yare::parameterized;
 
@@ -101,3 +101,31 @@
     assert_eq!(told.len(), 1);
     assert!(told[0].contains("of team a ended well"), "{}", told[0]);
 }
+
+/// Found on a played day: some shares changed by their way through JSON, and 963 of
+/// 16,941 records that nobody had touched were said to be changed.
+#[test]
+fn fractions_survive_the_way_through_json() {
+    let mut chain = Chain::default();
+    let placed = |at: u64| {
+        let grounds = Grounds {
+            place: 1,
+            waiting: 2,
+            priority: 0,
+            slack_ms: -5,
+            waited_ms: 7,
+            share: at as f64 * 0.010_817_057_291_666_667,
+            is_over_share: false,
+            is_hopeless: false,
+            free_cpu_millis: 9_600,
+            report_age_ms: 20,
+            ticket_left_ms: None,
+        };
+        let verdict = Verdict::Placed { host: "h".into(), attempt: 1, grounds };
+        Decision { verdict, ..decision(at) }
+    };
+
+    let records: Vec<Record> = (1..=2_000).map(|at| chain.append(placed(at), at)).collect();
+
+    assert_eq!(check(&records, &BTreeMap::new()), []);
+}
