--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -77,13 +77,9 @@
     pub async fn follow(self, store: Store) {
         let mut backoff = Backoff::new(STORE_RETRY, STORE_RETRY_MAX);
         loop {
-            match self.read_and_watch(&store, &mut backoff).await {
-                StoreError::Compacted => {}
-                error => {
-                    log::debug!("configuration watch: {error}");
-                    backoff.pause().await;
-                }
-            }
+            let error = self.read_and_watch(&store, &mut backoff).await;
+            log::debug!("configuration watch: {error}");
+            backoff.pause().await;
         }
     }
 
@@ -91,9 +87,9 @@
         let mut after = match store.get(key::CONFIG, STORE_TIMEOUT).await {
             Ok(Some(item)) => {
                 self.note_store();
-                let rev = item.rev;
                 self.offer(item.value, "store");
-                rev
+                // The history may not reach back to the key's own last change.
+                item.as_of.max(item.rev)
             }
             Ok(None) => return StoreError::Refused(404),
             Err(error) => return error,
--- a/crates/node/src/lead/follow.rs
+++ b/crates/node/src/lead/follow.rs
@@ -172,7 +172,7 @@
     let known = node.lead.owner();
     let mut addresses: Vec<SocketAddr> =
         node.lead.peers().into_iter().map(|(_, address)| address).collect();
-    addresses.extend(&node.settings.seeds);
+    addresses.extend(node.seeds());
     let own = node.settings.peers;
     let suspect = known.map(|owner| owner.address);
     addresses.retain(|address| *address != own && Some(*address) != suspect);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,9 +6,9 @@
 use displaydoc::Display;
 use rustc_hash::FxHashMap;
 use sycamore_graph::Step;
-use sycamore_platform::Signals;
 use sycamore_platform::http::Client;
 use sycamore_platform::site::{Adviser, Settings, Store};
+use sycamore_platform::{Signals, Told};
 use sycamore_telemetry::logs::Lines;
 use sycamore_types::Name;
 use sycamore_wire::Pool;
@@ -62,6 +62,8 @@
     adviser: Option<Adviser>,
     /// One call at a time: the service handles a host's calls in turn.
     advising: Mutex<()>,
+    /// Addresses of some other processes, by the newest settings.
+    seeds: std::sync::Mutex<Vec<SocketAddr>>,
     /// Processes that pinged this one while it owned.
     members: std::sync::Mutex<FxHashMap<Name, (SocketAddr, Instant)>>,
 }
@@ -84,6 +86,7 @@
             last_answer: OnceLock::new(),
             is_stopping: AtomicBool::new(false),
             advising: Mutex::new(()),
+            seeds: std::sync::Mutex::new(settings.seeds.clone()),
             members: Default::default(),
             settings,
         }
@@ -105,6 +108,16 @@
         self.stopping.notify_waiters();
     }
 
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        self.seeds.lock().map(|seeds| seeds.clone()).unwrap_or_default()
+    }
+
+    fn set_seeds(&self, newer: Vec<SocketAddr>) {
+        if let Ok(mut seeds) = self.seeds.lock() {
+            *seeds = newer;
+        }
+    }
+
     /// Tells whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         if self.is_stopping() || self.configs.current().is_none() {
@@ -212,9 +225,12 @@
     if let Some(listener) = readiness {
         tokio::spawn(door::serve_readiness(node.clone(), listener));
     }
-    tokio::spawn(watch_settings(path.to_string()));
+    let reload = Arc::new(Notify::new());
+    tokio::spawn(watch_settings(node.clone(), path.to_string(), reload.clone()));
     let following = tokio::spawn(lead::follow(node.clone()));
-    signals.stop().await;
+    while signals.next().await == Told::Reload {
+        reload.notify_one();
+    }
     log::info!(target: "process", "stop asked for");
     let told = Instant::now();
     let last = grace.saturating_sub(EXIT_MARGIN);
@@ -230,16 +246,36 @@
     TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
 }
 
-/// Notes changes of the settings file. All that a running process could take over
-/// from it are bounds, which don't change during its life.
-async fn watch_settings(path: String) {
-    let mut last = std::fs::read(&path).ok();
+/// Follows the settings file, which may change with a signal or without.
+async fn watch_settings(node: Arc<Node>, path: String, reload: Arc<Notify>) {
+    let mut last = std::fs::read_to_string(&path).unwrap_or_default();
     loop {
-        tokio::time::sleep(SETTINGS_EVERY).await;
-        let now = std::fs::read(&path).ok();
-        if now.is_some() && now != last {
-            log::info!(target: "process", path; "settings file changed");
+        // Either the signal or the time is reason to look.
+        let _ = tokio::time::timeout(SETTINGS_EVERY, reload.notified()).await;
+        let now = match std::fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(error) => {
+                log::warn!(target: "process", path, error:%; "settings file can't be read");
+                continue;
+            }
+        };
+        if now != last {
+            apply_settings(&node, &now);
             last = now;
         }
     }
 }
+
+/// Takes over what may change while the process runs. Addresses that it listens on and
+/// bounds that the engine began with stay until its next start.
+fn apply_settings(node: &Node, text: &str) {
+    match Settings::parse(text) {
+        Ok(settings) => {
+            log::info!(target: "process", host:% = settings.host; "settings reloaded");
+            node.set_seeds(settings.seeds);
+        }
+        Err(error) => {
+            log::error!(target: "process", error:%; "settings not reloaded, the old ones stay");
+        }
+    }
+}
--- a/crates/platform/src/signals.rs
+++ b/crates/platform/src/signals.rs
@@ -2,11 +2,21 @@
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+/// What a signal asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Told {
+    /// Stop in good order.
+    Stop,
+    /// Read the settings again.
+    Reload,
+}
+
 /// The signals by which a process is told to stop.
 #[derive(Debug)]
 pub struct Signals {
     terminate: Signal,
     interrupt: Signal,
+    hangup: Signal,
 }
 
 impl Signals {
@@ -18,10 +28,20 @@
     pub fn listen() -> io::Result<Signals> {
         let terminate = signal(SignalKind::terminate())?;
         let interrupt = signal(SignalKind::interrupt())?;
-        Ok(Signals { terminate, interrupt })
+        let hangup = signal(SignalKind::hangup())?;
+        Ok(Signals { terminate, interrupt, hangup })
+    }
+
+    /// Waits for the next signal.
+    pub async fn next(&mut self) -> Told {
+        tokio::select! {
+            _ = self.terminate.recv() => Told::Stop,
+            _ = self.interrupt.recv() => Told::Stop,
+            _ = self.hangup.recv() => Told::Reload,
+        }
     }
 
-    /// Waits until the process is told to stop.
+    /// Waits until the process is told to stop. A hangup does not end it.
     pub async fn stop(&mut self) {
         tokio::select! {
             _ = self.terminate.recv() => {}
--- a/crates/platform/src/site/store.rs
+++ b/crates/platform/src/site/store.rs
@@ -51,6 +51,9 @@
     pub value: Vec<u8>,
     /// Revision of the last change.
     pub rev: u64,
+    /// Revision of the store when a single key was read. Zero in a range.
+    #[serde(default, rename = "as-of")]
+    pub as_of: u64,
 }
 
 /// One page of a range.
