--- a/crates/graph/src/engine/orders.rs
+++ b/crates/graph/src/engine/orders.rs
@@ -205,6 +205,9 @@
                 task_run.attempt = task_run.attempt.max(attempt);
                 task_run.runs.push((name.clone(), attempt));
                 step_run.waiting.remove(&task.index);
+                if step_run.waiting.is_empty() {
+                    self.ready.remove(&task.step);
+                }
             }
         }
         self.occupy(name, task, attempt, run);
--- a/crates/node/src/lead/follow.rs
+++ b/crates/node/src/lead/follow.rs
@@ -88,9 +88,26 @@
 
 /// Follows an owner that only peers know of, and those that replace it.
 async fn follow_on(node: &Arc<Node>, mut owner: Owner) {
-    // A takeover needs the record, which is read by the caller.
-    while let Next::Follow(newer) = watch_owner(node, &owner).await {
-        owner = newer;
+    loop {
+        match watch_owner(node, &owner).await {
+            Next::Follow(newer) => owner = newer,
+            Next::Read => return,
+            Next::TakeOver(why) => {
+                replace(node, &owner, why).await;
+                return;
+            }
+        }
+    }
+}
+
+/// Takes over from an owner if the record still names it.
+async fn replace(node: &Arc<Node>, owner: &Owner, why: &str) {
+    match Claim::read(&node.store).await {
+        Ok((Some(claim), rev)) if claim.owner() == *owner && !claim.is_vacant => {
+            take_over(node, Some(claim), rev, why).await;
+        }
+        Ok(_) => {}
+        Err(error) => log::debug!("owner record not read: {error}"),
     }
 }
 
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -16,7 +16,9 @@
 use super::{Handle, Shared};
 use crate::backoff::Backoff;
 use crate::lead::{Claim, OWNER_KEY};
-use crate::timing::{COMMIT_DELAY, LOG_RETRY_MAX, STORE_DOWN_AFTER, STORE_RETRY, STORE_TIMEOUT};
+use crate::timing::{
+    COMMIT_DELAY, LOG_RETRY_MAX, LOG_TIMEOUT, STORE_DOWN_AFTER, STORE_RETRY, STORE_TIMEOUT,
+};
 
 /// Most records of one page, which keeps pages well under the store's largest value.
 const MAX_RECORDS: usize = 200;
@@ -128,7 +130,7 @@
         let mut backoff = Backoff::new(STORE_RETRY / 2, LOG_RETRY_MAX);
         let mut may_be_done = false;
         loop {
-            let outcome = self.store.commit(change, STORE_TIMEOUT).await;
+            let outcome = self.store.commit(change, LOG_TIMEOUT).await;
             match outcome {
                 Ok(_) => break,
                 Err(StoreError::Conflict) => match self.is_written(key, may_be_done).await {
--- a/crates/node/src/timing.rs
+++ b/crates/node/src/timing.rs
@@ -29,6 +29,10 @@
 pub(crate) const STORE_RETRY: Duration = Duration::from_millis(150);
 pub(crate) const STORE_RETRY_MAX: Duration = Duration::from_millis(900);
 
+/// Longest wait for a write of the log before it is repeated. Twice the store's answer
+/// when it is slow, less what a large page adds.
+pub(crate) const LOG_TIMEOUT: Duration = Duration::from_millis(450);
+
 /// Longest pause after a failed write of the log, which everything waits for.
 pub(crate) const LOG_RETRY_MAX: Duration = Duration::from_millis(300);
 
@@ -64,7 +68,7 @@
 pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 
 /// Time for which the store may fail before new jobs are refused at once.
-pub(crate) const STORE_DOWN_AFTER: Duration = Duration::from_millis(600);
+pub(crate) const STORE_DOWN_AFTER: Duration = Duration::from_millis(400);
 
 /// Time after SIGTERM for which a process goes on as before. The balancer needs two
 /// probes, a second apart, to see that it is not ready.
