--- a/crates/graph/src/engine/holds.rs
+++ b/crates/graph/src/engine/holds.rs
@@ -65,20 +65,23 @@
         host.missed = 0;
         host.answered_ms = now_ms;
         host.clock_offset_ms = report.clock_ms as i64 - now_ms as i64;
-        let is_first = !std::mem::replace(&mut host.is_held, true);
+        host.is_held = true;
         self.take_ends(name, &report);
         self.take_running(name, look, &report);
-        if is_first {
-            self.begin_use(name);
-        }
+        self.begin_use(name);
         self.finish_recovery();
         self.look_again();
         self.needs_dispatch = true;
     }
 
-    /// Puts a worker that answered for the first time on the log.
+    /// Puts a worker that answers and takes work on the log.
     fn begin_use(&mut self, name: &Name) {
-        let Some(host) = self.hosts.get(name).filter(|host| !host.is_logged) else { return };
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let takes_work = host.is_listed && !host.entry.is_draining;
+        if host.is_logged || host.is_logging || !takes_work {
+            return;
+        }
+        host.is_logging = true;
         let capacity = host.entry.capacity;
         self.append(Record::HostUsed { host: name.clone(), capacity });
         self.when_durable(Effect::Use(name.clone()));
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -77,9 +77,27 @@
             }
         }
         self.release_gone();
+        self.release_idle();
         self.finish_recovery();
     }
 
+    /// Takes workers off the log that get no new work and have none left. A successor
+    /// would have to wait for each that it can't reach.
+    fn release_idle(&mut self) {
+        let is_idle = |host: &&Host| {
+            let is_leaving = host.entry.is_draining || !host.is_listed;
+            is_leaving && host.is_logged && host.is_held && host.runs.is_empty()
+        };
+        let idle: Vec<Name> =
+            self.hosts.values().filter(is_idle).map(|host| host.entry.id.clone()).collect();
+        for name in idle {
+            if let Some(host) = self.hosts.get_mut(&name) {
+                host.is_logged = false;
+            }
+            self.append(Record::HostReleased { host: name });
+        }
+    }
+
     /// Forgets workers that are neither listed nor able to run anything.
     fn release_gone(&mut self) {
         let (now_ms, timing) = (self.now.steady_ms, &self.timing);
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -211,6 +211,7 @@
             Effect::Use(name) => {
                 if let Some(host) = self.hosts.get_mut(&name) {
                     host.is_logged = true;
+                    host.is_logging = false;
                 }
                 self.needs_dispatch = true;
             }
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -29,6 +29,8 @@
     pub is_held: bool,
     /// The log says that the worker may hold runs.
     pub is_logged: bool,
+    /// A record that says so is under way.
+    pub is_logging: bool,
     /// What the runs take.
     pub used: Resources,
     /// Runs that may take room.
@@ -63,6 +65,7 @@
             is_listed: true,
             is_held: false,
             is_logged: false,
+            is_logging: false,
             used: Resources::default(),
             runs: BTreeMap::new(),
             seen: 0,
--- a/crates/graph/tests/engine/regression.rs
+++ b/crates/graph/tests/engine/regression.rs
@@ -91,3 +91,25 @@
     assert_eq!(world.state(id(1)), Some(State::Failed));
     assert_eq!(world.oracle.starts, 3);
 }
+
+/// Workers that had left stayed on the log for the rest of their lease. After a takeover
+/// the next owner waited for each of them and counted them against every limit, which
+/// kept the site half idle for 6 s (Sialkot scale-1, a release before the final fault).
+#[test]
+fn workers_that_left_are_not_waited_for() {
+    let mut world = World::new(4, catalog(queue()), 1);
+    world.submit(id(1), job(vec![step(8, 1_000)]));
+    world.run(1_000);
+    world.workers[0].entry.is_draining = true;
+    world.list();
+    world.run(300);
+    world.workers[0].is_alive = false;
+    world.list();
+
+    world.submit(id(2), job(vec![step(2, 1_000)]));
+    world.run(50);
+    world.take_over();
+    world.run(1_000);
+
+    assert_eq!(world.state(id(2)), Some(State::Complete));
+}
