Name on the log what runs on workers that get no new work; carry workers over by their state

Causes: (1) a worker that leaves with runs was waited for as if any task could be there; (2) the compaction of the log carried old records of workers over newer ones, so that workers long gone came back after a takeover.

--- a/crates/graph/src/engine/holds.rs
+++ b/crates/graph/src/engine/holds.rs
@@ -3,7 +3,7 @@
 use sycamore_types::Name;
 
 use super::{Effect, Engine};
-use crate::host::{Host, Phase, Run};
+use crate::host::{Host, LogState, Phase, Run};
 use crate::{Action, Hold, Record, Report, Task};
 
 impl Engine {
@@ -18,7 +18,10 @@
             host.look.is_none()
                 && is_acked
                 && now_ms >= host.look_not_before_ms
-                && (host.is_listed || host.is_held || !host.runs.is_empty() || host.is_logged)
+                && (host.is_listed
+                    || host.is_held
+                    || !host.runs.is_empty()
+                    || host.log != LogState::Off)
         };
         let due: Vec<Name> =
             self.hosts.values().filter(is_due).map(|host| host.entry.id.clone()).collect();
@@ -54,11 +57,12 @@
         if report.born < host.entry.born && report.born != 0 {
             return;
         }
-        if report.born > host.entry.born {
+        if report.born > host.entry.born && host.entry.born != 0 {
             self.begin_incarnation(name, report.born);
         }
         let now_ms = self.now.steady_ms;
         let Some(host) = self.hosts.get_mut(name) else { return };
+        host.entry.born = report.born;
         if host.look == Some(look) {
             host.look = None;
         }
@@ -78,10 +82,10 @@
     fn begin_use(&mut self, name: &Name) {
         let Some(host) = self.hosts.get_mut(name) else { return };
         let takes_work = host.is_listed && !host.entry.is_draining;
-        if host.is_logged || host.is_logging || !takes_work {
+        if !takes_work || matches!(host.log, LogState::Begun | LogState::Used) {
             return;
         }
-        host.is_logging = true;
+        host.log = LogState::Begun;
         let capacity = host.entry.capacity;
         self.append(Record::HostUsed { host: name.clone(), capacity });
         self.when_durable(Effect::Use(name.clone()));
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -5,7 +5,7 @@
 use sycamore_types::Name;
 
 use super::Engine;
-use crate::host::{Host, RunEnd};
+use crate::host::{Host, LogState, RunEnd};
 use crate::{HostEntry, Record};
 
 impl Engine {
@@ -18,6 +18,7 @@
             host.is_listed = listed.contains(name);
         }
         self.release_gone();
+        self.note_leaving();
         self.look_again();
         self.needs_dispatch = true;
     }
@@ -29,6 +30,11 @@
             self.hosts.insert(entry.id.clone(), Host::new(entry, self.slots, now_ms));
             return;
         };
+        if host.entry.born == 0 {
+            // Known from the log only. The first look tells what still runs there.
+            host.entry = entry;
+            return;
+        }
         if entry.born > host.entry.born {
             let name = entry.id.clone();
             self.begin_incarnation(&name, entry.born);
@@ -77,25 +83,28 @@
             }
         }
         self.release_gone();
-        self.release_idle();
+        self.note_leaving();
         self.finish_recovery();
     }
 
-    /// Takes workers off the log that get no new work and have none left. A successor
-    /// would have to wait for each that it can't reach.
-    fn release_idle(&mut self) {
-        let is_idle = |host: &&Host| {
+    /// Keeps the log's view of workers that get no new work as small as it can be: a
+    /// successor has to wait for what may run on each that it can't reach.
+    fn note_leaving(&mut self) {
+        let mut records = Vec::new();
+        for host in self.hosts.values_mut() {
             let is_leaving = host.entry.is_draining || !host.is_listed;
-            is_leaving && host.is_logged && host.is_held && host.runs.is_empty()
-        };
-        let idle: Vec<Name> =
-            self.hosts.values().filter(is_idle).map(|host| host.entry.id.clone()).collect();
-        for name in idle {
-            if let Some(host) = self.hosts.get_mut(&name) {
-                host.is_logged = false;
+            if !is_leaving || !host.is_held {
+                continue;
+            }
+            if host.runs.is_empty() && matches!(host.log, LogState::Used | LogState::Leaving) {
+                host.log = LogState::Off;
+                records.push(Record::HostReleased { host: host.entry.id.clone() });
+            } else if host.log == LogState::Used {
+                host.log = LogState::Leaving;
+                records.push(host.leaving());
             }
-            self.append(Record::HostReleased { host: name });
         }
+        records.into_iter().for_each(|record| self.append(record));
     }
 
     /// Forgets workers that are neither listed nor able to run anything.
@@ -107,7 +116,7 @@
         let gone: Vec<Name> =
             self.hosts.values().filter(is_gone).map(|host| host.entry.id.clone()).collect();
         for name in gone {
-            if self.hosts.remove(&name).is_some_and(|host| host.is_logged) {
+            if self.hosts.remove(&name).is_some_and(|host| host.log != LogState::Off) {
                 self.append(Record::HostReleased { host: name });
             }
         }
@@ -119,8 +128,7 @@
             return;
         }
         let (now_ms, timing) = (self.now.steady_ms, &self.timing);
-        let is_open =
-            |host: &Host| host.is_logged && !host.is_held && !host.is_lease_over(now_ms, timing);
+        let is_open = |host: &Host| host.is_unseen(now_ms, timing);
         if !self.hosts.values().any(is_open) {
             self.is_recovering = false;
             self.needs_dispatch = true;
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -19,7 +19,7 @@
 use sycamore_types::resources::Resources;
 
 use crate::catalog::{Catalog, Queue};
-use crate::host::Host;
+use crate::host::{Host, LogState};
 use crate::job;
 use crate::progress::Job;
 use crate::{
@@ -209,9 +209,10 @@
                 self.look_is_due = true;
             }
             Effect::Use(name) => {
-                if let Some(host) = self.hosts.get_mut(&name) {
-                    host.is_logged = true;
-                    host.is_logging = false;
+                if let Some(host) = self.hosts.get_mut(&name)
+                    && host.log == LogState::Begun
+                {
+                    host.log = LogState::Used;
                 }
                 self.needs_dispatch = true;
             }
@@ -270,8 +271,16 @@
         })
     }
 
-    /// Tells whether the log must go on naming a worker.
-    pub fn uses_host(&self, host: &str) -> bool {
-        self.hosts.get(host).is_some_and(|host| host.is_logged)
+    /// The record that replaces all earlier ones of a worker. `None` when nothing of it
+    /// must last.
+    pub fn host_image(&self, name: &Name) -> Option<Record> {
+        let host = self.hosts.get(name)?;
+        match host.log {
+            LogState::Off => None,
+            LogState::Begun | LogState::Used => {
+                Some(Record::HostUsed { host: name.clone(), capacity: host.entry.capacity })
+            }
+            LogState::Leaving => Some(host.leaving()),
+        }
     }
 }
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -9,10 +9,10 @@
 
 use super::Engine;
 use crate::catalog::Catalog;
-use crate::host::{Host, RunEnd};
+use crate::host::{Host, LogState, RunEnd};
 use crate::job::Id;
 use crate::progress::Job;
-use crate::{CallClass, Ended, HostEntry, Image, Moment, Record, Step, Timing};
+use crate::{CallClass, Ended, HostEntry, Image, Moment, Record, Step, Task, Timing};
 
 /// Room left in the numbers of starts for orders of the owner before that nobody saw.
 const ATTEMPT_GAP: u32 = 1;
@@ -20,11 +20,20 @@
 /// Calls for advice under way in each class before it is known how many can be.
 const FIRST_LANES: u32 = 1;
 
+/// What the log says of a worker.
+#[derive(Debug)]
+enum Trace {
+    /// Any run may be there; what it can hold.
+    Used(Resources),
+    /// Only these runs may be there.
+    Leaving(Vec<(Task, u32)>),
+}
+
 /// Collects the records of a log, in order.
 #[derive(Debug, Default)]
 pub struct Recovered {
     jobs: FxHashMap<Id, Job>,
-    hosts: BTreeMap<Name, Resources>,
+    hosts: BTreeMap<Name, Trace>,
 }
 
 impl Recovered {
@@ -49,7 +58,10 @@
                 self.jobs.insert(id, job);
             }
             Record::HostUsed { host, capacity } => {
-                self.hosts.insert(host, capacity);
+                self.hosts.insert(host, Trace::Used(capacity));
+            }
+            Record::HostLeaving { host, runs } => {
+                self.hosts.insert(host, Trace::Leaving(runs));
             }
             Record::HostReleased { host } => {
                 self.hosts.remove(&host);
@@ -138,17 +150,21 @@
 impl Engine {
     /// Begins with what the log says.
     pub fn new(now: Moment, timing: Timing, catalog: Catalog, recovered: Recovered) -> Engine {
-        let hosts: BTreeMap<Name, Host> = recovered
-            .hosts
-            .into_iter()
-            .zip(0..)
-            .map(|((name, capacity), slot)| {
-                let mut host = Host::new(unlisted(name.clone(), capacity), slot, now.steady_ms);
-                host.is_listed = false;
-                host.is_logged = true;
-                (name, host)
-            })
-            .collect();
+        let mut hosts = BTreeMap::new();
+        let mut left_runs = Vec::new();
+        for ((name, trace), slot) in recovered.hosts.into_iter().zip(0..) {
+            let (capacity, log) = match &trace {
+                Trace::Used(capacity) => (*capacity, LogState::Used),
+                Trace::Leaving(_) => (Resources::default(), LogState::Leaving),
+            };
+            let mut host = Host::new(unlisted(name.clone(), capacity), slot, now.steady_ms);
+            host.is_listed = false;
+            host.log = log;
+            hosts.insert(name.clone(), host);
+            if let Trace::Leaving(runs) = trace {
+                left_runs.extend(runs.into_iter().map(|(task, n)| (name.clone(), task, n)));
+            }
+        }
         let is_recovering = !hosts.is_empty();
         let slots = hosts.len() as u32;
         let mut engine = Engine {
@@ -176,10 +192,24 @@
             actions: Vec::new(),
         };
         engine.resume();
+        for (host, task, attempt) in left_runs {
+            engine.expect(&host, task, attempt);
+        }
         engine.close_spent();
         engine
     }
 
+    /// Takes in a run that was on a worker when that stopped taking work.
+    fn expect(&mut self, name: &Name, task: Task, attempt: u32) {
+        let job = self.jobs.get(&task.step.job).filter(|job| job.closed.is_none());
+        let step = job.and_then(|job| job.step(task.step));
+        let task_run = step.and_then(|step| step.tasks.get(task.index as usize));
+        // What is done, or of no job any more, needs no waiting for.
+        if task_run.is_some_and(|task_run| !task_run.is_done) {
+            self.adopt(name, task, attempt);
+        }
+    }
+
     /// Puts the jobs of the log back in their places.
     fn resume(&mut self) {
         let mut ids: Vec<(u64, Id)> =
--- a/crates/graph/src/engine/room.rs
+++ b/crates/graph/src/engine/room.rs
@@ -86,8 +86,7 @@
             return Resources::default();
         }
         let (now_ms, timing) = (self.now.steady_ms, &self.timing);
-        let is_unseen =
-            |host: &&Host| host.is_logged && !host.is_held && !host.is_lease_over(now_ms, timing);
+        let is_unseen = |host: &&Host| host.is_unseen(now_ms, timing);
         let unseen = self.hosts.values().filter(is_unseen);
         unseen.fold(Resources::default(), |sum, host| sum.plus(&host.entry.capacity))
     }
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -9,7 +9,7 @@
 pub use run::RunEnd;
 pub(crate) use run::{Phase, Run};
 
-use crate::{HostEntry, Task, Timing};
+use crate::{HostEntry, Record, Task, Timing};
 
 /// Failures in a row after which a worker gets no new work for a while.
 const MAX_FAILURES_IN_A_ROW: u32 = 4;
@@ -17,6 +17,19 @@
 /// Time without new work after failures in a row, in milliseconds.
 const QUARANTINE_MS: u64 = 4_000;
 
+/// What the log says of a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LogState {
+    /// Nothing: no run of this owner or an earlier one is there.
+    Off,
+    /// A record that it is used is under way.
+    Begun,
+    /// Any run may be there.
+    Used,
+    /// Only the runs that it had when it stopped taking work.
+    Leaving,
+}
+
 /// One incarnation of a worker.
 #[derive(Debug)]
 pub(crate) struct Host {
@@ -27,10 +40,8 @@
     pub is_listed: bool,
     /// The worker has answered a look under this owner's fence.
     pub is_held: bool,
-    /// The log says that the worker may hold runs.
-    pub is_logged: bool,
-    /// A record that says so is under way.
-    pub is_logging: bool,
+    /// What the log says of the worker.
+    pub log: LogState,
     /// What the runs take.
     pub used: Resources,
     /// Runs that may take room.
@@ -64,8 +75,7 @@
             slot,
             is_listed: true,
             is_held: false,
-            is_logged: false,
-            is_logging: false,
+            log: LogState::Off,
             used: Resources::default(),
             runs: BTreeMap::new(),
             seen: 0,
@@ -85,12 +95,18 @@
     pub fn is_usable(&self, now_ms: u64) -> bool {
         self.is_listed
             && self.is_held
-            && self.is_logged
+            && self.log == LogState::Used
             && !self.entry.is_draining
             && self.missed == 0
             && now_ms >= self.quarantined_until_ms
     }
 
+    /// The record that the worker gets no new work.
+    pub fn leaving(&self) -> Record {
+        let runs = self.runs.keys().copied().collect();
+        Record::HostLeaving { host: self.entry.id.clone(), runs }
+    }
+
     /// Returns the room that is left.
     pub fn free(&self) -> Resources {
         self.entry.capacity.minus(&self.used)
@@ -101,6 +117,11 @@
         now_ms > self.renewed_ms + timing.lease_over_ms()
     }
 
+    /// Tells whether runs of an earlier owner may go on there that nobody lists.
+    pub fn is_unseen(&self, now_ms: u64, timing: &Timing) -> bool {
+        self.log == LogState::Used && !self.is_held && !self.is_lease_over(now_ms, timing)
+    }
+
     /// Returns the worker's clock at a time of the owner, in milliseconds.
     pub fn clock_at(&self, now_ms: u64) -> u64 {
         u64::try_from(now_ms as i64 + self.clock_offset_ms).unwrap_or(0)
--- a/crates/graph/src/record.rs
+++ b/crates/graph/src/record.rs
@@ -33,6 +33,13 @@
         /// What the worker can hold, for the time that a successor can't see it.
         capacity: Resources,
     },
+    /// A worker gets no new work; only these runs may be there from now on.
+    HostLeaving {
+        /// Name of the worker.
+        host: Name,
+        /// Tasks and numbers of their starts.
+        runs: Vec<(Task, u32)>,
+    },
     /// A worker holds nothing any more.
     HostReleased {
         /// Name of the worker.
--- a/crates/graph/tests/engine/regression.rs
+++ b/crates/graph/tests/engine/regression.rs
@@ -113,3 +113,26 @@
 
     assert_eq!(world.state(id(2)), Some(State::Complete));
 }
+
+/// A worker that stopped taking work was cut off, and came back under the next owner
+/// before its lease was over; its runs were taken for those of an earlier incarnation.
+/// Found by fuzzing, seed 12884645966295807205: a task was started after its end.
+#[test]
+fn a_leaving_worker_that_comes_back_is_the_same_incarnation() {
+    let mut world = World::new(2, catalog(queue()), 1);
+    world.work_ms = 1_500;
+    world.submit(id(1), job(vec![step(8, 1_000)]));
+    world.run(500);
+    world.workers[0].is_cut = true;
+    world.list();
+    world.run(1_200);
+    world.take_over();
+    world.run(1_000);
+
+    world.workers[0].is_cut = false;
+    world.list();
+    world.run(8_000);
+
+    assert_eq!(world.state(id(1)), Some(State::Complete));
+    assert_eq!(world.oracle.starts, 8);
+}
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -163,11 +163,10 @@
         for job in self.oracle.jobs.keys() {
             images.extend(self.engine.image(*job));
         }
-        let is_host = |record: &&Record| {
-            matches!(record, Record::HostUsed { .. } | Record::HostReleased { .. })
-        };
-        let hosts: Vec<Record> = self.log.iter().filter(is_host).cloned().collect();
-        self.log = hosts.into_iter().chain(images).collect();
+        for worker in &self.workers {
+            images.extend(self.engine.host_image(&worker.entry.id));
+        }
+        self.log = images;
         self.durable = self.log.len();
     }
 
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -125,8 +125,10 @@
                 self.callers.insert(self.last_token, respond);
                 self.step(event_of(ask, self.last_token));
             }
-            Input::Images { jobs, respond } => {
-                let images = jobs.into_iter().filter_map(|id| self.engine.image(id)).collect();
+            Input::Images { jobs, hosts, respond } => {
+                let of_jobs = jobs.into_iter().filter_map(|id| self.engine.image(id));
+                let of_hosts = hosts.iter().filter_map(|name| self.engine.host_image(name));
+                let images = of_jobs.chain(of_hosts).collect();
                 // The journal ended; its owner is about to end as well.
                 let _ = respond.send(images);
             }
--- a/crates/node/src/owner/handle.rs
+++ b/crates/node/src/owner/handle.rs
@@ -3,6 +3,7 @@
 use std::sync::mpsc::Sender;
 
 use sycamore_graph::{Answer, Event, Record, job};
+use sycamore_types::Name;
 use tokio::sync::oneshot;
 
 use super::Shared;
@@ -17,9 +18,10 @@
         ask: Ask,
         respond: oneshot::Sender<Verdict>,
     },
-    /// Records that replace all earlier ones of some jobs, for the log.
+    /// Records that replace all earlier ones of some jobs and workers, for the log.
     Images {
         jobs: Vec<job::Id>,
+        hosts: Vec<Name>,
         respond: oneshot::Sender<Vec<Record>>,
     },
     Stop,
@@ -66,9 +68,9 @@
         answer.await.unwrap_or(Verdict::Unknown)
     }
 
-    pub(super) async fn images(&self, jobs: Vec<job::Id>) -> Vec<Record> {
+    pub(super) async fn images(&self, jobs: Vec<job::Id>, hosts: Vec<Name>) -> Vec<Record> {
         let (respond, answer) = oneshot::channel();
-        if self.control.send(Input::Images { jobs, respond }).is_err() {
+        if self.control.send(Input::Images { jobs, hosts, respond }).is_err() {
             return Vec::new();
         }
         answer.await.unwrap_or_default()
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -10,6 +10,7 @@
 
 use sycamore_graph::{Event, Record, job};
 use sycamore_platform::site::{Store, StoreError, Transaction};
+use sycamore_types::Name;
 use tokio::sync::mpsc;
 
 use super::page;
@@ -39,7 +40,7 @@
     number: u64,
     written: Instant,
     jobs: Vec<job::Id>,
-    hosts: Vec<Record>,
+    hosts: Vec<Name>,
 }
 
 impl Page {
@@ -47,8 +48,9 @@
         let mut jobs: Vec<job::Id> = records.iter().filter_map(page::job_of).collect();
         jobs.sort_unstable();
         jobs.dedup();
-        let is_host = |record: &&Record| page::job_of(record).is_none();
-        let hosts = records.iter().filter(is_host).cloned().collect();
+        let mut hosts: Vec<Name> = records.iter().filter_map(page::host_of).collect();
+        hosts.sort_unstable();
+        hosts.dedup();
         Page { number, written: Instant::now(), jobs, hosts }
     }
 }
@@ -171,19 +173,19 @@
     async fn carry_over(&mut self) -> (Vec<Record>, Vec<u64>) {
         let excess = self.pages.len().saturating_sub(MAX_PAGES).min(2);
         let mut jobs = Vec::new();
-        let mut carried = Vec::new();
+        let mut hosts = Vec::new();
         let mut dropped = Vec::new();
         for page in self.pages.iter().take(excess) {
             if page.written.elapsed() < MIN_PAGE_AGE || jobs.len() > MAX_CARRIED {
                 break;
             }
             jobs.extend(page.jobs.iter().copied());
-            carried.extend(page.hosts.iter().cloned());
+            hosts.extend(page.hosts.iter().cloned());
             dropped.push(page.number);
         }
-        if !jobs.is_empty() {
-            carried.extend(self.handle.images(jobs).await);
+        if dropped.is_empty() {
+            return (Vec::new(), dropped);
         }
-        (carried, dropped)
+        (self.handle.images(jobs, hosts).await, dropped)
     }
 }
--- a/crates/node/src/owner/page.rs
+++ b/crates/node/src/owner/page.rs
@@ -2,6 +2,7 @@
 
 use displaydoc::Display;
 use sycamore_graph::{Record, job};
+use sycamore_types::Name;
 
 /// Beginning of the keys of all pages.
 pub(super) const PREFIX: &str = "sycamore/log/";
@@ -40,6 +41,16 @@
         Record::Ended(ended) => Some(ended.task.step.job),
         Record::Closed(closed) => Some(closed.job),
         Record::Image(image) => Some(image.job),
-        Record::HostUsed { .. } | Record::HostReleased { .. } => None,
+        Record::HostUsed { .. } | Record::HostLeaving { .. } | Record::HostReleased { .. } => None,
+    }
+}
+
+/// Returns the worker that a record is about.
+pub(super) fn host_of(record: &Record) -> Option<Name> {
+    match record {
+        Record::HostUsed { host, .. }
+        | Record::HostLeaving { host, .. }
+        | Record::HostReleased { host } => Some(host.clone()),
+        _ => None,
     }
 }
