--- a/crates/node/src/lead/follow.rs
+++ b/crates/node/src/lead/follow.rs
@@ -130,6 +130,12 @@
                     refusals = 0;
                     node.lead.note_heard(pong.peers);
                     catch_up(node, owner.address, pong.config_version);
+                    if pong.is_leaving
+                        && !node.is_stopping()
+                        && let Some(next) = check_record(node, owner, "owner stops").await
+                    {
+                        return next;
+                    }
                     let is_lost = !pong.store_is_near && node.configs.store_is_near();
                     without_store = if is_lost { without_store + 1 } else { 0 };
                     // Only the store's own answer tells that this process has it.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -25,6 +25,12 @@
 /// Time for which idle connections are kept: connections are paid for one by one.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest wait before the exit until the owner's record is given up.
+const RESIGN_PATIENCE: Duration = Duration::from_millis(300);
+
+/// Time between looks whether it is.
+const RESIGN_POLL: Duration = Duration::from_millis(10);
+
 /// Time after which a peer that pinged no more is not dealt calls.
 const PEER_SILENCE: Duration = Duration::from_millis(900);
 
@@ -53,7 +59,8 @@
     pub pool: Pool,
     pub configs: Configs,
     pub lead: Lead,
-    pub stopping: Notify,
+    /// The process stops and no successor has come.
+    pub must_resign: Notify,
     /// A peer knows of a higher epoch than this owner's.
     pub outranked: Notify,
     /// Time by which all answers must be given, once the process stops.
@@ -81,7 +88,7 @@
             pool: Pool::default(),
             configs: Configs::new(),
             lead: Lead::default(),
-            stopping: Notify::new(),
+            must_resign: Notify::new(),
             outranked: Notify::new(),
             last_answer: OnceLock::new(),
             is_stopping: AtomicBool::new(false),
@@ -101,11 +108,18 @@
         self.last_answer.get().map_or(until, |last| until.min(*last))
     }
 
+    /// Waits a moment until this process owns no more.
+    async fn wait_resigned(&self) {
+        let end = Instant::now() + RESIGN_PATIENCE;
+        while matches!(self.lead.leader(), Leader::Here(_)) && Instant::now() < end {
+            tokio::time::sleep(RESIGN_POLL).await;
+        }
+    }
+
     fn begin_stop(&self, last_answer: Instant) {
         // Set once; a second signal changes nothing.
         let _ = self.last_answer.set(last_answer);
         self.is_stopping.store(true, Ordering::Relaxed);
-        self.stopping.notify_waiters();
     }
 
     pub fn seeds(&self) -> Vec<SocketAddr> {
@@ -161,6 +175,7 @@
             owner: self.lead.owner(),
             config_version: self.configs.version(),
             store_is_near,
+            is_leaving: self.is_stopping(),
             peers: self.members(),
         }
     }
@@ -236,7 +251,9 @@
     let last = grace.saturating_sub(EXIT_MARGIN);
     node.begin_stop(told + last.saturating_sub(LAST_ANSWER_MARGIN));
     tokio::time::sleep(DRAIN_DELAY.min(last).saturating_sub(told.elapsed())).await;
+    node.must_resign.notify_waiters();
     door.close(last.saturating_sub(told.elapsed())).await;
+    node.wait_resigned().await;
     following.abort();
     log::info!(target: "process", "stopped");
     Ok(())
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -8,12 +8,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::StreamExt;
+use futures::stream::FuturesOrdered;
 use sycamore_graph::{Event, Record, job};
 use sycamore_platform::site::{Store, StoreError, Transaction};
 use sycamore_types::Name;
 use tokio::sync::mpsc;
 
-use super::page;
+use super::page::{self, PageError};
 use super::{Handle, Shared};
 use crate::backoff::Backoff;
 use crate::lead::{Claim, OWNER_KEY};
@@ -24,6 +26,14 @@
 /// Most records of one page, which keeps pages well under the store's largest value.
 const MAX_RECORDS: usize = 200;
 
+/// Bytes above which a page takes no more records. With one more job of the largest body
+/// and in base64 it stays under the store's documented limit of 1 MiB.
+const MAX_BYTES: usize = 384 * 1024;
+
+/// Most pages on their way at once. At the slowest answers seen, 240 ms, the records of
+/// 100 ms fit; more is gained by larger pages.
+const MAX_FLIGHTS: usize = 4;
+
 /// Pages of the log above which old ones are rewritten.
 const MAX_PAGES: usize = 400;
 
@@ -55,13 +65,31 @@
     }
 }
 
+/// A page on its way to the store.
+struct Flight {
+    page: Page,
+    /// Records of the owner in it, without those carried over.
+    own: u64,
+}
+
+/// Makes writes certain.
+#[derive(Clone, Debug)]
+struct Writer {
+    store: Store,
+    shared: Arc<Shared>,
+    owner_rev: u64,
+}
+
 /// The log's only writer.
+///
+/// Several pages may be on their way at once, so that a slow store delays each record
+/// by one answer only. They count as durable in their order. A page that is lost while a
+/// later one was kept leaves a gap that only an owner that is gone can leave; nobody was
+/// told of what is in either.
 #[derive(Debug)]
 pub(super) struct Journal {
-    store: Store,
+    writer: Writer,
     handle: Handle,
-    shared: Arc<Shared>,
-    owner_rev: u64,
     pages: VecDeque<Page>,
     next: u64,
     written: u64,
@@ -76,54 +104,92 @@
         pages: Vec<Page>,
     ) -> Journal {
         let next = pages.iter().map(|page| page.number).max().unwrap_or(0) + 1;
-        Journal { store, handle, shared, owner_rev, pages: pages.into(), next, written: 0 }
+        let writer = Writer { store, shared, owner_rev };
+        Journal { writer, handle, pages: pages.into(), next, written: 0 }
     }
 
     /// Writes records until the owner is replaced.
     pub async fn run(mut self, mut records: mpsc::UnboundedReceiver<Record>) {
-        while let Some(first) = records.recv().await {
-            tokio::time::sleep(COMMIT_DELAY).await;
-            let mut batch = vec![first];
-            while batch.len() < MAX_RECORDS
-                && let Ok(record) = records.try_recv()
-            {
-                batch.push(record);
-            }
-            if !self.write(batch).await {
-                return;
+        let mut flights = FuturesOrdered::new();
+        loop {
+            tokio::select! {
+                Some(flight) = flights.next(), if !flights.is_empty() => match flight {
+                    Some(flight) => self.land(flight),
+                    None => return,
+                },
+                first = records.recv(), if flights.len() < self.most_flights() => {
+                    let Some(first) = first else { return };
+                    tokio::time::sleep(COMMIT_DELAY).await;
+                    match self.page(gather(first, &mut records)).await {
+                        Ok((flight, change)) => {
+                            flights.push_back(self.writer.clone().write(flight, change));
+                        }
+                        Err(error) => {
+                            log::error!(target: "store", error:%; "page not written");
+                            return;
+                        }
+                    }
+                }
             }
         }
     }
 
-    /// Writes one page. Returns whether this process still owns.
-    async fn write(&mut self, batch: Vec<Record>) -> bool {
+    /// Each page on its way is repeated for itself while the store is away.
+    fn most_flights(&self) -> usize {
+        if self.handle.is_store_away() { 1 } else { MAX_FLIGHTS }
+    }
+
+    /// Makes the next page of some records and what must last of old pages.
+    async fn page(&mut self, batch: Vec<Record>) -> Result<(Flight, Transaction), PageError> {
         let own = batch.len() as u64;
         let (mut records, dropped) = self.carry_over().await;
         records.extend(batch);
-        let bytes = match page::encode(&records) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                log::error!("{error}");
-                return false;
-            }
-        };
         let key = page::key(self.next);
         let mut change = Transaction::default()
-            .expect(OWNER_KEY, self.owner_rev)
+            .expect(OWNER_KEY, self.writer.owner_rev)
             .expect(&key, 0)
-            .put(&key, &bytes);
+            .put(&key, &page::encode(&records)?);
         for number in &dropped {
             change = change.remove(&page::key(*number));
         }
-        if !self.commit(&key, &change).await {
-            return false;
-        }
         self.pages.retain(|page| !dropped.contains(&page.number));
-        self.pages.push_back(Page::of(self.next, &records));
+        let page = Page::of(self.next, &records);
         self.next += 1;
-        self.written += own;
+        Ok((Flight { page, own }, change))
+    }
+
+    /// Counts a page that is durable.
+    fn land(&mut self, flight: Flight) {
+        self.pages.push_back(flight.page);
+        self.written += flight.own;
         self.handle.tell(Event::Committed(self.written));
-        true
+    }
+
+    /// Returns what must last of the oldest pages, and the pages that it replaces.
+    async fn carry_over(&mut self) -> (Vec<Record>, Vec<u64>) {
+        let excess = self.pages.len().saturating_sub(MAX_PAGES).min(2);
+        let mut jobs = Vec::new();
+        let mut hosts = Vec::new();
+        let mut dropped = Vec::new();
+        for page in self.pages.iter().take(excess) {
+            if page.written.elapsed() < MIN_PAGE_AGE || jobs.len() > MAX_CARRIED {
+                break;
+            }
+            jobs.extend(page.jobs.iter().copied());
+            hosts.extend(page.hosts.iter().cloned());
+            dropped.push(page.number);
+        }
+        if dropped.is_empty() {
+            return (Vec::new(), dropped);
+        }
+        (self.handle.images(jobs, hosts).await, dropped)
+    }
+}
+
+impl Writer {
+    /// Writes a page. `None` when this process no longer owns.
+    async fn write(self, flight: Flight, change: Transaction) -> Option<Flight> {
+        self.commit(&page::key(flight.page.number), &change).await.then_some(flight)
     }
 
     /// Repeats a change until it is certain that it was made, or can't be any more.
@@ -168,24 +234,18 @@
         }
         Some(found.is_some() && may_be_done)
     }
+}
 
-    /// Returns what must last of the oldest pages, and the pages that it replaces.
-    async fn carry_over(&mut self) -> (Vec<Record>, Vec<u64>) {
-        let excess = self.pages.len().saturating_sub(MAX_PAGES).min(2);
-        let mut jobs = Vec::new();
-        let mut hosts = Vec::new();
-        let mut dropped = Vec::new();
-        for page in self.pages.iter().take(excess) {
-            if page.written.elapsed() < MIN_PAGE_AGE || jobs.len() > MAX_CARRIED {
-                break;
-            }
-            jobs.extend(page.jobs.iter().copied());
-            hosts.extend(page.hosts.iter().cloned());
-            dropped.push(page.number);
-        }
-        if dropped.is_empty() {
-            return (Vec::new(), dropped);
-        }
-        (self.handle.images(jobs, hosts).await, dropped)
+/// Takes more records that wait, as many as a page holds.
+fn gather(first: Record, records: &mut mpsc::UnboundedReceiver<Record>) -> Vec<Record> {
+    let mut bytes = page::size(&first);
+    let mut batch = vec![first];
+    while batch.len() < MAX_RECORDS
+        && bytes < MAX_BYTES
+        && let Ok(record) = records.try_recv()
+    {
+        bytes += page::size(&record);
+        batch.push(record);
     }
+    batch
 }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -94,7 +94,7 @@
         _ = listing::run(node.clone(), handle.clone()) => End::Deposed,
         _ = follow_config(node, &handle) => End::Deposed,
         () = node.outranked.notified() => End::Deposed,
-        () = node.stopping.notified() => End::Stopping,
+        () = node.must_resign.notified() => End::Stopping,
     };
     log::info!(target: "lead", epoch = claim.epoch, why:? = end; "no longer owning");
     handle.stop();
--- a/crates/node/src/owner/page.rs
+++ b/crates/node/src/owner/page.rs
@@ -7,6 +7,15 @@
 /// Beginning of the keys of all pages.
 pub(super) const PREFIX: &str = "sycamore/log/";
 
+/// Most bytes of a record's fixed parts.
+const RECORD_BYTES: usize = 160;
+
+/// Most bytes of a step with names of usual length.
+const STEP_BYTES: usize = 160;
+
+/// Most bytes of a run's name.
+const RUN_BYTES: usize = 32;
+
 /// a page of the log is malformed: {0}
 #[derive(Debug, Display)]
 pub(crate) struct PageError(String);
@@ -54,3 +63,14 @@
         _ => None,
     }
 }
+
+/// Returns about how many bytes a record takes.
+pub(super) fn size(record: &Record) -> usize {
+    match record {
+        Record::Accepted { spec, .. } => {
+            RECORD_BYTES + spec.payload.len() + spec.steps.len() * STEP_BYTES
+        }
+        Record::HostLeaving { runs, .. } => RECORD_BYTES + runs.len() * RUN_BYTES,
+        _ => RECORD_BYTES,
+    }
+}
--- a/crates/node/src/peer/message.rs
+++ b/crates/node/src/peer/message.rs
@@ -62,6 +62,8 @@
     pub config_version: u64,
     /// The store answers to this process.
     pub store_is_near: bool,
+    /// The process is stopping; an owner goes on until another takes over.
+    pub is_leaving: bool,
     /// Processes that the owner has heard of.
     pub peers: Vec<(Name, SocketAddr)>,
 }
