Serve metrics; keep best-effort work away from what serves

Best-effort tasks and tasks with a latency objective don't share a worker: the first step against harm, until pacing is built. Test in jobs.

--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -16,6 +16,8 @@
     pub is_gang: bool,
     pub one_rack: bool,
     pub size: Resources,
+    pub has_objective: bool,
+    pub is_best_effort: bool,
     /// Tasks that wait.
     pub waiting: u32,
     /// Tasks that the team's limit leaves room for.
@@ -77,6 +79,8 @@
             is_gang: spec.is_gang,
             one_rack: spec.prefers_one_rack,
             size: spec.footprint(),
+            has_objective: spec.latency_objective_ms > 0,
+            is_best_effort: spec.is_best_effort,
             waiting,
             allowed,
         };
@@ -127,6 +131,7 @@
                 let attempt = if demand.is_gang { gang_attempt } else { last + 1 };
                 let free = spots[at].free;
                 spots[at].free = free.minus(&demand.size);
+                spots[at].note(demand);
                 self.justify(turn, task, attempt, &host, free);
                 self.start(&host, task, attempt);
             }
@@ -216,6 +221,9 @@
     {
         ready.retain(|candidate| spots[candidate.at].rack == rack);
     }
+    if demand.is_best_effort {
+        return spread(ready, wanted);
+    }
     // Near the data first, then the fullest worker that still has room, so that
     // large holes stay for large tasks.
     ready.sort_by_key(|candidate| (!candidate.is_near, candidate.free_cpu));
@@ -232,6 +240,21 @@
     plan
 }
 
+/// Deals best-effort tasks out evenly, to the workers with most idle processors first:
+/// by their footprint all would fit on one.
+fn spread(mut ready: Vec<Candidate>, wanted: u32) -> Vec<(usize, u32)> {
+    ready.sort_by_key(|candidate| (!candidate.is_near, Reverse(candidate.free_cpu)));
+    let each = wanted.div_ceil(ready.len().max(1) as u32);
+    let mut rest = wanted;
+    let mut plan = Vec::new();
+    for candidate in ready {
+        let tasks = candidate.slots.min(each).min(rest);
+        rest -= tasks;
+        plan.push((candidate.at, tasks));
+    }
+    plan
+}
+
 fn rack_with_room(ready: &[Candidate], wanted: u32, spots: &[Spot]) -> Option<Name> {
     let mut racks: BTreeMap<&Name, u32> = BTreeMap::new();
     for candidate in ready {
--- a/crates/graph/src/engine/orders.rs
+++ b/crates/graph/src/engine/orders.rs
@@ -39,6 +39,8 @@
             is_stopping: false,
             is_stop_sent: false,
             stop_taken: None,
+            has_objective: step.latency_objective_ms > 0,
+            is_best_effort: step.is_best_effort,
             percent: 0,
         };
         self.occupy(name, task, attempt, run);
@@ -187,6 +189,8 @@
             is_stopping: false,
             is_stop_sent: false,
             stop_taken: None,
+            has_objective: false,
+            is_best_effort: false,
             percent: 0,
         };
         let mut is_wanted = false;
@@ -196,6 +200,8 @@
         {
             run.footprint = step.footprint();
             run.size = step.size;
+            run.has_objective = step.latency_objective_ms > 0;
+            run.is_best_effort = step.is_best_effort;
             run.team = job.team.clone();
             job.has_started = true;
             if let Some(step_run) = job.step_mut(task.step)
--- a/crates/graph/src/engine/room.rs
+++ b/crates/graph/src/engine/room.rs
@@ -7,6 +7,7 @@
 use sycamore_types::resources::Resources;
 
 use super::Engine;
+use super::dispatch::Demand;
 use crate::host::Host;
 use crate::job;
 use crate::progress::StepRun;
@@ -20,6 +21,10 @@
     service: Name,
     labels: Arc<[Name]>,
     capacity: Resources,
+    /// Runs a task with a latency objective.
+    serves: bool,
+    /// Runs a best-effort task.
+    fills: bool,
     /// Room that this pass has neither used nor kept for steps that go first.
     pub free: Resources,
 }
@@ -40,6 +45,12 @@
 }
 
 impl Spot {
+    /// Takes in that a task of a step was placed here.
+    pub fn note(&mut self, demand: &Demand) {
+        self.serves |= demand.has_objective;
+        self.fills |= demand.is_best_effort;
+    }
+
     fn has_label(&self, label: &Name) -> bool {
         self.labels.contains(label)
     }
@@ -57,6 +68,8 @@
             service: host.entry.service.clone(),
             labels: host.entry.labels.clone(),
             capacity: host.entry.capacity,
+            serves: host.runs.values().any(|run| run.has_objective),
+            fills: host.runs.values().any(|run| run.is_best_effort),
             free: host.free(),
         };
         usable.map(spot).collect()
@@ -103,7 +116,11 @@
     let placed = if step.max_per_host > 0 { placed_per_host(run) } else { FxHashMap::default() };
     let mut found = Vec::with_capacity(spots.len());
     for (at, spot) in spots.iter().enumerate() {
-        let is_suitable = spot.service == *service
+        // Best-effort work disturbs what serves, by amounts that nobody knows beforehand.
+        let is_quiet =
+            !(step.is_best_effort && spot.serves || step.latency_objective_ms > 0 && spot.fills);
+        let is_suitable = is_quiet
+            && spot.service == *service
             && step.required_label.as_ref().is_none_or(|label| spot.has_label(label));
         let mut most = fits(&footprint, &spot.capacity);
         if !is_suitable || most == 0 {
--- a/crates/graph/src/host/run.rs
+++ b/crates/graph/src/host/run.rs
@@ -50,6 +50,10 @@
     pub is_stop_sent: bool,
     /// The stop was taken before looks after this one.
     pub stop_taken: Option<u64>,
+    /// The task has a latency objective.
+    pub has_objective: bool,
+    /// The task uses processor time that others leave.
+    pub is_best_effort: bool,
     /// Last progress seen, in percent.
     pub percent: u8,
 }
--- a/crates/graph/tests/engine/jobs.rs
+++ b/crates/graph/tests/engine/jobs.rs
@@ -161,3 +161,22 @@
     world.run(4_000);
     assert_eq!(world.state(id(2)), Some(State::Complete));
 }
+
+#[test]
+fn best_effort_work_keeps_away_from_what_serves() {
+    let mut world = World::new(3, catalog(queue()), 1);
+    world.work_ms = 5_000;
+    let serving = Step { latency_objective_ms: 20, is_service: true, ..step(2, 500) };
+    let filling = Step { is_best_effort: true, ..step(6, 1_000) };
+
+    world.submit(id(1), job(vec![serving]));
+    world.run(200);
+    world.submit(id(2), job(vec![filling]));
+    world.run(500);
+
+    for worker in &world.workers {
+        let of = |number| worker.runs.keys().any(|(task, _)| task.step.job == id(number));
+        assert!(!(of(1) && of(2)), "both on {}", worker.entry.id);
+    }
+    assert!(world.running() > 2);
+}
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -403,7 +403,8 @@
         let (host, task, attempt) = (start.host.clone(), start.task, start.attempt);
         let spec = self.oracle.jobs[&task.step.job].steps[usize::from(task.step.index)].clone();
         let will_fail = self.random.random_bool(self.fail_share);
-        let work = Work { cpu_millis: spec.size.cpu_millis, work_ms: self.work_ms, will_fail };
+        let work =
+            Work { cpu_millis: spec.footprint().cpu_millis, work_ms: self.work_ms, will_fail };
         let has_ticket =
             self.catalog.queues[QUEUE].advice.is_none()
                 || start.ticket.as_ref().and_then(|ticket| self.tickets.get(ticket)).is_some_and(
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -7,6 +7,7 @@
 use tokio::sync::watch;
 
 use crate::backoff::Backoff;
+use crate::metrics::Meters;
 use crate::timing::{CONFIG_WAIT, STORE_RETRY, STORE_RETRY_MAX, STORE_TIMEOUT};
 
 /// A configuration with the bytes that it was read from.
@@ -23,11 +24,13 @@
     sender: Arc<watch::Sender<Option<Arc<Current>>>>,
     /// Time of the last answer of the store.
     reached: Arc<std::sync::Mutex<Option<Instant>>>,
+    meters: Meters,
 }
 
 impl Configs {
-    pub fn new() -> Configs {
-        Configs { sender: Arc::new(watch::Sender::new(None)), reached: Arc::default() }
+    pub fn new(meters: Meters) -> Configs {
+        let sender = Arc::new(watch::Sender::new(None));
+        Configs { sender, reached: Arc::default(), meters }
     }
 
     pub fn current(&self) -> Option<Arc<Current>> {
@@ -69,6 +72,7 @@
         if version <= self.version() {
             return;
         }
+        self.meters.config.set(version as i64);
         log::info!(target: "config", version, origin; "in force");
         self.sender.send_replace(Some(Arc::new(Current { config, source })));
     }
--- a/crates/node/src/lead/follow.rs
+++ b/crates/node/src/lead/follow.rs
@@ -114,6 +114,7 @@
 /// Pings the owner until it is lost or replaced.
 async fn watch_owner(node: &Arc<Node>, owner: &Owner) -> Next {
     node.lead.learn(owner);
+    node.meters.epoch.set(owner.epoch as i64);
     node.lead.set(Leader::Peer { address: owner.address });
     log::info!(target: "lead", owner:% = owner.host, epoch = owner.epoch; "following");
     let mut heard = Instant::now();
@@ -282,6 +283,7 @@
     };
     match own.write(&node.store, rev).await {
         Ok(rev) => {
+            node.meters.claims.with_label_values(&[why, "won"]).inc();
             log::info!(target: "lead", epoch, why; "claim won");
             node.lead.learn(&own.owner());
             if let Some(address) = before.filter(|address| *address != own.address) {
@@ -290,6 +292,7 @@
             owner::own(node, own, rev).await;
         }
         Err(error) => {
+            node.meters.claims.with_label_values(&[why, "not won"]).inc();
             log::info!(target: "lead", epoch, why, error:%; "claim not won");
             tokio::time::sleep(STORE_RETRY).await;
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod config;
 mod door;
 mod lead;
+mod metrics;
 mod node;
 mod owner;
 mod peer;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -9,6 +9,7 @@
 fn main() -> ExitCode {
     let mut options = Options::new();
     options.optopt("s", "settings", "settings file", "FILE");
+    options.optopt("", "metrics-port", "serve metrics on this port of the host", "PORT");
     options.optflag("", "print-settings", "check the settings, print them and exit");
     options.optflag("h", "help", "print this help and exit");
     let matches = match options.parse(std::env::args().skip(1)) {
@@ -33,18 +34,22 @@
         println!("{settings:#?}");
         return ExitCode::SUCCESS;
     }
+    let metrics_port = match matches.opt_get("metrics-port") {
+        Ok(port) => port,
+        Err(error) => return fail(&format!("--metrics-port: {error}")),
+    };
     match logs::start_bounded() {
-        Ok(lines) => start(settings, &path, lines),
+        Ok(lines) => start(settings, &path, lines, metrics_port),
         Err(error) => fail(&error),
     }
 }
 
-fn start(settings: Settings, path: &str, lines: Lines) -> ExitCode {
+fn start(settings: Settings, path: &str, lines: Lines, metrics_port: Option<u16>) -> ExitCode {
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => return fail(&error),
     };
-    match runtime.block_on(sycamore_node::run(settings, path, lines)) {
+    match runtime.block_on(sycamore_node::run(settings, path, lines, metrics_port)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error),
     }
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,108 @@
+//! Counters and histograms of the process, served as text.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Response;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use sycamore_telemetry::metrics::Metrics;
+use sycamore_telemetry::metrics::prometheus::{HistogramVec, IntCounterVec, IntGauge};
+use tokio::net::TcpListener;
+
+/// Bounds of latency buckets, in seconds: from one answer of the store to a client's
+/// longest wait.
+const BUCKETS: [f64; 12] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 15.0];
+
+/// All that the process counts.
+#[derive(Clone, Debug)]
+pub(crate) struct Meters {
+    all: Metrics,
+    /// Requests by method and status.
+    pub requests: IntCounterVec,
+    /// Time from a request to its answer, by method.
+    pub request_s: HistogramVec,
+    /// Orders to start a task, by outcome.
+    pub starts: IntCounterVec,
+    /// Ends of runs, by how.
+    pub ends: IntCounterVec,
+    /// Last states of jobs.
+    pub closed: IntCounterVec,
+    /// Time that a step's job had waited at a start, by priority of its queue.
+    pub start_wait_s: HistogramVec,
+    /// Calls for advice, by outcome.
+    pub advice: IntCounterVec,
+    /// Writes of the log, by outcome.
+    pub log_writes: IntCounterVec,
+    /// Time until a page of the log is certain to be kept.
+    pub log_write_s: HistogramVec,
+    /// Claims of the workers, by reason and outcome.
+    pub claims: IntCounterVec,
+    /// Looks at workers, by outcome.
+    pub looks: IntCounterVec,
+    /// Epoch of the owner that this process knows of.
+    pub epoch: IntGauge,
+    /// Version of the configuration in force.
+    pub config: IntGauge,
+}
+
+impl Meters {
+    pub fn new() -> Meters {
+        let all = Metrics::new();
+        Meters {
+            requests: all.counters("requests_total", "Answers to callers.", &["method", "status"]),
+            request_s: all.histograms("request_seconds", "Time to answer.", &["method"], &BUCKETS),
+            starts: all.counters("starts_total", "Orders to start a task.", &["outcome"]),
+            ends: all.counters("ends_total", "Ends of runs.", &["how"]),
+            closed: all.counters("jobs_closed_total", "Last states of jobs.", &["state"]),
+            start_wait_s: all.histograms(
+                "start_wait_seconds",
+                "Age of the job at the start of a task.",
+                &["priority"],
+                &BUCKETS,
+            ),
+            advice: all.counters("advice_total", "Calls for advice.", &["outcome"]),
+            log_writes: all.counters("log_writes_total", "Writes of the log.", &["outcome"]),
+            log_write_s: all.histograms(
+                "log_write_seconds",
+                "Time until a page of the log is certain.",
+                &[],
+                &BUCKETS,
+            ),
+            claims: all.counters("claims_total", "Claims of the workers.", &["why", "outcome"]),
+            looks: all.counters("looks_total", "Looks at workers.", &["outcome"]),
+            epoch: all.gauge("owner_epoch", "Epoch of the owner that is known."),
+            config: all.gauge("config_version", "Version of the configuration in force."),
+            all,
+        }
+    }
+}
+
+/// Serves the metrics for as long as the process lives.
+pub(crate) async fn serve(meters: Meters, listener: TcpListener) {
+    let meters = Arc::new(meters);
+    loop {
+        let socket = match listener.accept().await {
+            Ok((socket, _)) => socket,
+            Err(error) => {
+                log::warn!(target: "process", error:%; "metrics connection not accepted");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let meters = meters.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |_request| {
+                let body = Full::new(bytes::Bytes::from(meters.all.render()));
+                async move { Ok::<_, Infallible>(Response::new(body)) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
+            if let Err(error) = connection.await {
+                log::debug!("metrics connection ended: {error}");
+            }
+        });
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,6 +18,7 @@
 use crate::clock::Clock;
 use crate::config::Configs;
 use crate::lead::{Lead, Leader};
+use crate::metrics::{self, Meters};
 use crate::peer::{Ask, Ping, Pong, Role, Verdict};
 use crate::timing::{DRAIN_DELAY, EXIT_MARGIN, LAST_ANSWER_MARGIN, OWNER_SILENCE, SETTINGS_EVERY};
 use crate::{door, lead, peer};
@@ -55,6 +56,7 @@
     pub store: Store,
     /// Where records of decisions are streamed to.
     pub lines: Lines,
+    pub meters: Meters,
     pub client: Client,
     pub pool: Pool,
     pub configs: Configs,
@@ -78,6 +80,7 @@
 impl Node {
     fn new(settings: Settings, lines: Lines) -> Node {
         let client = Client::with_idle_timeout(IDLE_TIMEOUT);
+        let meters = Meters::new();
         Node {
             clock: Clock::new(),
             nonce: rand::random(),
@@ -86,7 +89,8 @@
             adviser: settings.advice.map(|address| Adviser::new(address, client.clone())),
             client,
             pool: Pool::default(),
-            configs: Configs::new(),
+            configs: Configs::new(meters.clone()),
+            meters,
             lead: Lead::default(),
             must_resign: Notify::new(),
             outranked: Notify::new(),
@@ -220,7 +224,12 @@
 /// # Errors
 ///
 /// Fails when an address can't be listened on.
-pub async fn run(settings: Settings, path: &str, lines: Lines) -> Result<(), Error> {
+pub async fn run(
+    settings: Settings,
+    path: &str,
+    lines: Lines,
+    metrics_port: Option<u16>,
+) -> Result<(), Error> {
     let mut signals = Signals::listen().map_err(Error::Signals)?;
     let callers = listen(settings.callers).await?;
     let peers = listen(settings.peers).await?;
@@ -232,6 +241,10 @@
         target: "process", host:% = settings.host, domain:% = settings.failure_domain; "start"
     );
     let grace = Duration::from_millis(settings.grace_ms);
+    let metrics = match metrics_port {
+        Some(port) => Some(listen(SocketAddr::new(settings.peers.ip(), port)).await?),
+        None => None,
+    };
     let node = Arc::new(Node::new(settings, lines));
     tokio::spawn(node.configs.clone().follow(node.store.clone()));
     tokio::spawn(peer::serve(node.clone(), peers));
@@ -240,6 +253,9 @@
     if let Some(listener) = readiness {
         tokio::spawn(door::serve_readiness(node.clone(), listener));
     }
+    if let Some(listener) = metrics {
+        tokio::spawn(metrics::serve(node.meters.clone(), listener));
+    }
     let reload = Arc::new(Notify::new());
     tokio::spawn(watch_settings(node.clone(), path.to_string(), reload.clone()));
     let following = tokio::spawn(lead::follow(node.clone()));
--- a/crates/node/src/owner/dealer.rs
+++ b/crates/node/src/owner/dealer.rs
@@ -125,6 +125,8 @@
             } else {
                 ask_peer(&node, address, &advise, timeout).await
             };
+            let outcome = if allowed.is_some() { "answered" } else { "failed" };
+            node.meters.advice.with_label_values(&[outcome]).inc();
             // The tickets were made at the end of the call's own time at the earliest.
             let spent_ms = millis(begun.elapsed());
             let age_ms = spent_ms.saturating_sub(advise.cost_ms as u64);
--- a/crates/node/src/owner/execute.rs
+++ b/crates/node/src/owner/execute.rs
@@ -26,7 +26,8 @@
     let (pages, received) = mpsc::unbounded_channel();
     let (mut dealer, mut ended) = Dealer::new(node.clone(), handle.clone());
     let mut journal = std::pin::pin!(journal.run(received));
-    let mut records = Records::new(node.lines.clone(), node.clock, handle.epoch);
+    let mut records =
+        Records::new(node.lines.clone(), node.meters.clone(), node.clock, handle.epoch);
     let mut refresh = tokio::time::interval(LANES_EVERY);
     let mut heads = tokio::time::interval(HEAD_POLL);
     loop {
@@ -52,9 +53,9 @@
                 }
                 Some(Action::Decide(decision)) => records.add(decision),
                 Some(Action::Advise(advise)) => dealer.take(advise),
-                Some(Action::Start(order)) => start(&handle, &worker, order),
+                Some(Action::Start(order)) => start(&node, &handle, &worker, order),
                 Some(Action::Stop(order)) => stop(&handle, &worker, order),
-                Some(Action::Hold(look)) => hold(&handle, &worker, look),
+                Some(Action::Hold(look)) => hold(&node, &handle, &worker, look),
                 // Answers stay with the control thread.
                 Some(Action::Answer { .. }) => {}
             },
@@ -62,13 +63,15 @@
     }
 }
 
-fn start(handle: &Handle, worker: &Worker, start: Start) {
+fn start(node: &Node, handle: &Handle, worker: &Worker, start: Start) {
     let (handle, worker) = (handle.clone(), worker.clone());
+    let starts = node.meters.starts.clone();
     tokio::spawn(async move {
         let (outcome, clock_ms) = match handle.addresses.get(&start.host) {
             Some(address) => worker.start(address, &start, ORDER_TIMEOUT).await,
             None => (sycamore_graph::StartOutcome::Rejected, 0),
         };
+        starts.with_label_values(&[&format!("{outcome:?}")]).inc();
         if outcome != sycamore_graph::StartOutcome::Started {
             log::info!(
                 target: "start", job:% = start.task.step.job, step = start.task.step.index,
@@ -98,8 +101,9 @@
     });
 }
 
-fn hold(handle: &Handle, worker: &Worker, hold: Hold) {
+fn hold(node: &Node, handle: &Handle, worker: &Worker, hold: Hold) {
     let (handle, worker) = (handle.clone(), worker.clone());
+    let looks = node.meters.looks.clone();
     tokio::spawn(async move {
         let timeout = Duration::from_millis(hold.wait_ms) + HOLD_MARGIN;
         let report = match handle.addresses.get(&hold.host) {
@@ -109,6 +113,8 @@
                 Err(Order::Unknown)
             }
         };
+        let outcome = report.as_ref().map_or_else(|order| format!("{order:?}"), |_| "Taken".into());
+        looks.with_label_values(&[&outcome]).inc();
         let (host, look) = (hold.host, hold.look);
         handle.tell(match report {
             Ok(report) => Event::Held { host, look, report },
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -19,6 +19,8 @@
 use super::{Handle, Shared};
 use crate::backoff::Backoff;
 use crate::lead::{Claim, OWNER_KEY};
+use crate::metrics::Meters;
+use crate::node::Node;
 use crate::timing::{
     COMMIT_DELAY, LOG_RETRY_MAX, LOG_TIMEOUT, STORE_DOWN_AFTER, STORE_RETRY, STORE_TIMEOUT,
 };
@@ -77,6 +79,7 @@
 struct Writer {
     store: Store,
     shared: Arc<Shared>,
+    meters: Meters,
     owner_rev: u64,
 }
 
@@ -97,14 +100,15 @@
 
 impl Journal {
     pub fn new(
-        store: Store,
+        node: &Node,
         handle: Handle,
         shared: Arc<Shared>,
         owner_rev: u64,
         pages: Vec<Page>,
     ) -> Journal {
         let next = pages.iter().map(|page| page.number).max().unwrap_or(0) + 1;
-        let writer = Writer { store, shared, owner_rev };
+        let (store, meters) = (node.store.clone(), node.meters.clone());
+        let writer = Writer { store, shared, meters, owner_rev };
         Journal { writer, handle, pages: pages.into(), next, written: 0 }
     }
 
@@ -199,6 +203,8 @@
         let mut may_be_done = false;
         loop {
             let outcome = self.store.commit(change, LOG_TIMEOUT).await;
+            let label = if outcome.is_ok() { "kept" } else { "failed" };
+            self.meters.log_writes.with_label_values(&[label]).inc();
             match outcome {
                 Ok(_) => break,
                 Err(StoreError::Conflict) => match self.is_written(key, may_be_done).await {
@@ -218,6 +224,9 @@
             backoff.pause().await;
         }
         self.shared.set_store_away(false);
+        let none: [&str; 0] = [];
+        let histogram = self.meters.log_write_s.with_label_values(&none);
+        histogram.observe(begun.elapsed().as_secs_f64());
         true
     }
 
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -88,7 +88,7 @@
     };
     let handle = Handle::new(claim.epoch, control, shared.clone());
     node.lead.set(Leader::Here(handle.clone()));
-    let journal = journal::Journal::new(node.store.clone(), handle.clone(), shared, rev, pages);
+    let journal = journal::Journal::new(node, handle.clone(), shared, rev, pages);
     let end = tokio::select! {
         end = execute::run(node.clone(), handle.clone(), received, journal) => end,
         _ = listing::run(node.clone(), handle.clone()) => End::Deposed,
--- a/crates/node/src/owner/records.rs
+++ b/crates/node/src/owner/records.rs
@@ -11,6 +11,7 @@
 use sycamore_types::{Name, id};
 
 use crate::clock::Clock;
+use crate::metrics::Meters;
 use crate::timing::STORE_TIMEOUT;
 
 /// Key of the heads of all chains.
@@ -26,6 +27,7 @@
 pub(super) struct Records {
     chain: Chain,
     lines: Lines,
+    meters: Meters,
     clock: Clock,
     epoch: u64,
     sequence: u64,
@@ -34,13 +36,23 @@
 }
 
 impl Records {
-    pub fn new(lines: Lines, clock: Clock, epoch: u64) -> Records {
+    pub fn new(lines: Lines, meters: Meters, clock: Clock, epoch: u64) -> Records {
         let chain = Chain::default();
-        Records { chain, lines, clock, epoch, sequence: 0, written: 0, last_head: Instant::now() }
+        Records {
+            chain,
+            lines,
+            meters,
+            clock,
+            epoch,
+            sequence: 0,
+            written: 0,
+            last_head: Instant::now(),
+        }
     }
 
     /// Chains a decision and streams it.
     pub fn add(&mut self, decision: graph::Decision) {
+        self.count(&decision.verdict);
         self.sequence += 1;
         let (subject, verdict) = record_of(decision.verdict);
         let decision = Decision {
@@ -62,6 +74,23 @@
         }
     }
 
+    fn count(&self, verdict: &graph::Verdict) {
+        match verdict {
+            graph::Verdict::Accepted(_) => {}
+            graph::Verdict::Placed { grounds, .. } => {
+                let priority = grounds.rank.priority.to_string();
+                let wait_s = grounds.waited_ms as f64 / 1_000.0;
+                self.meters.start_wait_s.with_label_values(&[&priority]).observe(wait_s);
+            }
+            graph::Verdict::Ended { how, .. } => {
+                self.meters.ends.with_label_values(&[end_word(*how)]).inc();
+            }
+            graph::Verdict::Closed(_, state) => {
+                self.meters.closed.with_label_values(&[state_word(*state)]).inc();
+            }
+        }
+    }
+
     /// Returns the newest head when it is time to write it.
     pub fn due_head(&mut self) -> Option<BTreeMap<id::Shard, Heads>> {
         if self.written == self.sequence || self.last_head.elapsed() < HEAD_INTERVAL {
--- a/crates/telemetry/src/metrics/mod.rs
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -1,6 +1,9 @@
 //! Counters and gauges by `prometheus`.
 
-use prometheus::{Encoder, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+pub use prometheus;
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 
 /// All metrics of one process.
 ///
@@ -45,6 +48,24 @@
         gauge
     }
 
+    /// Adds a family of histograms.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the name is malformed or taken, which is a programming error.
+    pub fn histograms(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+        buckets: &[f64],
+    ) -> HistogramVec {
+        let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+        let histograms = HistogramVec::new(opts, labels).expect("valid name");
+        self.registry.register(Box::new(histograms.clone())).expect("name is free");
+        histograms
+    }
+
     /// Writes all metrics in the text format.
     pub fn render(&self) -> Vec<u8> {
         let mut buf = Vec::new();
