Go on asking while the outcome is unknown; say when to come back by who lost the store

Cause, from the incident's logs: a hand-in that an owner without store had taken got 504 at 1 s, though the next owner accepted it 0.9 s later; those it refused were told to come back in 2 s though it was replaced within one.

--- a/crates/node/src/door/answer.rs
+++ b/crates/node/src/door/answer.rs
@@ -39,7 +39,9 @@
     answer
 }
 
-pub(super) fn of_verdict(verdict: Verdict) -> Answer {
+/// Writes the answer of a verdict. Where this process still has the store, only the owner
+/// has lost it and is replaced within a second.
+pub(super) fn of_verdict(verdict: Verdict, store_is_near: bool) -> Answer {
     match verdict {
         Verdict::Accepted | Verdict::Cancelled => text(StatusCode::OK, "{}".to_string()),
         Verdict::State(state) => text(StatusCode::OK, render_state(state)),
@@ -47,6 +49,7 @@
         Verdict::NoSuchJob => refusal(StatusCode::GONE, "no such job"),
         Verdict::NotOwner => come_back(RETRY_SOON_S, "no owner at present"),
         Verdict::Detached => come_back(RETRY_ELSEWHERE_S, "this host is cut off"),
+        Verdict::StoreAway if store_is_near => come_back(RETRY_SOON_S, "the owner moves"),
         Verdict::StoreAway => come_back(RETRY_STORE_S, "the store is away"),
         Verdict::Unknown => refusal(StatusCode::GATEWAY_TIMEOUT, "outcome not known"),
     }
--- a/crates/node/src/door/ask.rs
+++ b/crates/node/src/door/ask.rs
@@ -24,8 +24,9 @@
             }
             Verdict::NotOwner => {}
             Verdict::Unknown => last = Verdict::Unknown,
-            // Once an attempt may have been kept, "nothing was done" is not certain.
-            Verdict::StoreAway if last == Verdict::Unknown => return last,
+            // An earlier attempt may have been kept; the owner that says so is replaced,
+            // or the store comes back, often within the caller's deadline.
+            Verdict::StoreAway if last == Verdict::Unknown => {}
             other => return other,
         }
         if Instant::now() + ASK_RETRY >= until {
--- a/crates/node/src/door/request.rs
+++ b/crates/node/src/door/request.rs
@@ -46,7 +46,7 @@
     match read(node, request, begun).await {
         Ok((ask, until)) => {
             let verdict = ask_owner(node, ask, until).await;
-            (of_verdict(verdict), Some(verdict))
+            (of_verdict(verdict, node.configs.store_is_near()), Some(verdict))
         }
         Err(answer) => (answer, None),
     }
