--- a/crates/graph/src/engine/holds.rs
+++ b/crates/graph/src/engine/holds.rs
@@ -132,11 +132,15 @@
     }
 
     fn take_run(&mut self, name: &Name, task: Task, attempt: u32, saved: &Name, percent: u8) {
+        let now_ms = self.now.steady_ms;
         let Some(host) = self.hosts.get_mut(name) else { return };
         let known_since = self.looks;
         match host.runs.get_mut(&(task, attempt)) {
             Some(run) => {
-                run.percent = percent;
+                if run.percent != percent {
+                    run.percent = percent;
+                    run.progress_ms = now_ms;
+                }
                 if run.phase != Phase::Running {
                     run.phase = Phase::Running;
                     run.known_since = known_since;
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -5,6 +5,7 @@
 mod close;
 mod dispatch;
 mod ends;
+mod health;
 mod holds;
 mod hosts;
 mod orders;
@@ -139,6 +140,7 @@
         self.begin_due();
         self.forget_closed();
         self.repeat_stops();
+        self.judge_hosts();
         self.look_again();
         // Tickets run out and quarantines end without an event of their own.
         self.needs_dispatch |= !self.ready.is_empty();
--- a/crates/graph/src/engine/orders.rs
+++ b/crates/graph/src/engine/orders.rs
@@ -41,7 +41,10 @@
             stop_taken: None,
             has_objective: step.latency_objective_ms > 0,
             is_best_effort: step.is_best_effort,
+            is_service: step.is_service,
+            estimate_ms: step.estimate_ms,
             percent: 0,
+            progress_ms: now_ms,
         };
         self.occupy(name, task, attempt, run);
         self.actions.push(Action::Start(Start {
@@ -92,6 +95,7 @@
             StartOutcome::Started => {
                 run.phase = Phase::Running;
                 run.known_since = looks;
+                run.progress_ms = now_ms;
                 if let Some(job) = self.jobs.get_mut(&task.step.job) {
                     job.has_started = true;
                 }
@@ -175,7 +179,7 @@
 
     /// Takes in a run that the worker lists and this owner didn't order.
     pub(super) fn adopt(&mut self, name: &Name, task: Task, attempt: u32) {
-        let looks = self.looks;
+        let (now_ms, looks) = (self.now.steady_ms, self.looks);
         let Some(host) = self.hosts.get(name) else { return };
         let capacity = host.entry.capacity;
         let mut run = Run {
@@ -191,7 +195,10 @@
             stop_taken: None,
             has_objective: false,
             is_best_effort: false,
+            is_service: false,
+            estimate_ms: 0,
             percent: 0,
+            progress_ms: now_ms,
         };
         let mut is_wanted = false;
         if let Some(job) = self.jobs.get_mut(&task.step.job)
@@ -202,6 +209,8 @@
             run.size = step.size;
             run.has_objective = step.latency_objective_ms > 0;
             run.is_best_effort = step.is_best_effort;
+            run.is_service = step.is_service;
+            run.estimate_ms = step.estimate_ms;
             run.team = job.team.clone();
             job.has_started = true;
             if let Some(step_run) = job.step_mut(task.step)
--- a/crates/graph/src/host/run.rs
+++ b/crates/graph/src/host/run.rs
@@ -54,6 +54,19 @@
     pub has_objective: bool,
     /// The task uses processor time that others leave.
     pub is_best_effort: bool,
+    /// The task runs until its job is cancelled.
+    pub is_service: bool,
+    /// Declared run time, in milliseconds.
+    pub estimate_ms: u64,
     /// Last progress seen, in percent.
     pub percent: u8,
+    /// Time at which the progress last changed, in milliseconds.
+    pub progress_ms: u64,
+}
+
+impl Run {
+    /// Tells whether the run should be moving on.
+    pub fn shows_progress(&self) -> bool {
+        self.phase == Phase::Running && !self.is_stopping && !self.is_service && self.percent < 100
+    }
 }
--- a/crates/graph/tests/engine/fuzz.rs
+++ b/crates/graph/tests/engine/fuzz.rs
@@ -27,7 +27,7 @@
 
 fn fault(world: &mut World) {
     let at = world.random.random_range(0..HOSTS);
-    match world.random.random_range(0..9) {
+    match world.random.random_range(0..10) {
         0 => world.take_over(),
         1 => world.workers[at].is_cut = true,
         2 => world.workers[at].is_cut = false,
@@ -38,6 +38,7 @@
         4 if !world.workers[at].is_alive => world.workers[at].restart(),
         5 => world.workers[at].entry.is_draining ^= true,
         6 => world.compact(),
+        7 => world.workers[at].is_hung ^= true,
         _ => {}
     }
     world.list();
@@ -69,6 +70,7 @@
     world.fail_share = 0.0;
     for worker in &mut world.workers {
         worker.is_cut = false;
+        worker.is_hung = false;
         worker.entry.is_draining = false;
         if !worker.is_alive {
             worker.restart();
--- a/crates/graph/tests/engine/overload.rs
+++ b/crates/graph/tests/engine/overload.rs
@@ -1,6 +1,6 @@
 //! Who is served when there is more work than room.
 
-use sycamore_graph::job::State;
+use sycamore_graph::job::{State, Step};
 
 use crate::fixture::{catalog, id, job, queue, step};
 use crate::world::World;
@@ -24,3 +24,30 @@
     let complete = (0..64).filter(|number| world.state(id(*number)) == Some(State::Complete));
     assert_eq!(complete.count(), 64);
 }
+
+/// Pattern: a worker that answers looks while all that it runs stands still.
+#[test]
+fn work_moves_away_from_a_worker_on_which_nothing_moves() {
+    let mut world = World::new(2, catalog(queue()), 1);
+    world.work_ms = 1_000;
+    world.submit(id(1), job(vec![step(8, 1_000)]));
+    world.run(300);
+
+    world.workers[0].is_hung = true;
+    world.run(6_000);
+
+    assert_eq!(world.state(id(1)), Some(State::Complete));
+}
+
+#[test]
+fn a_long_task_that_moves_on_is_left_alone() {
+    let mut world = World::new(1, catalog(queue()), 1);
+    world.work_ms = 30_000;
+    let long = Step { estimate_ms: 30_000, ..step(2, 1_000) };
+    world.submit(id(1), job(vec![long]));
+
+    world.run(32_000);
+
+    assert_eq!(world.state(id(1)), Some(State::Complete));
+    assert_eq!(world.oracle.starts, 2);
+}
--- a/crates/graph/tests/engine/worker.rs
+++ b/crates/graph/tests/engine/worker.rs
@@ -14,6 +14,14 @@
     pub will_fail: bool,
 }
 
+impl Run {
+    /// Progress, in whole percents.
+    fn percent(&self, now_ms: u64) -> u8 {
+        let whole_ms = (self.until_ms - self.started_ms).max(1);
+        ((now_ms - self.started_ms).min(whole_ms) * 99 / whole_ms) as u8
+    }
+}
+
 /// What the stand-in knows of a task beyond its start order.
 #[derive(Clone, Copy, Debug)]
 pub struct Work {
@@ -35,6 +43,8 @@
     /// End of the last lease that ran out before it was renewed.
     pub lapsed_ms: u64,
     pub is_alive: bool,
+    /// Everything that runs stands still.
+    pub is_hung: bool,
     /// Nothing reaches the worker, and nothing comes from it.
     pub is_cut: bool,
 }
@@ -51,6 +61,7 @@
             lease_until_ms: 0,
             lapsed_ms: 0,
             is_alive: true,
+            is_hung: false,
             is_cut: false,
         }
     }
@@ -124,7 +135,10 @@
             self.renew(now_ms, deadline_ms);
         }
         self.ends.retain(|(seq, ..)| *seq > order.ack);
-        let running = self.runs.keys().map(|(task, attempt)| (*task, *attempt, Name::from(""), 50));
+        let running = self
+            .runs
+            .iter()
+            .map(|((task, attempt), run)| (*task, *attempt, Name::from(""), run.percent(now_ms)));
         Some(Report {
             born: self.entry.born,
             clock_ms: now_ms,
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -204,6 +204,13 @@
         let now_ms = self.now_ms;
         for at in 0..self.workers.len() {
             let worker = &mut self.workers[at];
+            if worker.is_hung {
+                // Time stands still for what runs, not for leases.
+                for run in worker.runs.values_mut() {
+                    run.started_ms += STEP_MS;
+                    run.until_ms += STEP_MS;
+                }
+            }
             let keys: Vec<(Task, u32)> = worker.runs.keys().copied().collect();
             for (task, attempt) in keys {
                 let worker = &mut self.workers[at];
