--- /dev/null
+++ b/crates/platform/tests/site/job.rs
@@ -0,0 +1,61 @@
+use sycamore_graph::job::State;
+use sycamore_platform::site::{parse_job, render_count, render_state};
+use yare::parameterized;
+
+#[test]
+fn the_documented_submission_is_read() {
+    let body = br#"{"spec":"(text)","steps":[
+      {"count":4,"cpu":500,"mem-mb":256,"est-ms":900,"affinity":"r1-3"},
+      {"count":20,"cpu":2000,"mem-mb":1024,"est-ms":7000,"after":[0],"checkpointing":true,
+       "gang":true,"same-rack":true,"constraints":"a","max-per-server":2,"unknown":1}]}"#;
+
+    let spec = parse_job(body).unwrap();
+
+    assert_eq!(spec.steps[0].data_rack.as_deref(), Some("r1-3"));
+    let second = &spec.steps[1];
+    assert_eq!((second.tasks, second.size.memory_mib, second.max_per_host), (20, 1_024, 2));
+    assert!(second.is_gang && second.prefers_one_rack && second.is_checkpointing);
+    assert_eq!(second.required_label.as_deref(), Some("a"));
+    assert_eq!(second.after, [0]);
+    assert_eq!(spec.schedule, None);
+}
+
+#[test]
+fn set_times_are_read() {
+    let body =
+        br#"{"spec":"","steps":[{"count":1}],"times":3,"start-at-ms":1000,"interval-ms":50}"#;
+
+    let schedule = parse_job(body).unwrap().schedule.unwrap();
+
+    assert_eq!((schedule.first_unix_ms, schedule.interval_ms, schedule.times), (1_000, 50, 3));
+}
+
+#[parameterized(
+    no_json = { r#"{"steps":"#, "malformed" },
+    wrong_type = { r#"{"steps":[{"count":"four"}]}"#, "malformed" },
+    negative = { r#"{"steps":[{"count":1,"cpu":-1}]}"#, "malformed" },
+    no_steps = { r#"{"spec":"x","steps":[]}"#, "steps" },
+    no_tasks = { r#"{"steps":[{"count":0}]}"#, "no tasks" },
+    forward = { r#"{"steps":[{"count":1,"after":[1]},{"count":1}]}"#, "earlier" },
+    itself = { r#"{"steps":[{"count":1,"after":[0]}]}"#, "earlier" },
+    too_many = { r#"{"steps":[{"count":10001}]}"#, "10000" },
+    no_interval = { r#"{"steps":[{"count":1}],"times":2}"#, "interval" },
+)]
+fn bad_submissions_are_refused_with_their_reason(body: &str, named: &str) {
+    let error = parse_job(body.as_bytes()).unwrap_err().to_string();
+
+    assert!(error.contains(named), "{error}");
+}
+
+#[test]
+fn a_long_text_is_refused() {
+    let body = format!(r#"{{"spec":"{}","steps":[{{"count":1}}]}}"#, "x".repeat(4_001));
+
+    assert!(parse_job(body.as_bytes()).is_err());
+}
+
+#[test]
+fn states_and_counts_are_written() {
+    assert_eq!(render_state(State::Complete), r#"{"state":"complete"}"#);
+    assert_eq!(render_count(12), r#"{"pending":12}"#);
+}
--- /dev/null
+++ b/crates/platform/tests/site/main.rs
@@ -0,0 +1,6 @@
+//! The users' platform's formats, as its documentation shows them.
+
+mod config;
+mod job;
+mod settings;
+mod worker;
--- /dev/null
+++ b/crates/platform/tests/site/settings.rs
@@ -0,0 +1,61 @@
+use sycamore_platform::site::Settings;
+use yare::parameterized;
+
+const FILE: &str = r#"
+node = "edge-a-1"
+role = "node"
+ip = "10.1.0.17"
+zone = "a"
+internal-ports = [7420, 7435]
+seeds = ["10.1.0.17:8180", "10.2.0.15:8180"]
+hint = "10.200.1.9:8182"
+a-new-field = { of = "another kind" }
+[listen]
+front = "10.1.0.17:8183"
+ready = "10.1.0.17:8184"
+[bounds]
+hold-max-ms = 6000
+gang-ms = 3000
+grace-s = 6
+status_s = 120
+cross-rack-factor = 1.5
+[platform]
+addr = "10.200.1.7:8182"
+"#;
+
+#[test]
+fn the_documented_file_is_read() {
+    let settings = Settings::parse(FILE).unwrap();
+
+    assert_eq!(&*settings.host, "edge-a-1");
+    assert_eq!(settings.peers.to_string(), "10.1.0.17:7420");
+    assert_eq!(settings.seeds[1].to_string(), "10.2.0.15:7420");
+    assert_eq!(settings.lease_ms, 6_000);
+    assert_eq!(settings.grace_ms, 6_000);
+    assert_eq!(settings.cross_rack_factor, 1.5);
+    assert_eq!(settings.max_value_bytes, 1 << 20);
+}
+
+#[test]
+fn a_site_without_advice_has_no_address_of_it() {
+    let settings = Settings::parse(&FILE.replace("10.200.1.9:8182", "")).unwrap();
+
+    assert_eq!(settings.advice, None);
+}
+
+#[parameterized(
+    no_toml = { "node = ", "malformed" },
+    no_ports = { "internal-ports = []", "internal-ports" },
+    bad_address = { "[platform]\naddr = \"nowhere\"", "platform.addr" },
+)]
+fn what_cannot_be_used_is_named(change: &str, named: &str) {
+    let text = match change.split_once(" = ") {
+        Some(("internal-ports", _)) => FILE.replace("internal-ports = [7420, 7435]", change),
+        Some(("[platform]\naddr", _)) => FILE.replace("10.200.1.7:8182", "nowhere"),
+        _ => change.to_string(),
+    };
+
+    let error = Settings::parse(&text).unwrap_err().to_string();
+
+    assert!(error.contains(named), "{error}");
+}
