--- a/crates/node/src/lead/follow.rs
+++ b/crates/node/src/lead/follow.rs
@@ -12,7 +12,8 @@
 use crate::owner;
 use crate::peer::{Command, Owner, Ping, Pong, Reply, Role};
 use crate::timing::{
-    CLAIM_JITTER, OWNER_SILENCE, PING_EVERY, PING_TIMEOUT, STORE_RETRY, STORE_RETRY_MAX,
+    CLAIM_JITTER, OWNER_CORES, OWNER_LINK_MBPS, OWNER_SILENCE, PING_EVERY, PING_TIMEOUT,
+    STORE_RETRY, STORE_RETRY_MAX, WEAK_HANDICAP,
 };
 
 /// Pings without the store behind the owner after which a process that has it takes over.
@@ -263,10 +264,17 @@
     });
 }
 
+/// Pause that lets stronger hosts claim first. The owner's calls need processor and link.
+fn handicap(node: &Arc<Node>) -> Duration {
+    let settings = &node.settings;
+    let is_strong = settings.cores >= OWNER_CORES && settings.link_mbps >= OWNER_LINK_MBPS;
+    if is_strong { Duration::ZERO } else { WEAK_HANDICAP }
+}
+
 /// Claims the workers and, with the claim won, owns them until it is lost.
 async fn take_over(node: &Arc<Node>, claim: Option<Claim>, rev: u64, why: &str) {
     let jitter = rand::rng().random_range(Duration::ZERO..CLAIM_JITTER);
-    tokio::time::sleep(jitter).await;
+    tokio::time::sleep(jitter + handicap(node)).await;
     if node.is_stopping() {
         // Others take over; this process only waits to follow.
         tokio::time::sleep(PING_EVERY).await;
--- a/crates/node/src/timing.rs
+++ b/crates/node/src/timing.rs
@@ -85,3 +85,14 @@
 
 /// Time between two looks at which processes can make calls for advice.
 pub(crate) const LANES_EVERY: Duration = Duration::from_millis(250);
+
+/// Processor that an owner of 350 workers needs at its peak, in cores: twice the 0.08 that
+/// a played day took.
+pub(crate) const OWNER_CORES: f64 = 0.16;
+
+/// Link that such an owner needs, in Mbit/s: the list of 350 workers twice a second, log
+/// pages, orders and looks come to some 10 Mbit/s.
+pub(crate) const OWNER_LINK_MBPS: f64 = 50.0;
+
+/// Pause before the claim of a host that has less. All hosts start within 0.3 s.
+pub(crate) const WEAK_HANDICAP: Duration = Duration::from_millis(500);
--- a/crates/platform/src/site/settings.rs
+++ b/crates/platform/src/site/settings.rs
@@ -25,6 +25,10 @@
     pub max_value_bytes: usize,
     /// Address of the advice service.
     pub advice: Option<SocketAddr>,
+    /// Processor that the host has, in cores.
+    pub cores: f64,
+    /// Bandwidth of the host's link, in Mbit/s.
+    pub link_mbps: f64,
     /// Longest lease of a worker, in milliseconds.
     pub lease_ms: u64,
     /// Time a closed job stays known, in milliseconds.
@@ -60,6 +64,8 @@
     #[serde(default)]
     hint: String,
     listen: Listen,
+    #[serde(default)]
+    limits: Limits,
     bounds: Bounds,
     platform: Platform,
 }
@@ -71,6 +77,16 @@
     ready: Option<String>,
 }
 
+#[derive(Default, Deserialize)]
+#[serde(default, rename_all = "kebab-case")]
+struct Limits {
+    /// Part of one core of unit speed.
+    cpu_share: Option<f64>,
+    /// Speed of that core.
+    cores: Option<f64>,
+    link_mbps: Option<f64>,
+}
+
 #[derive(Deserialize)]
 struct Bounds {
     // Spelled with dashes or with underscores, as the platform has it.
@@ -138,6 +154,8 @@
             },
             host: file.node,
             failure_domain: file.zone,
+            cores: file.limits.cpu_share.unwrap_or(1.0) * file.limits.cores.unwrap_or(1.0),
+            link_mbps: file.limits.link_mbps.unwrap_or(f64::INFINITY),
             lease_ms: file.bounds.hold_max_ms,
             status_ms: (file.bounds.status_s * 1_000.0) as u64,
             grace_ms: (file.bounds.grace_s * 1_000.0) as u64,
