Wait in the operators' test until all processes are known

Ruled out: a lost push (nothing was missing). The checks are the same; they begin once the entry lists two schedulers and two entries.

--- a/crates/demo/tests/operator.rs
+++ b/crates/demo/tests/operator.rs
@@ -1,5 +1,7 @@
 //! `sycamorectl` as an operator uses it, against a whole deployment.
 
+use std::time::Duration;
+
 use sycamore_ctl::{Error, run};
 use sycamore_demo::{Caller, Deployment, Profile, Told};
 use sycamore_scheduler::Records;
@@ -14,10 +16,26 @@
     run(std::iter::once(entry).chain(words)).await
 }
 
+/// Waits until the entry that the operator uses knows all processes. It follows the store's
+/// list of them, and how soon it has read the last one depends on the machine's speed.
+async fn all_known(deployment: &Deployment) {
+    let is_whole = |text: &str| text.contains("\"entries\":2") && text.contains("\"schedulers\":2");
+    let end = tokio::time::Instant::now() + Duration::from_secs(60);
+    loop {
+        let status = ctl(deployment, &["--format=json", "status"]).await.unwrap_or_default();
+        if is_whole(&status) {
+            return;
+        }
+        assert!(tokio::time::Instant::now() < end, "not all processes known: {status}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn every_command_does_what_its_help_says() {
     let _turn = TURN.lock().await;
     let deployment = Deployment::start(Profile::sialkot(), 16, 2, Records::Nowhere).await.unwrap();
+    all_known(&deployment).await;
 
     let told = ctl(&deployment, &["team", "night", "weight=2", "limit=5"]).await.unwrap();
     assert!(told.contains("in_force: 4") && told.contains("of: 4"), "{told}");
