Stop gangs that have not begun within 2 s

Ruled out by reading: refused, lost and late orders of the other member, each of which stops this one. The guard stops any gang whose members show no progress 2 s after their orders were taken and keeps new work off these workers for 3 s; its test fails without it (8 members alone).

--- a/crates/graph/src/engine/ends.rs
+++ b/crates/graph/src/engine/ends.rs
@@ -46,7 +46,7 @@
         }
     }
 
-    fn is_gang(&self, key: Step) -> bool {
+    pub(super) fn is_gang(&self, key: Step) -> bool {
         let job = self.jobs.get(&key.job);
         let step = job.and_then(|job| job.spec.steps.get(usize::from(key.index)));
         step.is_some_and(|step| step.is_gang)
--- a/crates/graph/src/engine/health.rs
+++ b/crates/graph/src/engine/health.rs
@@ -21,7 +21,38 @@
 /// Time without new work for a worker on which nothing moves, in milliseconds.
 const SUSPECT_MS: u64 = 3_000;
 
+/// Time in which a gang must have begun, in milliseconds. The platform ends members that
+/// wait longer than its own bound, 3 s on the documented sites, and calls them alone.
+const GANG_BEGIN_MS: u64 = 2_000;
+
+/// Declared run time from which no progress in that time is no sign, in milliseconds:
+/// one percent may take longer on a slow worker.
+const LONG_TASK_MS: u64 = 30_000;
+
 impl Engine {
+    /// Stops gangs that have not begun though every order was taken.
+    pub(super) fn judge_gangs(&mut self) {
+        let mut idle = Vec::new();
+        for host in self.hosts.values().filter(|host| host.missed == 0) {
+            for ((task, attempt), run) in &host.runs {
+                let has_waited = host.answered_ms >= run.progress_ms + GANG_BEGIN_MS;
+                let is_idle = run.shows_progress() && run.percent == 0 && has_waited;
+                if is_idle && run.estimate_ms < LONG_TASK_MS && self.is_gang(task.step) {
+                    idle.push((host.entry.id.clone(), *task, *attempt));
+                }
+            }
+        }
+        for (name, task, attempt) in idle {
+            // The next try should find other workers.
+            if let Some(host) = self.hosts.get_mut(&name) {
+                let until_ms = self.now.steady_ms + SUSPECT_MS;
+                host.quarantined_until_ms = host.quarantined_until_ms.max(until_ms);
+            }
+            self.stop(&name, task, attempt);
+            self.stop_gang_of(task, attempt);
+        }
+    }
+
     /// Moves work away from workers on which nothing moves.
     pub(super) fn judge_hosts(&mut self) {
         let hung: Vec<Name> = self
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -141,6 +141,7 @@
         self.forget_closed();
         self.repeat_stops();
         self.judge_hosts();
+        self.judge_gangs();
         self.look_again();
         // Tickets run out and quarantines end without an event of their own.
         self.needs_dispatch |= !self.ready.is_empty();
--- a/crates/graph/tests/engine/gangs.rs
+++ b/crates/graph/tests/engine/gangs.rs
@@ -1,6 +1,6 @@
 //! Gangs under faults, and among other work.
 
-use sycamore_graph::job::State;
+use sycamore_graph::job::{State, Step};
 
 use crate::fixture::{advised_queue, catalog, gang, id, job, queue, step};
 use crate::world::World;
@@ -61,3 +61,27 @@
 
     assert_eq!(world.state(id(2)), Some(State::Complete));
 }
+
+/// A member that the owner takes for running and that is none leaves the others waiting;
+/// they are stopped before the platform calls them alone. Guards against what was seen
+/// once, day hunt-4dd2-15 of the Mwakilema site, and could not be traced.
+#[test]
+fn a_gang_that_does_not_begin_is_stopped_before_its_members_are_alone() {
+    let mut world = World::new(4, catalog(queue()), 1);
+    // Other work moves on beside it, so that no worker looks hung.
+    world.work_ms = 20_000;
+    let beside = Step { max_per_host: 1, estimate_ms: 20_000, ..step(4, 1_000) };
+    world.submit(id(2), job(vec![beside]));
+    world.run(100);
+    world.work_ms = 1_000;
+    world.workers[0].hides_members = true;
+
+    world.submit(id(1), job(vec![gang(8, 1_000)]));
+    world.run(4_000);
+    let early = world.alone;
+    world.workers[0].hides_members = false;
+    world.run(15_000);
+
+    assert_eq!((early, world.alone), (0, 0));
+    assert_eq!(world.state(id(1)), Some(State::Complete));
+}
--- a/crates/graph/tests/engine/worker.rs
+++ b/crates/graph/tests/engine/worker.rs
@@ -12,6 +12,8 @@
     pub until_ms: u64,
     pub cpu_millis: u32,
     pub will_fail: bool,
+    /// Waits for the other members of its gang.
+    pub is_waiting: bool,
 }
 
 impl Run {
@@ -45,6 +47,8 @@
     pub is_alive: bool,
     /// Everything that runs stands still.
     pub is_hung: bool,
+    /// Members of gangs are there and don't count for their gang.
+    pub hides_members: bool,
     /// Nothing reaches the worker, and nothing comes from it.
     pub is_cut: bool,
 }
@@ -62,6 +66,7 @@
             lapsed_ms: 0,
             is_alive: true,
             is_hung: false,
+            hides_members: false,
             is_cut: false,
         }
     }
@@ -96,6 +101,7 @@
             until_ms: now_ms + work.work_ms,
             cpu_millis: work.cpu_millis,
             will_fail: work.will_fail,
+            is_waiting: false,
         };
         self.runs.insert(key, run);
         StartOutcome::Started
@@ -135,10 +141,10 @@
             self.renew(now_ms, deadline_ms);
         }
         self.ends.retain(|(seq, ..)| *seq > order.ack);
-        let running = self
-            .runs
-            .iter()
-            .map(|((task, attempt), run)| (*task, *attempt, Name::from(""), run.percent(now_ms)));
+        let running = self.runs.iter().map(|((task, attempt), run)| {
+            let percent = if run.is_waiting { 0 } else { run.percent(now_ms) };
+            (*task, *attempt, Name::from(""), percent)
+        });
         Some(Report {
             born: self.entry.born,
             clock_ms: now_ms,
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -51,6 +51,8 @@
     pub advice_calls: u64,
     pub advised_hosts: u64,
     pub looks: u64,
+    /// Members that ended alone.
+    pub alone: u64,
     pub answers: BTreeMap<u64, Answer>,
     pub timing: Timing,
     engine: Engine,
@@ -89,6 +91,7 @@
             advice_calls: 0,
             advised_hosts: 0,
             looks: 0,
+            alone: 0,
             answers: BTreeMap::new(),
             timing,
             engine,
@@ -222,10 +225,15 @@
                     RunEnd::Lapsed
                 } else if self.is_gang(task) && !self.is_gang_whole(task, attempt) {
                     if now_ms - run.started_ms <= GANG_MS {
+                        self.wait_for_members(at, task, attempt);
                         continue;
                     }
+                    self.alone += 1;
                     RunEnd::Alone
                 } else if now_ms < run.until_ms {
+                    if let Some(run) = self.workers[at].runs.get_mut(&(task, attempt)) {
+                        run.is_waiting = false;
+                    }
                     continue;
                 } else if run.will_fail {
                     RunEnd::Failed
@@ -255,6 +263,12 @@
         }
     }
 
+    fn wait_for_members(&mut self, at: usize, task: Task, attempt: u32) {
+        if let Some(run) = self.workers[at].runs.get_mut(&(task, attempt)) {
+            run.is_waiting = true;
+        }
+    }
+
     fn list_end(&mut self, at: usize, task: Task, attempt: u32, how: RunEnd) {
         let worker = &mut self.workers[at];
         worker.end(task, attempt, how);
@@ -267,10 +281,11 @@
 
     fn is_gang_whole(&self, task: Task, attempt: u32) -> bool {
         let tasks = self.oracle.jobs[&task.step.job].steps[usize::from(task.step.index)].tasks;
+        let counted = self.workers.iter().filter(|worker| !worker.hides_members);
         let members = |worker: &Worker| {
             worker.runs.keys().filter(|(m, n)| m.step == task.step && *n == attempt).count()
         };
-        self.workers.iter().map(members).sum::<usize>() as u32 == tasks
+        counted.map(members).sum::<usize>() as u32 == tasks
     }
 
     pub fn give(&mut self, event: Event) {
