--- a/crates/demo/tests/path.rs
+++ b/crates/demo/tests/path.rs
@@ -7,6 +7,8 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use serde_json::{Value, json};
+use sycamore_core::member::{Record, Role};
+use sycamore_core::store::{MEMBER_PREFIX, open};
 use sycamore_ctl::Error;
 use sycamore_demo::{Caller, Deployment, Profile, Told};
 use sycamore_platform::Address;
@@ -139,6 +141,9 @@
         status["progress"] == json!("cancelled") && status["running"] == json!(0)
     });
     assert!(over.await);
+    // A member rides an outage out on the peers that its own record names; right after a
+    // start it may name none yet.
+    assert!(until(|| async { peers_are_named(&deployment) }).await);
     deployment.site.store.set_faults(Faults { is_down: true, ..Faults::default() });
     // Longer than a lease: from then on only promises of peers carry the owners.
     tokio::time::sleep(Duration::from_secs(5)).await;
@@ -155,6 +160,15 @@
     assert_eq!(deployment.site.ledger.violations().total(), 0);
 }
 
+/// Tells whether each scheduler's record names the other one.
+fn peers_are_named(deployment: &Deployment) -> bool {
+    let values = deployment.site.store.values(MEMBER_PREFIX);
+    let record = |value: &Vec<u8>| serde_json::from_slice::<Record>(open(value)?.1).ok();
+    let schedulers = values.iter().filter_map(record).filter(|r| r.role == Role::Scheduler);
+    let named: Vec<usize> = schedulers.map(|record| record.peers.len()).collect();
+    named.len() == deployment.schedulers.len() && named.iter().all(|peers| *peers > 0)
+}
+
 /// Returns the number of decisions that the heads stand for.
 fn sequences(heads: &Value) -> u64 {
     let shards = heads.as_object().into_iter().flat_map(|shards| shards.values());
--- a/crates/standin/src/store/server.rs
+++ b/crates/standin/src/store/server.rs
@@ -63,6 +63,12 @@
         self.shared.state().counts
     }
 
+    /// Returns all values under a prefix.
+    pub fn values(&self, prefix: &str) -> Vec<Vec<u8>> {
+        let listed = self.shared.state().list(prefix);
+        listed.into_iter().filter_map(|item| hex::decode(item.value).ok()).collect()
+    }
+
     /// Returns the size of a value in bytes.
     pub fn size_of(&self, key: &str) -> usize {
         self.shared.state().get(key).map_or(0, |value| value.bytes.len())
