--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -10,6 +10,10 @@
 use super::{Engine, Rank};
 use crate::{Grounds, Obstacle, Step, Task, Verdict};
 
+/// Steps that can't go on after which a pass ends. With hundreds of workers a longer pass
+/// keeps callers waiting for the control thread.
+const MAX_MISSES: u32 = 300;
+
 /// What a step needs, looked up once for a pass.
 pub(super) struct Demand {
     pub key: Step,
@@ -47,12 +51,19 @@
         let order = self.ranked();
         let capacity = self.capacity();
         let waiting = order.len() as u32;
+        let mut misses = 0;
         for (at, (rank, key)) in order.into_iter().enumerate() {
             let turn = Turn { rank, place: at as u32 + 1, waiting, capacity };
             let obstacle = self.serve(key, &turn, &mut spots);
             if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
                 step.obstacle = obstacle;
             }
+            if obstacle.is_some() {
+                misses += 1;
+            }
+            if misses >= MAX_MISSES {
+                break;
+            }
         }
     }
 
