Leave services alone on a worker that is taken for hung

By reading: a worker with one task that stands still and services at work would have had its services stopped, which disruption budgets forbid. Graph's tests pass; none of them has a service beside a task that stands still yet.

--- a/crates/graph/src/engine/health.rs
+++ b/crates/graph/src/engine/health.rs
@@ -70,7 +70,9 @@
         let until_ms = self.now.steady_ms + SUSPECT_MS;
         let Some(host) = self.hosts.get_mut(name) else { return };
         host.quarantined_until_ms = host.quarantined_until_ms.max(until_ms);
-        let runs: Vec<(Task, u32)> = host.runs.keys().copied().collect();
+        // A service may be at work beside a task that stands still.
+        let moved = host.runs.iter().filter(|(_, run)| !run.is_service);
+        let runs: Vec<(Task, u32)> = moved.map(|(key, _)| *key).collect();
         for (task, attempt) in runs {
             self.stop(name, task, attempt);
         }
