--- a/crates/graph/src/engine/ends.rs
+++ b/crates/graph/src/engine/ends.rs
@@ -52,18 +52,19 @@
         step.is_some_and(|step| step.is_gang)
     }
 
-    fn finish_task(&mut self, name: &Name, task: Task, attempt: u32) {
+    /// Puts an end on the log and holds it for or against the worker.
+    fn record_end(&mut self, name: &Name, task: Task, attempt: u32, how: RunEnd) {
         let now_ms = self.now.steady_ms;
         if let Some(host) = self.hosts.get_mut(name) {
-            host.note_end(false, now_ms);
+            host.note_end(how == RunEnd::Failed, now_ms);
         }
+        let checkpoint = Name::from("");
+        self.append(Record::Ended(Ended { task, attempt, how, checkpoint }));
+    }
+
+    fn finish_task(&mut self, name: &Name, task: Task, attempt: u32) {
+        self.record_end(name, task, attempt, RunEnd::Done);
         let is_gang = self.is_gang(task.step);
-        self.append(Record::Ended(Ended {
-            task,
-            attempt,
-            how: RunEnd::Done,
-            checkpoint: Name::from(""),
-        }));
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         job.has_started = true;
         let Some(step) = job.step_mut(task.step) else { return };
@@ -94,17 +95,8 @@
     }
 
     fn fail_task(&mut self, name: &Name, task: Task, attempt: u32) {
-        let now_ms = self.now.steady_ms;
-        if let Some(host) = self.hosts.get_mut(name) {
-            host.note_end(true, now_ms);
-        }
+        self.record_end(name, task, attempt, RunEnd::Failed);
         let is_gang = self.is_gang(task.step);
-        self.append(Record::Ended(Ended {
-            task,
-            attempt,
-            how: RunEnd::Failed,
-            checkpoint: Name::from(""),
-        }));
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let queue = job.queue.clone();
         let is_service = job.spec.steps[usize::from(task.step.index)].is_service;
