Move the fenced stand-ins out of the node's tests

Cause: the fault soak needs a store and workers that hold to the platform's semantics (fences, ends with numbers, attempts that are closed, leases on a slow clock, lost answers), and the only ones on sockets stood inside one test. Ruled out: the stand-ins of the old core, which know no fences.

Change: sycamore_standin::fenced; the path tests of sycamore-node use it.

--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -1,9 +1,7 @@
 //! Real processes on loopback against a stand-in of the users' platform.
 
-mod kv;
 mod platform;
 mod process;
-mod worker;
 
 use std::time::Duration;
 
--- a/crates/node/tests/path/kv.rs
+++ b/crates/standin/src/fenced/kv.rs
@@ -1,11 +1,12 @@
-//! The stand-in's store: revisions, conditions, ranges, watches.
+//! Keys with revisions: conditions, ranges, changes.
 
 use std::collections::BTreeMap;
 
 use serde_json::{Value, json};
 
+/// What the store holds.
 #[derive(Debug, Default)]
-pub struct Kv {
+pub(super) struct Kv {
     rev: u64,
     /// Value in base64 and revision of the last change.
     items: BTreeMap<String, (String, u64)>,
@@ -17,6 +18,11 @@
         self.items.insert(key.to_string(), (value.to_string(), self.rev));
     }
 
+    pub fn remove(&mut self, key: &str) {
+        self.rev += 1;
+        self.items.remove(key);
+    }
+
     fn item(&self, key: &str) -> Option<Value> {
         let (value, rev) = self.items.get(key)?;
         Some(json!({ "key": key, "value": value, "rev": rev, "as-of": self.rev }))
@@ -55,8 +61,7 @@
             self.put(&text("key"), &text("value"));
         }
         for key in rows("remove") {
-            self.rev += 1;
-            self.items.remove(key.as_str().unwrap_or_default());
+            self.remove(key.as_str().unwrap_or_default());
         }
         (200, json!({ "rev": self.rev }))
     }
--- /dev/null
+++ b/crates/standin/src/fenced/store.rs
@@ -0,0 +1,136 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+
+use super::kv::Kv;
+use crate::Server;
+use crate::http::{Body, query, text};
+
+/// Time between two looks of a watch that waits.
+const POLL: Duration = Duration::from_millis(5);
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Trouble {
+    /// Nothing.
+    None,
+    /// Every call is refused and has no effect.
+    Away,
+    /// Every call is carried out and every second answer is lost.
+    LosesAnswers,
+    /// Every answer takes so long.
+    Slow(Duration),
+}
+
+#[derive(Debug)]
+struct State {
+    kv: Kv,
+    trouble: Trouble,
+    calls: u64,
+}
+
+/// A store on loopback.
+#[derive(Debug)]
+pub struct Store {
+    /// The server, which tells the address.
+    pub server: Server,
+    state: Arc<Mutex<State>>,
+}
+
+impl Store {
+    /// Starts a store without keys.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be had.
+    pub async fn start() -> std::io::Result<Store> {
+        let state = State { kv: Kv::default(), trouble: Trouble::None, calls: 0 };
+        let state = Arc::new(Mutex::new(state));
+        let shared = state.clone();
+        let server = Server::start(Arc::default(), move |request| serve(shared.clone(), request));
+        Ok(Store { server: server.await?, state })
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+
+    /// Writes a document.
+    pub fn put(&self, key: &str, document: &Value) {
+        self.state().kv.put(key, &STANDARD.encode(document.to_string()));
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        self.state().kv.remove(key);
+    }
+
+    /// Sets what is wrong from now on.
+    pub fn set_trouble(&self, trouble: Trouble) {
+        self.state().trouble = trouble;
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn serve(state: Arc<Mutex<State>>, request: Request<Incoming>) -> Option<Response<Body>> {
+    let uri = request.uri().clone();
+    let call = uri.path().rsplit('/').next().unwrap_or_default();
+    let body = request.into_body().collect().await.ok()?.to_bytes();
+    let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let begun = Instant::now();
+    let (trouble, calls) = {
+        let mut state = lock(&state);
+        state.calls += 1;
+        (state.trouble, state.calls)
+    };
+    match trouble {
+        Trouble::Away => return Some(text(StatusCode::SERVICE_UNAVAILABLE, "{}")),
+        Trouble::Slow(pause) => tokio::time::sleep(pause).await,
+        Trouble::None | Trouble::LosesAnswers => {}
+    }
+    let (status, answer) = loop {
+        let answer = try_answer(&mut lock(&state).kv, call, uri.query(), &body, begun.elapsed());
+        if let Some(answer) = answer {
+            break answer;
+        }
+        tokio::time::sleep(POLL).await;
+    };
+    let is_lost = trouble == Trouble::LosesAnswers && calls.is_multiple_of(2);
+    let status = StatusCode::from_u16(status).ok()?;
+    (!is_lost).then(|| text(status, answer.to_string()))
+}
+
+/// `None` while a watch waits.
+fn try_answer(
+    kv: &mut Kv,
+    call: &str,
+    uri: Option<&str>,
+    body: &Value,
+    waited: Duration,
+) -> Option<(u16, Value)> {
+    let parameter = |name| query(uri, name).unwrap_or_default();
+    let number = |name| parameter(name).parse::<u64>().unwrap_or(0);
+    Some(match call {
+        "kv-key" => kv.get(parameter("key")),
+        "kv-range" => kv.range(parameter("prefix"), parameter("after")),
+        "kv-txn" => kv.commit(body),
+        "kv-watch" => {
+            let (status, answer) = kv.changes(parameter("prefix"), number("after"));
+            let is_empty = answer["events"].as_array().is_none_or(Vec::is_empty);
+            if is_empty && waited < Duration::from_millis(number("wait-ms")) {
+                return None;
+            }
+            (status, answer)
+        }
+        _ => (404, json!({})),
+    })
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! take an overload or a stale start and note it as a violation that tests
 //! can read.
 
+pub mod fenced;
 pub mod hosts;
 mod http;
 pub mod store;
