--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -6,7 +6,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::handle::Input;
-use crate::clock::Clock;
+use crate::clock::{Clock, millis};
 use crate::peer::{Ask, Verdict};
 use crate::timing::TICK;
 
@@ -26,6 +26,17 @@
 /// Most waits in one description.
 const DESCRIBED: usize = 5;
 
+/// What the thread has done since the last description.
+#[derive(Debug, Default)]
+struct Load {
+    events: u64,
+    passes: u64,
+    /// Time spent on events, on passes, and on the longest pass.
+    events_spent: Duration,
+    passes_spent: Duration,
+    longest_pass: Duration,
+}
+
 struct Control {
     engine: Engine,
     clock: Clock,
@@ -35,6 +46,7 @@
     /// Time before which the engine does not decide again.
     next_settle: Instant,
     described: Instant,
+    load: Load,
     is_recovering: bool,
     #[cfg(debug_assertions)]
     sabotage: super::sabotage::Sabotage,
@@ -60,6 +72,7 @@
             last_token: 0,
             next_settle,
             described,
+            load: Load::default(),
             is_recovering,
             #[cfg(debug_assertions)]
             sabotage: super::sabotage::Sabotage::from_environment(),
@@ -101,12 +114,20 @@
         }
     }
 
-    /// Logs the steps that wait longest, a bounded number at a bounded rate.
+    /// Logs the thread's load and the steps that wait longest, at a bounded rate.
     fn describe(&mut self) {
         if self.described.elapsed() < DESCRIBE_EVERY {
             return;
         }
         self.described = Instant::now();
+        let load = std::mem::take(&mut self.load);
+        log::info!(
+            target: "load", running = self.engine.running(),
+            waiting_steps = self.engine.waiting_steps(), events = load.events,
+            events_ms = millis(load.events_spent), passes = load.passes,
+            passes_ms = millis(load.passes_spent), longest_pass_ms = millis(load.longest_pass);
+            "load of the control thread"
+        );
         let mut waits = self.engine.long_waits(LONG_WAIT_MS);
         waits.sort_by_key(|wait| std::cmp::Reverse(wait.age_ms));
         let total = waits.len();
@@ -129,6 +150,9 @@
         let actions = self.engine.settle(self.clock.now());
         self.carry_out(actions);
         let spent = begun.elapsed();
+        self.load.passes += 1;
+        self.load.passes_spent += spent;
+        self.load.longest_pass = self.load.longest_pass.max(spent);
         self.next_settle = Instant::now() + (spent * SETTLE_PAUSE_FACTOR).max(MIN_SETTLE_PAUSE);
     }
 
@@ -157,8 +181,11 @@
             Ok(event) => event,
             Err((token, answer)) => return self.carry_out(vec![Action::Answer { token, answer }]),
         };
+        let begun = Instant::now();
         let actions = self.engine.step(self.clock.now(), event);
         self.carry_out(actions);
+        self.load.events += 1;
+        self.load.events_spent += begun.elapsed();
     }
 
     /// Logs when all workers of the owner before are accounted for.
