Tell most waiting steps why before any worker is looked at

Cause: on the grown sites the control thread's passes bind. A miss looked at 350 workers even when the step could only wait for a turn to ask for advice.

Change: a step without a valid ticket and without a turn to ask, or too large for the largest room, is told so in constant time; the bound counts only steps that looked at all workers. The plan of a step's tasks has a file of its own.

Test: steps_that_wait_for_their_turn_to_ask_do_not_hold_up_others, fails without.

--- a/crates/graph/src/call_class.rs
+++ b/crates/graph/src/call_class.rs
@@ -16,6 +16,10 @@
 }
 
 impl CallClass {
+    /// All classes, the shortest first.
+    pub const ALL: [CallClass; CallClass::COUNT] =
+        [CallClass::Short, CallClass::Middle, CallClass::Long];
+
     /// Number of classes.
     pub const COUNT: usize = 3;
 
--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -9,11 +9,12 @@
 use sycamore_types::Name;
 
 use super::Engine;
-use super::dispatch::{Demand, enough};
+use super::dispatch::Demand;
+use super::plan::enough;
 use super::room::{Candidate, Spot};
 use crate::catalog::Advice;
 use crate::progress::{self, Ticket};
-use crate::{Action, Advise, CallClass, Step};
+use crate::{Action, Advise, CallClass, Obstacle, Step};
 
 /// Most workers in one call. Platform documentation: at most 100; more than 40 costs
 /// more than a second call.
@@ -43,6 +44,30 @@
 const RETRY_MS: u64 = 100;
 
 impl Engine {
+    /// Tells why a step can neither be started with the tickets that it has nor ask for
+    /// others now. `None` when it may be able to, or needs none.
+    pub(super) fn advice_obstacle(&self, key: Step) -> Option<Obstacle> {
+        let job = self.jobs.get(&key.job)?;
+        let cost = self.queues.get(&job.queue)?.advice?;
+        let advice = &job.step(key)?.advice;
+        let now_ms = self.now.steady_ms;
+        let valid_until_ms = now_ms + self.timing.ticket_margin_ms;
+        if advice.allowed.values().any(|ticket| ticket.expires_ms > valid_until_ms) {
+            return None;
+        }
+        if advice.asking.is_some() || now_ms < advice.not_before_ms {
+            return Some(Obstacle::Advice);
+        }
+        let class = |hosts: usize| CallClass::of(cost.base_ms + cost.per_host_ms * hosts as f64);
+        let (shortest, longest) = (class(1), class(MAX_RENEWED));
+        let is_full = |class: CallClass| {
+            class < shortest
+                || class > longest
+                || self.asking[class as usize] >= self.lanes[class as usize]
+        };
+        CallClass::ALL.into_iter().all(is_full).then_some(Obstacle::AdviceTurn)
+    }
+
     /// Returns the workers with room and a valid ticket. Asks for advice where that helps.
     pub(super) fn advised_candidates(
         &mut self,
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -1,17 +1,17 @@
 //! Starts what waits, in order of rank.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
 
 use sycamore_types::Name;
 use sycamore_types::resources::Resources;
 
+use super::plan::plan;
 use super::room::{Candidate, Spot, candidates};
 use super::{Engine, Rank};
 use crate::{Grounds, Obstacle, Step, Task, Verdict};
 
-/// Steps that can't go on after which a pass ends. With hundreds of workers a longer pass
-/// keeps callers waiting for the control thread.
+/// Steps that looked at all workers in vain after which a pass ends. With hundreds of
+/// workers a longer pass keeps callers waiting for the control thread.
 const MAX_MISSES: u32 = 300;
 
 /// What a step needs, looked up once for a pass.
@@ -36,6 +36,24 @@
     capacity: Resources,
 }
 
+/// What one pass knows of the workers.
+struct Pass {
+    spots: Vec<Spot>,
+    /// At least the most room of each kind that any worker has. Room only shrinks within
+    /// a pass.
+    largest: Resources,
+    /// Steps that looked at all workers and could not go on.
+    misses: u32,
+}
+
+impl Pass {
+    fn new(spots: Vec<Spot>) -> Pass {
+        let largest =
+            spots.iter().fold(Resources::default(), |most, spot| most.at_least(&spot.free));
+        Pass { spots, largest, misses: 0 }
+    }
+}
+
 impl Demand {
     pub fn wanted(&self) -> u32 {
         self.waiting.min(self.allowed)
@@ -47,45 +65,64 @@
         if self.ready.is_empty() {
             return;
         }
-        let mut spots = self.spots();
+        let mut pass = Pass::new(self.spots());
         let order = self.ranked();
         let capacity = self.capacity();
         let waiting = order.len() as u32;
-        let mut misses = 0;
         for (at, (rank, key)) in order.into_iter().enumerate() {
             let turn = Turn { rank, place: at as u32 + 1, waiting, capacity };
-            let obstacle = self.serve(key, &turn, &mut spots);
+            let obstacle = self.serve(key, &turn, &mut pass);
             if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
                 step.obstacle = obstacle;
             }
-            if obstacle.is_some() {
-                misses += 1;
-            }
-            if misses >= MAX_MISSES {
+            if pass.misses >= MAX_MISSES {
                 break;
             }
         }
     }
 
     /// Starts what can be started of one step. Returns why the rest waits.
-    fn serve(&mut self, key: Step, turn: &Turn, spots: &mut [Spot]) -> Option<Obstacle> {
+    ///
+    /// Most steps that wait are told so before any worker is looked at: with a thousand of
+    /// them beside hundreds of workers, everything else would be late.
+    fn serve(&mut self, key: Step, turn: &Turn, pass: &mut Pass) -> Option<Obstacle> {
+        let demand = match self.demand(key)? {
+            Ok(demand) => demand,
+            Err(obstacle) => return Some(obstacle),
+        };
+        if !demand.is_gang && !demand.size.fits_in(&pass.largest) {
+            return Some(Obstacle::NoRoom);
+        }
+        if let Some(obstacle) = self.advice_obstacle(key) {
+            if demand.is_gang {
+                pass.misses += 1;
+                self.keep_room(&demand, &mut pass.spots);
+            }
+            return Some(obstacle);
+        }
+        let obstacle = self.look_for_room(&demand, turn, &mut pass.spots);
+        pass.misses += u32::from(obstacle.is_some());
+        obstacle
+    }
+
+    /// Returns what a step needs, or why nothing of it may be started.
+    fn demand(&self, key: Step) -> Option<Result<Demand, Obstacle>> {
         let job = self.jobs.get(&key.job)?;
-        let queue = self.queues.get(&job.queue)?;
         let (run, spec) = (job.step(key)?, job.spec.steps.get(usize::from(key.index))?);
         // Until all workers of the owner before are accounted for, a task of an
         // older job may run unseen.
         if job.is_recovered && self.is_recovering {
-            return Some(Obstacle::Recovering);
+            return Some(Err(Obstacle::Recovering));
         }
         let waiting = run.waiting.len() as u32;
         if waiting == 0 || (spec.is_gang && waiting < spec.tasks) {
-            return Some(Obstacle::GangEnding);
+            return Some(Err(Obstacle::GangEnding));
         }
         let allowed = self.limit_room(&job.team, &spec.size);
         if allowed == 0 || (spec.is_gang && allowed < waiting) {
-            return Some(Obstacle::Limit);
+            return Some(Err(Obstacle::Limit));
         }
-        let demand = Demand {
+        Some(Ok(Demand {
             key,
             is_gang: spec.is_gang,
             one_rack: spec.prefers_one_rack,
@@ -94,17 +131,30 @@
             is_best_effort: spec.is_best_effort,
             waiting,
             allowed,
-        };
+        }))
+    }
+
+    /// Looks at all workers for one step.
+    fn look_for_room(
+        &mut self,
+        demand: &Demand,
+        turn: &Turn,
+        spots: &mut [Spot],
+    ) -> Option<Obstacle> {
+        let key = demand.key;
+        let job = self.jobs.get(&key.job)?;
+        let queue = self.queues.get(&job.queue)?;
+        let (run, spec) = (job.step(key)?, job.spec.steps.get(usize::from(key.index))?);
         let found = candidates(spots, spec, run, &queue.service);
         let is_durable = job.is_durable;
         let (cost, queue) = (queue.advice, job.queue.clone());
         let ready = match cost {
             None => found,
-            Some(cost) => self.advised_candidates(&demand, &queue, cost, found, spots),
+            Some(cost) => self.advised_candidates(demand, &queue, cost, found, spots),
         };
-        let is_placed = is_durable && self.place(&demand, turn, ready, spots);
+        let is_placed = is_durable && self.place(demand, turn, ready, spots);
         if demand.is_gang && !is_placed {
-            self.keep_room(&demand, spots);
+            self.keep_room(demand, spots);
         }
         let step = self.jobs.get(&key.job)?.step(key)?;
         match step {
@@ -222,60 +272,3 @@
         }
     }
 }
-
-/// Chooses workers for a step's tasks.
-fn plan(mut ready: Vec<Candidate>, demand: &Demand, spots: &[Spot]) -> Vec<(usize, u32)> {
-    let wanted = demand.wanted();
-    ready.retain(|candidate| candidate.slots > 0);
-    if demand.one_rack
-        && let Some(rack) = rack_with_room(&ready, wanted, spots)
-    {
-        ready.retain(|candidate| spots[candidate.at].rack == rack);
-    }
-    if demand.is_best_effort {
-        return spread(ready, wanted);
-    }
-    // Near the data first, then the fullest worker that still has room, so that
-    // large holes stay for large tasks.
-    ready.sort_by_key(|candidate| (!candidate.is_near, candidate.free_cpu));
-    let mut plan = Vec::new();
-    let mut rest = wanted;
-    for candidate in ready {
-        if rest == 0 {
-            break;
-        }
-        let tasks = candidate.slots.min(rest);
-        rest -= tasks;
-        plan.push((candidate.at, tasks));
-    }
-    plan
-}
-
-/// Deals best-effort tasks out evenly, to the workers with most idle processors first:
-/// by their footprint all would fit on one.
-fn spread(mut ready: Vec<Candidate>, wanted: u32) -> Vec<(usize, u32)> {
-    ready.sort_by_key(|candidate| (!candidate.is_near, Reverse(candidate.free_cpu)));
-    let each = wanted.div_ceil(ready.len().max(1) as u32);
-    let mut rest = wanted;
-    let mut plan = Vec::new();
-    for candidate in ready {
-        let tasks = candidate.slots.min(each).min(rest);
-        rest -= tasks;
-        plan.push((candidate.at, tasks));
-    }
-    plan
-}
-
-fn rack_with_room(ready: &[Candidate], wanted: u32, spots: &[Spot]) -> Option<Name> {
-    let mut racks: BTreeMap<&Name, u32> = BTreeMap::new();
-    for candidate in ready {
-        *racks.entry(&spots[candidate.at].rack).or_default() += candidate.slots;
-    }
-    let fitting = racks.into_iter().filter(|(_, slots)| *slots >= wanted);
-    fitting.min_by_key(|(_, slots)| *slots).map(|(rack, _)| rack.clone())
-}
-
-/// Tells whether so many tasks fit on some workers together.
-pub(super) fn enough(candidates: &[Candidate], wanted: u32) -> bool {
-    candidates.iter().map(|candidate| candidate.slots).sum::<u32>() >= wanted
-}
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -9,6 +9,7 @@
 mod holds;
 mod hosts;
 mod orders;
+mod plan;
 mod rank;
 mod recover;
 mod room;
--- a/crates/graph/src/obstacle.rs
+++ b/crates/graph/src/obstacle.rs
@@ -17,6 +17,8 @@
     NoRoom,
     /// advice is under way
     Advice,
+    /// steps that go first take all calls for advice
+    AdviceTurn,
 }
 
 /// A step that waits.
--- a/crates/graph/tests/engine/overload.rs
+++ b/crates/graph/tests/engine/overload.rs
@@ -1,6 +1,7 @@
 //! Who is served when there is more work than room.
 
 use sycamore_graph::Task;
+use sycamore_graph::catalog::{Advice, Queue};
 use sycamore_graph::job::{State, Step};
 
 use crate::fixture::{catalog, id, job, queue, step};
@@ -72,3 +73,23 @@
     assert!(world.workers[0].runs.keys().any(is_service));
     assert!(!world.workers[0].runs.keys().any(|(task, _)| task.step.job == id(2)));
 }
+
+/// A pass ended after 300 steps that could not go on, though all that most of them waited
+/// for was a turn to ask for advice. What came behind them stood still. Seen on day
+/// hunt-cdf8-19 of the grown Mwakilema site.
+#[test]
+fn steps_that_wait_for_their_turn_to_ask_do_not_hold_up_others() {
+    let advice = Advice { base_ms: 540.0, per_host_ms: 7.7, valid_ms: 1_500 };
+    let mut catalog = catalog(Queue { advice: Some(advice), ..queue() });
+    catalog.queues.insert("plain".into(), Queue { priority: 1, ..queue() });
+    let mut world = World::new(8, catalog, 1);
+    world.work_ms = 100;
+    for number in 0..400 {
+        world.submit(id(100 + number), job(vec![step(1, 1_000)]));
+    }
+
+    world.submit_to("plain", id(1), job(vec![step(1, 1_000)]));
+    world.run(1_500);
+
+    assert_eq!(world.state(id(1)), Some(State::Complete));
+}
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -64,6 +64,8 @@
     tokens: u64,
     tickets: BTreeMap<Name, (Name, u64)>,
     asked: BTreeMap<u64, Id>,
+    /// The queue of each job.
+    queues: BTreeMap<Id, Name>,
     /// Time at which a run on a worker ended.
     ended_ms: BTreeMap<(Name, Task, u32), u64>,
     pub random: SmallRng,
@@ -103,6 +105,7 @@
             tokens: 0,
             tickets: BTreeMap::new(),
             asked: BTreeMap::new(),
+            queues: BTreeMap::new(),
             ended_ms: BTreeMap::new(),
             random: SmallRng::seed_from_u64(seed),
         };
@@ -129,11 +132,16 @@
     }
 
     pub fn submit(&mut self, job: Id, spec: Spec) -> u64 {
+        self.submit_to(QUEUE, job, spec)
+    }
+
+    pub fn submit_to(&mut self, queue: &str, job: Id, spec: Spec) -> u64 {
         self.tokens += 1;
         let token = self.tokens;
         self.oracle.jobs.entry(job).or_insert_with(|| spec.clone());
         self.asked.insert(token, job);
-        let (queue, team) = (Name::from(QUEUE), Name::from(TEAM));
+        let (queue, team) = (Name::from(queue), Name::from(TEAM));
+        self.queues.insert(job, queue.clone());
         self.give(Event::Submit { token, job, queue, team, spec });
         token
     }
@@ -437,7 +445,7 @@
         let work =
             Work { cpu_millis: spec.footprint().cpu_millis, work_ms: self.work_ms, will_fail };
         let has_ticket =
-            self.catalog.queues[QUEUE].advice.is_none()
+            !self.is_advised(task.step.job)
                 || start.ticket.as_ref().and_then(|ticket| self.tickets.get(ticket)).is_some_and(
                     |(name, expires_ms)| *name == start.host && *expires_ms > self.now_ms,
                 );
@@ -493,9 +501,13 @@
 }
 
 impl World {
+    fn is_advised(&self, job: Id) -> bool {
+        self.catalog.queues[&self.queues[&job]].advice.is_some()
+    }
+
     /// Tells whether a job could run if it had all workers for itself.
     pub fn is_feasible(&self, job: Id) -> bool {
-        let is_advised = self.catalog.queues[QUEUE].advice.is_some();
+        let is_advised = self.is_advised(job);
         self.oracle.jobs[&job].steps.iter().all(|step| {
             let slots = |worker: &Worker| {
                 let is_open = !is_advised || is_allowed(job, &worker.entry.id, self.allow_share);
--- a/crates/node/src/owner/dealer.rs
+++ b/crates/node/src/owner/dealer.rs
@@ -88,7 +88,7 @@
         let takes = |class: CallClass| {
             hosts.iter().filter(|(.., duty)| duty.is_none_or(|duty| duty >= class)).count() as u32
         };
-        let lanes = [CallClass::Short, CallClass::Middle, CallClass::Long].map(|c| takes(c) + 1);
+        let lanes = CallClass::ALL.map(|c| takes(c) + 1);
         if lanes != self.lanes {
             self.lanes = lanes;
             self.handle.tell(Event::AdviceLanes(lanes));
