--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -83,7 +83,7 @@
             return Some(Obstacle::NoRoom);
         }
         if let Some(obstacle) = self.advice_obstacle(key) {
-            if demand.is_gang && spots.may_keep() {
+            if demand.is_gang {
                 *misses += 1;
                 self.keep_room(&demand, spots);
             }
@@ -142,7 +142,7 @@
             Some(cost) => self.advised_candidates(demand, &queue, cost, found, spots),
         };
         let is_placed = is_durable && self.place(demand, turn, ready, spots);
-        if demand.is_gang && !is_placed && spots.may_keep() {
+        if demand.is_gang && !is_placed {
             self.keep_room(demand, spots);
         }
         let step = self.jobs.get(&key.job)?.step(key)?;
@@ -254,8 +254,9 @@
             }
             let tasks = found.most.min(wanted);
             wanted -= tasks;
+            let spot = &mut spots[found.at];
             for _ in 0..tasks {
-                spots.keep(found.at, &demand.size);
+                spot.free = spot.free.minus(&demand.size);
             }
         }
     }
--- a/crates/graph/src/engine/room.rs
+++ b/crates/graph/src/engine/room.rs
@@ -13,11 +13,6 @@
 use crate::job;
 use crate::progress::StepRun;
 
-/// Part of the workers' capacity that gangs that wait may keep idle together. The first
-/// ones in order get their room; more would idle while others could use it. Five gangs of
-/// the documented small sites fit into it.
-const MAX_KEPT_SHARE: f64 = 0.25;
-
 /// A worker that takes new work, as one pass of the dispatcher sees it.
 #[derive(Clone, Debug)]
 pub(super) struct Spot {
@@ -44,9 +39,6 @@
     by_room: Vec<(u32, usize)>,
     /// At least the most room of each kind that any worker has.
     largest: Resources,
-    /// Capacity of all, and how much of it is kept for gangs that wait.
-    capacity: Resources,
-    kept: Resources,
 }
 
 impl Spots {
@@ -57,21 +49,7 @@
         by_room.sort_unstable_by(|(one, first), (other, second)| {
             other.cmp(one).then(first.cmp(second))
         });
-        let capacity = all.iter().fold(Resources::default(), |sum, s| sum.plus(&s.capacity));
-        Spots { all, by_room, largest, capacity, kept: Resources::default() }
-    }
-
-    /// Tells whether further room may be kept for gangs that wait.
-    pub fn may_keep(&self) -> bool {
-        self.kept.dominant_share(&self.capacity) < MAX_KEPT_SHARE
-    }
-
-    /// Keeps room for a task of a gang that waits.
-    pub fn keep(&mut self, at: usize, size: &Resources) {
-        let free = self.all[at].free;
-        self.all[at].free = free.minus(size);
-        // What is taken already is not kept a second time.
-        self.kept = self.kept.plus(&free.minus(&self.all[at].free));
+        Spots { all, by_room, largest }
     }
 
     /// Tells whether some worker may have room for a task. Costs next to nothing.
