--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -10,9 +10,9 @@
 use crate::peer::{Ask, Verdict};
 use crate::timing::TICK;
 
-/// Pause after a pass of decisions, in multiples of what it took: passes take at most
-/// a seventh of the thread's time, so that orders and answers never wait for long.
-const SETTLE_PAUSE_FACTOR: u32 = 6;
+/// Pause after a pass of decisions, in multiples of what it took: passes take at most a
+/// quarter of the thread's time, so that orders and answers never wait for long.
+const SETTLE_PAUSE_FACTOR: u32 = 3;
 
 /// Shortest pause between two passes of decisions.
 const MIN_SETTLE_PAUSE: Duration = Duration::from_millis(2);
