--- a/crates/node/src/owner/dealer.rs
+++ b/crates/node/src/owner/dealer.rs
@@ -26,10 +26,6 @@
 const SHORT_SHARE: f64 = 0.25;
 const MIDDLE_SHARE: f64 = 0.55;
 
-/// Short calls in a row that each host is dealt between two passes of decisions: passes
-/// were seen 50 ms apart beside 2,000 waiting steps, and a call and its way take 15 ms.
-const SHORT_IN_A_ROW: u32 = 3;
-
 /// What a host is for, by its place among all.
 fn duty(place: f64) -> CallClass {
     if place < SHORT_SHARE {
@@ -92,10 +88,7 @@
         let takes = |class: CallClass| {
             hosts.iter().filter(|(.., duty)| duty.is_none_or(|duty| duty >= class)).count() as u32
         };
-        let lanes = CallClass::ALL.map(|class| match class {
-            CallClass::Short => takes(class) * SHORT_IN_A_ROW,
-            CallClass::Middle | CallClass::Long => takes(class) + 1,
-        });
+        let lanes = CallClass::ALL.map(|c| takes(c) + 1);
         if lanes != self.lanes {
             self.lanes = lanes;
             self.handle.tell(Event::AdviceLanes(lanes));
