--- /dev/null
+++ b/crates/node/tests/path/explain.rs
@@ -0,0 +1,76 @@
+//! The three ways of `docs/OPERATIONS.md` from a failed request to its cause, walked on the
+//! log of a real process.
+
+use serde_json::Value;
+
+use crate::platform::Platform;
+use crate::process::{Process, call, until};
+use crate::{GUEST_KEY, KEY, is_complete, job, submit};
+
+async fn serving(platform: &Platform, first: &str) -> Process {
+    let process = Process::start(platform, "one").await;
+    until("the process serves", || submit(&process, first)).await;
+    process
+}
+
+fn has(lines: &[Value], field: &str, value: impl Into<Value>) -> bool {
+    let value = value.into();
+    lines.iter().any(|line| line[field] == value)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_request_leads_to_the_store() {
+    let platform = Platform::start().await;
+    let process = serving(&platform, "00000000000000e1").await;
+    platform.set_store_away(true);
+    let refused = || async {
+        let answer = call("POST", &process.url("00000000000000e2"), KEY, &job(1)).await;
+        answer.is_some_and(|(status, _)| status == 503)
+    };
+    until("a hand-in is refused", refused).await;
+
+    let lines = || async { !process.grep(&["00000000000000e2", "StoreAway"]).is_empty() };
+    until("the request's line names the verdict", lines).await;
+    let store = || async { has(&process.grep(&["\"kind\":\"store\""]), "is_away", true) };
+    until("and the store's line the cause", store).await;
+    process.kill().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_a_known_outcome_leads_to_its_repeat() {
+    let platform = Platform::start().await;
+    let process = serving(&platform, "00000000000000f1").await;
+    until("the job is complete", || is_complete(&process, "00000000000000f1")).await;
+    platform.set_store_stuck(true);
+    let answer = call("POST", &process.url("00000000000000f2"), KEY, &job(1)).await;
+    platform.set_store_stuck(false);
+    assert_eq!(answer.map(|(status, _)| status), Some(504));
+
+    until("the repeat is accepted", || submit(&process, "00000000000000f2")).await;
+
+    let request = ["00000000000000f2", "\"kind\":\"request\""];
+    let both = || async {
+        let lines = process.grep(&request);
+        has(&lines, "verdict", "Unknown") && has(&lines, "verdict", "Accepted")
+    };
+    until("the job's lines show both outcomes", both).await;
+    let accepted =
+        || async { !process.grep(&["00000000000000f2", "\"verdict\":\"accepted\""]).is_empty() };
+    until("and a record that it was accepted", accepted).await;
+    process.kill().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_job_leads_to_its_obstacle() {
+    let platform = Platform::start().await;
+    let process = serving(&platform, "00000000000000a7").await;
+    let answer = call("POST", &process.url("00000000000000a8"), GUEST_KEY, &job(1)).await;
+    assert_eq!(answer.map(|(status, _)| status), Some(200));
+
+    let explained = || async {
+        let lines = process.grep(&["00000000000000a8", "\"kind\":\"wait\""]);
+        has(&lines, "obstacle", "the team is at its limit")
+    };
+    until("a wait line names the obstacle", explained).await;
+    process.kill().await;
+}
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -1,5 +1,6 @@
 //! Real processes on loopback against a stand-in of the users' platform.
 
+mod explain;
 mod platform;
 mod process;
 
@@ -10,6 +11,9 @@
 
 const KEY: &str = "key-of-clerks";
 
+/// Key of a team whose limit is below the size of any task here.
+const GUEST_KEY: &str = "key-of-guests";
+
 fn job(tasks: u32) -> String {
     format!(
         r#"{{"spec":"work","steps":[{{"count":{tasks},"cpu":1000,"mem-mb":10,"est-ms":100}}]}}"#
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use serde_json::{Value, json};
 use sycamore_standin::fenced::{Capacity, Sight, Store, Trouble, Watcher, Worker};
 
-use crate::KEY;
+use crate::{GUEST_KEY, KEY};
 
 /// Counts starts of tasks that run or are done.
 #[derive(Clone, Debug, Default)]
@@ -56,6 +57,12 @@
         self.store.set_trouble(if is_away { Trouble::Away } else { Trouble::None });
     }
 
+    /// No answer of the store comes in time.
+    pub fn set_store_stuck(&self, is_stuck: bool) {
+        let stuck = Trouble::Slow(Duration::from_secs(30));
+        self.store.set_trouble(if is_stuck { stuck } else { Trouble::None });
+    }
+
     pub fn doubled_starts(&self) -> u32 {
         self.doubles.count.load(Ordering::Relaxed)
     }
@@ -68,6 +75,12 @@
             "name": "checks", "host": "127.0.0.1", "prefix": "/checks/", "service": "desk",
             "timeout-ms": 3000, "slo-ms": 1000, "priority": 0, "attempts": 4, "slack-factor": 2.0,
         }],
-        "tenants": [{ "name": "clerks", "keys": [KEY], "weight": 10 }],
+        "tenants": [
+            { "name": "clerks", "keys": [KEY], "weight": 10 },
+            {
+                "name": "guests", "keys": [GUEST_KEY], "weight": 10,
+                "cap": { "cpu": 500, "mem-mb": 0, "gpu": 0 },
+            },
+        ],
     })
 }
--- a/crates/node/tests/path/process.rs
+++ b/crates/node/tests/path/process.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
 use tokio::process::{Child, Command};
 
 use crate::platform::Platform;
@@ -24,6 +25,7 @@
     child: Child,
     callers: SocketAddr,
     settings: PathBuf,
+    log: PathBuf,
 }
 
 fn free_port() -> u16 {
@@ -44,14 +46,23 @@
         let settings =
             std::env::temp_dir().join(format!("sycamore-{}-{callers}.toml", std::process::id()));
         std::fs::write(&settings, text).expect("settings are written");
+        let log = settings.with_extension("log");
+        let output = std::fs::File::create(&log).expect("a file for the log");
         let child = Command::new(env!("CARGO_BIN_EXE_sycamore-node"))
             .arg("--settings")
             .arg(&settings)
-            .stdout(Stdio::null())
+            .stdout(Stdio::from(output))
             .kill_on_drop(true)
             .spawn()
             .expect("the process starts");
-        Process { child, callers, settings }
+        Process { child, callers, settings, log }
+    }
+
+    /// The lines of the log so far that hold all of some texts, as `grep` finds them.
+    pub fn grep(&self, texts: &[&str]) -> Vec<Value> {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let found = log.lines().filter(|line| texts.iter().all(|text| line.contains(text)));
+        found.filter_map(|line| serde_json::from_str(line).ok()).collect()
     }
 
     pub fn url(&self, id: &str) -> String {
@@ -79,6 +90,7 @@
 
     fn clean(&self) {
         std::fs::remove_file(&self.settings).expect("settings are removed");
+        std::fs::remove_file(&self.log).expect("the log is removed");
     }
 }
 
