--- a/crates/node/src/owner/sabotage.rs
+++ b/crates/node/src/owner/breakage.rs
@@ -15,18 +15,18 @@
 
 /// Changes what the engine hears and orders.
 #[derive(Debug, Default)]
-pub(super) struct Sabotage {
+pub(super) struct Breakage {
     promise: Option<String>,
     hosts: Vec<HostEntry>,
 }
 
-impl Sabotage {
-    pub fn from_environment() -> Sabotage {
+impl Breakage {
+    pub fn from_environment() -> Breakage {
         let promise = std::env::var(VARIABLE).ok();
         if let Some(promise) = &promise {
             log::warn!(target: "process", promise; "a promise is broken on purpose");
         }
-        Sabotage { promise, hosts: Vec::new() }
+        Breakage { promise, hosts: Vec::new() }
     }
 
     /// Returns what the engine hears instead, or the answer to a caller's token without it.
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -49,7 +49,7 @@
     load: Load,
     is_recovering: bool,
     #[cfg(debug_assertions)]
-    sabotage: super::sabotage::Sabotage,
+    breakage: super::breakage::Breakage,
 }
 
 /// Starts the control thread. It ends when told to, or when nobody can reach it.
@@ -75,7 +75,7 @@
             load: Load::default(),
             is_recovering,
             #[cfg(debug_assertions)]
-            sabotage: super::sabotage::Sabotage::from_environment(),
+            breakage: super::breakage::Breakage::from_environment(),
         };
         control.run(&inputs);
     })?;
@@ -177,7 +177,7 @@
 
     fn step(&mut self, event: Event) {
         #[cfg(debug_assertions)]
-        let event = match self.sabotage.event(event) {
+        let event = match self.breakage.event(event) {
             Ok(event) => event,
             Err((token, answer)) => return self.carry_out(vec![Action::Answer { token, answer }]),
         };
@@ -207,7 +207,7 @@
                 }
             } else {
                 #[cfg(debug_assertions)]
-                if let Some(other) = self.sabotage.beside(&action) {
+                if let Some(other) = self.breakage.beside(&action) {
                     let _ = self.actions.send(other);
                 }
                 // Without a receiver the owner has ended and `Stop` is on its way.
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -1,5 +1,7 @@
 //! What the owner does: the control thread with the engine, the log, the workers.
 
+#[cfg(debug_assertions)]
+mod breakage;
 mod control;
 mod dealer;
 mod execute;
@@ -9,8 +11,6 @@
 mod page;
 mod records;
 mod recover;
-#[cfg(debug_assertions)]
-mod sabotage;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
