Write configurations and settings of tests in one place

Cause: the soak and the node's tests each wrote the platform's words. Change: sycamore_standin::fenced::{config, settings}.

--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -5,8 +5,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use serde_json::{Value, json};
-use sycamore_standin::fenced::{Capacity, Sight, Store, Trouble, Watcher, Worker};
+use serde_json::Value;
+use sycamore_standin::fenced::{
+    self, Capacity, Queue, Sight, Store, Team, Trouble, Watcher, Worker,
+};
 
 use crate::{GUEST_KEY, KEY};
 
@@ -69,18 +71,12 @@
 }
 
 fn config() -> Value {
-    json!({
-        "version": 1,
-        "routes": [{
-            "name": "checks", "host": "127.0.0.1", "prefix": "/checks/", "service": "desk",
-            "timeout-ms": 3000, "slo-ms": 1000, "priority": 0, "attempts": 4, "slack-factor": 2.0,
-        }],
-        "tenants": [
-            { "name": "clerks", "keys": [KEY], "weight": 10 },
-            {
-                "name": "guests", "keys": [GUEST_KEY], "weight": 10,
-                "cap": { "cpu": 500, "mem-mb": 0, "gpu": 0 },
-            },
-        ],
-    })
+    let team = |name: &str, key: &str, limit_cpu_millis| Team {
+        name: name.to_string(),
+        key: key.to_string(),
+        limit_cpu_millis,
+    };
+    let teams = [team("clerks", KEY, 0), team("guests", GUEST_KEY, 500)];
+    let queue = Queue { host: "127.0.0.1", prefix: "/checks/", service: "desk", max_attempts: 4 };
+    fenced::config(&queue, &teams)
 }
--- a/crates/node/tests/path/process.rs
+++ b/crates/node/tests/path/process.rs
@@ -11,6 +11,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use serde_json::Value;
+use sycamore_standin::fenced::{self, Place};
 use tokio::process::{Child, Command};
 
 use crate::platform::Platform;
@@ -36,13 +37,15 @@
 impl Process {
     pub async fn start(platform: &Platform, name: &str) -> Process {
         let callers = SocketAddr::from(([127, 0, 0, 1], free_port()));
-        let text = format!(
-            "node = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"a\"\ninternal-ports = [{}, 1]\n\
-             [listen]\nfront = \"{callers}\"\n[bounds]\nhold-max-ms = 6000\ngrace-s = 6\n\
-             [platform]\naddr = \"{}\"\n",
-            free_port(),
-            platform.address
-        );
+        let text = fenced::settings(&Place {
+            host: name.to_string(),
+            address: "127.0.0.1".to_string(),
+            peer_port: free_port(),
+            seeds: Vec::new(),
+            callers,
+            store: platform.address,
+            grace_s: 6,
+        });
         let settings =
             std::env::temp_dir().join(format!("sycamore-{}-{callers}.toml", std::process::id()));
         std::fs::write(&settings, text).expect("settings are written");
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -1,10 +1,10 @@
 //! One `sycamore-node` process and the signals it gets.
 
 use std::fs::File;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 
+use sycamore_standin::fenced::{self, Place};
 use tokio::process::{Child, Command};
 
 /// A process that can be stopped and started again at the same addresses.
@@ -17,56 +17,19 @@
     child: Option<Child>,
 }
 
-/// What a process needs to know.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Place {
-    /// Place among the processes.
-    pub number: usize,
-    /// Address for callers.
-    pub callers: SocketAddr,
-    /// Port for other processes, the same on each host.
-    pub peer_port: u16,
-    /// The store, or what stands before it.
-    pub store: SocketAddr,
-}
-
-impl Place {
-    /// Hosts differ by their loopback address.
-    pub fn host_address(number: usize) -> String {
-        format!("127.0.0.{}", 10 + number)
-    }
-
-    fn settings(&self, processes: usize) -> String {
-        let seeds = (0..processes).filter(|other| *other != self.number);
-        let seeds: Vec<String> =
-            seeds.map(|other| format!("\"{}:1\"", Place::host_address(other))).collect();
-        format!(
-            "node = \"host-{}\"\nip = \"{}\"\nzone = \"a\"\ninternal-ports = [{}, 1]\n\
-             seeds = [{}]\n[listen]\nfront = \"{}\"\n[bounds]\nhold-max-ms = 6000\n\
-             grace-s = 4\n[platform]\naddr = \"{}\"\n",
-            self.number,
-            Place::host_address(self.number),
-            self.peer_port,
-            seeds.join(", "),
-            self.callers,
-            self.store
-        )
-    }
-}
-
 impl Process {
     /// Writes the settings of a process. It does not run yet.
     pub fn prepare(
         program: &Path,
         dir: &Path,
-        place: Place,
-        processes: usize,
+        place: &Place,
         keeps_log: bool,
         environment: Vec<(String, String)>,
     ) -> std::io::Result<Process> {
-        let settings = dir.join(format!("host-{}.toml", place.number));
-        std::fs::write(&settings, place.settings(processes))?;
-        let log = keeps_log.then(|| dir.join(format!("host-{}.log", place.number)));
+        let file = dir.join(&place.host);
+        let settings = file.with_extension("toml");
+        std::fs::write(&settings, fenced::settings(place))?;
+        let log = keeps_log.then(|| file.with_extension("log"));
         Ok(Process { program: program.to_path_buf(), settings, log, environment, child: None })
     }
 
--- a/crates/soak/src/round.rs
+++ b/crates/soak/src/round.rs
@@ -7,14 +7,14 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use serde_json::{Value, json};
-use sycamore_standin::fenced::{Sight, Store, Trouble};
+use serde_json::Value;
+use sycamore_standin::fenced::{self, Place, Queue, Sight, Store, Team, Trouble};
 use tokio::sync::Mutex;
 
 use crate::caller::{Caller, HOST, PREFIX, key};
 use crate::journal::{Fact, Journal};
 use crate::judge::{Breach, judge};
-use crate::process::{Place, Process};
+use crate::process::Process;
 use crate::proxy::Proxy;
 use crate::scenario::{Fault, Kind, Link, MAX_ATTEMPTS, Scenario, TEAM_LIMIT_CPU, TEAMS, WORKERS};
 use crate::workers::{SERVICE, Seat};
@@ -26,6 +26,9 @@
 /// Time that the processes have to listen before the first job.
 const START: Duration = Duration::from_millis(1_000);
 
+/// Time from SIGTERM to SIGKILL that processes are told, in seconds.
+const GRACE_S: u32 = 4;
+
 /// Longest wait for a process that was told to stop.
 const STOP_PATIENCE: Duration = Duration::from_secs(10);
 
@@ -81,13 +84,21 @@
     let (mut store_links, mut processes, mut callers) = (Vec::new(), Vec::new(), Vec::new());
     for number in 0..scenario.processes {
         let link = Proxy::start(store.server.address).await?;
-        let address = Place::host_address(number);
+        let address = host_address(number);
         let listens_on = format!("{address}:{}", free_port(&address)?);
         let listens_on: SocketAddr = listens_on.parse().map_err(std::io::Error::other)?;
-        let place = Place { number, callers: listens_on, peer_port, store: link.address };
-        let count = scenario.processes;
+        let others = (0..scenario.processes).filter(|other| *other != number);
+        let place = Place {
+            host: format!("host-{number}"),
+            address,
+            peer_port,
+            seeds: others.map(host_address).collect(),
+            callers: listens_on,
+            store: link.address,
+            grace_s: GRACE_S,
+        };
         let environment = environment.to_vec();
-        let mut process = Process::prepare(program, dir, place, count, keeps_logs, environment)?;
+        let mut process = Process::prepare(program, dir, &place, keeps_logs, environment)?;
         process.start()?;
         store_links.push(link);
         processes.push(Mutex::new(process));
@@ -196,21 +207,18 @@
     Ok(TcpListener::bind((address, 0))?.local_addr()?.port())
 }
 
+/// Hosts differ by their loopback address.
+fn host_address(number: usize) -> String {
+    format!("127.0.0.{}", 10 + number)
+}
+
 fn config() -> Value {
-    let team = |(at, name): (usize, &&str)| {
-        let cpu = if at == 0 { 0 } else { TEAM_LIMIT_CPU };
-        json!({
-            "name": name, "keys": [key(at)], "weight": 10,
-            "cap": { "cpu": cpu, "mem-mb": 0, "gpu": 0 },
-        })
+    let team = |(at, name): (usize, &&str)| Team {
+        name: name.to_string(),
+        key: key(at),
+        limit_cpu_millis: if at == 0 { 0 } else { TEAM_LIMIT_CPU },
     };
-    json!({
-        "version": 1,
-        "routes": [{
-            "name": "checks", "host": HOST, "prefix": PREFIX, "service": SERVICE,
-            "timeout-ms": 3000, "slo-ms": 1000, "priority": 0, "attempts": MAX_ATTEMPTS,
-            "slack-factor": 2.0,
-        }],
-        "tenants": TEAMS.iter().enumerate().map(team).collect::<Vec<Value>>(),
-    })
+    let teams: Vec<Team> = TEAMS.iter().enumerate().map(team).collect();
+    let queue = Queue { host: HOST, prefix: PREFIX, service: SERVICE, max_attempts: MAX_ATTEMPTS };
+    fenced::config(&queue, &teams)
 }
--- /dev/null
+++ b/crates/standin/src/fenced/documents.rs
@@ -0,0 +1,84 @@
+//! Documents in the platform's own words, for tests and tools that start the product.
+
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+
+/// A queue of the configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct Queue<'a> {
+    /// Host name of its requests.
+    pub host: &'a str,
+    /// Beginning of their path.
+    pub prefix: &'a str,
+    /// Service whose workers run its tasks.
+    pub service: &'a str,
+    /// Failed attempts of a task after which its job has failed.
+    pub max_attempts: u64,
+}
+
+/// A team of the configuration.
+#[derive(Clone, Debug)]
+pub struct Team {
+    /// Its name.
+    pub name: String,
+    /// Key of its callers.
+    pub key: String,
+    /// Limit over all workers, in thousandths of a core. Zero means no limit.
+    pub limit_cpu_millis: u32,
+}
+
+/// Where a process runs.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Name of the host.
+    pub host: String,
+    /// Address of the host.
+    pub address: String,
+    /// Port for other processes.
+    pub peer_port: u16,
+    /// Addresses of some other hosts.
+    pub seeds: Vec<String>,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Time from SIGTERM to SIGKILL, in seconds.
+    pub grace_s: u32,
+}
+
+/// Writes a configuration of one queue.
+pub fn config(queue: &Queue<'_>, teams: &[Team]) -> Value {
+    let team = |team: &Team| {
+        json!({
+            "name": team.name, "keys": [team.key], "weight": 10,
+            "cap": { "cpu": team.limit_cpu_millis, "mem-mb": 0, "gpu": 0 },
+        })
+    };
+    json!({
+        "version": 1,
+        "routes": [{
+            "name": "checks", "host": queue.host, "prefix": queue.prefix,
+            "service": queue.service, "timeout-ms": 3000, "slo-ms": 1000, "priority": 0,
+            "attempts": queue.max_attempts, "slack-factor": 2.0,
+        }],
+        "tenants": teams.iter().map(team).collect::<Vec<Value>>(),
+    })
+}
+
+/// Writes the settings file of a process.
+pub fn settings(place: &Place) -> String {
+    let seeds: Vec<String> = place.seeds.iter().map(|seed| format!("\"{seed}:1\"")).collect();
+    format!(
+        "node = \"{}\"\nip = \"{}\"\nzone = \"a\"\ninternal-ports = [{}, 1]\nseeds = [{}]\n\
+         [listen]\nfront = \"{}\"\n[bounds]\nhold-max-ms = 6000\ngrace-s = {}\n\
+         [platform]\naddr = \"{}\"\n",
+        place.host,
+        place.address,
+        place.peer_port,
+        seeds.join(", "),
+        place.callers,
+        place.grace_s,
+        place.store
+    )
+}
--- a/crates/standin/src/fenced/mod.rs
+++ b/crates/standin/src/fenced/mod.rs
@@ -4,12 +4,14 @@
 //! They hold to the semantics that the product relies on and guard nothing else: a worker
 //! starts whatever a valid order names. What was seen goes to a [`Watcher`].
 
+mod documents;
 mod kv;
 mod store;
 mod worker;
 
 use std::fmt::Debug;
 
+pub use documents::{Place, Queue, Team, config, settings};
 pub use store::{Store, Trouble};
 pub use worker::{Capacity, Worker};
 
