--- a/crates/soak/tests/soak/round.rs
+++ b/crates/soak/tests/soak/round.rs
@@ -11,7 +11,9 @@
     if path.ends_with("deps") {
         path.pop();
     }
-    path.join("sycamore-node")
+    let program = path.join("sycamore-node");
+    assert!(program.exists(), "run the tests of the whole workspace, or build sycamore-node first");
+    program
 }
 
 pub async fn play(scenario: &Scenario, broken: Option<&str>) -> Outcome {
