Keep the platform's words of the soak and the path tests in one place

Cause: crates/soak wrote keys of the store, the body of a job and a header in the platform's words; the path tests wrote them again, and five of them began with the same two lines. Change: Store::configure, list and unlist, fenced::job and KEY_HEADER; serving() in the path tests.

--- a/crates/node/tests/path/explain.rs
+++ b/crates/node/tests/path/explain.rs
@@ -4,14 +4,8 @@
 use serde_json::Value;
 
 use crate::platform::Platform;
-use crate::process::{Process, call, until};
-use crate::{GUEST_KEY, KEY, is_complete, job, submit};
-
-async fn serving(platform: &Platform, first: &str) -> Process {
-    let process = Process::start(platform, "one").await;
-    until("the process serves", || submit(&process, first)).await;
-    process
-}
+use crate::process::{call, until};
+use crate::{GUEST_KEY, KEY, is_complete, job, serving, submit};
 
 fn has(lines: &[Value], field: &str, value: impl Into<Value>) -> bool {
     let value = value.into();
@@ -21,7 +15,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refused_request_leads_to_the_store() {
     let platform = Platform::start().await;
-    let process = serving(&platform, "00000000000000e1").await;
+    let process = serving(&platform, "one", "00000000000000e1").await;
     platform.set_store_away(true);
     let refused = || async {
         let answer = call("POST", &process.url("00000000000000e2"), KEY, &job(1)).await;
@@ -39,7 +33,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_without_a_known_outcome_leads_to_its_repeat() {
     let platform = Platform::start().await;
-    let process = serving(&platform, "00000000000000f1").await;
+    let process = serving(&platform, "one", "00000000000000f1").await;
     until("the job is complete", || is_complete(&process, "00000000000000f1")).await;
     platform.set_store_stuck(true);
     let answer = call("POST", &process.url("00000000000000f2"), KEY, &job(1)).await;
@@ -63,7 +57,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_late_job_leads_to_its_obstacle() {
     let platform = Platform::start().await;
-    let process = serving(&platform, "00000000000000a7").await;
+    let process = serving(&platform, "one", "00000000000000a7").await;
     let answer = call("POST", &process.url("00000000000000a8"), GUEST_KEY, &job(1)).await;
     assert_eq!(answer.map(|(status, _)| status), Some(200));
 
@@ -72,5 +66,7 @@
         has(&lines, "obstacle", "the team is at its limit")
     };
     until("a wait line names the obstacle", explained).await;
+    let load = || async { has(&process.grep(&["\"kind\":\"load\""]), "waiting_steps", 1) };
+    until("and the load line counts the step", load).await;
     process.kill().await;
 }
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -8,6 +8,7 @@
 
 use platform::Platform;
 use process::{Process, call, until};
+use sycamore_standin::fenced::{self, Step};
 
 const KEY: &str = "key-of-clerks";
 
@@ -15,9 +16,15 @@
 const GUEST_KEY: &str = "key-of-guests";
 
 fn job(tasks: u32) -> String {
-    format!(
-        r#"{{"spec":"work","steps":[{{"count":{tasks},"cpu":1000,"mem-mb":10,"est-ms":100}}]}}"#
-    )
+    let step = Step { tasks, cpu_millis: 1_000, memory_mib: 10, estimate_ms: 100, after: vec![] };
+    fenced::job("work", &[step]).to_string()
+}
+
+/// Starts a process and waits until it has accepted a first job.
+async fn serving(platform: &Platform, name: &str, first: &str) -> Process {
+    let process = Process::start(platform, name).await;
+    until("the process serves", || submit(&process, first)).await;
+    process
 }
 
 async fn submit(process: &Process, id: &str) -> bool {
@@ -33,8 +40,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_runs_through_the_loss_of_its_owner() {
     let platform = Platform::start().await;
-    let first = Process::start(&platform, "one").await;
-    until("the first process serves", || submit(&first, "00000000000000a1")).await;
+    let first = serving(&platform, "one", "00000000000000a1").await;
     let second = Process::start(&platform, "two").await;
     until("the job is complete", || is_complete(&first, "00000000000000a1")).await;
     until("the second process serves", || submit(&second, "00000000000000a2")).await;
@@ -52,8 +58,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_are_told_the_truth() {
     let platform = Platform::start().await;
-    let process = Process::start(&platform, "one").await;
-    until("the process serves", || submit(&process, "00000000000000b1")).await;
+    let process = serving(&platform, "one", "00000000000000b1").await;
 
     let status = |method: &'static str, id: &'static str, key: &'static str, body: String| {
         let url = process.url(id);
@@ -74,8 +79,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_is_accepted_while_the_store_is_away() {
     let platform = Platform::start().await;
-    let process = Process::start(&platform, "one").await;
-    until("the process serves", || submit(&process, "00000000000000c1")).await;
+    let process = serving(&platform, "one", "00000000000000c1").await;
     until("the job is complete", || is_complete(&process, "00000000000000c1")).await;
 
     platform.set_store_away(true);
@@ -95,10 +99,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_process_that_is_told_to_stop_hands_over_and_exits() {
     let platform = Platform::start().await;
-    let first = Process::start(&platform, "one").await;
-    until("the first process serves", || submit(&first, "00000000000000d1")).await;
-    let second = Process::start(&platform, "two").await;
-    until("the second process serves", || submit(&second, "00000000000000d2")).await;
+    let first = serving(&platform, "one", "00000000000000d1").await;
+    let second = serving(&platform, "two", "00000000000000d2").await;
 
     let is_success = first.terminate(Duration::from_secs(30)).await;
 
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -50,8 +50,8 @@
         let doubles = Doubles::default();
         let worker = Worker::start("worker-1", capacity, doubles.clone()).await;
         let worker = worker.expect("a free port");
-        store.put("servers/worker-1", &worker.entry("desk", worker.address()));
-        store.put("op/config", &config());
+        store.list("worker-1", &worker.entry("desk", worker.address()));
+        store.configure(&config());
         Platform { address: store.server.address, store, doubles, _worker: worker }
     }
 
--- a/crates/node/tests/path/process.rs
+++ b/crates/node/tests/path/process.rs
@@ -103,7 +103,7 @@
     let request = Request::builder()
         .method(method)
         .uri(url)
-        .header("x-api-key", key)
+        .header(fenced::KEY_HEADER, key)
         .body(Full::new(Bytes::from(body.to_string())))
         .expect("a request");
     let response = client.request(request).await.ok()?;
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -12,7 +12,8 @@
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
-use serde_json::{Value, json};
+use serde_json::Value;
+use sycamore_standin::fenced;
 
 use crate::journal::{Fact, Journal, Shown};
 use crate::scenario::{Job, TEAMS};
@@ -140,7 +141,7 @@
             .method(method)
             .uri(format!("http://{address}{PREFIX}{:016x}", job.id))
             .header("host", HOST)
-            .header("x-api-key", key(job.team))
+            .header(fenced::KEY_HEADER, key(job.team))
             .body(Full::new(Bytes::from(body.to_string())))
             .ok()?;
         let exchange = async {
@@ -158,13 +159,13 @@
 }
 
 fn body(job: &Job) -> Value {
-    let step = |(at, step): (usize, &crate::Step)| {
-        let after: Vec<usize> = if step.is_after { vec![at - 1] } else { Vec::new() };
-        json!({
-            "count": step.tasks, "cpu": step.cpu_millis, "mem-mb": TASK_MEMORY,
-            "est-ms": job.work_ms, "after": after,
-        })
+    let step = |(at, step): (usize, &crate::Step)| fenced::Step {
+        tasks: step.tasks,
+        cpu_millis: step.cpu_millis,
+        memory_mib: TASK_MEMORY,
+        estimate_ms: job.work_ms,
+        after: if step.is_after { vec![at - 1] } else { Vec::new() },
     };
-    let steps: Vec<Value> = job.steps.iter().enumerate().map(step).collect();
-    json!({ "spec": job.payload(), "steps": steps })
+    let steps: Vec<fenced::Step> = job.steps.iter().enumerate().map(step).collect();
+    fenced::job(&job.payload(), &steps)
 }
--- a/crates/soak/src/round.rs
+++ b/crates/soak/src/round.rs
@@ -74,7 +74,7 @@
 ) -> std::io::Result<Outcome> {
     let journal = Journal::default();
     let store = Store::start().await?;
-    store.put("op/config", &config());
+    store.configure(&config());
     let mut seats = Vec::new();
     for number in 0..WORKERS {
         seats.push(Mutex::new(Seat::fill(number, &store, journal.clone()).await?));
--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -25,7 +25,7 @@
         let id = format!("worker-{number}");
         let worker = start(&id, &journal).await?;
         let link = Proxy::start(worker.address()).await?;
-        store.put(&key(&id), &worker.entry(SERVICE, link.address));
+        store.list(&id, &worker.entry(SERVICE, link.address));
         Ok(Seat { number, life: 0, id, worker, link, journal })
     }
 
@@ -38,12 +38,12 @@
     pub async fn revive(&mut self, store: &Store) -> std::io::Result<()> {
         self.life += 1;
         if self.life.is_multiple_of(2) {
-            store.remove(&key(&self.id));
+            store.unlist(&self.id);
             self.id = format!("worker-{}-{}", self.number, self.life);
         }
         self.worker = start(&self.id, &self.journal).await?;
         self.link.retarget(self.worker.address());
-        store.put(&key(&self.id), &self.worker.entry(SERVICE, self.link.address));
+        store.list(&self.id, &self.worker.entry(SERVICE, self.link.address));
         Ok(())
     }
 }
@@ -52,7 +52,3 @@
     let capacity = Capacity { cpu_millis: WORKER_CPU, memory_mib: WORKER_MEMORY };
     Worker::start(id, capacity, journal.clone()).await
 }
-
-fn key(id: &str) -> String {
-    format!("servers/{id}")
-}
--- a/crates/standin/src/fenced/documents.rs
+++ b/crates/standin/src/fenced/documents.rs
@@ -4,6 +4,24 @@
 
 use serde_json::{Value, json};
 
+/// Header that carries a caller's key.
+pub const KEY_HEADER: &str = "x-api-key";
+
+/// A step of a job.
+#[derive(Clone, Debug, Default)]
+pub struct Step {
+    /// Number of tasks.
+    pub tasks: u32,
+    /// Processor of each, in thousandths of a core.
+    pub cpu_millis: u32,
+    /// Memory of each, in MiB.
+    pub memory_mib: u32,
+    /// Declared run time, in milliseconds.
+    pub estimate_ms: u64,
+    /// Earlier steps that must be done first.
+    pub after: Vec<usize>,
+}
+
 /// A queue of the configuration.
 #[derive(Clone, Copy, Debug)]
 pub struct Queue<'a> {
@@ -47,6 +65,17 @@
     pub grace_s: u32,
 }
 
+/// Writes the body of a job.
+pub fn job(payload: &str, steps: &[Step]) -> Value {
+    let step = |step: &Step| {
+        json!({
+            "count": step.tasks, "cpu": step.cpu_millis, "mem-mb": step.memory_mib,
+            "est-ms": step.estimate_ms, "after": step.after,
+        })
+    };
+    json!({ "spec": payload, "steps": steps.iter().map(step).collect::<Vec<Value>>() })
+}
+
 /// Writes a configuration of one queue.
 pub fn config(queue: &Queue<'_>, teams: &[Team]) -> Value {
     let team = |team: &Team| {
--- a/crates/standin/src/fenced/mod.rs
+++ b/crates/standin/src/fenced/mod.rs
@@ -11,7 +11,7 @@
 
 use std::fmt::Debug;
 
-pub use documents::{Place, Queue, Team, config, settings};
+pub use documents::{KEY_HEADER, Place, Queue, Step, Team, config, job, settings};
 pub use store::{Store, Trouble};
 pub use worker::{Capacity, Worker};
 
--- a/crates/standin/src/fenced/store.rs
+++ b/crates/standin/src/fenced/store.rs
@@ -61,14 +61,23 @@
         lock(&self.state)
     }
 
-    /// Writes a document.
-    pub fn put(&self, key: &str, document: &Value) {
-        self.state().kv.put(key, &STANDARD.encode(document.to_string()));
+    /// Puts a configuration in force.
+    pub fn configure(&self, config: &Value) {
+        self.put("op/config", config);
+    }
+
+    /// Lists a worker with what it says of itself.
+    pub fn list(&self, id: &str, entry: &Value) {
+        self.put(&format!("servers/{id}"), entry);
     }
 
-    /// Removes a key.
-    pub fn remove(&self, key: &str) {
-        self.state().kv.remove(key);
+    /// Takes a worker off the list.
+    pub fn unlist(&self, id: &str) {
+        self.state().kv.remove(&format!("servers/{id}"));
+    }
+
+    fn put(&self, key: &str, document: &Value) {
+        self.state().kv.put(key, &STANDARD.encode(document.to_string()));
     }
 
     /// Sets what is wrong from now on.
