--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -7,7 +7,7 @@
 
 use serde_json::Value;
 use sycamore_standin::fenced::{
-    self, Capacity, Queue, Sight, Store, Team, Trouble, Watcher, Worker,
+    self, Capacity, Mode, Observation, Observer, Queue, Store, Team, Worker,
 };
 
 use crate::{GUEST_KEY, KEY};
@@ -19,19 +19,19 @@
     count: Arc<AtomicU32>,
 }
 
-impl Watcher for Doubles {
-    fn saw(&self, _worker: &str, sight: Sight) {
+impl Observer for Doubles {
+    fn observe(&self, _worker: &str, observation: Observation) {
         let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
-        match sight {
-            Sight::Started { task, .. } => {
+        match observation {
+            Observation::Started { task, .. } => {
                 if seen.contains(&task) {
                     self.count.fetch_add(1, Ordering::Relaxed);
                 }
                 seen.push(task);
             }
             // What ended in another way may be started again.
-            Sight::Ended { task, how, .. } if how != "done" => seen.retain(|t| *t != task),
-            Sight::Ended { .. } | Sight::Noted { .. } => {}
+            Observation::Ended { task, how, .. } if how != "done" => seen.retain(|t| *t != task),
+            Observation::Ended { .. } | Observation::Noted { .. } => {}
         }
     }
 }
@@ -56,13 +56,13 @@
     }
 
     pub fn set_store_away(&self, is_away: bool) {
-        self.store.set_trouble(if is_away { Trouble::Away } else { Trouble::None });
+        self.store.set_mode(if is_away { Mode::Away } else { Mode::Normal });
     }
 
     /// No answer of the store comes in time.
     pub fn set_store_stuck(&self, is_stuck: bool) {
-        let stuck = Trouble::Slow(Duration::from_secs(30));
-        self.store.set_trouble(if is_stuck { stuck } else { Trouble::None });
+        let stuck = Mode::Slow(Duration::from_secs(30));
+        self.store.set_mode(if is_stuck { stuck } else { Mode::Normal });
     }
 
     pub fn doubled_starts(&self) -> u32 {
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -15,7 +15,7 @@
 use serde_json::Value;
 use sycamore_standin::fenced;
 
-use crate::journal::{Fact, Journal, Shown};
+use crate::history::{Event, History, Shown};
 use crate::scenario::{Job, TEAMS};
 
 /// Host name of the queue.
@@ -48,7 +48,7 @@
 pub(crate) struct Caller {
     client: Client<HttpConnector, Full<Bytes>>,
     hosts: Vec<SocketAddr>,
-    journal: Journal,
+    history: History,
 }
 
 /// The key of a team.
@@ -57,9 +57,9 @@
 }
 
 impl Caller {
-    pub fn new(hosts: Vec<SocketAddr>, journal: Journal) -> Caller {
+    pub fn new(hosts: Vec<SocketAddr>, history: History) -> Caller {
         let client = Client::builder(TokioExecutor::new()).build_http();
-        Caller { client, hosts, journal }
+        Caller { client, hosts, history }
     }
 
     /// Takes one job from its hand-in to its last state.
@@ -80,7 +80,7 @@
             }
             match self.ask(&job, &mut random).await {
                 Some(Shown::Complete | Shown::Failed | Shown::Cancelled) => return,
-                // It is lost; the judge has seen it.
+                // It is lost; the checker has seen it.
                 Some(Shown::Unknown) if accepted.elapsed() > 2 * VISIBLE => return,
                 _ => tokio::time::sleep(pause(&mut random)).await,
             }
@@ -90,11 +90,11 @@
     /// Returns whether the job was accepted.
     async fn hand_in(&self, job: &Job, random: &mut SmallRng) -> bool {
         for _ in 0..MAX_SENDS {
-            self.journal.note(Fact::Sent(job.id));
+            self.history.note(Event::Sent(job.id));
             let answer = self.call(Method::POST, job, &body(job).to_string(), random).await;
             // A gateway's answer tells as little as none.
             let status = answer.map(|(status, _)| status).filter(|s| ![502, 504].contains(s));
-            self.journal.note(Fact::Answered(job.id, status));
+            self.history.note(Event::Answered(job.id, status));
             if let Some(status) = status {
                 return (200..300).contains(&status);
             }
@@ -104,11 +104,11 @@
     }
 
     async fn cancel(&self, job: &Job, random: &mut SmallRng) -> bool {
-        self.journal.note(Fact::CancelSent(job.id));
+        self.history.note(Event::CancelSent(job.id));
         let answer = self.call(Method::DELETE, job, "", random).await;
         let is_done = answer.is_some_and(|(status, _)| (200..300).contains(&status));
         if is_done {
-            self.journal.note(Fact::Cancelled(job.id));
+            self.history.note(Event::Cancelled(job.id));
         }
         is_done
     }
@@ -124,7 +124,7 @@
             (200, Some(_)) => Shown::Open,
             _ => return None,
         };
-        self.journal.note(Fact::Shown(job.id, shown));
+        self.history.note(Event::Shown(job.id, shown));
         Some(shown)
     }
 
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/checker.rs
@@ -1,12 +1,12 @@
-//! The promises, judged from what callers and workers saw.
+//! Checks the promises against what callers and workers saw.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::Serialize;
-use sycamore_standin::fenced::Sight;
+use sycamore_standin::fenced::Observation;
 
 use crate::caller::VISIBLE;
-use crate::journal::{Entry, Fact, Shown};
+use crate::history::{Entry, Event, Shown};
 use crate::scenario::{Job, MAX_ATTEMPTS, Step, TEAM_LIMIT_CPU, WORKER_CPU};
 
 /// Time after a cancel was answered from which nothing may start, in milliseconds. The
@@ -79,7 +79,7 @@
 /// A task's name: job, step, index. Jobs of a round run once.
 type TaskKey = (u64, usize, u32);
 
-struct Judge<'a> {
+struct Checker<'a> {
     jobs: HashMap<u64, &'a Job>,
     views: BTreeMap<u64, JobView>,
     tasks: HashMap<TaskKey, TaskView>,
@@ -89,8 +89,8 @@
 }
 
 /// Returns every broken promise in the order in which it was seen.
-pub fn judge(jobs: &[Job], entries: &[Entry]) -> Vec<Breach> {
-    let mut judge = Judge {
+pub fn check(jobs: &[Job], entries: &[Entry]) -> Vec<Breach> {
+    let mut checker = Checker {
         jobs: jobs.iter().map(|job| (job.id, job)).collect(),
         views: BTreeMap::new(),
         tasks: HashMap::new(),
@@ -99,10 +99,10 @@
         breaches: Vec::new(),
     };
     for entry in entries {
-        judge.take(entry.at_ms, &entry.fact);
+        checker.take(entry.at_ms, &entry.event);
     }
-    judge.close(entries.last().map_or(0, |entry| entry.at_ms));
-    judge.breaches
+    checker.close(entries.last().map_or(0, |entry| entry.at_ms));
+    checker.breaches
 }
 
 fn parse(task: &str) -> Option<TaskKey> {
@@ -112,31 +112,31 @@
     Some((job, parts.next()?.parse().ok()?, parts.next()?.parse().ok()?))
 }
 
-impl Judge<'_> {
+impl Checker<'_> {
     fn breach(&mut self, promise: Promise, at_ms: u64, what: impl Into<String>) {
         self.breaches.push(Breach { promise, at_ms, what: what.into() });
     }
 
-    fn take(&mut self, at_ms: u64, fact: &Fact) {
-        match fact {
-            Fact::Sent(id) => self.view(*id).is_sent = true,
-            Fact::Answered(id, Some(200..300)) => {
+    fn take(&mut self, at_ms: u64, event: &Event) {
+        match event {
+            Event::Sent(id) => self.view(*id).is_sent = true,
+            Event::Answered(id, Some(200..300)) => {
                 self.view(*id).accepted_ms.get_or_insert(at_ms);
             }
-            Fact::Answered(id, Some(_)) => self.view(*id).refusals += 1,
-            Fact::Answered(id, None) => self.view(*id).unanswered += 1,
-            Fact::CancelSent(id) => self.view(*id).is_cancel_sent = true,
-            Fact::Cancelled(id) => {
+            Event::Answered(id, Some(_)) => self.view(*id).refusals += 1,
+            Event::Answered(id, None) => self.view(*id).unanswered += 1,
+            Event::CancelSent(id) => self.view(*id).is_cancel_sent = true,
+            Event::Cancelled(id) => {
                 self.view(*id).cancelled_ms.get_or_insert(at_ms);
             }
-            Fact::Shown(id, shown) => self.shown(at_ms, *id, *shown),
-            Fact::Worker(worker, Sight::Started { task, attempt, payload }) => {
+            Event::Shown(id, shown) => self.shown(at_ms, *id, *shown),
+            Event::Worker(worker, Observation::Started { task, attempt, payload }) => {
                 self.started(at_ms, worker, task, *attempt, payload);
             }
-            Fact::Worker(worker, Sight::Ended { task, attempt, how }) => {
+            Event::Worker(worker, Observation::Ended { task, attempt, how }) => {
                 self.ended(worker, task, *attempt, how);
             }
-            Fact::Worker(_, Sight::Noted { task, attempt, how }) => {
+            Event::Worker(_, Observation::Noted { task, attempt, how }) => {
                 self.noted(at_ms, task, *attempt, how);
             }
         }
@@ -267,7 +267,7 @@
         }
     }
 
-    /// Judges what only the end of a round shows.
+    /// Checks what only the end of a round shows.
     fn close(&mut self, at_ms: u64) {
         for (id, view) in std::mem::take(&mut self.views) {
             let has_ended = matches!(view.last, Some(Shown::Complete | Shown::Failed));
--- a/crates/soak/src/journal.rs
+++ b/crates/soak/src/history.rs
@@ -1,7 +1,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
-use sycamore_standin::fenced::{Sight, Watcher};
+use sycamore_standin::fenced::{Observation, Observer};
 
 /// A state that a caller was shown.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -20,7 +20,7 @@
 
 /// What a caller or a worker has seen.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Fact {
+pub enum Event {
     /// A caller sends a job, for the first time or again.
     Sent(u64),
     /// A hand-in was answered. `None`: no answer, or one that tells nothing.
@@ -32,47 +32,47 @@
     /// A state was shown.
     Shown(u64, Shown),
     /// A worker has done something.
-    Worker(String, Sight),
+    Worker(String, Observation),
 }
 
-/// A fact and when it was seen.
+/// An event and when it was seen.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Entry {
     /// Time since the round began, in milliseconds.
     pub at_ms: u64,
     /// What was seen.
-    pub fact: Fact,
+    pub event: Event,
 }
 
 /// Facts in the order in which they were seen.
 #[derive(Clone, Debug)]
-pub struct Journal {
+pub struct History {
     origin: Instant,
     entries: Arc<Mutex<Vec<Entry>>>,
 }
 
-impl Default for Journal {
-    fn default() -> Journal {
-        Journal { origin: Instant::now(), entries: Arc::default() }
+impl Default for History {
+    fn default() -> History {
+        History { origin: Instant::now(), entries: Arc::default() }
     }
 }
 
-impl Journal {
-    /// Adds a fact.
-    pub fn note(&self, fact: Fact) {
+impl History {
+    /// Adds an event.
+    pub fn note(&self, event: Event) {
         let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         let at_ms = self.origin.elapsed().as_millis() as u64;
-        entries.push(Entry { at_ms, fact });
+        entries.push(Entry { at_ms, event });
     }
 
-    /// Returns all facts so far.
+    /// Returns all events so far.
     pub fn entries(&self) -> Vec<Entry> {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 }
 
-impl Watcher for Journal {
-    fn saw(&self, worker: &str, sight: Sight) {
-        self.note(Fact::Worker(worker.to_string(), sight));
+impl Observer for History {
+    fn observe(&self, worker: &str, observation: Observation) {
+        self.note(Event::Worker(worker.to_string(), observation));
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! One round starts `sycamore-node` processes on loopback against stand-ins of the
 //! platform, hands in jobs, and injects faults from outside: a proxy on the links to the
-//! store and the workers, signals to the processes, troubles of the store, crashes of
-//! workers. Callers and workers note what they see; the promises are judged from that
+//! store and the workers, signals to the processes, failures of the store, crashes of
+//! workers. Callers and workers note what they see; the promises are checked against that
 //! alone. A round is repeated by its seed: the same jobs and faults at the same times,
 //! though processes interleave differently.
 //!
@@ -11,8 +11,8 @@
 //! it names to others; pauses of processes take their place.
 
 mod caller;
-mod journal;
-mod judge;
+mod checker;
+mod history;
 mod options;
 mod process;
 mod proxy;
@@ -21,8 +21,8 @@
 mod scenario;
 mod workers;
 
-pub use journal::{Entry, Fact, Journal, Shown};
-pub use judge::{Breach, Promise, judge};
+pub use checker::{Breach, Promise, check};
+pub use history::{Entry, Event, History, Shown};
 pub use options::{Options, OptionsError};
 pub use report::Report;
 pub use round::{Outcome, run_round};
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use crate::judge::Breach;
+use crate::checker::Breach;
 use crate::round::Outcome;
 
 /// Sum of some rounds.
--- a/crates/soak/src/round.rs
+++ b/crates/soak/src/round.rs
@@ -8,16 +8,16 @@
 
 use futures::future::join_all;
 use serde_json::Value;
-use sycamore_standin::fenced::{self, Place, Queue, Sight, Store, Team, Trouble};
+use sycamore_standin::fenced::{self, Mode, Observation, Place, Queue, Store, Team};
 use tokio::sync::Mutex;
 
 use crate::caller::{Caller, HOST, PREFIX, key};
-use crate::journal::{Fact, Journal};
-use crate::judge::{Breach, judge};
+use crate::checker::{Breach, check};
+use crate::history::{Event, History};
 use crate::process::Process;
 use crate::proxy::Proxy;
 use crate::scenario::{Fault, Kind, Link, MAX_ATTEMPTS, Scenario, TEAM_LIMIT_CPU, TEAMS, WORKERS};
-use crate::workers::{SERVICE, Seat};
+use crate::workers::{SERVICE, WorkerHost};
 
 /// Longest wait for all jobs to end once all faults are over. Leases last 6 s and three
 /// takeovers may follow each other; the rest is for busy machines.
@@ -56,7 +56,7 @@
 struct Site {
     store: Store,
     store_links: Vec<Proxy>,
-    seats: Vec<Mutex<Seat>>,
+    worker_hosts: Vec<Mutex<WorkerHost>>,
     processes: Vec<Mutex<Process>>,
 }
 
@@ -72,12 +72,12 @@
     keeps_logs: bool,
     environment: &[(String, String)],
 ) -> std::io::Result<Outcome> {
-    let journal = Journal::default();
+    let history = History::default();
     let store = Store::start().await?;
     store.configure(&config());
-    let mut seats = Vec::new();
+    let mut worker_hosts = Vec::new();
     for number in 0..WORKERS {
-        seats.push(Mutex::new(Seat::fill(number, &store, journal.clone()).await?));
+        worker_hosts.push(Mutex::new(WorkerHost::start(number, &store, history.clone()).await?));
     }
     // Free on every address: each process listens on it at its own.
     let peer_port = free_port("0.0.0.0")?;
@@ -104,9 +104,9 @@
         processes.push(Mutex::new(process));
         callers.push(listens_on);
     }
-    let site = Arc::new(Site { store, store_links, seats, processes });
+    let site = Arc::new(Site { store, store_links, worker_hosts, processes });
     tokio::time::sleep(START).await;
-    let caller = Caller::new(callers, journal.clone());
+    let caller = Caller::new(callers, history.clone());
     let jobs = scenario.jobs.iter().map(|job| tokio::spawn(caller.clone().follow(job.clone())));
     let jobs: Vec<_> = jobs.collect();
     let faults = scenario.faults.iter().map(|fault| site.inject(*fault));
@@ -121,26 +121,26 @@
         process.lock().await.kill().await?;
     }
     if keeps_logs {
-        let lines = journal.entries().into_iter().map(|entry| format!("{entry:?}\n"));
-        std::fs::write(dir.join("facts.log"), lines.collect::<String>())?;
+        let lines = history.entries().into_iter().map(|entry| format!("{entry:?}\n"));
+        std::fs::write(dir.join("history.log"), lines.collect::<String>())?;
         std::fs::write(dir.join("scenario.log"), format!("{scenario:#?}\n"))?;
     }
-    Ok(outcome(scenario, &journal))
+    Ok(outcome(scenario, &history))
 }
 
-fn outcome(scenario: &Scenario, journal: &Journal) -> Outcome {
-    let entries = journal.entries();
-    let is_accepted = |fact: &Fact| matches!(fact, Fact::Answered(_, Some(200..300)));
-    let is_start = |fact: &Fact| matches!(fact, Fact::Worker(_, Sight::Started { .. }));
+fn outcome(scenario: &Scenario, history: &History) -> Outcome {
+    let entries = history.entries();
+    let is_accepted = |event: &Event| matches!(event, Event::Answered(_, Some(200..300)));
+    let is_start = |event: &Event| matches!(event, Event::Worker(_, Observation::Started { .. }));
     let mut faults = BTreeMap::new();
     for fault in &scenario.faults {
         *faults.entry(fault.kind.name()).or_default() += 1;
     }
     Outcome {
         seed: scenario.seed,
-        breaches: judge(&scenario.jobs, &entries),
-        jobs: entries.iter().filter(|entry| is_accepted(&entry.fact)).count() as u64,
-        starts: entries.iter().filter(|entry| is_start(&entry.fact)).count() as u64,
+        breaches: check(&scenario.jobs, &entries),
+        jobs: entries.iter().filter(|entry| is_accepted(&entry.event)).count() as u64,
+        starts: entries.iter().filter(|entry| is_start(&entry.event)).count() as u64,
         faults,
     }
 }
@@ -160,11 +160,11 @@
             Kind::Terminate(at) => self.processes[at].lock().await.signal("TERM").await?,
             Kind::Reload(at) => self.processes[at].lock().await.signal("HUP").await?,
             Kind::StoreLink(at, link) => self.store_links[at].set(link),
-            Kind::WorkerLink(at, link) => self.seats[at].lock().await.link.set(link),
-            Kind::StoreAway => self.store.set_trouble(Trouble::Away),
-            Kind::StoreLosesAnswers => self.store.set_trouble(Trouble::LosesAnswers),
-            Kind::StoreSlow => self.store.set_trouble(Trouble::Slow(SLOW_STORE)),
-            Kind::WorkerCrash(at) => self.seats[at].lock().await.crash(),
+            Kind::WorkerLink(at, link) => self.worker_hosts[at].lock().await.link.set(link),
+            Kind::StoreAway => self.store.set_mode(Mode::Away),
+            Kind::StoreLosesAnswers => self.store.set_mode(Mode::LosesAnswers),
+            Kind::StoreSlow => self.store.set_mode(Mode::Slow(SLOW_STORE)),
+            Kind::WorkerCrash(at) => self.worker_hosts[at].lock().await.crash(),
         }
         Ok(())
     }
@@ -176,11 +176,13 @@
             Kind::Terminate(at) => self.restart(at).await?,
             Kind::Reload(_) => {}
             Kind::StoreLink(at, _) => self.store_links[at].set(Link::Open),
-            Kind::WorkerLink(at, _) => self.seats[at].lock().await.link.set(Link::Open),
+            Kind::WorkerLink(at, _) => self.worker_hosts[at].lock().await.link.set(Link::Open),
             Kind::StoreAway | Kind::StoreLosesAnswers | Kind::StoreSlow => {
-                self.store.set_trouble(Trouble::None);
+                self.store.set_mode(Mode::Normal);
+            }
+            Kind::WorkerCrash(at) => {
+                self.worker_hosts[at].lock().await.restart(&self.store).await?
             }
-            Kind::WorkerCrash(at) => self.seats[at].lock().await.revive(&self.store).await?,
         }
         Ok(())
     }
--- a/crates/soak/src/scenario.rs
+++ b/crates/soak/src/scenario.rs
@@ -111,7 +111,7 @@
     StoreLosesAnswers,
     /// The store is slow.
     StoreSlow,
-    /// A worker loses power, and another life of it begins at the end.
+    /// A worker loses power, and another incarnation of it begins at the end.
     WorkerCrash(usize),
 }
 
--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -2,31 +2,35 @@
 
 use sycamore_standin::fenced::{Capacity, Store, Worker};
 
-use crate::journal::Journal;
+use crate::history::History;
 use crate::proxy::Proxy;
 use crate::scenario::{WORKER_CPU, WORKER_MEMORY};
 
 /// Service that the workers belong to.
 pub(crate) const SERVICE: &str = "desk";
 
-/// One place for a worker, through several lives.
+/// A host that runs one worker, through several incarnations.
 #[derive(Debug)]
-pub(crate) struct Seat {
+pub(crate) struct WorkerHost {
     number: usize,
-    life: u32,
+    incarnation: u32,
     id: String,
-    worker: Worker<Journal>,
+    worker: Worker<History>,
     pub link: Proxy,
-    journal: Journal,
+    history: History,
 }
 
-impl Seat {
-    pub async fn fill(number: usize, store: &Store, journal: Journal) -> std::io::Result<Seat> {
+impl WorkerHost {
+    pub async fn start(
+        number: usize,
+        store: &Store,
+        history: History,
+    ) -> std::io::Result<WorkerHost> {
         let id = format!("worker-{number}");
-        let worker = start(&id, &journal).await?;
+        let worker = start(&id, &history).await?;
         let link = Proxy::start(worker.address()).await?;
         store.list(&id, &worker.entry(SERVICE, link.address));
-        Ok(Seat { number, life: 0, id, worker, link, journal })
+        Ok(WorkerHost { number, incarnation: 0, id, worker, link, history })
     }
 
     /// The worker loses power. Its entry stays, as on the platform.
@@ -34,21 +38,21 @@
         self.worker.crash();
     }
 
-    /// Another life begins, under the same id every second time.
-    pub async fn revive(&mut self, store: &Store) -> std::io::Result<()> {
-        self.life += 1;
-        if self.life.is_multiple_of(2) {
+    /// Another incarnation begins, under the same id every second time.
+    pub async fn restart(&mut self, store: &Store) -> std::io::Result<()> {
+        self.incarnation += 1;
+        if self.incarnation.is_multiple_of(2) {
             store.unlist(&self.id);
-            self.id = format!("worker-{}-{}", self.number, self.life);
+            self.id = format!("worker-{}-{}", self.number, self.incarnation);
         }
-        self.worker = start(&self.id, &self.journal).await?;
+        self.worker = start(&self.id, &self.history).await?;
         self.link.retarget(self.worker.address());
         store.list(&self.id, &self.worker.entry(SERVICE, self.link.address));
         Ok(())
     }
 }
 
-async fn start(id: &str, journal: &Journal) -> std::io::Result<Worker<Journal>> {
+async fn start(id: &str, history: &History) -> std::io::Result<Worker<History>> {
     let capacity = Capacity { cpu_millis: WORKER_CPU, memory_mib: WORKER_MEMORY };
-    Worker::start(id, capacity, journal.clone()).await
+    Worker::start(id, capacity, history.clone()).await
 }
--- /dev/null
+++ b/crates/soak/tests/soak/checking.rs
@@ -0,0 +1,134 @@
+//! The checker on short histories.
+
+use sycamore_soak::{Entry, Event, Job, Promise, Shown, Step, check};
+use sycamore_standin::fenced::Observation;
+
+const ID: u64 = 0xa1;
+
+fn job() -> Job {
+    let step = |is_after| Step { tasks: 1, cpu_millis: 5_000, is_after };
+    Job {
+        id: ID,
+        team: 0,
+        steps: vec![step(false), step(true)],
+        work_ms: 100,
+        failing: 0,
+        at_ms: 0,
+        cancel_after_ms: None,
+    }
+}
+
+fn task(step: u32) -> String {
+    format!("{ID:016x}.0.{step}.0")
+}
+
+fn started(step: u32, attempt: u64) -> Event {
+    let observation = Observation::Started { task: task(step), attempt, payload: job().payload() };
+    Event::Worker("one".to_string(), observation)
+}
+
+fn ended(step: u32, attempt: u64, how: &'static str) -> Event {
+    Event::Worker("one".to_string(), Observation::Ended { task: task(step), attempt, how })
+}
+
+fn noted(step: u32, attempt: u64, how: &'static str) -> Event {
+    Event::Worker("one".to_string(), Observation::Noted { task: task(step), attempt, how })
+}
+
+/// Checks events that are a second apart.
+fn promises(events: Vec<Event>) -> Vec<Promise> {
+    let entry = |(at, event): (usize, Event)| Entry { at_ms: 1_000 * at as u64, event };
+    let entries: Vec<Entry> = events.into_iter().enumerate().map(entry).collect();
+    check(&[job()], &entries).into_iter().map(|breach| breach.promise).collect()
+}
+
+fn accepted() -> Vec<Event> {
+    vec![Event::Sent(ID), Event::Answered(ID, Some(200))]
+}
+
+fn after_acceptance(events: Vec<Event>) -> Vec<Promise> {
+    promises(accepted().into_iter().chain(events).collect())
+}
+
+#[test]
+fn a_job_that_goes_well_breaks_nothing() {
+    let events = vec![
+        started(0, 1),
+        ended(0, 1, "done"),
+        noted(0, 1, "done"),
+        started(1, 1),
+        ended(1, 1, "done"),
+        Event::Shown(ID, Shown::Complete),
+    ];
+    assert_eq!(after_acceptance(events), []);
+}
+
+#[test]
+fn a_second_run_at_the_same_time_is_a_breach() {
+    assert!(after_acceptance(vec![started(0, 1), started(0, 2)]).contains(&Promise::Once));
+}
+
+#[test]
+fn a_run_after_a_noted_end_is_a_breach_in_either_order() {
+    let before = vec![started(0, 1), ended(0, 1, "done"), noted(0, 1, "done"), started(0, 2)];
+    let after = vec![started(0, 1), ended(0, 1, "done"), started(0, 2), noted(0, 1, "done")];
+    assert!(after_acceptance(before).contains(&Promise::Once));
+    assert!(after_acceptance(after).contains(&Promise::Once));
+}
+
+#[test]
+fn a_run_after_an_end_that_nobody_noted_is_none() {
+    // A worker that loses power forgets its ends.
+    let again = [ended(0, 2, "done"), noted(0, 2, "done")];
+    let events =
+        [started(0, 1), ended(0, 1, "done"), started(0, 2)].into_iter().chain(again).collect();
+    assert_eq!(after_acceptance(events), [Promise::Kept]);
+}
+
+#[test]
+fn a_step_before_its_turn_is_a_breach() {
+    assert!(after_acceptance(vec![started(1, 1)]).contains(&Promise::Order));
+}
+
+#[test]
+fn more_than_a_worker_holds_is_a_breach() {
+    let events = vec![started(0, 1), ended(0, 1, "done"), started(0, 2), started(1, 1)];
+    assert!(after_acceptance(events).contains(&Promise::Capacity));
+}
+
+#[test]
+fn a_refused_job_that_runs_is_a_breach() {
+    let events = vec![Event::Sent(ID), Event::Answered(ID, Some(503)), started(0, 1)];
+    assert!(promises(events).contains(&Promise::Refused));
+}
+
+#[test]
+fn a_job_that_nobody_sent_is_a_breach() {
+    assert!(promises(vec![started(0, 1)]).contains(&Promise::Asked));
+}
+
+#[test]
+fn a_start_long_after_a_cancel_is_a_breach() {
+    let mut events = vec![Event::CancelSent(ID), Event::Cancelled(ID)];
+    events.extend((0..3).map(|_| Event::Shown(ID, Shown::Cancelled)));
+    events.push(started(0, 1));
+    assert_eq!(after_acceptance(events), [Promise::Asked]);
+}
+
+#[test]
+fn a_job_without_an_end_is_a_breach() {
+    assert_eq!(after_acceptance(vec![Event::Shown(ID, Shown::Open)]), [Promise::Kept]);
+}
+
+#[test]
+fn a_job_that_is_not_known_any_more_is_a_breach() {
+    let events = (0..4).map(|_| Event::Shown(ID, Shown::Unknown)).collect();
+    assert!(after_acceptance(events).contains(&Promise::Kept));
+}
+
+#[test]
+fn a_false_state_is_a_breach() {
+    assert!(after_acceptance(vec![Event::Shown(ID, Shown::Complete)]).contains(&Promise::Truth));
+    assert!(after_acceptance(vec![Event::Shown(ID, Shown::Failed)]).contains(&Promise::Truth));
+    assert!(after_acceptance(vec![Event::Shown(ID, Shown::Cancelled)]).contains(&Promise::Truth));
+}
--- a/crates/soak/tests/soak/main.rs
+++ b/crates/soak/tests/soak/main.rs
@@ -1,7 +1,7 @@
-//! The soak's own tests: the judge, the draw of rounds, and real rounds.
+//! The soak's own tests: the checker, the draw of rounds, and real rounds.
 
 mod breakage;
-mod judging;
+mod checking;
 mod regression;
 mod round;
 mod scenario;
--- a/crates/soak/tests/soak/regression.rs
+++ b/crates/soak/tests/soak/regression.rs
@@ -5,10 +5,10 @@
 use crate::round::play;
 
 /// 11 and 14: a worker that lost power came back under its id, and the stand-in let a look
-/// meant for the life before acknowledge ends of the new one while it waited. The platform
+/// meant for the incarnation before acknowledge ends of the new one while it waited. The platform
 /// takes a look in once, on its arrival; the stand-in does now.
 ///
-/// 1: the judge held a repeated task against the owner although the first end had gone
+/// 1: the checker held a repeated task against the owner although the first end had gone
 /// with the worker's power before it was noted.
 #[yare::parameterized(eleven = { 11 }, fourteen = { 14 })]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
--- a/crates/standin/src/fenced/mod.rs
+++ b/crates/standin/src/fenced/mod.rs
@@ -2,7 +2,7 @@
 //! workers that list what they run.
 //!
 //! They hold to the semantics that the product relies on and guard nothing else: a worker
-//! starts whatever a valid order names. What was seen goes to a [`Watcher`].
+//! starts whatever a valid order names. What was seen goes to an [`Observer`].
 
 mod documents;
 mod kv;
@@ -12,12 +12,12 @@
 use std::fmt::Debug;
 
 pub use documents::{KEY_HEADER, Place, Queue, Step, Team, config, job, settings};
-pub use store::{Store, Trouble};
+pub use store::{Mode, Store};
 pub use worker::{Capacity, Worker};
 
 /// What a worker shows from outside.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Sight {
+pub enum Observation {
     /// A run has begun.
     Started {
         /// Task in the form JOB.OCCURRENCE.STEP.INDEX.
@@ -48,12 +48,12 @@
 }
 
 /// Hears what workers do, in the order in which they do it.
-pub trait Watcher: Clone + Debug + Send + Sync + 'static {
+pub trait Observer: Clone + Debug + Send + Sync + 'static {
     /// Takes in what one worker, named by its id, shows.
-    fn saw(&self, worker: &str, sight: Sight);
+    fn observe(&self, worker: &str, observation: Observation);
 }
 
 /// Hears nothing.
-impl Watcher for () {
-    fn saw(&self, _worker: &str, _sight: Sight) {}
+impl Observer for () {
+    fn observe(&self, _worker: &str, _observation: Observation) {}
 }
--- a/crates/standin/src/fenced/store.rs
+++ b/crates/standin/src/fenced/store.rs
@@ -15,11 +15,11 @@
 /// Time between two looks of a watch that waits.
 const POLL: Duration = Duration::from_millis(5);
 
-/// What is wrong with the store.
+/// How the store answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Trouble {
-    /// Nothing.
-    None,
+pub enum Mode {
+    /// As it should.
+    Normal,
     /// Every call is refused and has no effect.
     Away,
     /// Every call is carried out and every second answer is lost.
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 struct State {
     kv: Kv,
-    trouble: Trouble,
+    mode: Mode,
     calls: u64,
 }
 
@@ -50,7 +50,7 @@
     ///
     /// Fails when no port can be had.
     pub async fn start() -> std::io::Result<Store> {
-        let state = State { kv: Kv::default(), trouble: Trouble::None, calls: 0 };
+        let state = State { kv: Kv::default(), mode: Mode::Normal, calls: 0 };
         let state = Arc::new(Mutex::new(state));
         let shared = state.clone();
         let server = Server::start(Arc::default(), move |request| serve(shared.clone(), request));
@@ -80,9 +80,9 @@
         self.state().kv.put(key, &STANDARD.encode(document.to_string()));
     }
 
-    /// Sets what is wrong from now on.
-    pub fn set_trouble(&self, trouble: Trouble) {
-        self.state().trouble = trouble;
+    /// Sets how it answers from now on.
+    pub fn set_mode(&self, mode: Mode) {
+        self.state().mode = mode;
     }
 }
 
@@ -96,15 +96,15 @@
     let body = request.into_body().collect().await.ok()?.to_bytes();
     let body: Value = serde_json::from_slice(&body).unwrap_or_default();
     let begun = Instant::now();
-    let (trouble, calls) = {
+    let (mode, calls) = {
         let mut state = lock(&state);
         state.calls += 1;
-        (state.trouble, state.calls)
+        (state.mode, state.calls)
     };
-    match trouble {
-        Trouble::Away => return Some(text(StatusCode::SERVICE_UNAVAILABLE, "{}")),
-        Trouble::Slow(pause) => tokio::time::sleep(pause).await,
-        Trouble::None | Trouble::LosesAnswers => {}
+    match mode {
+        Mode::Away => return Some(text(StatusCode::SERVICE_UNAVAILABLE, "{}")),
+        Mode::Slow(pause) => tokio::time::sleep(pause).await,
+        Mode::Normal | Mode::LosesAnswers => {}
     }
     let (status, answer) = loop {
         let answer = try_answer(&mut lock(&state).kv, call, uri.query(), &body, begun.elapsed());
@@ -113,7 +113,7 @@
         }
         tokio::time::sleep(POLL).await;
     };
-    let is_lost = trouble == Trouble::LosesAnswers && calls.is_multiple_of(2);
+    let is_lost = mode == Mode::LosesAnswers && calls.is_multiple_of(2);
     let status = StatusCode::from_u16(status).ok()?;
     (!is_lost).then(|| text(status, answer.to_string()))
 }
--- a/crates/standin/src/fenced/worker.rs
+++ b/crates/standin/src/fenced/worker.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
-use super::{Sight, Watcher};
+use super::{Observation, Observer};
 use crate::Server;
 use crate::http::{Body, text};
 
@@ -76,25 +76,25 @@
     last_end: u64,
     /// Ends up to this one were listed before a lease ran out: nobody can rely on them.
     lapsed_end: u64,
-    watcher: W,
+    observer: W,
 }
 
 /// A worker on loopback. It ends when it is dropped.
 #[derive(Debug)]
-pub struct Worker<W: Watcher> {
+pub struct Worker<W: Observer> {
     server: Server,
     state: Arc<Mutex<State<W>>>,
     is_gone: Arc<AtomicBool>,
     capacity: Capacity,
 }
 
-impl<W: Watcher> Worker<W> {
+impl<W: Observer> Worker<W> {
     /// Starts a worker under an id.
     ///
     /// # Errors
     ///
     /// Fails when no port can be had.
-    pub async fn start(id: &str, capacity: Capacity, watcher: W) -> std::io::Result<Worker<W>> {
+    pub async fn start(id: &str, capacity: Capacity, observer: W) -> std::io::Result<Worker<W>> {
         let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let state = Arc::new(Mutex::new(State {
             id: id.to_string(),
@@ -107,7 +107,7 @@
             ends: VecDeque::new(),
             last_end: 0,
             lapsed_end: 0,
-            watcher,
+            observer,
         }));
         let is_gone = Arc::new(AtomicBool::new(false));
         let (shared, gone) = (state.clone(), is_gone.clone());
@@ -142,7 +142,7 @@
     }
 }
 
-impl<W: Watcher> Drop for Worker<W> {
+impl<W: Observer> Drop for Worker<W> {
     fn drop(&mut self) {
         self.is_gone.store(true, Ordering::Relaxed);
     }
@@ -153,14 +153,14 @@
 }
 
 /// Ends runs and leases when their time comes, also while nobody calls.
-async fn work_on<W: Watcher>(state: Arc<Mutex<State<W>>>, is_gone: Arc<AtomicBool>) {
+async fn work_on<W: Observer>(state: Arc<Mutex<State<W>>>, is_gone: Arc<AtomicBool>) {
     while !is_gone.load(Ordering::Relaxed) {
         lock(&state).work();
         tokio::time::sleep(POLL).await;
     }
 }
 
-async fn serve<W: Watcher>(
+async fn serve<W: Observer>(
     state: Arc<Mutex<State<W>>>,
     is_gone: Arc<AtomicBool>,
     request: Request<Incoming>,
@@ -188,7 +188,7 @@
 }
 
 /// Waits for an end, but not longer than the look wants to. `None` when the worker is gone.
-async fn look<W: Watcher>(
+async fn look<W: Observer>(
     state: &Mutex<State<W>>,
     is_gone: &AtomicBool,
     body: &Value,
@@ -209,13 +209,13 @@
     None
 }
 
-impl<W: Watcher> State<W> {
+impl<W: Observer> State<W> {
     fn clock_ms(&self) -> u64 {
         (self.origin.elapsed().as_secs_f64() * 1_000.0 * CLOCK_RATE) as u64
     }
 
-    fn saw(&self, sight: Sight) {
-        self.watcher.saw(&self.id, sight);
+    fn observe(&self, observation: Observation) {
+        self.observer.observe(&self.id, observation);
     }
 
     fn work(&mut self) {
@@ -245,7 +245,7 @@
         self.close(&task, attempt);
         self.last_end += 1;
         self.ends.push_back((self.last_end, task.clone(), attempt, how));
-        self.saw(Sight::Ended { task, attempt, how });
+        self.observe(Observation::Ended { task, attempt, how });
     }
 
     fn close(&mut self, task: &str, attempt: u64) {
@@ -303,7 +303,7 @@
         let work = Duration::from_millis(work.ms);
         self.runs.insert(key, Run { begun: Instant::now(), work, fails });
         self.extend_lease(body);
-        self.saw(Sight::Started { task: task.to_string(), attempt, payload });
+        self.observe(Observation::Started { task: task.to_string(), attempt, payload });
         Ok(())
     }
 
@@ -319,7 +319,7 @@
             if let Some((seq, task, attempt, how)) = self.ends.pop_front()
                 && seq > self.lapsed_end
             {
-                self.saw(Sight::Noted { task, attempt, how });
+                self.observe(Observation::Noted { task, attempt, how });
             }
         }
     }
