--- a/crates/node/src/owner/breakage.rs
+++ b/crates/node/src/owner/breakage.rs
@@ -57,6 +57,7 @@
                     step.after.clear();
                 }
             }
+            (Event::Submit { .. }, "running") => std::process::exit(1),
             (Event::Submit { token, .. }, "kept") => {
                 return Err((*token, Answer::Accepted));
             }
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -39,6 +39,8 @@
     Truth,
     /// What was accepted is known, and ends.
     Kept,
+    /// A process ends only when it is killed or told to stop.
+    Running,
 }
 
 /// A promise that was broken.
@@ -130,6 +132,10 @@
                 self.view(*id).cancelled_ms.get_or_insert(at_ms);
             }
             Event::Shown(id, shown) => self.shown(at_ms, *id, *shown),
+            Event::Exited(number) => {
+                let what = format!("process {number} ended by itself");
+                self.breach(Promise::Running, at_ms, what);
+            }
             Event::Worker(worker, Observation::Started { task, attempt, payload }) => {
                 self.started(at_ms, worker, task, *attempt, payload);
             }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -31,6 +31,8 @@
     Cancelled(u64),
     /// A state was shown.
     Shown(u64, Shown),
+    /// A process has ended though nobody stopped it.
+    Exited(usize),
     /// A worker has done something.
     Worker(String, Observation),
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,11 +7,14 @@
 use futures::StreamExt;
 use sycamore_soak::{Options, Outcome, Report, Scenario, run_round};
 
+/// Exit status when rounds can't be played. 1 stands for a broken promise.
+const CANNOT_RUN: u8 = 2;
+
 fn main() -> ExitCode {
     let flags = Options::flags();
     let matches = match flags.parse(std::env::args().skip(1)) {
         Ok(matches) => matches,
-        Err(error) => return fail(&error),
+        Err(error) => return fail(error),
     };
     if matches.opt_present("help") {
         let brief = "sycamore-soak: runs the real programs under faults and checks the promises.\n\
@@ -21,22 +24,23 @@
     }
     let options = match Options::from_matches(&matches) {
         Ok(options) => options,
-        Err(error) => return fail(&error),
+        Err(error) => return fail(error),
     };
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
-        Err(error) => return fail(&error),
+        Err(error) => return fail(error),
     };
     match runtime.block_on(run(&options)) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
-        Err(error) => fail(&error),
+        Err(error) => fail(error),
     }
 }
 
-fn fail(error: &dyn std::fmt::Display) -> ExitCode {
+/// Tells what kept the rounds from being played, which a broken promise is not.
+fn fail(error: impl std::fmt::Display) -> ExitCode {
     eprintln!("sycamore-soak: {error}");
-    ExitCode::FAILURE
+    ExitCode::from(CANNOT_RUN)
 }
 
 /// Returns whether all promises were kept.
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -1,3 +1,4 @@
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -5,7 +6,16 @@
 use getopts::Matches;
 
 /// Most processes of a round: more don't fit on one machine beside others.
-const MAX_PROCESSES: usize = 200;
+const MAX_PROCESSES: u64 = 200;
+
+/// Most rounds at the same time.
+const MAX_PARALLEL: u64 = 64;
+
+/// Largest seed and number of rounds: their sum is a seed as well.
+const MAX_SEED: u64 = u64::MAX / 4;
+
+/// Longest run, in minutes: a day.
+const MAX_MINUTES: u64 = 24 * 60;
 
 /// What to run.
 #[derive(Clone, Debug)]
@@ -32,8 +42,6 @@
 #[derive(Debug, Display)]
 #[non_exhaustive]
 pub enum OptionsError {
-    /// {0}
-    Syntax(getopts::Fail),
     /// --{0}: `{1}` is not a number within its bounds
     Number(&'static str, String),
     /// --format: `{0}` is neither `json` nor `text`
@@ -65,16 +73,17 @@
     ///
     /// Names the first option that can't be used.
     pub fn from_matches(matches: &Matches) -> Result<Options, OptionsError> {
-        let number = |name: &'static str, default: u64, most: u64| match matches.opt_str(name) {
-            None => Ok(default),
-            Some(text) => match text.parse() {
-                Ok(number) if number <= most => Ok(number),
+        let number = |name: &'static str, default: u64, bounds: RangeInclusive<u64>| {
+            let Some(text) = matches.opt_str(name) else { return Ok(default) };
+            match text.parse() {
+                Ok(number) if bounds.contains(&number) => Ok(number),
                 _ => Err(OptionsError::Number(name, text)),
-            },
+            }
         };
-        let first_seed = number("seed", number("first-seed", 1, u64::MAX)?, u64::MAX)?;
-        let seeds = if matches.opt_present("seed") { 1 } else { number("seeds", 1, u64::MAX)? };
-        let minutes = number("minutes", 0, 24 * 60)?;
+        let is_repeat = matches.opt_present("seed");
+        let first_seed = number("seed", number("first-seed", 1, 0..=MAX_SEED)?, 0..=MAX_SEED)?;
+        let seeds = number("seeds", 1, 1..=MAX_SEED)?;
+        let minutes = number("minutes", 0, 1..=MAX_MINUTES)?;
         let is_json = match matches.opt_str("format").as_deref() {
             None | Some("text") => false,
             Some("json") => true,
@@ -82,10 +91,10 @@
         };
         Ok(Options {
             first_seed,
-            seeds,
-            time: (minutes > 0).then(|| Duration::from_secs(60 * minutes)),
-            processes: number("processes", 3, MAX_PROCESSES as u64)?.max(1) as usize,
-            parallel: number("parallel", 1, 64)?.max(1) as usize,
+            seeds: if is_repeat { 1 } else { seeds },
+            time: (minutes > 0 && !is_repeat).then(|| Duration::from_secs(60 * minutes)),
+            processes: number("processes", 3, 1..=MAX_PROCESSES)? as usize,
+            parallel: number("parallel", 1, 1..=MAX_PARALLEL)? as usize,
             keep: matches.opt_str("keep").map(PathBuf::from),
             node: matches.opt_str("node").map(PathBuf::from),
             is_json,
--- a/crates/soak/src/round.rs
+++ b/crates/soak/src/round.rs
@@ -117,8 +117,13 @@
     // What has not ended by then counts as lost.
     let _ = tokio::time::timeout(SETTLE, join_all(jobs)).await;
     stops.iter().for_each(tokio::task::AbortHandle::abort);
-    for process in &site.processes {
-        process.lock().await.kill().await?;
+    for (number, process) in site.processes.iter().enumerate() {
+        let mut process = process.lock().await;
+        // Whoever was killed or told to stop runs again by now.
+        if process.has_ended()? {
+            history.note(Event::Exited(number));
+        }
+        process.kill().await?;
     }
     if keeps_logs {
         let lines = history.entries().into_iter().map(|entry| format!("{entry:?}\n"));
--- a/crates/soak/tests/soak/breakage.rs
+++ b/crates/soak/tests/soak/breakage.rs
@@ -22,6 +22,7 @@
     limit = { "limit", Promise::Limit },
     kept = { "kept", Promise::Kept },
     truth = { "truth", Promise::Truth },
+    running = { "running", Promise::Running },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 async fn a_breakage_is_caught(broken: &str, promise: Promise) {
--- a/crates/soak/tests/soak/main.rs
+++ b/crates/soak/tests/soak/main.rs
@@ -2,6 +2,7 @@
 
 mod breakage;
 mod checking;
+mod options;
 mod regression;
 mod round;
 mod scenario;
