--- a/crates/graph/src/catalog/mod.rs
+++ b/crates/graph/src/catalog/mod.rs
@@ -45,6 +45,13 @@
     pub valid_ms: u64,
 }
 
+impl Advice {
+    /// Expected length of a call about so many workers, in milliseconds.
+    pub(crate) fn call_ms(&self, hosts: usize) -> f64 {
+        self.base_ms + self.per_host_ms * hosts as f64
+    }
+}
+
 /// What a team was promised.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Team {
--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -37,7 +37,7 @@
 const GANG_CHOICE: u32 = 3;
 
 /// Time between a call's expected end and the decision that uses its tickets, in
-/// milliseconds. Calls were seen to end 4 to 12 ms late, passes to wait for up to 100 ms.
+/// milliseconds. Calls were seen to end 4 to 12 ms late, passes to take up to 92 ms.
 const GANG_TICKET_MARGIN_MS: u64 = 150;
 
 /// Pause after a failed call, in milliseconds.
@@ -51,15 +51,15 @@
         let cost = self.queues.get(&job.queue)?.advice?;
         let advice = &job.step(key)?.advice;
         let now_ms = self.now.steady_ms;
-        let valid_until_ms = now_ms + self.timing.ticket_margin_ms;
+        let valid_until_ms = self.tickets_valid_until_ms();
         if advice.allowed.values().any(|ticket| ticket.expires_ms > valid_until_ms) {
             return None;
         }
         if advice.asking.is_some() || now_ms < advice.not_before_ms {
             return Some(Obstacle::Advice);
         }
-        let class = |hosts: usize| CallClass::of(cost.base_ms + cost.per_host_ms * hosts as f64);
-        let (shortest, longest) = (class(1), class(MAX_RENEWED));
+        let shortest = CallClass::of(cost.call_ms(1));
+        let longest = CallClass::of(cost.call_ms(MAX_RENEWED));
         let is_full = |class: CallClass| {
             class < shortest
                 || class > longest
@@ -68,6 +68,11 @@
         CallClass::ALL.into_iter().all(is_full).then_some(Obstacle::AdviceTurn)
     }
 
+    /// Time up to which a ticket must be valid to be used now, in milliseconds.
+    fn tickets_valid_until_ms(&self) -> u64 {
+        self.now.steady_ms + self.timing.ticket_margin_ms
+    }
+
     /// Returns the workers with room and a valid ticket. Asks for advice where that helps.
     pub(super) fn advised_candidates(
         &mut self,
@@ -83,7 +88,7 @@
             return Vec::new();
         };
         let advice = &step.advice;
-        let valid_until_ms = now_ms + self.timing.ticket_margin_ms;
+        let valid_until_ms = self.tickets_valid_until_ms();
         let sorted = Sorted::new(found, advice, spots, valid_until_ms);
         let wanted = demand.wanted();
         let may_ask = advice.asking.is_none() && now_ms >= advice.not_before_ms;
@@ -101,7 +106,7 @@
         let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) else {
             return;
         };
-        let cost_ms = cost.base_ms + cost.per_host_ms * hosts.len() as f64;
+        let cost_ms = cost.call_ms(hosts.len());
         let class = CallClass::of(cost_ms);
         // Steps are served in order of rank: the first ones get the lanes.
         if self.asking[class as usize] >= self.lanes[class as usize] {
@@ -220,8 +225,7 @@
     /// for workers that fill up meanwhile.
     fn gang_renewals(&self, wanted: u32, cost: Advice, valid_until_ms: u64) -> Vec<usize> {
         let wanted = (f64::from(wanted) * SPARE_FACTOR) as u32;
-        let hosts = self.renewals(wanted, u64::MAX).len();
-        let call_ms = cost.base_ms + cost.per_host_ms * hosts as f64;
+        let call_ms = cost.call_ms(self.renewals(wanted, u64::MAX).len());
         let mut chosen =
             self.renewals(wanted, valid_until_ms + call_ms as u64 + GANG_TICKET_MARGIN_MS);
         chosen.truncate(MAX_RENEWED);
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -10,7 +10,7 @@
 use super::{Engine, Rank};
 use crate::{Grounds, Obstacle, Step, Task, Verdict};
 
-/// Steps that looked at all workers in vain after which a pass ends. With hundreds of
+/// Steps that looked at workers in vain after which a pass ends. With hundreds of
 /// workers a longer pass keeps callers waiting for the control thread.
 const MAX_MISSES: u32 = 300;
 
--- a/crates/node/src/owner/dealer.rs
+++ b/crates/node/src/owner/dealer.rs
@@ -131,8 +131,8 @@
             let spent_ms = millis(begun.elapsed());
             let granted = allowed.as_ref().map_or(0, Vec::len);
             log::info!(
-                target: "advice", job:% = advise.step.job, step = advise.step.index, epoch = handle.epoch,
-                through:% = host, asked = advise.hosts.len(), granted, outcome,
+                target: "advice", job:% = advise.step.job, step = advise.step.index,
+                epoch = handle.epoch, through:% = host, asked = advise.hosts.len(), granted, outcome,
                 expected_ms = advise.cost_ms as u64, spent_ms; "advice"
             );
             let age_ms = spent_ms.saturating_sub(advise.cost_ms as u64);
