Reserve the ports of processes under test

Cause: a port was found by binding port 0 and closing the socket; until the process bound it, an outgoing connection or another search could take it.

A process that exits at its start now fails its test or round with its exit status, not with a violation.

--- a/crates/bench/src/faults/cluster.rs
+++ b/crates/bench/src/faults/cluster.rs
@@ -1,7 +1,7 @@
 //! The processes of the fault test: starts, kills, pauses and replaces them, and
 //! checks by their HTTP endpoints whether every shard is served.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,12 +12,13 @@
 use sycamore_platform::http::Client;
 use sycamore_platform::store::Faults;
 use sycamore_standin::Platform;
+use sycamore_standin::ports::Port;
 use sycamore_standin::store::Counts;
 use sycamore_standin::worker::RunTracker;
 use tokio::time::{Instant, sleep};
 
 use super::Error;
-use super::process::{Process, free_address};
+use super::process::Process;
 
 /// Number of schedulers.
 const SCHEDULER_COUNT: usize = 4;
@@ -116,25 +117,28 @@
 
     /// Starts the scheduler with index `at` in the list of schedulers.
     fn new_scheduler(&self, at: usize) -> Result<Scheduler, Error> {
-        let admin = free_address()?;
+        let ports = [Port::reserve()?, Port::reserve()?];
+        let [listen, admin] = [0, 1].map(|at: usize| ports[at].on(Ipv4Addr::LOCALHOST));
         let args = self.common_args(
             &format!("scheduler-{at}"),
             at,
-            &[("listen", free_address()?), ("admin-listen", admin)],
+            &[("listen", listen), ("admin-listen", admin)],
         );
-        let process = Process::start("sycamore-scheduler", &args)?;
+        let process = Process::start("sycamore-scheduler", &args, ports.into())?;
         Ok(Scheduler { process, admin, is_up: true })
     }
 
     /// Starts the entry process with index `at` in the list of entry processes.
     fn new_entry(&self, at: usize) -> Result<Entry, Error> {
-        let (address, operator) = (free_address()?, free_address()?);
+        let ports = [Port::reserve()?, Port::reserve()?, Port::reserve()?];
+        let [address, operator, peer] =
+            [0, 1, 2].map(|at: usize| ports[at].on(Ipv4Addr::LOCALHOST));
         let args = self.common_args(
             &format!("entry-{at}"),
             at,
-            &[("listen", address), ("operator-listen", operator), ("peer-listen", free_address()?)],
+            &[("listen", address), ("operator-listen", operator), ("peer-listen", peer)],
         );
-        let process = Process::start("sycamore-entry", &args)?;
+        let process = Process::start("sycamore-entry", &args, ports.into())?;
         Ok(Entry { process, address, operator })
     }
 
--- a/crates/bench/src/faults/process.rs
+++ b/crates/bench/src/faults/process.rs
@@ -1,25 +1,31 @@
 //! Child processes of the fault test. A child is killed when its handle is
 //! dropped, so that a failed test leaves no process behind.
 
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 
+use sycamore_standin::ports::Port;
 use tokio::process::{Child, Command};
 
 /// A scheduler or entry process that the test has started.
 #[derive(Debug)]
 pub(super) struct Process {
     child: Child,
+    _ports: Vec<Port>,
 }
 
 impl Process {
-    /// Starts a program from the directory of the benchmark's own executable.
+    /// Starts a program from the directory of the benchmark's own executable. It listens on
+    /// `ports`, which stay reserved for it.
     ///
     /// # Errors
     ///
     /// Returns an error that names the program's path and how to build it.
-    pub(super) fn start(program: &str, args: &[String]) -> std::io::Result<Process> {
+    pub(super) fn start(
+        program: &str,
+        args: &[String],
+        ports: Vec<Port>,
+    ) -> std::io::Result<Process> {
         let path = sibling_program(program)?;
         let child = Command::new(&path)
             .args(args)
@@ -28,7 +34,7 @@
             .kill_on_drop(true)
             .spawn()
             .map_err(|error| start_error(&path, &error))?;
-        Ok(Process { child })
+        Ok(Process { child, _ports: ports })
     }
 
     /// Kills the process and waits for its end.
@@ -66,9 +72,3 @@
     );
     std::io::Error::new(error.kind(), message)
 }
-
-/// Returns a loopback address whose port is free now. Another process may still
-/// take it before it is used.
-pub(super) fn free_address() -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind(("127.0.0.1", 0))?.local_addr()
-}
--- a/crates/node/tests/path/process.rs
+++ b/crates/node/tests/path/process.rs
@@ -1,6 +1,6 @@
 //! Starts and stops a `sycamore-node` process, reads its log and calls its API.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::time::Duration;
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioExecutor;
 use serde_json::Value;
 use sycamore_standin::fenced::{self, ProcessSettings};
+use sycamore_standin::ports::Port;
 use tokio::process::{Child, Command};
 
 use crate::platform::Platform;
@@ -27,20 +28,18 @@
     callers: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
-}
-
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address").port()
+    _ports: [Port; 2],
 }
 
 impl Process {
     pub async fn start(platform: &Platform, name: &str) -> Process {
-        let callers = SocketAddr::from(([127, 0, 0, 1], free_port()));
+        let caller_port = Port::reserve().expect("a port for callers");
+        let peer_port = Port::reserve().expect("a port for peers");
+        let callers = caller_port.on(Ipv4Addr::LOCALHOST);
         let text = fenced::settings(&ProcessSettings {
             host: name.to_string(),
             address: "127.0.0.1".to_string(),
-            peer_port: free_port(),
+            peer_port: peer_port.number(),
             seeds: Vec::new(),
             caller_address: callers,
             store_address: platform.address,
@@ -51,14 +50,15 @@
         std::fs::write(&settings, text).expect("settings are written");
         let log = settings.with_extension("log");
         let output = std::fs::File::create(&log).expect("a file for the log");
-        let child = Command::new(env!("CARGO_BIN_EXE_sycamore-node"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_sycamore-node"))
             .arg("--settings")
             .arg(&settings)
             .stdout(Stdio::from(output))
             .kill_on_drop(true)
             .spawn()
             .expect("the process starts");
-        Process { child, callers, settings, log }
+        wait_until_listening(&mut child, callers).await;
+        Process { child, callers, settings, log, _ports: [caller_port, peer_port] }
     }
 
     /// Returns the log lines so far that contain all of the texts.
@@ -97,6 +97,18 @@
     }
 }
 
+/// Waits until the process accepts connections. Fails with its exit status if it exits
+/// instead; its message is on the test's standard error.
+async fn wait_until_listening(child: &mut Child, address: SocketAddr) {
+    let end = tokio::time::Instant::now() + WAIT_TIMEOUT;
+    while tokio::net::TcpStream::connect(address).await.is_err() {
+        let exit = child.try_wait().expect("the state of the process");
+        assert!(exit.is_none(), "the process exited at its start: {exit:?}");
+        assert!(tokio::time::Instant::now() < end, "{address}: not within {WAIT_TIMEOUT:?}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// Makes one HTTP call. Returns the status and body, or `None` without a response.
 pub async fn call(method: &str, url: &str, key: &str, body: &str) -> Option<(u16, String)> {
     let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -57,6 +57,23 @@
         Ok(())
     }
 
+    /// Checks that the process has not exited since it was started.
+    ///
+    /// # Errors
+    ///
+    /// Returns the exit status of a process that has exited; its message is on standard
+    /// error.
+    pub fn check_started(&mut self) -> std::io::Result<()> {
+        let Some(child) = &mut self.child else { return Ok(()) };
+        match child.try_wait()? {
+            None => Ok(()),
+            Some(status) => Err(std::io::Error::other(format!(
+                "{} exited at its start: {status}",
+                self.program.display()
+            ))),
+        }
+    }
+
     /// Kills the process if it runs, and waits until it has exited.
     pub async fn kill(&mut self) -> std::io::Result<()> {
         match self.child.take() {
--- a/crates/soak/src/round.rs
+++ b/crates/soak/src/round.rs
@@ -5,7 +5,7 @@
 //! the store. Every worker has a proxy in front of it that all processes share.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::IpAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +13,7 @@
 use futures::future::join_all;
 use serde_json::Value;
 use sycamore_standin::fenced::{self, Mode, Observation, ProcessSettings, Queue, Store, Team};
+use sycamore_standin::ports::Port;
 use tokio::sync::Mutex;
 
 use crate::caller::{Caller, PREFIX, QUEUE_HOST, api_key};
@@ -88,20 +89,20 @@
     for number in 0..WORKER_COUNT {
         worker_hosts.push(Mutex::new(WorkerHost::start(number, &store, history.clone()).await?));
     }
-    // All processes use this port, each on its own address, so it must be free on all of them.
-    let peer_port = free_port("0.0.0.0")?;
+    // All processes use these ports, each on its own address.
+    let (peer_port, caller_port) = (Port::reserve()?, Port::reserve()?);
     let (mut store_links, mut processes, mut caller_addresses) =
         (Vec::new(), Vec::new(), Vec::new());
     for number in 0..scenario.processes {
         let link = Proxy::start(store.server.address).await?;
         let address = host_address(number);
-        let listen_address = format!("{address}:{}", free_port(&address)?);
-        let listen_address: SocketAddr = listen_address.parse().map_err(std::io::Error::other)?;
+        let ip: IpAddr = address.parse().map_err(std::io::Error::other)?;
+        let listen_address = caller_port.on(ip);
         let others = (0..scenario.processes).filter(|other| *other != number);
         let process_settings = ProcessSettings {
             host: format!("host-{number}"),
             address,
-            peer_port,
+            peer_port: peer_port.number(),
             seeds: others.map(host_address).collect(),
             caller_address: listen_address,
             store_address: link.address,
@@ -117,6 +118,9 @@
     }
     let cluster = Arc::new(Cluster { store, store_links, worker_hosts, processes });
     tokio::time::sleep(STARTUP_DELAY).await;
+    for process in &cluster.processes {
+        process.lock().await.check_started()?;
+    }
     let caller = Caller::new(caller_addresses, history.clone());
     let job_tasks =
         scenario.jobs.iter().map(|job| tokio::spawn(caller.clone().run_job(job.clone())));
@@ -232,11 +236,6 @@
     }
 }
 
-/// Returns a port that is free on an address at the time of the call.
-fn free_port(address: &str) -> std::io::Result<u16> {
-    Ok(TcpListener::bind((address, 0))?.local_addr()?.port())
-}
-
 /// Returns the loopback address that stands for a host.
 fn host_address(number: usize) -> String {
     format!("127.0.0.{}", 10 + number)
