--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -158,8 +158,8 @@
         if !self.is_recovering {
             return Resources::default();
         }
-        let (now_ms, timing) = (self.now.monotonic_ms, &self.timing);
-        let is_unaccounted = |host: &&Host| host.may_have_unlisted_runs(now_ms, timing);
+        let now_ms = self.now.monotonic_ms;
+        let is_unaccounted = |host: &&Host| host.may_have_unlisted_runs(now_ms);
         let unaccounted = self.hosts.values().filter(is_unaccounted);
         unaccounted.fold(Resources::default(), |sum, host| sum.plus(&host.entry.capacity))
     }
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -30,7 +30,8 @@
         let now_ms = self.now.monotonic_ms;
         let Some(host) = self.hosts.get_mut(&entry.id) else {
             self.last_host_number += 1;
-            self.hosts.insert(entry.id.clone(), Host::new(entry, self.last_host_number, now_ms));
+            let host = Host::new(entry, self.last_host_number, now_ms, &self.timing);
+            self.hosts.insert(host.entry.id.clone(), host);
             return;
         };
         if host.entry.incarnation == 0 {
@@ -75,9 +76,9 @@
 
     /// Ends the runs of unreachable hosts whose lease has expired.
     pub(super) fn expire_leases(&mut self) {
-        let (now_ms, timing) = (self.now.monotonic_ms, &self.timing);
+        let now_ms = self.now.monotonic_ms;
         let has_expired = |host: &&Host| {
-            (host.missed_polls > 0 || !host.has_reported) && host.is_lease_expired(now_ms, timing)
+            (host.missed_polls > 0 || !host.has_reported) && host.is_lease_expired(now_ms)
         };
         let expired: Vec<Name> =
             self.hosts.values().filter(has_expired).map(|host| host.entry.id.clone()).collect();
@@ -114,10 +115,9 @@
 
     /// Forgets hosts that are no longer listed and can't have runs any more.
     fn remove_departed_hosts(&mut self) {
-        let (now_ms, timing) = (self.now.monotonic_ms, &self.timing);
-        let is_gone = |host: &&Host| {
-            !host.is_listed && host.runs.is_empty() && host.is_lease_expired(now_ms, timing)
-        };
+        let now_ms = self.now.monotonic_ms;
+        let is_gone =
+            |host: &&Host| !host.is_listed && host.runs.is_empty() && host.is_lease_expired(now_ms);
         let gone: Vec<Name> =
             self.hosts.values().filter(is_gone).map(|host| host.entry.id.clone()).collect();
         for name in gone {
@@ -132,8 +132,8 @@
         if !self.is_recovering {
             return;
         }
-        let (now_ms, timing) = (self.now.monotonic_ms, &self.timing);
-        let is_unaccounted = |host: &Host| host.may_have_unlisted_runs(now_ms, timing);
+        let now_ms = self.now.monotonic_ms;
+        let is_unaccounted = |host: &Host| host.may_have_unlisted_runs(now_ms);
         if !self.hosts.values().any(is_unaccounted) {
             self.is_recovering = false;
             self.needs_dispatch = true;
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -169,8 +169,8 @@
                 LoggedHost::Used(capacity) => (*capacity, LogState::Used),
                 LoggedHost::Leaving(_) => (Resources::default(), LogState::Leaving),
             };
-            let mut host =
-                Host::new(unlisted_entry(name.clone(), capacity), number, now.monotonic_ms);
+            let entry = unlisted_entry(name.clone(), capacity);
+            let mut host = Host::new(entry, number, now.monotonic_ms, &timing);
             host.is_listed = false;
             host.log = log;
             hosts.insert(name.clone(), host);
--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -33,7 +33,7 @@
         task_progress.attempt = attempt;
         task_progress.runs.push((name.clone(), attempt));
         let Some(host) = self.hosts.get_mut(name) else { return };
-        let deadline_ms = host.clock_at(now_ms) + self.timing.start_ttl_ms;
+        let deadline_ms = host.grant(now_ms, self.timing.start_ttl_ms, &self.timing);
         let run = Run {
             phase: Phase::Requested,
             footprint: step.footprint(),
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -53,9 +53,10 @@
     pub last_durable_end: u64,
     /// The host's clock minus the owner's monotonic clock, in milliseconds.
     pub clock_offset_ms: i64,
-    /// Time of the last request that renewed the lease or may have done so, in
-    /// milliseconds.
-    pub lease_renewed_ms: u64,
+    /// Time until which the host may honour a lease, in milliseconds. Every order with a
+    /// deadline moves it, whatever its reply: the host may carry it out late, and takes the
+    /// deadline even of a start that it refuses.
+    lease_until_ms: u64,
     /// Number of the poll in flight.
     pub poll_in_flight: Option<u64>,
     /// Time before which no poll is sent, in milliseconds.
@@ -74,7 +75,8 @@
 }
 
 impl Host {
-    pub fn new(entry: HostEntry, number: u32, now_ms: u64) -> Host {
+    /// Creates a host whose lease an earlier owner may have renewed just now.
+    pub fn new(entry: HostEntry, number: u32, now_ms: u64, timing: &Timing) -> Host {
         Host {
             entry,
             number,
@@ -86,7 +88,7 @@
             last_seen_end: 0,
             last_durable_end: 0,
             clock_offset_ms: 0,
-            lease_renewed_ms: now_ms,
+            lease_until_ms: timing.lease_until_ms(now_ms, timing.lease_ms),
             poll_in_flight: None,
             poll_not_before_ms: 0,
             reported_ms: 0,
@@ -119,18 +121,25 @@
 
     /// Returns whether the lease has certainly expired, so that no run of this owner or an
     /// earlier one can still exist on the host.
-    pub fn is_lease_expired(&self, now_ms: u64, timing: &Timing) -> bool {
-        now_ms > self.lease_renewed_ms + timing.lease_expiry_ms()
+    pub fn is_lease_expired(&self, now_ms: u64) -> bool {
+        now_ms > self.lease_until_ms
+    }
+
+    /// Returns the deadline of an order that is valid for `granted_ms`, on the host's clock.
+    /// The order may extend the lease until then.
+    pub fn grant(&mut self, now_ms: u64, granted_ms: u64, timing: &Timing) -> u64 {
+        self.lease_until_ms = self.lease_until_ms.max(timing.lease_until_ms(now_ms, granted_ms));
+        self.clock_at(now_ms) + granted_ms
     }
 
     /// Returns whether the host may have runs of an earlier owner that this owner does not
     /// know of.
-    pub fn may_have_unlisted_runs(&self, now_ms: u64, timing: &Timing) -> bool {
-        self.log == LogState::Used && !self.has_reported && !self.is_lease_expired(now_ms, timing)
+    pub fn may_have_unlisted_runs(&self, now_ms: u64) -> bool {
+        self.log == LogState::Used && !self.has_reported && !self.is_lease_expired(now_ms)
     }
 
     /// Returns the host's clock at a time of the owner's clock, in milliseconds.
-    pub fn clock_at(&self, now_ms: u64) -> u64 {
+    fn clock_at(&self, now_ms: u64) -> u64 {
         u64::try_from(now_ms as i64 + self.clock_offset_ms).unwrap_or(0)
     }
 
--- a/crates/graph/src/timing.rs
+++ b/crates/graph/src/timing.rs
@@ -51,9 +51,9 @@
 }
 
 impl Timing {
-    /// Returns the time after the last renewal from which a lease has certainly expired, in
-    /// milliseconds.
-    pub(crate) fn lease_expiry_ms(&self) -> u64 {
-        (self.lease_ms as f64 * (1.0 + self.clock_drift)) as u64 + self.lease_margin_ms
+    /// Returns the time from which a lease that was granted for `granted_ms` at `now_ms` has
+    /// certainly expired, in milliseconds.
+    pub(crate) fn lease_until_ms(&self, now_ms: u64, granted_ms: u64) -> u64 {
+        now_ms + (granted_ms as f64 * (1.0 + self.clock_drift)) as u64 + self.lease_margin_ms
     }
 }
--- a/crates/graph/tests/engine/regression.rs
+++ b/crates/graph/tests/engine/regression.rs
@@ -146,3 +146,33 @@
     assert_eq!(world.state(id(1)), Some(State::Complete));
     assert_eq!(world.oracle.starts, 8);
 }
+
+/// Starts extend a worker's lease as polls do, but the owner counted only polls. The runs of a
+/// worker that had hung, was reachable again for starts and then missed polls were started
+/// again elsewhere before its lease ended. The benchmark reported TWICE on days with hung
+/// workers.
+#[test]
+fn a_start_extends_the_lease_that_the_owner_waits_for() {
+    // The defect needs a poll without a renewal in flight when the worker is back.
+    for back_ms in (5_600..6_400).step_by(50) {
+        let mut world = World::new(2, catalog(queue()), 1);
+        world.work_ms = 3_000;
+        world.late_start_share = 1.0;
+        world.submit(id(1), job(vec![step(8, 1_000)]));
+        world.run(30);
+        world.late_start_share = 0.0;
+        world.workers[0].is_unreachable = true;
+        world.workers[0].loses_long_polls = true;
+        world.cancel(id(1));
+        world.run(back_ms - world.now_ms);
+
+        world.workers[0].is_unreachable = false;
+        world.run(70);
+        world.submit(id(2), job(vec![step(4, 1_000)]));
+        world.run(3_000);
+        world.workers[0].loses_long_polls = false;
+        world.run(12_000);
+
+        assert_eq!(world.state(id(2)), Some(State::Complete), "back after {back_ms} ms");
+    }
+}
--- a/crates/graph/tests/engine/worker.rs
+++ b/crates/graph/tests/engine/worker.rs
@@ -52,6 +52,9 @@
     pub hides_members: bool,
     /// No message reaches the worker or comes from it.
     pub is_unreachable: bool,
+    /// Polls that may wait get lost, as on a connection that has gone silent. Other requests
+    /// arrive.
+    pub loses_long_polls: bool,
 }
 
 impl Worker {
@@ -69,6 +72,7 @@
             is_hung: false,
             hides_members: false,
             is_unreachable: false,
+            loses_long_polls: false,
         }
     }
 
@@ -88,16 +92,18 @@
             return StartOutcome::Fenced;
         }
         self.fence = fence;
+        if now_ms > request.deadline_ms {
+            return StartOutcome::Rejected;
+        }
+        // Even a start of an old attempt extends the lease of all runs.
+        self.renew(now_ms, request.deadline_ms);
         let key = (request.task, request.attempt);
         if self.runs.contains_key(&key) {
             return StartOutcome::Started;
         }
-        let is_old =
-            self.closed.get(&request.task).is_some_and(|closed| request.attempt <= *closed);
-        if is_old || now_ms > request.deadline_ms {
+        if self.closed.get(&request.task).is_some_and(|closed| request.attempt <= *closed) {
             return StartOutcome::Rejected;
         }
-        self.renew(now_ms, request.deadline_ms);
         let run = Run {
             started_ms: now_ms,
             until_ms: now_ms + work.work_ms,
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -402,7 +402,9 @@
 
     fn deliver_request(&mut self, at: usize, epoch: u64, action: Action, is_lost: bool) {
         let worker = &self.workers[at];
-        if !worker.is_alive || worker.is_unreachable {
+        let is_long_poll = matches!(&action, Action::Poll(poll) if poll.wait_ms > 0);
+        let is_dropped = worker.loses_long_polls && is_long_poll;
+        if !worker.is_alive || worker.is_unreachable || is_dropped {
             if !is_lost && epoch == self.epoch {
                 self.report_no_reply(&action, 500);
             }
