Bound dispatch passes by the steps that still have value

Cause: a pass ranked all waiting steps and searched all hosts for each gang and each step with a ticket. After an overload thousands of steps wait that are too late to have value; passes of 50 ms filled the quarter of the thread that they may use, and short tasks waited 694 ms at the median for their start, of an objective of 250 ms. Worthless steps also kept the calls for advice in flight.

Change: graph::engine::backlog keeps worthless steps apart and gives a pass a slice of them in turn; what a rank depends on is computed when a step becomes ready. A step with advice searches the hosts that it is allowed on, and all hosts only when it may call; a search that finds none to ask about pauses the step for 25 ms. Worthless steps use half of the calls for advice. close_job no longer walks all waiting steps.

--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -9,11 +9,11 @@
 use sycamore_types::Name;
 
 use super::Engine;
-use super::candidates::{Candidate, HostViews};
+use super::candidates::{Candidate, Search};
 use super::dispatch::Demand;
 use super::placement::has_capacity_for;
 use crate::catalog::AdviceCost;
-use crate::progress::{self, Ticket};
+use crate::progress::Ticket;
 use crate::{Action, Advise, CallClass, StepId, WaitReason};
 
 /// Most new hosts in one call. The platform documents a maximum of 100; beyond 40, a second
@@ -38,20 +38,28 @@
 /// need.
 const GANG_CAPACITY_FACTOR: u32 = 3;
 
+/// Divisor of the limit of calls in flight for steps whose start has no value any more. The
+/// other calls stay free for steps that have.
+const WORTHLESS_CALLS_DIVISOR: u32 = 2;
+
 /// Time between the expected end of a call and the dispatch pass that uses its tickets, in
 /// milliseconds. Calls end 4 to 12 ms late and passes take up to 92 ms.
 const GANG_TICKET_MARGIN_MS: u64 = 150;
 
+/// Pause of a step after a search that found no host to ask about, in milliseconds. A tenth of
+/// the shortest objective.
+const FRUITLESS_SEARCH_PAUSE_MS: u64 = 25;
+
 /// Pause of a step after a failed advice call, in milliseconds.
 const ADVICE_RETRY_MS: u64 = 100;
 
 impl Engine {
     /// Returns why a step can neither start with its tickets nor request new ones now.
     /// `None` if it may be able to, or if its queue needs no advice.
-    pub(super) fn advice_wait_reason(&self, step_id: StepId) -> Option<WaitReason> {
-        let job = self.jobs.get(&step_id.job)?;
+    pub(super) fn advice_wait_reason(&self, demand: &Demand) -> Option<WaitReason> {
+        let job = self.jobs.get(&demand.step_id.job)?;
         let cost = self.queues.get(&job.queue)?.advice?;
-        let advice = &job.step(step_id)?.advice;
+        let advice = &job.step(demand.step_id)?.advice;
         let now_ms = self.now.monotonic_ms;
         let min_expiry_ms = self.min_ticket_expiry_ms();
         if advice.allowed.values().any(|ticket| ticket.expires_ms > min_expiry_ms) {
@@ -60,14 +68,22 @@
         if advice.call_in_flight.is_some() || now_ms < advice.not_before_ms {
             return Some(WaitReason::AdvicePending);
         }
+        (!self.may_call(demand, cost)).then_some(WaitReason::AdviceBusy)
+    }
+
+    /// Returns whether a call of some length may be made for a step.
+    fn may_call(&self, demand: &Demand, cost: AdviceCost) -> bool {
         let shortest = CallClass::of(cost.call_ms(1));
         let longest = CallClass::of(cost.call_ms(MAX_RENEWALS_PER_CALL));
-        let is_full = |class: CallClass| {
-            class < shortest
-                || class > longest
-                || self.advice_calls[class as usize] >= self.advice_limits[class as usize]
-        };
-        CallClass::ALL.into_iter().all(is_full).then_some(WaitReason::AdviceBusy)
+        let is_free = |class: &CallClass| self.has_free_call(demand, *class);
+        CallClass::ALL.iter().filter(|class| (shortest..=longest).contains(class)).any(is_free)
+    }
+
+    fn has_free_call(&self, demand: &Demand, class: CallClass) -> bool {
+        let limit = self.advice_limits[class as usize];
+        let limit =
+            if demand.is_worthless { limit.div_ceil(WORTHLESS_CALLS_DIVISOR) } else { limit };
+        self.advice_calls[class as usize] < limit
     }
 
     /// Returns the time that a ticket's expiry has to exceed to be used now, in
@@ -76,48 +92,58 @@
         self.now.monotonic_ms + self.timing.ticket_margin_ms
     }
 
-    /// Returns the candidates with a valid ticket. Requests advice if these have too little
-    /// capacity and asking can help.
+    /// Returns the candidates with a valid ticket and, if these have too little capacity and a
+    /// call may be made, the hosts to ask about.
     pub(super) fn advised_candidates(
-        &mut self,
+        &self,
         demand: &Demand,
-        queue: &Name,
         cost: AdviceCost,
-        found: Vec<Candidate>,
-        views: &HostViews,
-    ) -> Vec<Candidate> {
-        let now_ms = self.now.monotonic_ms;
-        let rate = self.allow_rate.get(queue).copied().unwrap_or(INITIAL_ALLOW_RATE);
-        let Some(step) =
-            self.jobs.get(&demand.step_id.job).and_then(|job| job.step(demand.step_id))
-        else {
-            return Vec::new();
-        };
-        let advice = &step.advice;
+        search: &Search<'_>,
+    ) -> (Vec<Candidate>, Option<Vec<Name>>) {
         let min_expiry_ms = self.min_ticket_expiry_ms();
-        let groups = AdviceGroups::new(found, advice, views, min_expiry_ms);
-        let wanted = demand.wanted();
-        let may_ask = advice.call_in_flight.is_none() && now_ms >= advice.not_before_ms;
-        if may_ask && !has_capacity_for(&groups.ready, wanted) {
-            let asked = groups.hosts_to_ask(demand, rate, cost, min_expiry_ms);
-            if !asked.is_empty() {
-                let hosts = asked.into_iter().map(|at| views[at].host.clone()).collect();
-                self.request_advice(demand.step_id, hosts, cost);
-            }
+        let groups = AdviceGroups::new(search, min_expiry_ms);
+        let advice = &search.progress.advice;
+        let is_pending =
+            advice.call_in_flight.is_some() || self.now.monotonic_ms < advice.not_before_ms;
+        if is_pending
+            || has_capacity_for(&groups.ready, demand.wanted())
+            || !self.may_call(demand, cost)
+        {
+            return (groups.ready, None);
         }
-        groups.ready
+        let rate = self.allow_rate(demand.step_id);
+        let asked = groups.hosts_to_ask(demand, rate, cost, search, min_expiry_ms);
+        let hosts = asked.into_iter().map(|index| search.host(index)).collect();
+        (groups.ready, Some(hosts))
     }
 
-    fn request_advice(&mut self, step_id: StepId, hosts: Vec<Name>, cost: AdviceCost) {
-        let Some(step) = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id))
-        else {
-            return;
-        };
+    /// Returns the estimated fraction of hosts that advice allows for a step.
+    fn allow_rate(&self, step_id: StepId) -> f64 {
+        let queue = self.jobs.get(&step_id.job).map(|job| &job.queue);
+        let rate = queue.and_then(|queue| self.allow_rate.get(queue));
+        rate.copied().unwrap_or(INITIAL_ALLOW_RATE)
+    }
+
+    /// Requests advice about hosts, unless too many calls of that length are in flight. If
+    /// there is none to ask about, the step pauses, as the search for them is the dearest part
+    /// of a pass.
+    pub(super) fn request_advice(&mut self, demand: &Demand, hosts: Vec<Name>, cost: AdviceCost) {
         let cost_ms = cost.call_ms(hosts.len());
         let class = CallClass::of(cost_ms);
         // Steps are handled in order of rank, so the most urgent ones get the available
         // calls.
-        if self.advice_calls[class as usize] >= self.advice_limits[class as usize] {
+        let now_ms = self.now.monotonic_ms;
+        let is_free = self.has_free_call(demand, class);
+        let step_id = demand.step_id;
+        let Some(step) = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id))
+        else {
+            return;
+        };
+        if hosts.is_empty() {
+            step.advice.not_before_ms = now_ms + FRUITLESS_SEARCH_PAUSE_MS;
+            return;
+        }
+        if !is_free {
             return;
         }
         self.advice_calls[class as usize] += 1;
@@ -174,31 +200,19 @@
     ready: Vec<Candidate>,
     /// All allowed hosts, each with the expiry of its last ticket in milliseconds.
     allowed: Vec<(Candidate, u64)>,
-    /// Hosts that were never asked about.
-    unknown: Vec<Candidate>,
 }
 
 impl AdviceGroups {
-    fn new(
-        found: Vec<Candidate>,
-        advice: &progress::StepAdvice,
-        views: &HostViews,
-        min_expiry_ms: u64,
-    ) -> AdviceGroups {
-        let mut groups =
-            AdviceGroups { ready: Vec::new(), allowed: Vec::new(), unknown: Vec::new() };
-        for candidate in found {
-            let number = views[candidate.index].number;
-            match advice.allowed.get(&number) {
-                Some(ticket) => {
-                    if ticket.expires_ms > min_expiry_ms {
-                        groups.ready.push(candidate);
-                    }
-                    groups.allowed.push((candidate, ticket.expires_ms));
-                }
-                None if advice.denied.contains(&number) => {}
-                None => groups.unknown.push(candidate),
+    fn new(search: &Search<'_>, min_expiry_ms: u64) -> AdviceGroups {
+        let mut groups = AdviceGroups { ready: Vec::new(), allowed: Vec::new() };
+        let tickets = &search.progress.advice.allowed;
+        for candidate in search.allowed() {
+            let expires_ms =
+                tickets.get(&search.number(&candidate)).map_or(0, |ticket| ticket.expires_ms);
+            if expires_ms > min_expiry_ms {
+                groups.ready.push(candidate);
             }
+            groups.allowed.push((candidate, expires_ms));
         }
         groups
     }
@@ -209,6 +223,7 @@
         demand: &Demand,
         rate: f64,
         cost: AdviceCost,
+        search: &Search<'_>,
         min_expiry_ms: u64,
     ) -> Vec<usize> {
         let wanted = demand.wanted();
@@ -221,19 +236,20 @@
                 // The more hosts are allowed, the sooner all members of the gang fit at
                 // once.
                 let extra = (wanted * GANG_CAPACITY_FACTOR).saturating_sub(idle_capacity);
-                let chosen = self.unknown_hosts(extra, rate, true).0;
+                let unknown = search.unknown();
+                let chosen = choose_unknown(&unknown, extra, rate, true).0;
                 if !chosen.is_empty() {
                     return chosen;
                 }
                 // The allowed hosts may stay full while other hosts are idle.
                 let missing = wanted - capacity;
-                let (chosen, expected) = self.unknown_hosts(missing, rate, false);
+                let (chosen, expected) = choose_unknown(&unknown, missing, rate, false);
                 if expected >= f64::from(missing) { chosen } else { Vec::new() }
             }
             (false, true) => self.renewals(wanted, min_expiry_ms),
             (false, false) => {
-                let unknown = self.unknown_hosts(wanted - capacity, rate, false).0;
-                if unknown.is_empty() { self.renewals(wanted, min_expiry_ms) } else { unknown }
+                let chosen = choose_unknown(&search.unknown(), wanted - capacity, rate, false).0;
+                if chosen.is_empty() { self.renewals(wanted, min_expiry_ms) } else { chosen }
             }
         }
     }
@@ -267,29 +283,34 @@
         }
         chosen
     }
+}
 
-    /// Returns hosts never asked about, enough to expect capacity for the `missing` tasks,
-    /// and the capacity expected of them in tasks. Hosts that are full now are counted by
-    /// their idle capacity if `counts_full_hosts` is set.
-    fn unknown_hosts(&self, missing: u32, rate: f64, counts_full_hosts: bool) -> (Vec<usize>, f64) {
-        let fitting_tasks = |candidate: &Candidate| {
-            if counts_full_hosts { candidate.fits_idle } else { candidate.fits_now }
-        };
-        let mut order: Vec<&Candidate> =
-            self.unknown.iter().filter(|candidate| fitting_tasks(candidate) > 0).collect();
-        order.sort_by_key(|candidate| {
-            (!candidate.is_near, Reverse(candidate.fits_now), Reverse(candidate.free_cpu))
-        });
-        let needed = f64::from(missing) * CAPACITY_MARGIN_FACTOR;
-        let mut expected = 0.0;
-        let mut chosen = Vec::new();
-        for candidate in order {
-            if expected >= needed || chosen.len() >= MAX_HOSTS_PER_CALL {
-                break;
-            }
-            expected += rate * f64::from(fitting_tasks(candidate).min(missing));
-            chosen.push(candidate.index);
+/// Returns hosts never asked about, enough to expect capacity for the `missing` tasks, and the
+/// capacity expected of them in tasks. Hosts that are full now are counted by their idle
+/// capacity if `counts_full_hosts` is set.
+fn choose_unknown(
+    unknown: &[Candidate],
+    missing: u32,
+    rate: f64,
+    counts_full_hosts: bool,
+) -> (Vec<usize>, f64) {
+    let fitting_tasks = |candidate: &Candidate| {
+        if counts_full_hosts { candidate.fits_idle } else { candidate.fits_now }
+    };
+    let mut order: Vec<&Candidate> =
+        unknown.iter().filter(|candidate| fitting_tasks(candidate) > 0).collect();
+    order.sort_by_key(|candidate| {
+        (!candidate.is_near, Reverse(candidate.fits_now), Reverse(candidate.free_cpu))
+    });
+    let needed = f64::from(missing) * CAPACITY_MARGIN_FACTOR;
+    let mut expected = 0.0;
+    let mut chosen = Vec::new();
+    for candidate in order {
+        if expected >= needed || chosen.len() >= MAX_HOSTS_PER_CALL {
+            break;
         }
-        (chosen, expected)
+        expected += rate * f64::from(fitting_tasks(candidate).min(missing));
+        chosen.push(candidate.index);
     }
+    (chosen, expected)
 }
--- /dev/null
+++ b/crates/graph/src/engine/backlog.rs
@@ -0,0 +1,156 @@
+//! The steps with tasks that wait to be started, split by whether starting them still has
+//! value.
+//!
+//! A job that is so late that completing it has no value any more is served last. Thousands
+//! of such steps may wait after an overload. They are kept apart, in the order in which they
+//! are served, and a dispatch pass takes a slice of them in turn, so that its cost does not
+//! grow with their number.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::{Bound, RangeInclusive};
+
+use rustc_hash::FxHashSet;
+use sycamore_types::Name;
+
+use super::Rank;
+use crate::{StepId, job};
+
+/// What the rank of a waiting step depends on. Changes only with the configuration.
+#[derive(Clone, Debug)]
+pub(super) struct Urgency {
+    pub team: Name,
+    /// Priority class of the queue; 0 goes first.
+    pub priority: u32,
+    /// Time by which the step has to start for its job to meet the objective, in
+    /// milliseconds since 1970.
+    pub latest_start_unix_ms: i64,
+    /// Time from which starting the step has no value any more, in milliseconds since 1970.
+    pub worthless_unix_ms: i64,
+}
+
+/// Position among the worthless steps: priority class, latest start, step.
+type Place = (u32, i64, StepId);
+
+/// The steps with tasks that wait to be started.
+#[derive(Debug, Default)]
+pub(super) struct Backlog {
+    /// Steps whose start still has value.
+    live: BTreeMap<StepId, Urgency>,
+    /// The live steps by the time at which they become worthless.
+    expiring: BTreeSet<(i64, StepId)>,
+    /// Steps whose start has no value any more, in the order in which they are served.
+    worthless: BTreeMap<Place, Urgency>,
+    places: BTreeMap<StepId, Place>,
+    /// Last worthless step that a pass has looked at.
+    cursor: Option<Place>,
+}
+
+impl Urgency {
+    /// Returns the rank at `now_unix_ms`.
+    pub fn rank(&self, now_unix_ms: u64, over_share: &FxHashSet<Name>) -> Rank {
+        let now_ms = now_unix_ms as i64;
+        let slack_ms = self.latest_start_unix_ms - now_ms;
+        Rank {
+            is_hopeless: now_ms > self.worthless_unix_ms,
+            is_over_share: over_share.contains(&self.team),
+            is_late: slack_ms < 0,
+            priority: self.priority,
+            slack_ms,
+        }
+    }
+}
+
+impl Backlog {
+    pub fn is_empty(&self) -> bool {
+        self.live.is_empty() && self.worthless.is_empty()
+    }
+
+    pub fn len(&self) -> usize {
+        self.live.len() + self.worthless.len()
+    }
+
+    /// Returns the number of steps whose start has no value any more.
+    pub fn worthless_len(&self) -> usize {
+        self.worthless.len()
+    }
+
+    pub fn steps(&self) -> impl Iterator<Item = &StepId> {
+        self.live.keys().chain(self.places.keys())
+    }
+
+    /// Adds a step, or replaces its urgency.
+    pub fn insert(&mut self, step_id: StepId, urgency: Urgency) {
+        self.remove(step_id);
+        self.expiring.insert((urgency.worthless_unix_ms, step_id));
+        self.live.insert(step_id, urgency);
+    }
+
+    pub fn remove(&mut self, step_id: StepId) {
+        if let Some(urgency) = self.live.remove(&step_id) {
+            self.expiring.remove(&(urgency.worthless_unix_ms, step_id));
+        }
+        if let Some(place) = self.places.remove(&step_id) {
+            self.worthless.remove(&place);
+        }
+    }
+
+    pub fn remove_job(&mut self, job: job::Id) {
+        let live = self.live.range(steps_of(job)).map(|(step_id, _)| *step_id);
+        let worthless = self.places.range(steps_of(job)).map(|(step_id, _)| *step_id);
+        let steps: Vec<StepId> = live.chain(worthless).collect();
+        steps.into_iter().for_each(|step_id| self.remove(step_id));
+    }
+
+    /// Moves the steps that have become worthless behind the others.
+    pub fn expire(&mut self, now_unix_ms: u64) {
+        while let Some((at, step_id)) = self.expiring.first().copied() {
+            if now_unix_ms as i64 <= at {
+                return;
+            }
+            self.expiring.pop_first();
+            if let Some(urgency) = self.live.remove(&step_id) {
+                let place = (urgency.priority, urgency.latest_start_unix_ms, step_id);
+                self.places.insert(step_id, place);
+                self.worthless.insert(place, urgency);
+            }
+        }
+    }
+
+    /// Returns the steps whose start still has value, the most urgent first.
+    pub fn ranked(&self, now_unix_ms: u64, over_share: &FxHashSet<Name>) -> Vec<(Rank, StepId)> {
+        let rank = |(step_id, urgency): (&StepId, &Urgency)| {
+            (urgency.rank(now_unix_ms, over_share), *step_id)
+        };
+        let mut order: Vec<(Rank, StepId)> = self.live.iter().map(rank).collect();
+        order.sort_unstable();
+        order
+    }
+
+    /// Returns the next slice of at most `count` worthless steps, the most urgent first. The
+    /// slice after the last one begins anew.
+    pub fn next_worthless(
+        &mut self,
+        count: usize,
+        now_unix_ms: u64,
+        over_share: &FxHashSet<Name>,
+    ) -> Vec<(Rank, StepId)> {
+        let start = self.cursor.map_or(Bound::Unbounded, Bound::Excluded);
+        let slice: Vec<(Place, Rank)> = self
+            .worthless
+            .range((start, Bound::Unbounded))
+            .take(count)
+            .map(|(place, urgency)| (*place, urgency.rank(now_unix_ms, over_share)))
+            .collect();
+        let is_last = slice.len() < count;
+        self.cursor = slice.last().map(|(place, _)| *place).filter(|_| !is_last);
+        let mut order: Vec<(Rank, StepId)> =
+            slice.into_iter().map(|((.., step_id), rank)| (rank, step_id)).collect();
+        order.sort_unstable();
+        order
+    }
+}
+
+fn steps_of(job: job::Id) -> RangeInclusive<StepId> {
+    let first = StepId { job, occurrence: 0, index: 0 };
+    first..=StepId { occurrence: u32::MAX, index: u16::MAX, ..first }
+}
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -40,6 +40,8 @@
     /// Free CPU at the start of the pass and index into `all`, the most free CPU first.
     /// Free capacity only shrinks within a pass.
     by_free_cpu: Vec<(u32, usize)>,
+    /// Index into `all` by number of the host.
+    by_number: FxHashMap<u32, usize>,
     /// Upper bound of the free capacity of any single host, by kind of resource.
     max_free: Resources,
 }
@@ -53,7 +55,8 @@
         by_free_cpu.sort_unstable_by(|(one, first), (other, second)| {
             other.cmp(one).then(first.cmp(second))
         });
-        HostViews { all, by_free_cpu, max_free }
+        let by_number = all.iter().enumerate().map(|(at, view)| (view.number, at)).collect();
+        HostViews { all, by_free_cpu, by_number, max_free }
     }
 
     /// Returns whether a task may fit on some host. A cheap check: only `false` is certain.
@@ -63,9 +66,9 @@
 
     /// Returns the hosts that may have at least `min_cpu` free CPU, in thousandths of a
     /// core, with their indices.
-    fn most_cpu_first(&self, min_cpu: u32) -> impl Iterator<Item = (usize, &HostView)> {
+    fn most_cpu_first(&self, min_cpu: u32) -> impl Iterator<Item = usize> {
         let by_free_cpu = self.by_free_cpu.iter().take_while(move |(cpu, _)| *cpu >= min_cpu);
-        by_free_cpu.map(|(_, at)| (*at, &self.all[*at]))
+        by_free_cpu.map(|(_, at)| *at)
     }
 }
 
@@ -122,8 +125,8 @@
             service: host.entry.service.clone(),
             labels: host.entry.labels.clone(),
             capacity: host.entry.capacity,
-            has_latency_task: host.runs.values().any(|run| run.has_objective),
-            has_best_effort_task: host.runs.values().any(|run| run.is_best_effort),
+            has_latency_task: host.latency_runs > 0,
+            has_best_effort_task: host.best_effort_runs > 0,
             free: host.free(),
         };
         HostViews::new(usable.map(view).collect())
@@ -165,49 +168,95 @@
     }
 }
 
-/// Returns the hosts that may run a step. For a gang, which plans ahead, these include full
-/// hosts.
-pub(super) fn find_candidates(
-    views: &HostViews,
-    step: &job::Step,
-    progress: &StepProgress,
-    service: &Name,
-) -> Vec<Candidate> {
-    let footprint = step.footprint();
-    let placed = if step.max_per_host > 0 { runs_per_host(progress) } else { FxHashMap::default() };
-    let min_cpu = if step.is_gang { 0 } else { footprint.cpu_millis };
-    let mut found = Vec::new();
-    for (index, view) in views.most_cpu_first(min_cpu) {
+/// Searches the hosts of a pass for those that may run a step. For a gang, which plans ahead,
+/// these include full hosts.
+pub(super) struct Search<'a> {
+    views: &'a HostViews,
+    step: &'a job::Step,
+    pub progress: &'a StepProgress,
+    service: &'a Name,
+    footprint: Resources,
+    /// Tasks of the step that each host has, if their number is limited.
+    placed: FxHashMap<Name, u32>,
+}
+
+impl<'a> Search<'a> {
+    pub fn new(
+        views: &'a HostViews,
+        step: &'a job::Step,
+        progress: &'a StepProgress,
+        service: &'a Name,
+    ) -> Search<'a> {
+        let placed =
+            if step.max_per_host > 0 { runs_per_host(progress) } else { FxHashMap::default() };
+        Search { views, step, progress, service, footprint: step.footprint(), placed }
+    }
+
+    /// Returns the candidates among all hosts, the most free CPU first.
+    pub fn all(&self) -> Vec<Candidate> {
+        self.all_indices().filter_map(|index| self.candidate(index)).collect()
+    }
+
+    /// Returns the candidates among the hosts that advice allows.
+    pub fn allowed(&self) -> Vec<Candidate> {
+        let numbers = self.progress.advice.allowed.keys();
+        let indices = numbers.filter_map(|number| self.views.by_number.get(number));
+        indices.filter_map(|index| self.candidate(*index)).collect()
+    }
+
+    /// Returns the candidates among the hosts that advice was never asked about, the most
+    /// free CPU first.
+    pub fn unknown(&self) -> Vec<Candidate> {
+        let advice = &self.progress.advice;
+        let is_unknown = |index: &usize| {
+            let number = self.views[*index].number;
+            !advice.allowed.contains_key(&number) && !advice.denied.contains(&number)
+        };
+        self.all_indices().filter(is_unknown).filter_map(|index| self.candidate(index)).collect()
+    }
+
+    /// Returns the name of a candidate's host.
+    pub fn host(&self, index: usize) -> Name {
+        self.views[index].host.clone()
+    }
+
+    /// Returns the number of a candidate's host.
+    pub fn number(&self, candidate: &Candidate) -> u32 {
+        self.views[candidate.index].number
+    }
+
+    fn all_indices(&self) -> impl Iterator<Item = usize> {
+        let min_cpu = if self.step.is_gang { 0 } else { self.footprint.cpu_millis };
+        self.views.most_cpu_first(min_cpu)
+    }
+
+    fn candidate(&self, index: usize) -> Option<Candidate> {
+        let (step, view) = (self.step, &self.views[index]);
         // Best-effort tasks slow down latency-sensitive ones by an unpredictable amount.
         let is_compatible = !(step.is_best_effort && view.has_latency_task
             || step.latency_objective_ms > 0 && view.has_best_effort_task);
-        let is_suitable = is_compatible
-            && view.service == *service
+        let mut fits_now = tasks_that_fit(&self.footprint, &view.free);
+        if !is_compatible || fits_now == 0 && !step.is_gang {
+            return None;
+        }
+        let is_suitable = view.service == *self.service
             && step.required_label.as_ref().is_none_or(|label| view.has_label(label));
-        let mut fits_idle = tasks_that_fit(&footprint, &view.capacity);
+        let mut fits_idle = tasks_that_fit(&self.footprint, &view.capacity);
         if !is_suitable || fits_idle == 0 {
-            continue;
+            return None;
         }
-        let mut fits_now = tasks_that_fit(&footprint, &view.free);
         if step.max_per_host > 0 {
-            let taken = placed.get(&view.host).copied().unwrap_or(0);
+            let taken = self.placed.get(&view.host).copied().unwrap_or(0);
             fits_now = fits_now.min(step.max_per_host.saturating_sub(taken));
             fits_idle = fits_idle.min(step.max_per_host);
         }
         if fits_now == 0 && !step.is_gang {
-            continue;
+            return None;
         }
         let is_near =
             step.data_rack.as_ref().is_none_or(|rack| *rack == view.rack || view.has_label(rack));
-        found.push(Candidate {
-            index,
-            fits_now,
-            fits_idle,
-            free_cpu: view.free.cpu_millis,
-            is_near,
-        });
+        Some(Candidate { index, fits_now, fits_idle, free_cpu: view.free.cpu_millis, is_near })
     }
-    found
 }
 
 fn runs_per_host(progress: &StepProgress) -> FxHashMap<Name, u32> {
--- a/crates/graph/src/engine/close.rs
+++ b/crates/graph/src/engine/close.rs
@@ -33,7 +33,7 @@
         job.occurrences = Vec::new();
         job.spec = Default::default();
         self.closed_jobs.push_back((self.now.unix_ms + self.timing.status_retention_ms, id));
-        self.ready_steps.retain(|step| step.job != id);
+        self.backlog.remove_job(id);
         self.record_decision(closed.team.clone(), Verdict::Closed(id, state));
         self.append(Record::Closed(closed));
         self.when_durable(Effect::ShowState(id));
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -1,14 +1,15 @@
 //! Starts waiting tasks, in order of rank.
 //!
 //! A gang that doesn't fit yet reserves capacity within the pass, so that smaller steps
-//! can't starve it. A pass is bounded, because events wait while it runs.
+//! can't starve it. A pass is bounded, because events wait while it runs: it looks at all
+//! steps whose start still has value, and at a slice of the others.
 
 use std::cmp::Reverse;
 
 use sycamore_types::Name;
 use sycamore_types::resources::Resources;
 
-use super::candidates::{Candidate, HostViews, find_candidates};
+use super::candidates::{Candidate, HostViews, Search};
 use super::placement::plan_placement;
 use super::{Engine, Rank};
 use crate::{Grounds, StepId, TaskId, Verdict, WaitReason};
@@ -17,6 +18,10 @@
 /// longer pass would make callers wait for the control thread.
 const MAX_FAILED_SEARCHES: u32 = 300;
 
+/// Worthless steps that a pass looks at. At 20 passes a second, the least that ticks cause,
+/// a thousand are looked at each second.
+const WORTHLESS_SLICE: usize = 50;
+
 /// Requirements of a step, looked up once per pass.
 pub(super) struct Demand {
     pub step_id: StepId,
@@ -27,6 +32,8 @@
     /// Whether the tasks have a latency objective.
     pub has_objective: bool,
     pub is_best_effort: bool,
+    /// Completing the job has no value any more.
+    pub is_worthless: bool,
     /// Tasks that wait to be started.
     pub waiting: u32,
     /// Most tasks that the team's limit allows to start now.
@@ -53,14 +60,18 @@
 
 impl Engine {
     pub(super) fn start_waiting_tasks(&mut self) {
-        if self.ready_steps.is_empty() {
+        if self.backlog.is_empty() {
             return;
         }
+        let now_unix_ms = self.now.unix_ms;
+        self.backlog.expire(now_unix_ms);
         let mut views = self.host_views();
-        let mut failed_searches = 0;
-        let order = self.ranked_steps();
         let capacity = self.listed_capacity();
-        let waiting = order.len() as u32;
+        let over_share = self.teams_over_share(&capacity);
+        let mut order = self.backlog.ranked(now_unix_ms, &over_share);
+        order.extend(self.backlog.next_worthless(WORTHLESS_SLICE, now_unix_ms, &over_share));
+        let waiting = self.backlog.len() as u32;
+        let mut failed_searches = 0;
         for (at, (rank, step_id)) in order.into_iter().enumerate() {
             let position = PassPosition { rank, place: at as u32 + 1, waiting, capacity };
             let reason = self.start_step(step_id, &position, &mut views, &mut failed_searches);
@@ -87,14 +98,14 @@
         views: &mut HostViews,
         failed_searches: &mut u32,
     ) -> Option<WaitReason> {
-        let demand = match self.demand(step_id)? {
+        let demand = match self.demand(step_id, position)? {
             Ok(demand) => demand,
             Err(reason) => return Some(reason),
         };
         if !demand.is_gang && !views.may_fit(&demand.footprint) {
             return Some(WaitReason::NoRoom);
         }
-        if let Some(reason) = self.advice_wait_reason(step_id) {
+        if let Some(reason) = self.advice_wait_reason(&demand) {
             if demand.is_gang {
                 *failed_searches += 1;
                 self.reserve_capacity(&demand, views);
@@ -107,7 +118,11 @@
     }
 
     /// Returns the requirements of a step, or why none of its tasks may be started.
-    fn demand(&self, step_id: StepId) -> Option<Result<Demand, WaitReason>> {
+    fn demand(
+        &self,
+        step_id: StepId,
+        position: &PassPosition,
+    ) -> Option<Result<Demand, WaitReason>> {
         let job = self.jobs.get(&step_id.job)?;
         let (progress, spec) =
             (job.step(step_id)?, job.spec.steps.get(usize::from(step_id.index))?);
@@ -131,6 +146,7 @@
             footprint: spec.footprint(),
             has_objective: spec.latency_objective_ms > 0,
             is_best_effort: spec.is_best_effort,
+            is_worthless: position.rank.is_hopeless,
             waiting,
             within_limit,
         }))
@@ -149,12 +165,17 @@
         let queue = self.queues.get(&job.queue)?;
         let (progress, spec) =
             (job.step(step_id)?, job.spec.steps.get(usize::from(step_id.index))?);
-        let found = find_candidates(views, spec, progress, &queue.service);
         let is_durable = job.is_durable;
-        let (cost, queue) = (queue.advice, job.queue.clone());
-        let ready = match cost {
-            None => found,
-            Some(cost) => self.advised_candidates(demand, &queue, cost, found, views),
+        let search = Search::new(views, spec, progress, &queue.service);
+        let ready = match queue.advice {
+            None => search.all(),
+            Some(cost) => {
+                let (ready, asked) = self.advised_candidates(demand, cost, &search);
+                if let Some(hosts) = asked {
+                    self.request_advice(demand, hosts, cost);
+                }
+                ready
+            }
         };
         let is_placed = is_durable && self.place_tasks(demand, position, ready, views);
         if demand.is_gang && !is_placed {
@@ -204,7 +225,7 @@
             }
         }
         if waiting.is_empty() {
-            self.ready_steps.remove(&demand.step_id);
+            self.backlog.remove(demand.step_id);
         }
         true
     }
@@ -269,10 +290,11 @@
         };
         let Some(queue) = self.queues.get(&job.queue) else { return };
         let spec = &job.spec.steps[usize::from(demand.step_id.index)];
-        let mut order = find_candidates(views, spec, progress, &queue.service);
-        if queue.advice.is_some() {
-            order.retain(|found| progress.advice.allowed.contains_key(&views[found.index].number));
-        }
+        let search = Search::new(views, spec, progress, &queue.service);
+        let mut order = match queue.advice {
+            None => search.all(),
+            Some(_) => search.allowed(),
+        };
         // A gang that would not even fit on idle hosts must not block others.
         if order.iter().map(|found| found.fits_idle).sum::<u32>() < demand.waiting {
             return;
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -21,6 +21,7 @@
 //! - The previous owner is the one that wrote the log from which this one was recovered.
 
 mod advice;
+mod backlog;
 mod candidates;
 mod close;
 mod dispatch;
@@ -49,6 +50,7 @@
     WaitingStep,
 };
 
+use backlog::Backlog;
 pub use rank::Rank;
 pub use recover::Recovered;
 
@@ -90,7 +92,7 @@
     /// Resources used by the runs of each team.
     team_usage: FxHashMap<Name, Resources>,
     /// Steps with tasks that wait to be started.
-    ready_steps: BTreeSet<StepId>,
+    backlog: Backlog,
     /// Jobs with a schedule, by the due time of their next occurrence in milliseconds since
     /// 1970.
     next_occurrences: BTreeSet<(u64, job::Id)>,
@@ -180,7 +182,7 @@
         self.stop_unstarted_gangs();
         self.poll_due_hosts();
         // Tickets expire and quarantines end without an event.
-        self.needs_dispatch |= !self.ready_steps.is_empty();
+        self.needs_dispatch |= !self.backlog.is_empty();
     }
 
     fn configure(&mut self, catalog: Catalog) {
@@ -190,6 +192,7 @@
         self.queues.extend(catalog.queues.iter().map(|(name, q)| (name.clone(), q.clone())));
         self.catalog = catalog;
         self.close_exhausted_jobs();
+        self.queue_waiting_steps();
         self.needs_dispatch = true;
     }
 
@@ -274,7 +277,13 @@
 
     /// Returns the number of steps with tasks that wait to be started.
     pub fn waiting_steps(&self) -> usize {
-        self.ready_steps.len()
+        self.backlog.len()
+    }
+
+    /// Returns how many of the waiting steps are so late that starting them has no value any
+    /// more.
+    pub fn worthless_steps(&self) -> usize {
+        self.backlog.worthless_len()
     }
 
     /// Returns the steps that have waited for at least `min_age_ms` milliseconds since they
@@ -288,7 +297,7 @@
             let reason = step.wait_reason?;
             Some(WaitingStep { step: *step_id, age_ms, reason, allowed, denied })
         };
-        self.ready_steps.iter().filter_map(wait).filter(|wait| wait.age_ms >= min_age_ms).collect()
+        self.backlog.steps().filter_map(wait).filter(|wait| wait.age_ms >= min_age_ms).collect()
     }
 
     /// Returns whether hosts of the previous owner may still have runs that no report has
--- a/crates/graph/src/engine/rank.rs
+++ b/crates/graph/src/engine/rank.rs
@@ -3,10 +3,12 @@
 //! Steps that can still meet their objective, of teams within their share, come before all
 //! others, whatever the priority class of their queue.
 
+use rustc_hash::FxHashSet;
 use sycamore_types::Name;
 use sycamore_types::resources::Resources;
 
 use super::Engine;
+use super::backlog::Urgency;
 use crate::StepId;
 use crate::catalog::Team;
 
@@ -35,31 +37,21 @@
 }
 
 impl Engine {
-    /// Returns all waiting steps, the most urgent first.
-    pub(super) fn ranked_steps(&self) -> Vec<(Rank, StepId)> {
-        let over_share = self.teams_over_share();
-        let rank = |step_id: &StepId| Some((self.rank(*step_id, &over_share)?, *step_id));
-        let mut order: Vec<(Rank, StepId)> = self.ready_steps.iter().filter_map(rank).collect();
-        order.sort_unstable();
-        order
-    }
-
-    fn rank(&self, step_id: StepId, over_share: &[Name]) -> Option<Rank> {
+    /// Returns what the rank of a step depends on. `None` if the step's queue is not known.
+    pub(super) fn urgency(&self, step_id: StepId) -> Option<Urgency> {
         let job = self.jobs.get(&step_id.job)?;
         let queue = self.queues.get(&job.queue)?;
         let objective_ms =
             queue.slack_factor * job.critical_path_ms as f64 + queue.objective_ms as f64;
-        let age_ms = self.now.unix_ms as i64 - job.due_unix_ms(step_id.occurrence) as i64;
         let remaining_ms =
             job.remaining_path_ms.get(usize::from(step_id.index)).copied().unwrap_or(0) as i64;
-        let hopeless_ms = (HOPELESS_FACTOR * objective_ms) as i64;
-        let slack_ms = objective_ms as i64 - age_ms - remaining_ms;
-        Some(Rank {
-            is_late: slack_ms < 0,
-            is_hopeless: age_ms + remaining_ms > hopeless_ms,
-            is_over_share: over_share.contains(&job.team),
+        let last_value_ms = (HOPELESS_FACTOR * objective_ms) as i64;
+        let due_unix_ms = job.due_unix_ms(step_id.occurrence) as i64;
+        Some(Urgency {
+            team: job.team.clone(),
             priority: queue.priority,
-            slack_ms,
+            latest_start_unix_ms: due_unix_ms + objective_ms as i64 - remaining_ms,
+            worthless_unix_ms: due_unix_ms + last_value_ms - remaining_ms,
         })
     }
 
@@ -68,13 +60,13 @@
         listed.fold(Resources::default(), |sum, host| sum.plus(&host.entry.capacity))
     }
 
-    fn teams_over_share(&self) -> Vec<Name> {
-        let capacity = self.listed_capacity();
+    /// Returns the teams that use more than their weighted share of `capacity`.
+    pub(super) fn teams_over_share(&self, capacity: &Resources) -> FxHashSet<Name> {
         let total: u64 = self.catalog.teams.values().map(|team| u64::from(team.weight)).sum();
         let is_over = |(name, team): &(&Name, &Team)| {
             let share = f64::from(team.weight) / total.max(1) as f64;
             let used =
-                self.team_usage.get(*name).map_or(0.0, |usage| usage.dominant_share(&capacity));
+                self.team_usage.get(*name).map_or(0.0, |usage| usage.dominant_share(capacity));
             used > share * SHARE_TOLERANCE_FACTOR
         };
         self.catalog.teams.iter().filter(is_over).map(|(name, _)| name.clone()).collect()
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -11,6 +11,7 @@
 use sycamore_types::resources::Resources;
 
 use super::Engine;
+use super::backlog::Backlog;
 use crate::catalog::Catalog;
 use crate::host::{Host, LogState, RunEnd};
 use crate::job::Id;
@@ -189,7 +190,7 @@
             hosts,
             last_host_number,
             team_usage: FxHashMap::default(),
-            ready_steps: BTreeSet::new(),
+            backlog: Backlog::default(),
             next_occurrences: BTreeSet::new(),
             closed_jobs: VecDeque::new(),
             allow_rate: FxHashMap::default(),
--- a/crates/graph/src/engine/requests.rs
+++ b/crates/graph/src/engine/requests.rs
@@ -98,12 +98,32 @@
         }
     }
 
+    /// Adds all steps that can start to the ready ones. Needed after a configuration change,
+    /// which may change their urgency.
+    pub(super) fn queue_waiting_steps(&mut self) {
+        let mut step_ids = Vec::new();
+        for job in self.jobs.values().filter(|job| job.closed.is_none()) {
+            for (occurrence, steps) in job.occurrences.iter().enumerate() {
+                let waiting = steps.iter().enumerate().filter(|(_, step)| !step.waiting.is_empty());
+                step_ids.extend(waiting.map(|(index, _)| StepId {
+                    job: job.id,
+                    occurrence: occurrence as u32,
+                    index: index as u16,
+                }));
+            }
+        }
+        step_ids.into_iter().for_each(|step_id| self.queue_if_ready(step_id));
+    }
+
     /// Adds a step to the ready ones if it has waiting tasks and its predecessors are done.
     pub(super) fn queue_if_ready(&mut self, step_id: StepId) {
         let Some(job) = self.jobs.get(&step_id.job) else { return };
         let has_tasks = job.step(step_id).is_some_and(|step| !step.waiting.is_empty());
         if job.closed.is_none() && has_tasks && job.is_ready(step_id) {
-            self.ready_steps.insert(step_id);
+            // Without its queue, which a later configuration may bring, the step has no rank.
+            if let Some(urgency) = self.urgency(step_id) {
+                self.backlog.insert(step_id, urgency);
+            }
             self.needs_dispatch = true;
         }
     }
--- a/crates/graph/src/engine/run_ends.rs
+++ b/crates/graph/src/engine/run_ends.rs
@@ -90,7 +90,7 @@
             self.stop_run(&host, task, number);
         }
         if is_done {
-            self.ready_steps.remove(&task.step);
+            self.backlog.remove(task.step);
             for index in task.step.index + 1..steps {
                 self.queue_if_ready(StepId { job: id, occurrence, index });
             }
--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -66,6 +66,8 @@
     pub(super) fn add_run(&mut self, name: &Name, task: TaskId, attempt: u32, run: Run) {
         let Some(host) = self.hosts.get_mut(name) else { return };
         host.used = host.used.plus(&run.footprint);
+        host.latency_runs += u32::from(run.has_objective);
+        host.best_effort_runs += u32::from(run.is_best_effort);
         let usage = self.team_usage.entry(run.team.clone()).or_default();
         *usage = usage.plus(&run.size);
         host.runs.insert((task, attempt), run);
@@ -76,6 +78,8 @@
         let host = self.hosts.get_mut(name)?;
         let run = host.runs.remove(&(task, attempt))?;
         host.used = host.used.minus(&run.footprint);
+        host.latency_runs -= u32::from(run.has_objective);
+        host.best_effort_runs -= u32::from(run.is_best_effort);
         if let Some(usage) = self.team_usage.get_mut(&run.team) {
             *usage = usage.minus(&run.size);
         }
@@ -236,7 +240,7 @@
                 task_progress.runs.push((name.clone(), attempt));
                 step_progress.waiting.remove(&task.index);
                 if step_progress.waiting.is_empty() {
-                    self.ready_steps.remove(&task.step);
+                    self.backlog.remove(task.step);
                 }
             }
         }
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -47,6 +47,10 @@
     pub used: Resources,
     /// Runs that exist or may exist, by task and attempt.
     pub runs: BTreeMap<(TaskId, u32), Run>,
+    /// Number of runs with a latency objective.
+    pub latency_runs: u32,
+    /// Number of best-effort runs.
+    pub best_effort_runs: u32,
     /// Number of the last run end that was processed.
     pub last_seen_end: u64,
     /// Number of the last run end whose record is durable.
@@ -85,6 +89,8 @@
             log: LogState::Unused,
             used: Resources::default(),
             runs: BTreeMap::new(),
+            latency_runs: 0,
+            best_effort_runs: 0,
             last_seen_end: 0,
             last_durable_end: 0,
             clock_offset_ms: 0,
--- a/crates/graph/src/progress/mod.rs
+++ b/crates/graph/src/progress/mod.rs
@@ -4,4 +4,4 @@
 mod step;
 
 pub(crate) use job::Job;
-pub(crate) use step::{StepAdvice, StepProgress, TaskProgress, Ticket};
+pub(crate) use step::{StepProgress, TaskProgress, Ticket};
--- a/crates/graph/tests/engine/overload.rs
+++ b/crates/graph/tests/engine/overload.rs
@@ -1,10 +1,10 @@
 //! Which tasks run when demand exceeds the capacity, or when a worker hangs.
 
-use sycamore_graph::TaskId;
-use sycamore_graph::catalog::{AdviceCost, Queue};
+use sycamore_graph::catalog::{AdviceCost, Catalog, Queue};
 use sycamore_graph::job::{State, Step};
+use sycamore_graph::{Event, TaskId};
 
-use crate::fixture::{catalog, id, job, queue, step};
+use crate::fixture::{catalog, id, job, limited, queue, size, step};
 use crate::world::World;
 
 /// A backlog of late jobs: running the latest ones first would make all other jobs late too.
@@ -94,3 +94,47 @@
 
     assert_eq!(world.state(id(1)), Some(State::Complete));
 }
+
+/// After an overload, jobs that had become worthless kept all calls for advice in flight, so
+/// that each new job waited for one of theirs to end. Seen at the large Sialkot site
+/// (trouble-3): half of the jobs started after 694 ms, with an objective of 250 ms.
+#[test]
+fn worthless_steps_leave_calls_for_advice_to_others() {
+    let advice = AdviceCost { base_ms: 540.0, per_host_ms: 7.7, valid_ms: 1_500 };
+    let catalog = catalog(Queue { advice: Some(advice), ..queue() });
+    let mut world = World::new(8, catalog, 1);
+    world.work_ms = 100;
+    for number in 0..400 {
+        world.submit(id(100 + number), job(vec![step(1, 1_000)]));
+    }
+    // Their value ends after 3 x (2 x 500 + 1000) ms, less the 500 ms that they run.
+    world.run(6_000);
+    world.handle(Event::AdviceConcurrency([2, 2, 2]));
+    world.run(1_000);
+
+    world.submit(id(1), job(vec![step(1, 1_000)]));
+    world.run(800);
+
+    assert_eq!(world.state(id(1)), Some(State::Complete));
+}
+
+/// A pass looks at a slice of the worthless steps only. Each slice has to begin where the last
+/// one ended, or steps that can't start would hide all others.
+#[test]
+fn a_worthless_step_behind_a_thousand_others_is_reached() {
+    let mut world = World::new(2, limited(catalog(queue()), size(400, 0)), 1);
+    for number in 0..1_000 {
+        world.submit(id(1_000 + number), job(vec![step(1, 1_000)]));
+    }
+    world.run(50);
+    world.submit(id(9_999), job(vec![step(1, 500)]));
+    world.run(7_000);
+    let raised = Catalog { version: 2, ..limited(world.catalog.clone(), size(500, 0)) };
+    world.oracle.set_limit(size(500, 0));
+
+    world.handle(Event::Configured(raised));
+    world.run(1_500);
+
+    assert_eq!(world.state(id(9_999)), Some(State::Complete));
+    assert_eq!(world.state(id(1_000)), Some(State::Queued));
+}
