Let strong hosts take over from a weak owner, and wait for the owner to find the store again

Cause: after an outage of the store each process finds it again within 0.9 s. A host of 0.12 cores found it before the owner did, saw 'owner without store' twice and claimed; the strong hosts had not found it yet.

Change: a process takes over from an owner without store only if the store has replied to it for 1.3 s. The owner record says whether its host is weak; a strong host that follows such an owner for a second takes over. Records of earlier versions count as strong.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -9,7 +9,9 @@
 
 use crate::backoff::Backoff;
 use crate::metrics::Meters;
-use crate::timing::{CONFIG_WATCH_WAIT, STORE_RETRY, STORE_RETRY_MAX, STORE_TIMEOUT};
+use crate::timing::{
+    CONFIG_WATCH_WAIT, STORE_RETRY, STORE_RETRY_MAX, STORE_STEADY_TIME, STORE_TIMEOUT,
+};
 
 /// A configuration and the bytes that it was parsed from.
 #[derive(Debug, Default)]
@@ -19,19 +21,27 @@
     pub source: Vec<u8>,
 }
 
+/// When the store replied to this process.
+#[derive(Debug, Default)]
+struct StoreReplies {
+    /// Time of the last reply.
+    last: Option<Instant>,
+    /// Time of the first reply since a call last failed.
+    first: Option<Instant>,
+}
+
 /// Shares the configuration in force between the tasks of the process.
 #[derive(Clone, Debug)]
 pub(crate) struct Configs {
     sender: Arc<watch::Sender<Option<Arc<LoadedConfig>>>>,
-    /// Time of the store's last reply.
-    last_reply: Arc<std::sync::Mutex<Option<Instant>>>,
+    store_replies: Arc<std::sync::Mutex<StoreReplies>>,
     meters: Meters,
 }
 
 impl Configs {
     pub fn new(meters: Meters) -> Configs {
         let sender = Arc::new(watch::Sender::new(None));
-        Configs { sender, last_reply: Arc::default(), meters }
+        Configs { sender, store_replies: Arc::default(), meters }
     }
 
     pub fn current(&self) -> Option<Arc<LoadedConfig>> {
@@ -49,14 +59,28 @@
 
     /// Returns whether the store has replied within twice [`CONFIG_WATCH_WAIT`].
     pub fn is_store_reachable(&self) -> bool {
-        let last_reply = self.last_reply.lock().map(|last_reply| *last_reply).unwrap_or(None);
-        last_reply.is_some_and(|at| at.elapsed() < 2 * CONFIG_WATCH_WAIT)
+        let last = self.store_replies.lock().map(|replies| replies.last).unwrap_or(None);
+        last.is_some_and(|at| at.elapsed() < 2 * CONFIG_WATCH_WAIT)
+    }
+
+    /// Returns whether the store has replied to every call for [`STORE_STEADY_TIME`].
+    pub fn is_store_steady(&self) -> bool {
+        let first = self.store_replies.lock().map(|replies| replies.first).unwrap_or(None);
+        self.is_store_reachable() && first.is_some_and(|at| at.elapsed() >= STORE_STEADY_TIME)
     }
 
     /// Records that the store has replied now.
     pub fn record_store_reply(&self) {
-        if let Ok(mut last_reply) = self.last_reply.lock() {
-            *last_reply = Some(Instant::now());
+        if let Ok(mut replies) = self.store_replies.lock() {
+            let now = Instant::now();
+            replies.last = Some(now);
+            replies.first.get_or_insert(now);
+        }
+    }
+
+    fn record_store_failure(&self) {
+        if let Ok(mut replies) = self.store_replies.lock() {
+            replies.first = None;
         }
     }
 
@@ -84,6 +108,7 @@
         loop {
             let error = self.read_and_watch(&store, &mut backoff).await;
             log::debug!("configuration watch failed: {error}");
+            self.record_store_failure();
             backoff.pause().await;
         }
     }
--- a/crates/node/src/ownership/follow.rs
+++ b/crates/node/src/ownership/follow.rs
@@ -18,8 +18,8 @@
 use crate::owner;
 use crate::peer::{Command, Owner, Ping, Pong, Reply, Role};
 use crate::timing::{
-    CLAIM_JITTER, OWNER_MIN_CORES, OWNER_MIN_LINK_MBPS, OWNER_TIMEOUT, PING_INTERVAL, PING_TIMEOUT,
-    STORE_RETRY, STORE_RETRY_MAX, WEAK_HOST_CLAIM_DELAY,
+    CLAIM_JITTER, OWNER_MIN_CORES, OWNER_MIN_LINK_MBPS, OWNER_STRENGTH_CHECK_DELAY, OWNER_TIMEOUT,
+    PING_INTERVAL, PING_TIMEOUT, STORE_RETRY, STORE_RETRY_MAX, WEAK_HOST_CLAIM_DELAY,
 };
 
 /// Consecutive replies of an owner that can't reach the store after which a process that can
@@ -126,6 +126,8 @@
     node.meters.epoch.set(owner.epoch as i64);
     node.ownership.set_current(CurrentOwner::Peer { address: owner.address });
     log::info!(target: "lead", owner:% = owner.host, epoch = owner.epoch; "following");
+    let followed_since = Instant::now();
+    let mut is_strength_known = is_weak(node);
     let mut last_pong = Instant::now();
     let mut refusals = 0;
     let mut pings_without_store = 0;
@@ -151,8 +153,18 @@
                     {
                         return next;
                     }
+                    if !is_strength_known
+                        && !node.is_stopping()
+                        && followed_since.elapsed() >= OWNER_STRENGTH_CHECK_DELAY
+                        && let Ok((record, _)) = OwnerRecord::read(&node.store).await
+                    {
+                        is_strength_known = true;
+                        if record.is_some_and(|now| now.owner() == *owner && now.is_weak) {
+                            return Next::TakeOver("weak owner");
+                        }
+                    }
                     let owner_lost_store =
-                        !pong.is_store_reachable && node.configs.is_store_reachable();
+                        !pong.is_store_reachable && node.configs.is_store_steady();
                     pings_without_store =
                         if owner_lost_store { pings_without_store + 1 } else { 0 };
                     // Only a reply of the store proves that this process can reach it.
@@ -286,12 +298,15 @@
     });
 }
 
-/// Returns the delay that lets stronger hosts claim first, since the owner's calls need CPU
-/// and bandwidth.
-fn claim_delay(node: &Arc<Node>) -> Duration {
+/// Returns whether this host lacks the CPU or bandwidth that the owner's calls need.
+fn is_weak(node: &Arc<Node>) -> bool {
     let settings = &node.settings;
-    let is_strong = settings.cores >= OWNER_MIN_CORES && settings.link_mbps >= OWNER_MIN_LINK_MBPS;
-    if is_strong { Duration::ZERO } else { WEAK_HOST_CLAIM_DELAY }
+    settings.cores < OWNER_MIN_CORES || settings.link_mbps < OWNER_MIN_LINK_MBPS
+}
+
+/// Returns the delay that lets stronger hosts claim first.
+fn claim_delay(node: &Arc<Node>) -> Duration {
+    if is_weak(node) { WEAK_HOST_CLAIM_DELAY } else { Duration::ZERO }
 }
 
 /// Claims ownership and, if the claim wins, runs as the owner until ownership is lost.
@@ -311,6 +326,7 @@
         address: node.settings.peers,
         nonce: node.nonce,
         is_vacant: false,
+        is_weak: is_weak(node),
     };
     match own.write(&node.store, rev).await {
         Ok(rev) => {
--- a/crates/node/src/ownership/owner_record.rs
+++ b/crates/node/src/ownership/owner_record.rs
@@ -24,6 +24,10 @@
     pub nonce: u64,
     /// The owner has resigned, so that another process may take over immediately.
     pub is_vacant: bool,
+    /// The host is too weak to own while a stronger one is there. Missing in records of
+    /// earlier versions.
+    #[serde(default)]
+    pub is_weak: bool,
 }
 
 impl OwnerRecord {
--- a/crates/node/src/timing.rs
+++ b/crates/node/src/timing.rs
@@ -92,6 +92,15 @@
 /// Interval at which the owner recomputes how many advice calls can run at once.
 pub(crate) const ADVICE_CONCURRENCY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time for which the store has to reply to a process before it takes over from an owner that
+/// says that it can't reach the store. After an outage the owner notices the store's return up
+/// to [`STORE_RETRY_MAX`] and a call's duration after others do.
+pub(crate) const STORE_STEADY_TIME: Duration = Duration::from_millis(1_300);
+
+/// Time for which a strong host follows an owner before it checks whether that host is weak.
+/// A new owner has read its log by then and has polled its workers.
+pub(crate) const OWNER_STRENGTH_CHECK_DELAY: Duration = Duration::from_millis(1_000);
+
 /// CPU that the owner of 350 workers needs at its peak, in cores: twice the 0.08 cores used
 /// while a day of load is replayed.
 pub(crate) const OWNER_MIN_CORES: f64 = 0.16;
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -98,6 +98,25 @@
     process.kill().await;
 }
 
+/// A host of 0.12 cores owned 540 workers for 10 s beside hosts of 0.5 cores, and nothing was
+/// served in time. Seen at the large Sialkot site (trouble-3).
+#[tokio::test(flavor = "multi_thread")]
+async fn a_strong_host_takes_over_from_a_weak_owner() {
+    let platform = Platform::start().await;
+    let weak = Process::start_with_cores(&platform, "weak", 0.12).await;
+    until("the weak host serves", || submit(&weak, "00000000000000e1")).await;
+
+    let strong = Process::start_with_cores(&platform, "strong", 0.5).await;
+    let is_taken_over = || async { !strong.grep(&["claimed ownership", "weak owner"]).is_empty() };
+    until("the strong host takes over", is_taken_over).await;
+
+    until("the job completes", || is_complete(&strong, "00000000000000e1")).await;
+    until("the weak host keeps serving", || submit(&weak, "00000000000000e2")).await;
+    assert_eq!(platform.duplicate_starts(), 0);
+    weak.kill().await;
+    strong.kill().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_terminated_process_hands_over_and_exits() {
     let platform = Platform::start().await;
--- a/crates/node/tests/path/process.rs
+++ b/crates/node/tests/path/process.rs
@@ -33,6 +33,11 @@
 
 impl Process {
     pub async fn start(platform: &Platform, name: &str) -> Process {
+        Process::start_with_cores(platform, name, 1.0).await
+    }
+
+    /// Starts a process whose settings state this CPU capacity of its host.
+    pub async fn start_with_cores(platform: &Platform, name: &str, cores: f64) -> Process {
         let caller_port = Port::reserve().expect("a port for callers");
         let peer_port = Port::reserve().expect("a port for peers");
         let callers = caller_port.on(Ipv4Addr::LOCALHOST);
@@ -44,6 +49,7 @@
             caller_address: callers,
             store_address: platform.address,
             grace_s: 6,
+            cores,
         });
         let settings =
             std::env::temp_dir().join(format!("sycamore-{}-{callers}.toml", std::process::id()));
--- a/crates/soak/src/round.rs
+++ b/crates/soak/src/round.rs
@@ -60,6 +60,9 @@
     pub faults: BTreeMap<&'static str, u64>,
 }
 
+/// CPU capacity that the settings state for a host, in cores: enough to own at once.
+const HOST_CORES: f64 = 1.0;
+
 /// The processes of a round and everything that faults act on.
 struct Cluster {
     store: Store,
@@ -107,6 +110,7 @@
             caller_address: listen_address,
             store_address: link.address,
             grace_s: STOP_GRACE_S,
+            cores: HOST_CORES,
         };
         let environment = environment.to_vec();
         let mut process =
--- a/crates/standin/src/fenced/documents.rs
+++ b/crates/standin/src/fenced/documents.rs
@@ -66,6 +66,8 @@
     pub store_address: SocketAddr,
     /// Time from SIGTERM to SIGKILL, in seconds.
     pub grace_s: u32,
+    /// CPU capacity of the host, in cores.
+    pub cores: f64,
 }
 
 /// Builds the body with which a job is submitted.
@@ -106,13 +108,14 @@
     format!(
         "node = \"{}\"\nip = \"{}\"\nzone = \"a\"\ninternal-ports = [{}, 1]\nseeds = [{}]\n\
          [listen]\nfront = \"{}\"\n[bounds]\nhold-max-ms = 6000\ngrace-s = {}\n\
-         [platform]\naddr = \"{}\"\n",
+         [limits]\ncpu-share = {:?}\n[platform]\naddr = \"{}\"\n",
         process.host,
         process.address,
         process.peer_port,
         seeds.join(", "),
         process.caller_address,
         process.grace_s,
+        process.cores,
         process.store_address
     )
 }
