Add sycamore-bench site: a simulated site on the engine of sycamore-node

Plays a minute of hundreds of workers with gangs, wide steps and short urgent jobs, and an advice service that costs time, on a virtual clock. Prints the cost of passes and events and how long jobs wait, so that a change of policy can be weighed in seconds. Passes are paced by the time that they really take, times three.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,10 +6,13 @@
 //! - [`faults`] kills, pauses and replaces real processes under load, and
 //!   checks that no job is lost and no request runs twice.
 //!
-//! `decide` and `policy` run the real core in one process, on a virtual clock
+//! - [`site`] plays a site on the engine of `sycamore-node` and measures its cost and waits.
+//!
+//! `decide`, `policy` and `site` run the real core in one process, on a virtual clock
 //! and without a network. Only `faults` contains the latency of real processes.
 
 pub mod decide;
 pub mod driver;
 pub mod faults;
 pub mod policy;
+pub mod site;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,7 +6,7 @@
 
 use getopts::{Matches, Options};
 use sycamore_bench::policy::{self, Scenario};
-use sycamore_bench::{decide, faults};
+use sycamore_bench::{decide, faults, site};
 
 const USAGE: &str = "\
 Measures sycamorechute.
@@ -14,6 +14,7 @@
 Usage:
   sycamore-bench decide [OPTIONS]   time of the decision core per task start
   sycamore-bench policy [OPTIONS]   waiting, packing and shares against baselines
+  sycamore-bench site [OPTIONS]     cost and waits of the engine of sycamore-node
   sycamore-bench faults [OPTIONS]   real processes killed, paused and replaced under load";
 
 fn main() -> ExitCode {
@@ -29,6 +30,9 @@
         "N",
     );
     options.optopt("", "site", "policy: run this scenario only", "NAME");
+    options.optopt("", "load", "site: arrivals, in percent of the ordinary (default: 100)", "N");
+    options.optopt("", "burst", "site: arrivals in bursts, in percent (default: 100)", "N");
+    options.optopt("", "seconds", "site: simulated seconds (default: 60)", "N");
     options.optopt("", "outage", "faults: seconds of store outage (default: 20)", "N");
     options.optflag("h", "help", "print this help and exit");
     let matches = match options.parse(std::env::args().skip(1)) {
@@ -46,6 +50,7 @@
     match matches.free[0].as_str() {
         "decide" => run_decide(&matches, is_json),
         "policy" => run_policy(&matches, is_json),
+        "site" => return run_site(&matches),
         "faults" => return run_faults(&matches, is_json),
         other => {
             eprintln!("sycamore-bench: unknown measurement `{other}`");
@@ -110,6 +115,52 @@
     );
 }
 
+/// Plays a site at one or several sizes and prints a line for each, and one for each kind of
+/// its jobs.
+fn run_site(matches: &Matches) -> ExitCode {
+    let sizes = match parse_number(matches, "workers", 0) as usize {
+        0 => vec![50, 540, 2_000],
+        workers => vec![workers],
+    };
+    for workers in sizes {
+        let outcome = site::run(site::Settings {
+            seed: parse_number(matches, "seed", 1),
+            workers,
+            seconds: parse_number(matches, "seconds", 60),
+            load: parse_number(matches, "load", 100) as f64 / 100.0,
+            burst_factor: parse_number(matches, "burst", 100) as f64 / 100.0,
+            burst_seconds: 4,
+            slow_down: 3.0,
+        });
+        let (passes, events) = (&outcome.passes, &outcome.events);
+        println!(
+            "{workers} workers: {} starts, {} passes of {:.0} us (p99 {:.0}), {} events of {:.1} us, \
+             waiting {} at most and {} at the end, advice {:.0} s",
+            outcome.starts,
+            passes.count(),
+            passes.total().as_micros() as f64 / passes.count().max(1) as f64,
+            passes.quantile_us(0.99),
+            events.count(),
+            events.total().as_micros() as f64 / events.count().max(1) as f64,
+            outcome.most_waiting,
+            outcome.waiting,
+            outcome.advice_ms / 1e3,
+        );
+        for kind in &outcome.kinds {
+            println!(
+                "  {:6} {:6} jobs: {:5.1}% in time, {:5.1}% late; first order p50 {:7.1} ms, p90 {:7.1} ms",
+                kind.name,
+                kind.jobs,
+                100.0 * kind.in_time as f64 / kind.jobs.max(1) as f64,
+                100.0 * kind.late as f64 / kind.jobs.max(1) as f64,
+                kind.first_start_ms(0.5),
+                kind.first_start_ms(0.9),
+            );
+        }
+    }
+    ExitCode::SUCCESS
+}
+
 /// Runs the fault test. Fails if a worker saw a violation, a job was lost, a
 /// request ran twice, or a request ran although its caller was told it did not.
 fn run_faults(matches: &Matches, is_json: bool) -> ExitCode {
