Ask about up to 100 hosts for a gang, in calls at the same time while callers are idle

Cause: a gang asked about 40 hosts a call, one call at a time. A quarter of them is allowed, so that a gang needed two or three calls of 0.9 s in turn, and tickets of the first ran out during the last. Half of the wide gangs of the large site started when their slack was gone.

Change: up to 100 hosts are asked about at once. While less than half of the calls of that length are in flight, a gang's hosts are split into calls of 35 at the same time.

--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -18,7 +18,11 @@
 
 /// Most new hosts in one call. The platform documents a maximum of 100; beyond 40, a second
 /// call costs less.
-const MAX_HOSTS_PER_CALL: usize = 40;
+const MAX_HOSTS_PER_CALL: usize = 100;
+
+/// Most hosts in one call for a gang; more are asked about in calls at the same time. Half of
+/// a call's duration is its fixed part then.
+const MAX_HOSTS_PER_GANG_CALL: usize = 35;
 
 /// Most hosts in one call that renews the tickets of a gang: the platform's documented
 /// maximum.
@@ -65,7 +69,7 @@
         if advice.allowed.values().any(|ticket| ticket.expires_ms > min_expiry_ms) {
             return None;
         }
-        if advice.call_in_flight.is_some() || now_ms < advice.not_before_ms {
+        if advice.calls_in_flight > 0 || now_ms < advice.not_before_ms {
             return Some(WaitReason::AdvicePending);
         }
         (!self.may_call(demand, cost)).then_some(WaitReason::AdviceBusy)
@@ -79,6 +83,12 @@
         CallClass::ALL.iter().filter(|class| (shortest..=longest).contains(class)).any(is_free)
     }
 
+    /// Returns whether fewer than half of the calls of a duration that may be in flight are.
+    fn has_idle_callers(&self, cost_ms: f64) -> bool {
+        let class = CallClass::of(cost_ms) as usize;
+        self.advice_calls[class] < self.advice_limits[class] / 2
+    }
+
     fn has_free_call(&self, demand: &Demand, class: CallClass) -> bool {
         let limit = self.advice_limits[class as usize];
         let limit =
@@ -103,8 +113,7 @@
         let min_expiry_ms = self.min_ticket_expiry_ms();
         let groups = AdviceGroups::new(search, min_expiry_ms);
         let advice = &search.progress.advice;
-        let is_pending =
-            advice.call_in_flight.is_some() || self.now.monotonic_ms < advice.not_before_ms;
+        let is_pending = advice.calls_in_flight > 0 || self.now.monotonic_ms < advice.not_before_ms;
         if is_pending
             || has_capacity_for(&groups.ready, demand.wanted())
             || !self.may_call(demand, cost)
@@ -124,31 +133,38 @@
         rate.copied().unwrap_or(INITIAL_ALLOW_RATE)
     }
 
-    /// Requests advice about hosts, unless too many calls of that length are in flight. If
-    /// there is none to ask about, the step pauses, as the search for them is the dearest part
-    /// of a pass.
+    /// Requests advice about hosts, as far as calls of that length may be in flight. If there is
+    /// none to ask about, the step pauses, as the search for them is the dearest part of a pass.
     pub(super) fn request_advice(&mut self, demand: &Demand, hosts: Vec<Name>, cost: AdviceCost) {
-        let cost_ms = cost.call_ms(hosts.len());
-        let class = CallClass::of(cost_ms);
-        // Steps are handled in order of rank, so the most urgent ones get the available
-        // calls.
         let now_ms = self.now.monotonic_ms;
-        let is_free = self.has_free_call(demand, class);
         let step_id = demand.step_id;
-        let Some(step) = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id))
-        else {
-            return;
-        };
         if hosts.is_empty() {
-            step.advice.not_before_ms = now_ms + FRUITLESS_SEARCH_PAUSE_MS;
+            let step = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id));
+            if let Some(step) = step {
+                step.advice.not_before_ms = now_ms + FRUITLESS_SEARCH_PAUSE_MS;
+            }
             return;
         }
-        if !is_free {
-            return;
+        // The answers come sooner, at the cost of a call's fixed duration.
+        let is_split = demand.is_gang && self.has_idle_callers(cost.call_ms(hosts.len()));
+        let calls = if is_split { hosts.len().div_ceil(MAX_HOSTS_PER_GANG_CALL) } else { 1 };
+        for part in hosts.chunks(hosts.len().div_ceil(calls)) {
+            let cost_ms = cost.call_ms(part.len());
+            let class = CallClass::of(cost_ms);
+            // Steps are handled in order of rank, so the most urgent ones get the available
+            // calls.
+            if !self.has_free_call(demand, class) {
+                return;
+            }
+            let Some(step) = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id))
+            else {
+                return;
+            };
+            self.advice_calls[class as usize] += 1;
+            step.advice.calls_in_flight += 1;
+            let hosts = part.to_vec();
+            self.actions.push(Action::Advise(Advise { step: step_id, class, hosts, cost_ms }));
         }
-        self.advice_calls[class as usize] += 1;
-        step.advice.call_in_flight = Some(class);
-        self.actions.push(Action::Advise(Advise { step: step_id, class, hosts, cost_ms }));
     }
 
     pub(super) fn handle_advice(
@@ -167,7 +183,7 @@
         let queue = job.queue.clone();
         let valid_ms = self.queues.get(&queue).and_then(|queue| queue.advice).map(|a| a.valid_ms);
         let Some(step) = job.step_mut(step_id) else { return };
-        step.advice.call_in_flight = None;
+        step.advice.calls_in_flight = step.advice.calls_in_flight.saturating_sub(1);
         let Some(allowed) = allowed else {
             step.advice.not_before_ms = now_ms + ADVICE_RETRY_MS;
             return;
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -185,7 +185,7 @@
         match step {
             step if step.waiting.is_empty() => None,
             _ if !is_durable => Some(WaitReason::NotDurable),
-            step if step.advice.call_in_flight.is_some() => Some(WaitReason::AdvicePending),
+            step if step.advice.calls_in_flight > 0 => Some(WaitReason::AdvicePending),
             _ => Some(WaitReason::NoRoom),
         }
     }
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -8,7 +8,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use sycamore_types::Name;
 
-use crate::{CallClass, WaitReason};
+use crate::WaitReason;
 
 /// Progress of one task.
 #[derive(Clone, Debug, Default)]
@@ -43,8 +43,8 @@
     pub allowed: FxHashMap<u32, Ticket>,
     /// Numbers of the hosts that are not allowed.
     pub denied: FxHashSet<u32>,
-    /// Class of the call in flight.
-    pub call_in_flight: Option<CallClass>,
+    /// Number of calls in flight.
+    pub calls_in_flight: u32,
     /// Time before which no call is made, in milliseconds.
     pub not_before_ms: u64,
 }
