--- a/crates/bench/src/site/simulation.rs
+++ b/crates/bench/src/site/simulation.rs
@@ -65,7 +65,10 @@
 pub(super) struct Simulation {
     settings: Settings,
     engine: Engine,
-    rng: SmallRng,
+    /// Random numbers of the jobs, by kind.
+    rngs: [SmallRng; KINDS.len()],
+    /// Time of the last job that was scheduled, by kind.
+    last_arrivals_us: [u64; KINDS.len()],
     now_us: u64,
     items: BTreeMap<(u64, u64), Item>,
     sequence: u64,
@@ -85,6 +88,7 @@
         let engine = Engine::new(now, Timing::default(), catalog(), Recovered::default());
         let names: Vec<Name> =
             (0..settings.workers).map(|number| Name::from(format!("worker-{number}"))).collect();
+        let rngs = [1, 2, 3].map(|kind| SmallRng::seed_from_u64(settings.seed * 10 + kind));
         let speeds = [0.8, 1.0, 1.25];
         let workers = (0..settings.workers)
             .map(|_| Worker { speed: speeds[rng.random_range(0..3)], ..Worker::default() })
@@ -94,7 +98,8 @@
         let mut simulation = Simulation {
             settings,
             engine,
-            rng,
+            rngs,
+            last_arrivals_us: [0; KINDS.len()],
             now_us: 0,
             items: BTreeMap::new(),
             sequence: 0,
@@ -172,19 +177,24 @@
         self.items.insert((self.now_us + after_us, self.sequence), item);
     }
 
+    /// Schedules the next job of a kind. The jobs depend on the seed only, not on the time that
+    /// the engine takes.
     fn schedule_arrival(&mut self, kind: usize) {
-        let is_burst = (self.now_us / 1_000_000) % 20 < self.settings.burst_seconds;
+        let last_us = self.last_arrivals_us[kind];
+        let is_burst = (last_us / 1_000_000) % 20 < self.settings.burst_seconds;
         let factor = if is_burst { self.settings.burst_factor } else { 1.0 };
         let rate = KINDS[kind].rate * self.settings.workers as f64 * self.settings.load * factor;
-        let wait_s = -self.rng.random_range(1e-9..1.0_f64).ln() / rate;
-        self.schedule((wait_s * 1e6) as u64, Item::Arrival(kind));
+        let wait_s = -self.rngs[kind].random_range(1e-9..1.0_f64).ln() / rate;
+        let at_us = last_us + (wait_s * 1e6) as u64;
+        self.last_arrivals_us[kind] = at_us;
+        self.schedule(at_us.saturating_sub(self.now_us), Item::Arrival(kind));
     }
 
     fn carry_out(&mut self, item: Item) {
         match item {
             Item::Arrival(kind) => {
-                self.schedule_arrival(kind);
                 self.submit(kind);
+                self.schedule_arrival(kind);
             }
             Item::Event(event) => self.handle(event),
             Item::Tick => {
@@ -210,8 +220,8 @@
     }
 
     fn submit(&mut self, kind: usize) {
-        let draft = draft(&mut self.rng, kind);
-        let job = Id(self.rng.random());
+        let draft = draft(&mut self.rngs[kind], kind);
+        let job = Id(self.rngs[kind].random());
         let (team, spec) = (draft.team.clone(), draft.spec.clone());
         self.jobs.insert(job, Job { draft, due_us: self.now_us, started_us: None });
         let queue = Name::from(KINDS[kind].name);
--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -252,19 +252,22 @@
                 // The more hosts are allowed, the sooner all members of the gang fit at
                 // once.
                 let extra = (wanted * GANG_CAPACITY_FACTOR).saturating_sub(idle_capacity);
-                let unknown = search.unknown();
-                let chosen = choose_unknown(&unknown, extra, rate, true).0;
-                if !chosen.is_empty() {
-                    return chosen;
+                if extra > 0 {
+                    let chosen = choose_unknown(&search.unknown(0), extra, rate, true).0;
+                    if !chosen.is_empty() {
+                        return chosen;
+                    }
                 }
                 // The allowed hosts may stay full while other hosts are idle.
                 let missing = wanted - capacity;
+                let unknown = search.unknown(demand.footprint.cpu_millis);
                 let (chosen, expected) = choose_unknown(&unknown, missing, rate, false);
                 if expected >= f64::from(missing) { chosen } else { Vec::new() }
             }
             (false, true) => self.renewals(wanted, min_expiry_ms),
             (false, false) => {
-                let chosen = choose_unknown(&search.unknown(), wanted - capacity, rate, false).0;
+                let unknown = search.unknown(demand.footprint.cpu_millis);
+                let chosen = choose_unknown(&unknown, wanted - capacity, rate, false).0;
                 if chosen.is_empty() { self.renewals(wanted, min_expiry_ms) } else { chosen }
             }
         }
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -194,7 +194,8 @@
 
     /// Returns the candidates among all hosts, the most free CPU first.
     pub fn all(&self) -> Vec<Candidate> {
-        self.all_indices().filter_map(|index| self.candidate(index)).collect()
+        let min_cpu = if self.step.is_gang { 0 } else { self.footprint.cpu_millis };
+        self.views.most_cpu_first(min_cpu).filter_map(|index| self.candidate(index)).collect()
     }
 
     /// Returns the candidates among the hosts that advice allows.
@@ -204,15 +205,16 @@
         indices.filter_map(|index| self.candidate(*index)).collect()
     }
 
-    /// Returns the candidates among the hosts that advice was never asked about, the most
-    /// free CPU first.
-    pub fn unknown(&self) -> Vec<Candidate> {
+    /// Returns the candidates among the hosts that advice was never asked about and that may
+    /// have at least `min_cpu` free CPU, in thousandths of a core, the most free CPU first.
+    pub fn unknown(&self, min_cpu: u32) -> Vec<Candidate> {
         let advice = &self.progress.advice;
         let is_unknown = |index: &usize| {
             let number = self.views[*index].number;
             !advice.allowed.contains_key(&number) && !advice.denied.contains(&number)
         };
-        self.all_indices().filter(is_unknown).filter_map(|index| self.candidate(index)).collect()
+        let indices = self.views.most_cpu_first(min_cpu).filter(is_unknown);
+        indices.filter_map(|index| self.candidate(index)).collect()
     }
 
     /// Returns the name of a candidate's host.
@@ -225,11 +227,6 @@
         self.views[candidate.index].number
     }
 
-    fn all_indices(&self) -> impl Iterator<Item = usize> {
-        let min_cpu = if self.step.is_gang { 0 } else { self.footprint.cpu_millis };
-        self.views.most_cpu_first(min_cpu)
-    }
-
     fn candidate(&self, index: usize) -> Option<Candidate> {
         let (step, view) = (self.step, &self.views[index]);
         // Best-effort tasks slow down latency-sensitive ones by an unpredictable amount.
