Use workers last that take far longer than others

Cause: nothing compared workers, so that one that takes five times as long got as many tasks as any other. Operators of the large Sialkot site reported slow workers that held their work while new ones were idle.

Change: when a step is done, the workers of its tasks are compared by the time that they took. One at under half of the others' speed is asked about and used last.

The test fails without the change.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -32,6 +32,7 @@
     options.optopt("", "site", "policy: run this scenario only", "NAME");
     options.optopt("", "load", "site: arrivals, in percent of the ordinary (default: 100)", "N");
     options.optopt("", "burst", "site: arrivals in bursts, in percent (default: 100)", "N");
+    options.optopt("", "slow", "site: slow workers, in percent (default: 0)", "N");
     options.optopt("", "seconds", "site: simulated seconds (default: 60)", "N");
     options.optopt("", "outage", "faults: seconds of store outage (default: 20)", "N");
     options.optflag("h", "help", "print this help and exit");
@@ -130,6 +131,7 @@
             load: parse_number(matches, "load", 100) as f64 / 100.0,
             burst_factor: parse_number(matches, "burst", 100) as f64 / 100.0,
             burst_seconds: 4,
+            slow_share: parse_number(matches, "slow", 0) as f64 / 100.0,
             slow_down: 3.0,
         });
         let (passes, events) = (&outcome.passes, &outcome.events);
--- a/crates/bench/src/site/mod.rs
+++ b/crates/bench/src/site/mod.rs
@@ -31,6 +31,8 @@
     pub burst_factor: f64,
     /// Duration of each burst, in seconds.
     pub burst_seconds: u64,
+    /// Fraction of the workers that take five times as long as others.
+    pub slow_share: f64,
     /// Multiple of this machine's time that the engine takes on the simulated host.
     pub slow_down: f64,
 }
--- a/crates/bench/src/site/simulation.rs
+++ b/crates/bench/src/site/simulation.rs
@@ -35,6 +35,9 @@
 /// Share of the control thread that dispatch passes may use.
 const PASS_SHARE: u64 = 4;
 
+/// Speed of a slow worker, as a multiple of that of an ordinary one.
+const SLOW_SPEED: f64 = 0.2;
+
 enum Item {
     Arrival(usize),
     Event(Event),
@@ -91,7 +94,11 @@
         let rngs = [1, 2, 3].map(|kind| SmallRng::seed_from_u64(settings.seed * 10 + kind));
         let speeds = [0.8, 1.0, 1.25];
         let workers = (0..settings.workers)
-            .map(|_| Worker { speed: speeds[rng.random_range(0..3)], ..Worker::default() })
+            .map(|_| {
+                let is_slow = rng.random_bool(settings.slow_share);
+                let speed = if is_slow { SLOW_SPEED } else { speeds[rng.random_range(0..3)] };
+                Worker { speed, ..Worker::default() }
+            })
             .collect();
         let by_name = names.iter().cloned().zip(0..).collect();
         let outcome = Outcome::new(settings.clone());
--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -319,7 +319,12 @@
     let mut order: Vec<&Candidate> =
         unknown.iter().filter(|candidate| fitting_tasks(candidate) > 0).collect();
     order.sort_by_key(|candidate| {
-        (!candidate.is_near, Reverse(candidate.fits_now), Reverse(candidate.free_cpu))
+        (
+            candidate.is_slow,
+            !candidate.is_near,
+            Reverse(candidate.fits_now),
+            Reverse(candidate.free_cpu),
+        )
     });
     let needed = f64::from(missing) * CAPACITY_MARGIN_FACTOR;
     let mut expected = 0.0;
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -25,6 +25,7 @@
     service: Name,
     labels: Arc<[Name]>,
     capacity: Resources,
+    is_slow: bool,
     /// Whether the host runs a task with a latency objective.
     has_latency_task: bool,
     /// Whether the host runs a best-effort task.
@@ -97,6 +98,8 @@
     pub fits_idle: u32,
     /// Free CPU, in thousandths of a core.
     pub free_cpu: u32,
+    /// Whether the host takes far longer than others for the same work.
+    pub is_slow: bool,
     /// Whether the host is near the step's data. True if the step has no data location.
     pub is_near: bool,
 }
@@ -125,6 +128,7 @@
             service: host.entry.service.clone(),
             labels: host.entry.labels.clone(),
             capacity: host.entry.capacity,
+            is_slow: host.speed.is_slow(),
             has_latency_task: host.latency_runs > 0,
             has_best_effort_task: host.best_effort_runs > 0,
             free: host.free(),
@@ -252,7 +256,8 @@
         }
         let is_near =
             step.data_rack.as_ref().is_none_or(|rack| *rack == view.rack || view.has_label(rack));
-        Some(Candidate { index, fits_now, fits_idle, free_cpu: view.free.cpu_millis, is_near })
+        let (free_cpu, is_slow) = (view.free.cpu_millis, view.is_slow);
+        Some(Candidate { index, fits_now, fits_idle, free_cpu, is_slow, is_near })
     }
 }
 
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -8,7 +8,7 @@
 use sycamore_types::Name;
 
 use super::Engine;
-use crate::host::{Host, LogState, RunEnd};
+use crate::host::{Host, LogState, RunEnd, Speed};
 use crate::{HostEntry, Record};
 
 impl Engine {
@@ -56,6 +56,7 @@
         self.expire_runs(name);
         if let Some(host) = self.hosts.get_mut(name) {
             host.entry.incarnation = incarnation;
+            host.speed = Speed::default();
             host.has_reported = false;
             host.last_seen_end = 0;
             host.last_durable_end = 0;
--- a/crates/graph/src/engine/run_ends.rs
+++ b/crates/graph/src/engine/run_ends.rs
@@ -6,7 +6,7 @@
 use sycamore_types::Name;
 
 use super::Engine;
-use crate::host::RunEnd;
+use crate::host::{Run, RunEnd};
 use crate::job::State;
 use crate::{Ended, Record, StepId, TaskId, Verdict};
 
@@ -20,7 +20,8 @@
         how: RunEnd,
         checkpoint: Option<Name>,
     ) {
-        let is_known = self.remove_run(name, task, attempt).is_some();
+        let run = self.remove_run(name, task, attempt);
+        let is_known = run.is_some();
         self.needs_dispatch = true;
         if let Some(team) = self.jobs.get(&task.step.job).map(|job| job.team.clone()) {
             self.record_decision(team, Verdict::Ended { task, attempt, host: name.clone(), how });
@@ -42,7 +43,12 @@
         // The run may be unknown here: the previous owner started it, or its lease was
         // considered expired. Then only a completion or a failure counts.
         match how {
-            RunEnd::Done => self.finish_task(name, task, attempt),
+            RunEnd::Done => {
+                if let Some(run) = run {
+                    self.record_duration(name, task, &run);
+                }
+                self.finish_task(name, task, attempt);
+            }
             RunEnd::Failed => self.fail_task(name, task, attempt),
             _ if is_known => self.interrupt_task(task, attempt, how, checkpoint),
             _ => self.requeue(task),
@@ -65,6 +71,35 @@
         self.append(Record::Ended(Ended { task, attempt, how, checkpoint }));
     }
 
+    /// Notes how long a task took on a host. Members of a gang end together, and a run that
+    /// resumed or that this owner has not started shows no whole duration.
+    fn record_duration(&mut self, name: &Name, task: TaskId, run: &Run) {
+        let took_ms = self.now.monotonic_ms.saturating_sub(run.requested_ms);
+        if run.is_partial || self.is_gang(task.step) {
+            return;
+        }
+        let step = self.jobs.get_mut(&task.step.job).and_then(|job| job.step_mut(task.step));
+        if let Some(step) = step {
+            step.durations.push((name.clone(), took_ms as u32));
+        }
+    }
+
+    /// Compares the hosts on which the tasks of a completed step ran.
+    fn compare_hosts(&mut self, step_id: StepId) {
+        let step = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id));
+        let durations = step.map(|step| std::mem::take(&mut step.durations)).unwrap_or_default();
+        if durations.len() < 2 {
+            return;
+        }
+        let total_ms: f64 = durations.iter().map(|(_, took_ms)| f64::from(*took_ms)).sum();
+        let mean_ms = total_ms / durations.len() as f64;
+        for (name, took_ms) in durations {
+            if let Some(host) = self.hosts.get_mut(&name) {
+                host.speed.compare(f64::from(took_ms), mean_ms);
+            }
+        }
+    }
+
     fn finish_task(&mut self, name: &Name, task: TaskId, attempt: u32) {
         self.record_end(name, task, attempt, RunEnd::Done);
         let is_gang = self.is_gang(task.step);
@@ -90,6 +125,7 @@
             self.stop_run(&host, task, number);
         }
         if is_done {
+            self.compare_hosts(task.step);
             self.backlog.remove(task.step);
             for index in task.step.index + 1..steps {
                 self.queue_if_ready(StepId { job: id, occurrence, index });
--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -36,6 +36,8 @@
         let deadline_ms = host.grant(now_ms, self.timing.start_ttl_ms, &self.timing);
         let run = Run {
             phase: Phase::Requested,
+            requested_ms: now_ms,
+            is_partial: checkpoint.is_some(),
             footprint: step.footprint(),
             size: step.size,
             team,
@@ -203,6 +205,8 @@
         let capacity = host.entry.capacity;
         let mut run = Run {
             phase: Phase::Running,
+            requested_ms: now_ms,
+            is_partial: true,
             // Its size is unknown if the job is; the run then takes up the whole host.
             footprint: capacity,
             size: Resources::default(),
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -1,6 +1,7 @@
 //! The owner's view of one host: its free capacity, its runs and its lease.
 
 mod run;
+mod speed;
 
 use std::collections::BTreeMap;
 
@@ -8,6 +9,7 @@
 
 pub use run::RunEnd;
 pub(crate) use run::{Phase, Run};
+pub(crate) use speed::Speed;
 
 use crate::{HostEntry, Record, TaskId, Timing};
 
@@ -51,6 +53,8 @@
     pub latency_runs: u32,
     /// Number of best-effort runs.
     pub best_effort_runs: u32,
+    /// Speed of this incarnation, compared with other hosts.
+    pub speed: Speed,
     /// Number of the last run end that was processed.
     pub last_seen_end: u64,
     /// Number of the last run end whose record is durable.
@@ -91,6 +95,7 @@
             runs: BTreeMap::new(),
             latency_runs: 0,
             best_effort_runs: 0,
+            speed: Speed::default(),
             last_seen_end: 0,
             last_durable_end: 0,
             clock_offset_ms: 0,
--- a/crates/graph/src/host/run.rs
+++ b/crates/graph/src/host/run.rs
@@ -43,6 +43,11 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
     pub phase: Phase,
+    /// Time of the start request, in milliseconds.
+    pub requested_ms: u64,
+    /// The time since the request is not that of the whole task: an earlier owner started the
+    /// run, or it resumed from a checkpoint.
+    pub is_partial: bool,
     /// Resources that the run takes from the host's capacity.
     pub footprint: Resources,
     /// Resources that count against the team's limit.
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -56,6 +56,9 @@
     /// Number of tasks that are done.
     pub done: u32,
     pub advice: StepAdvice,
+    /// Durations of completed tasks: host and time in milliseconds. Compares the hosts once the
+    /// step is done.
+    pub durations: Vec<(Name, u32)>,
     /// Why tasks of the step waited in the last dispatch pass that reached it.
     pub wait_reason: Option<WaitReason>,
     /// Indices of the tasks that wait to be started.
@@ -78,6 +81,7 @@
             tasks: vec![TaskProgress::default(); tasks as usize],
             done: 0,
             advice: StepAdvice::default(),
+            durations: Vec::new(),
             wait_reason: None,
             waiting: (0..tasks).collect(),
         }
--- a/crates/graph/tests/engine/overload.rs
+++ b/crates/graph/tests/engine/overload.rs
@@ -138,3 +138,21 @@
     assert_eq!(world.state(id(9_999)), Some(State::Complete));
     assert_eq!(world.state(id(1_000)), Some(State::Queued));
 }
+
+/// A worker that takes five times as long as others kept getting tasks, while others were
+/// idle. Operators of the large Sialkot site reported it.
+#[test]
+fn a_slow_worker_gets_tasks_last() {
+    let mut world = World::new(4, catalog(queue()), 1);
+    world.workers[0].slowness = 5;
+    for number in 0..8 {
+        world.submit(id(number), job(vec![step(16, 1_000)]));
+        world.run(1_200);
+    }
+
+    world.submit(id(100), job(vec![step(8, 1_000)]));
+    world.run(100);
+
+    assert!(world.workers[0].runs.is_empty());
+    assert_eq!(world.running(), 8);
+}
--- a/crates/graph/tests/engine/worker.rs
+++ b/crates/graph/tests/engine/worker.rs
@@ -52,6 +52,8 @@
     pub hides_members: bool,
     /// No message reaches the worker or comes from it.
     pub is_unreachable: bool,
+    /// Multiple of the ordinary time that the worker takes for its tasks.
+    pub slowness: u64,
     /// Polls that may wait get lost, as on a connection that has gone silent. Other requests
     /// arrive.
     pub loses_long_polls: bool,
@@ -72,6 +74,7 @@
             is_hung: false,
             hides_members: false,
             is_unreachable: false,
+            slowness: 1,
             loses_long_polls: false,
         }
     }
@@ -106,7 +109,7 @@
         }
         let run = Run {
             started_ms: now_ms,
-            until_ms: now_ms + work.work_ms,
+            until_ms: now_ms + work.work_ms * self.slowness,
             cpu_millis: work.cpu_millis,
             will_fail: work.will_fail,
             is_waiting: false,
