Serve requests whose callers have little time left

Cause: 250 ms were taken off each caller's limit for the response to travel back.

Change: the margin is a quarter of the limit at most, and a request without time to be sent is answered 503, since it has not run.

Result: the path test fails without the change (504 in both cases).

--- a/crates/node/src/api/forward.rs
+++ b/crates/node/src/api/forward.rs
@@ -47,6 +47,10 @@
 
 async fn attempt(node: &Arc<Node>, request: &CallerRequest, deadline: Instant) -> RequestOutcome {
     let remaining = deadline.saturating_duration_since(Instant::now());
+    // Without time to wait for an answer, a request that is not sent has certainly not run.
+    if remaining.is_zero() {
+        return RequestOutcome::NotOwner;
+    }
     match node.ownership.current() {
         CurrentOwner::Recovering { .. } | CurrentOwner::Unknown => RequestOutcome::NotOwner,
         CurrentOwner::Local(handle) => {
--- a/crates/node/src/api/request.rs
+++ b/crates/node/src/api/request.rs
@@ -21,6 +21,9 @@
 /// Time limit of a request if its route sets none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Part of a short time limit that is reserved for the response, as a divisor.
+const SHORTEST_MARGIN_DIVISOR: u32 = 4;
+
 /// Answers one request of a caller, and counts and logs the response.
 pub(super) async fn handle(node: Arc<Node>, request: Request<Incoming>) -> ApiResponse {
     let started = Instant::now();
@@ -116,7 +119,7 @@
 }
 
 /// Returns the time within which the response must be sent: the smaller of the route's and
-/// the caller's limit, less [`RESPONSE_MARGIN`].
+/// the caller's limit, less the time for the response to travel back.
 fn response_timeout(route: &Route, request: &Request<Incoming>) -> Duration {
     let requested = request.headers().get(site_header::DEADLINE_MS);
     let requested =
@@ -128,7 +131,8 @@
     let timeout = requested.map_or(route_timeout, |ms: f64| {
         route_timeout.min(Duration::from_millis(ms.max(0.0) as u64))
     });
-    timeout.saturating_sub(RESPONSE_MARGIN)
+    // A caller's last attempt may have little time left, most of which is needed to serve it.
+    timeout - RESPONSE_MARGIN.min(timeout / SHORTEST_MARGIN_DIVISOR)
 }
 
 async fn parse_submission(
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use platform::Platform;
-use process::{Process, call, until};
+use process::{Process, call, call_within, until};
 use sycamore_standin::fenced::{self, Step};
 
 const KEY: &str = "key-of-clerks";
@@ -98,6 +98,25 @@
     process.kill().await;
 }
 
+/// A caller's last attempt with 250 ms or less left was answered 504 at once, without having
+/// been sent to the owner. Callers can't repeat a request after that. Seen at the large Sialkot
+/// site (trouble-3): 356 of 372 answers 504.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_with_little_time_left_is_served_or_has_not_run() {
+    let platform = Platform::start().await;
+    let process = start_serving(&platform, "one", "00000000000000b1").await;
+    let submit_within = |id: &'static str, deadline_ms: &'static str| {
+        let url = process.url(id);
+        async move { call_within("POST", &url, KEY, &job(1), deadline_ms).await.map(|a| a.0) }
+    };
+
+    assert_eq!(submit_within("00000000000000b2", "0").await, Some(503));
+    // A busy machine may need more than the time left, but not each time.
+    let is_accepted = || async { submit_within("00000000000000b3", "250").await == Some(200) };
+    until("a job is accepted within 250 ms", is_accepted).await;
+    process.kill().await;
+}
+
 /// A host of 0.12 cores owned 540 workers for 10 s beside hosts of 0.5 cores, and nothing was
 /// served in time. Seen at the large Sialkot site (trouble-3).
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/node/tests/path/process.rs
+++ b/crates/node/tests/path/process.rs
@@ -117,11 +117,23 @@
 
 /// Makes one HTTP call. Returns the status and body, or `None` without a response.
 pub async fn call(method: &str, url: &str, key: &str, body: &str) -> Option<(u16, String)> {
+    call_within(method, url, key, body, "3000").await
+}
+
+/// Makes one HTTP call that states how long its caller waits, in milliseconds.
+pub async fn call_within(
+    method: &str,
+    url: &str,
+    key: &str,
+    body: &str,
+    deadline_ms: &str,
+) -> Option<(u16, String)> {
     let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
     let request = Request::builder()
         .method(method)
         .uri(url)
         .header(fenced::KEY_HEADER, key)
+        .header(fenced::DEADLINE_HEADER, deadline_ms)
         .body(Full::new(Bytes::from(body.to_string())))
         .expect("a request");
     let response = client.request(request).await.ok()?;
--- a/crates/standin/src/fenced/documents.rs
+++ b/crates/standin/src/fenced/documents.rs
@@ -10,6 +10,9 @@
 /// Header that carries the API key of a caller.
 pub const KEY_HEADER: &str = "x-api-key";
 
+/// Header that states how long a caller waits for the response, in milliseconds.
+pub const DEADLINE_HEADER: &str = "sycamorechute-deadline-ms";
+
 /// Step of a job.
 #[derive(Clone, Debug, Default)]
 pub struct Step {
--- a/crates/standin/src/fenced/mod.rs
+++ b/crates/standin/src/fenced/mod.rs
@@ -12,7 +12,9 @@
 
 use std::fmt::Debug;
 
-pub use documents::{KEY_HEADER, ProcessSettings, Queue, Step, Team, config, job, settings};
+pub use documents::{
+    DEADLINE_HEADER, KEY_HEADER, ProcessSettings, Queue, Step, Team, config, job, settings,
+};
 pub use store::{Mode, Store};
 pub use worker::{Capacity, Worker};
 
