Read a worker's report although a row of it is malformed

Cause: one malformed row made the whole report unusable. A run end with an unknown outcome was skipped, and the ends behind it were acknowledged, so that the worker forgot it.

Change: a malformed row of a run is left out; a malformed end ends the list. The report counts as truncated then, so that no run is taken for ended because it is not listed.

Result: the tests of the format fail without the change.

--- a/crates/platform/src/site/worker_wire.rs
+++ b/crates/platform/src/site/worker_wire.rs
@@ -69,26 +69,45 @@
     pub reason: String,
 }
 
+/// The response to a poll. A row is a [`RunningRow`] or [`FinishedRow`], or `Option`al if it may
+/// be malformed.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub(super) struct PollResponse {
-    pub clock_ms: u64,
+struct PollResponse<R, F> {
+    clock_ms: u64,
     /// Start of the incarnation that responded, in milliseconds since 1970.
     #[serde(default)]
-    pub born: u64,
-    #[serde(default)]
-    pub running: Vec<RunningRow>,
-    #[serde(default)]
-    pub finished: Vec<FinishedRow>,
+    born: u64,
+    #[serde(default = "Vec::new")]
+    running: Vec<R>,
+    #[serde(default = "Vec::new")]
+    finished: Vec<F>,
+}
+
+/// A row that may be malformed.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Row<T> {
+    Valid(T),
+    Malformed(de::IgnoredAny),
+}
+
+impl<T> From<Row<T>> for Option<T> {
+    fn from(row: Row<T>) -> Option<T> {
+        match row {
+            Row::Valid(row) => Some(row),
+            Row::Malformed(_) => None,
+        }
+    }
 }
 
 /// A running task, sent as an array. Further elements, such as the load, are ignored.
-pub(super) struct RunningRow {
-    pub task: String,
-    pub attempt: u32,
-    pub checkpoint: Name,
+struct RunningRow {
+    task: String,
+    attempt: u32,
+    checkpoint: Name,
     /// Progress, from 0 to 100.
-    pub percent: f64,
+    percent: f64,
 }
 
 impl<'de> Deserialize<'de> for RunningRow {
@@ -97,7 +116,7 @@
     }
 }
 
-pub(super) struct RunningRowVisitor;
+struct RunningRowVisitor;
 
 impl<'de> Visitor<'de> for RunningRowVisitor {
     type Value = RunningRow;
@@ -120,30 +139,54 @@
 /// A finished run: sequence number, task, attempt, how it ended, last checkpoint.
 type FinishedRow = (u64, String, u32, String, Name);
 
-/// Parses the response to a poll. Returns `None` if it is malformed.
-pub(super) fn parse_report(bytes: &[u8]) -> Option<Report> {
-    let response: PollResponse = match serde_json::from_slice(bytes) {
-        Ok(response) => response,
+/// Parses the response to a poll. Returns `None` if it is malformed as a whole.
+///
+/// A malformed row of a running task is left out, and one of a run end ends the list, since the
+/// ends behind it must not be acknowledged before it. The report counts as truncated then, so
+/// that no run is taken for ended because it is not listed.
+pub fn parse_report(bytes: &[u8]) -> Option<Report> {
+    if let Ok(response) = serde_json::from_slice::<PollResponse<RunningRow, FinishedRow>>(bytes) {
+        return Some(to_report(response));
+    }
+    match serde_json::from_slice::<PollResponse<Row<RunningRow>, Row<FinishedRow>>>(bytes) {
+        Ok(response) => Some(to_report(response)),
         Err(error) => {
             log::warn!("can't parse the report of a worker: {error}");
-            return None;
+            None
         }
-    };
-    let is_truncated = response.finished.len() >= MAX_FINISHED_PER_POLL;
-    let running = response.running.into_iter().filter_map(|row| {
-        Some((parse_task_or_warn(&row.task)?, row.attempt, row.checkpoint, row.percent as u8))
-    });
-    let ended =
-        response.finished.into_iter().filter_map(|(seq, task, attempt, how, checkpoint)| {
-            Some((seq, parse_task_or_warn(&task)?, attempt, parse_run_end(&how)?, checkpoint))
-        });
-    Some(Report {
+    }
+}
+
+fn to_report<R, F>(response: PollResponse<R, F>) -> Report
+where
+    R: Into<Option<RunningRow>>,
+    F: Into<Option<FinishedRow>>,
+{
+    let rows = (response.running.len(), response.finished.len());
+    let running: Vec<_> =
+        response.running.into_iter().filter_map(|row| parse_running(row.into()?)).collect();
+    let ended: Vec<_> =
+        response.finished.into_iter().map_while(|row| parse_ended(row.into()?)).collect();
+    let is_malformed = (running.len(), ended.len()) != rows;
+    if is_malformed {
+        log::warn!("a worker's report has malformed rows, which are ignored");
+    }
+    Report {
         incarnation: response.born,
         clock_ms: response.clock_ms,
-        running: running.collect(),
-        ended: ended.collect(),
-        is_truncated,
-    })
+        running,
+        ended,
+        is_truncated: is_malformed || rows.1 >= MAX_FINISHED_PER_POLL,
+    }
+}
+
+fn parse_running(row: RunningRow) -> Option<(TaskId, u32, Name, u8)> {
+    Some((parse_task_or_warn(&row.task)?, row.attempt, row.checkpoint, row.percent as u8))
+}
+
+fn parse_ended(row: FinishedRow) -> Option<(u64, TaskId, u32, RunEnd, Name)> {
+    let (seq, task, attempt, how, checkpoint) = row;
+    Some((seq, parse_task_or_warn(&task)?, attempt, parse_run_end(&how)?, checkpoint))
 }
 
 fn parse_task_or_warn(name: &str) -> Option<TaskId> {
--- a/crates/platform/tests/site/worker.rs
+++ b/crates/platform/tests/site/worker.rs
@@ -1,6 +1,6 @@
 //! Parsing of the workers' entries, with the example of the platform's documentation.
 
-use sycamore_platform::site::parse_worker_entry;
+use sycamore_platform::site::{parse_report, parse_worker_entry};
 use yare::parameterized;
 
 const ENTRY: &str = r#"{"service":"desk","addr":"10.128.0.9:8080","zone":"a","version":"v1","slots":8,"state":"ready","cold-left-ms":0,"capacity":{"cpu":16000,"mem-mb":32768,"gpu":1},"labels":["a","r1-3"],"clock-ms":482113,"seq":4,"born":17}"#;
@@ -36,3 +36,58 @@
 fn ignores_bytes_that_are_not_json() {
     assert!(parse_worker_entry("i", b"\xff\x00").is_none());
 }
+
+const RUNNING: &str = r#"["5c0e7a21d94b36f8.0.1.17",2,"",41]"#;
+const ENDED: &str = r#"[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]"#;
+
+fn report(running: &str, finished: &str) -> String {
+    format!(r#"{{"clock-ms":482113,"born":17,"running":[{running}],"finished":[{finished}]}}"#)
+}
+
+#[test]
+fn parses_a_report() {
+    let report = parse_report(report(RUNNING, ENDED).as_bytes()).unwrap();
+
+    assert_eq!((report.running.len(), report.ended.len()), (1, 1));
+    assert!(!report.is_truncated);
+}
+
+/// A malformed row made the whole report unusable, so that the worker counted as silent, its
+/// lease ran out and its tasks were started elsewhere.
+#[parameterized(
+    no_row = { "7" },
+    empty = { "[]" },
+    wrong_type = { r#"["5c0e7a21d94b36f8.0.1.18","two","",41]"# },
+    odd_task = { r#"["odd",2,"",41]"# },
+)]
+fn a_malformed_run_costs_that_row_only(row: &str) {
+    let running = format!("{row},{RUNNING}");
+
+    let report = parse_report(report(&running, ENDED).as_bytes()).unwrap();
+
+    assert_eq!((report.running.len(), report.ended.len()), (1, 1));
+    // The run of the malformed row must not count as ended.
+    assert!(report.is_truncated);
+}
+
+/// The owner acknowledges all ends up to the last one that it has read, and the worker forgets
+/// them.
+#[parameterized(
+    no_row = { "7" },
+    wrong_type = { r#"[59,"5c0e7a21d94b36f8.0.1.10","one","done",""]"# },
+    odd_outcome = { r#"[59,"5c0e7a21d94b36f8.0.1.10",1,"odd",""]"# },
+)]
+fn ends_behind_a_malformed_one_are_left_for_later(row: &str) {
+    let finished = format!(r#"{ENDED},{row},[60,"5c0e7a21d94b36f8.0.1.11",1,"done",""]"#);
+
+    let report = parse_report(report(RUNNING, &finished).as_bytes()).unwrap();
+
+    let numbers: Vec<u64> = report.ended.iter().map(|(number, ..)| *number).collect();
+    assert_eq!(numbers, [58]);
+    assert!(report.is_truncated);
+}
+
+#[test]
+fn a_report_without_a_clock_is_unusable() {
+    assert!(parse_report(br#"{"running":[],"finished":[]}"#).is_none());
+}
