Never claim below the epoch of an owner record that can't be read

Change: the record's revision stands in for its epoch. Each claim raises the store's revision by at least one and the epoch by one.

Result: without the change the path test finds a claim at epoch 1 and more claims after it.

--- a/crates/node/src/ownership/owner_record.rs
+++ b/crates/node/src/ownership/owner_record.rs
@@ -35,8 +35,11 @@
         Owner { epoch: self.epoch, host: self.host.clone(), address: self.address }
     }
 
-    /// Reads the record and its revision, which is 0 if there is no record. A record that can't
-    /// be decoded counts as missing.
+    /// Reads the record and its revision, which is 0 if there is no record.
+    ///
+    /// A record that can't be decoded counts as vacant. Its revision stands in for its epoch:
+    /// each claim raises the store's revision by at least one and the epoch by one, so that no
+    /// earlier owner has a higher fencing token.
     pub async fn read(store: &Store) -> Result<(Option<OwnerRecord>, u64), StoreError> {
         let Some(item) = store.get(OWNER_KEY, OWNER_RECORD_TIMEOUT).await? else {
             return Ok((None, 0));
@@ -44,12 +47,18 @@
         match serde_json::from_slice(&item.value) {
             Ok(record) => Ok((Some(record), item.rev)),
             Err(error) => {
-                log::error!(target: "sycamore_node::lead::claim", "can't decode the owner record, treating it as missing: {error}");
-                Ok((None, item.rev))
+                log::error!(target: "lead", error:%; "can't decode the owner record");
+                Ok((Some(OwnerRecord::undecodable(item.rev)), item.rev))
             }
         }
     }
 
+    fn undecodable(rev: u64) -> OwnerRecord {
+        let address = SocketAddr::from(([0, 0, 0, 0], 0));
+        let host = Name::from("");
+        OwnerRecord { epoch: rev, host, address, nonce: 0, is_vacant: true, is_weak: false }
+    }
+
     /// Writes the record if its revision in the store is still `rev`. Returns the new revision.
     pub async fn write(&self, store: &Store, rev: u64) -> Result<u64, StoreError> {
         let value =
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -98,6 +98,28 @@
     process.kill().await;
 }
 
+/// The owner's record was overwritten with bytes that can't be read. The next owner began at
+/// epoch 1 again, below the fencing token that the workers had seen.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unreadable_owner_record_hands_out_no_old_fencing_token() {
+    let platform = Platform::start().await;
+    let first = start_serving(&platform, "one", "00000000000000a1").await;
+    let second = start_serving(&platform, "two", "00000000000000a2").await;
+    first.kill().await;
+    until("the second process owns", || submit(&second, "00000000000000a3")).await;
+    second.kill().await;
+    platform.corrupt_owner_record();
+
+    let third = start_serving(&platform, "three", "00000000000000a4").await;
+
+    until("the job completes", || is_complete(&third, "00000000000000a4")).await;
+    let claims = third.grep(&["claimed ownership"]);
+    assert_eq!(claims.len(), 1, "{claims:?}");
+    assert!(claims[0]["epoch"].as_u64().is_some_and(|epoch| epoch > 2), "{claims:?}");
+    assert_eq!(platform.duplicate_starts(), 0);
+    third.kill().await;
+}
+
 /// A caller's last attempt with 250 ms or less left was answered 504 at once, without having
 /// been sent to the owner. Callers can't repeat a request after that. Seen at the large Sialkot
 /// site (trouble-3): 356 of 372 answers 504.
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -61,6 +61,10 @@
         self.store.set_mode(if is_unavailable { Mode::Unavailable } else { Mode::Normal });
     }
 
+    pub fn corrupt_owner_record(&self) {
+        self.store.overwrite("sycamore/owner", b"not a record");
+    }
+
     /// Delays each reply of the store beyond all timeouts.
     pub fn set_store_stalled(&self, is_stalled: bool) {
         let stalled = Mode::Slow(Duration::from_secs(30));
--- a/crates/standin/src/fenced/store.rs
+++ b/crates/standin/src/fenced/store.rs
@@ -83,6 +83,11 @@
         self.state().kv.remove(&format!("servers/{id}"));
     }
 
+    /// Overwrites the value of a key, as a faulty writer would.
+    pub fn overwrite(&self, key: &str, value: &[u8]) {
+        self.state().kv.put(key, &STANDARD.encode(value));
+    }
+
     fn put(&self, key: &str, document: &Value) {
         self.state().kv.put(key, &STANDARD.encode(document.to_string()));
     }
