Take a log write that was answered by 5xx for possibly done

Cause: any status but 200 and 412 counted as 'nothing was done', though only a 503 says so.

Change: other 5xx of a commit are an unknown outcome, which the writer resolves by reading.

Result: without the change the path test accepts no job within 60 s.

--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -120,6 +120,23 @@
     third.kill().await;
 }
 
+/// The store carried out log writes, but a proxy answered them with 502. The owner took the
+/// writes for not done, found its own page and gave up ownership, each time anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_write_answered_by_502_may_have_been_done() {
+    let platform = Platform::start().await;
+    let process = start_serving(&platform, "one", "00000000000000a1").await;
+
+    platform.set_store_responses_hidden(true);
+    until("a job is accepted", || submit(&process, "00000000000000a2")).await;
+    platform.set_store_responses_hidden(false);
+
+    until("the job completes", || is_complete(&process, "00000000000000a2")).await;
+    assert!(process.grep(&["ownership ended"]).is_empty());
+    assert_eq!(platform.duplicate_starts(), 0);
+    process.kill().await;
+}
+
 /// A caller's last attempt with 250 ms or less left was answered 504 at once, without having
 /// been sent to the owner. Callers can't repeat a request after that. Seen at the large Sialkot
 /// site (trouble-3): 356 of 372 answers 504.
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -61,6 +61,11 @@
         self.store.set_mode(if is_unavailable { Mode::Unavailable } else { Mode::Normal });
     }
 
+    /// Answers each transaction of the store with 502 after it has been carried out.
+    pub fn set_store_responses_hidden(&self, is_hidden: bool) {
+        self.store.set_mode(if is_hidden { Mode::HidesResponses } else { Mode::Normal });
+    }
+
     pub fn corrupt_owner_record(&self) {
         self.store.overwrite("sycamore/owner", b"not a record");
     }
--- a/crates/platform/src/site/store.rs
+++ b/crates/platform/src/site/store.rs
@@ -248,6 +248,10 @@
         match status {
             StatusCode::OK => decode::<CommitResponse>(&body).map(|response| response.rev),
             StatusCode::PRECONDITION_FAILED => Err(StoreError::Conflict),
+            // Only a 503 says that nothing was done.
+            other if other.is_server_error() && other != StatusCode::SERVICE_UNAVAILABLE => {
+                Err(StoreError::Unknown(format!("status {other}")))
+            }
             other => Err(StoreError::Refused(other.as_u16())),
         }
     }
--- a/crates/standin/src/fenced/store.rs
+++ b/crates/standin/src/fenced/store.rs
@@ -30,6 +30,9 @@
     /// Every call is carried out, but the connection of every second one is closed before the
     /// reply.
     LosesResponses,
+    /// Every transaction that is carried out is answered by 502, as a proxy before the store does
+    /// when it loses the response.
+    HidesResponses,
     /// Every call is carried out after this delay.
     Slow(Duration),
 }
@@ -116,7 +119,7 @@
     match mode {
         Mode::Unavailable => return Some(response(StatusCode::SERVICE_UNAVAILABLE, "{}")),
         Mode::Slow(delay) => tokio::time::sleep(delay).await,
-        Mode::Normal | Mode::LosesResponses => {}
+        Mode::Normal | Mode::LosesResponses | Mode::HidesResponses => {}
     }
     let (status, reply) = loop {
         let reply = try_reply(&mut lock(&state).kv, call, uri.query(), &body, started.elapsed());
@@ -125,6 +128,9 @@
         }
         tokio::time::sleep(WATCH_CHECK_INTERVAL).await;
     };
+    if mode == Mode::HidesResponses && call == "kv-txn" && status == 200 {
+        return Some(response(StatusCode::BAD_GATEWAY, "{}"));
+    }
     let is_lost = mode == Mode::LosesResponses && calls.is_multiple_of(2);
     let status = StatusCode::from_u16(status).ok()?;
     (!is_lost).then(|| response(status, reply.to_string()))
