Let a new owner wait for a silent worker's own tasks only

Cause: the log said of a worker in use only that any task may run there.

Change: an owner records the runs of a worker that misses a poll, as it does for one that drains or is no longer listed; such a worker gets no new tasks until it is in use again. A successor waits for those runs alone.

Result: the test fails without the change.

--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -95,11 +95,12 @@
     }
 
     /// Records which hosts get no new work, with the runs that they still have. The fewer
-    /// runs the log allows for, the fewer unreachable hosts a new owner has to wait for.
+    /// runs the log allows for, the fewer unreachable hosts a new owner has to wait for. A
+    /// silent host gets no new work either.
     fn record_leaving_hosts(&mut self) {
         let mut records = Vec::new();
         for host in self.hosts.values_mut() {
-            let is_leaving = host.entry.is_draining || !host.is_listed;
+            let is_leaving = host.entry.is_draining || !host.is_listed || host.missed_polls > 0;
             if !is_leaving || !host.has_reported {
                 continue;
             }
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -28,7 +28,8 @@
     UsePending,
     /// The host may have any run.
     Used,
-    /// The host may have only the runs that it had when it stopped taking new tasks.
+    /// The host may have only the runs that it had when it stopped taking new tasks, because
+    /// it drains, is no longer listed or is silent.
     Leaving,
 }
 
--- a/crates/graph/tests/engine/takeover.rs
+++ b/crates/graph/tests/engine/takeover.rs
@@ -1,6 +1,6 @@
 //! Takeovers: a new owner rebuilds its state from the log and from the reports of the workers.
 
-use sycamore_graph::job::State;
+use sycamore_graph::job::{State, Step};
 
 use crate::fixture::{catalog, gang, id, job, limited, queue, size, step};
 use crate::world::World;
@@ -106,3 +106,25 @@
 
     assert_eq!(world.polls, before);
 }
+
+/// A worker that had been silent before the owner was lost held up all older jobs until its
+/// lease had expired: 10.5 s on the Rolamento Vivo site (incident 0b8e).
+#[test]
+fn a_silent_worker_is_waited_for_by_its_own_tasks_only() {
+    let mut world = World::new(4, catalog(queue()), 1);
+    world.work_ms = 800;
+    world.submit(id(1), job(vec![step(16, 1_000)]));
+    world.run(200);
+    world.workers[0].is_unreachable = true;
+    let second = Step { after: vec![0], ..step(2, 1_000) };
+    world.submit(id(2), job(vec![step(2, 1_000), second]));
+    world.run(1_200);
+
+    world.take_over();
+    world.run(2_000);
+
+    assert_eq!(world.state(id(2)), Some(State::Complete));
+    assert_eq!(world.state(id(1)), Some(State::Running));
+    world.run(8_000);
+    assert_eq!(world.state(id(1)), Some(State::Complete));
+}
