End an owner whose polls are refused for their fencing token

Cause: only a refused start told an owner that it had been replaced. A fenced owner whose record still stood would have gone on with the same epoch.

Change: a poll refused as fenced ends the owner. A fenced owner gives its record up, so that the next claim has a higher epoch.

--- a/crates/node/src/owner/execute.rs
+++ b/crates/node/src/owner/execute.rs
@@ -8,7 +8,7 @@
 
 use sycamore_graph::{Action, Event, Poll, Start, Stop};
 use sycamore_platform::site::{CallOutcome, WorkerClient};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use super::advice::AdviceDispatcher;
 use super::journal::Journal;
@@ -38,6 +38,7 @@
         node.clock,
         handle.epoch,
     );
+    let fenced = Arc::new(Notify::new());
     let mut concurrency_check = tokio::time::interval(ADVICE_CONCURRENCY_INTERVAL);
     let mut head_check = tokio::time::interval(HEAD_CHECK_INTERVAL);
     loop {
@@ -49,13 +50,15 @@
                 }
             }
             () = &mut journal => return EndReason::Deposed,
+            () = fenced.notified() => return EndReason::Fenced,
             host = ended_calls.recv() => {
                 if let Some(host) = host {
                     advice.on_call_ended(&host);
                 }
             }
             action = actions.recv() => match action {
-                None | Some(Action::Deposed) => return EndReason::Deposed,
+                None => return EndReason::Deposed,
+                Some(Action::Deposed) => return EndReason::Fenced,
                 Some(Action::Append(record)) => {
                     if log_records.send(record).is_err() {
                         return EndReason::Deposed;
@@ -65,7 +68,7 @@
                 Some(Action::Advise(advise)) => advice.enqueue(advise),
                 Some(Action::Start(request)) => start(&node, &handle, &worker, request),
                 Some(Action::Stop(request)) => stop(&handle, &worker, request),
-                Some(Action::Poll(request)) => poll(&node, &handle, &worker, request),
+                Some(Action::Poll(request)) => poll(&node, &handle, &worker, request, &fenced),
                 // Not sent here: the control thread answers callers itself.
                 Some(Action::Answer { .. }) => {}
             },
@@ -111,8 +114,8 @@
     });
 }
 
-fn poll(node: &Node, handle: &Handle, worker: &WorkerClient, poll: Poll) {
-    let (handle, worker) = (handle.clone(), worker.clone());
+fn poll(node: &Node, handle: &Handle, worker: &WorkerClient, poll: Poll, fenced: &Arc<Notify>) {
+    let (handle, worker, fenced) = (handle.clone(), worker.clone(), fenced.clone());
     let polls = node.meters.polls.clone();
     tokio::spawn(async move {
         let timeout = Duration::from_millis(poll.wait_ms) + POLL_MARGIN;
@@ -126,6 +129,9 @@
         let outcome =
             report.as_ref().map_or_else(|failure| format!("{failure:?}"), |_| "Taken".into());
         polls.with_label_values(&[&outcome]).inc();
+        if matches!(report, Err(CallOutcome::Fenced)) {
+            fenced.notify_one();
+        }
         let (host, number) = (poll.host, poll.number);
         handle.send(match report {
             Ok(report) => Event::Polled { host, poll: number, report },
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -47,6 +47,8 @@
 pub(crate) enum EndReason {
     /// Another process has a higher epoch, or a part of this owner has ended.
     Deposed,
+    /// A worker has seen a higher fencing token.
+    Fenced,
     /// This process is stopping.
     Stopping,
 }
@@ -112,7 +114,8 @@
     log::info!(target: "lead", epoch = record.epoch, why:? = end; "ownership ended");
     handle.stop();
     node.ownership.set_current(CurrentOwner::Unknown);
-    if end == EndReason::Stopping {
+    // A fenced owner whose record still stands has to claim a higher epoch.
+    if matches!(end, EndReason::Fenced | EndReason::Stopping) {
         resign(node, record, rev).await;
     }
 }
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -120,6 +120,25 @@
     third.kill().await;
 }
 
+/// An owner that was cut off from the store and its peers went on after it had been replaced,
+/// although its workers refused its polls. It learned only from a refused start.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_whose_polls_are_fenced_stops_at_once() {
+    let platform = Platform::start().await;
+    let process = start_serving(&platform, "one", "00000000000000a1").await;
+    until("the job is complete", || is_complete(&process, "00000000000000a1")).await;
+
+    platform.fence_worker(3).await;
+
+    let is_ended = || async { !process.grep(&["ownership ended", "Fenced"]).is_empty() };
+    until("the owner stops", is_ended).await;
+    // It claims higher epochs until its workers accept one.
+    until("a job is accepted", || submit(&process, "00000000000000a2")).await;
+    until("the job completes", || is_complete(&process, "00000000000000a2")).await;
+    assert_eq!(platform.duplicate_starts(), 0);
+    process.kill().await;
+}
+
 /// The store carried out log writes, but a proxy answered them with 502. The owner took the
 /// writes for not done, found its own page and gave up ownership, each time anew.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -10,6 +10,7 @@
     self, Capacity, Mode, Observation, Observer, Queue, Store, Team, Worker,
 };
 
+use crate::process::call_with_headers;
 use crate::{GUEST_KEY, KEY};
 
 /// Counts starts of tasks that are already running or done.
@@ -42,7 +43,7 @@
     pub address: SocketAddr,
     store: Store,
     duplicate_starts: DuplicateStarts,
-    _worker: Worker<DuplicateStarts>,
+    worker: Worker<DuplicateStarts>,
 }
 
 impl Platform {
@@ -54,7 +55,7 @@
         let worker = worker.expect("a free port");
         store.add_worker("worker-1", &worker.entry("desk", worker.address()));
         store.configure(&config());
-        Platform { address: store.server.address, store, duplicate_starts, _worker: worker }
+        Platform { address: store.server.address, store, duplicate_starts, worker }
     }
 
     pub fn set_store_unavailable(&self, is_unavailable: bool) {
@@ -66,6 +67,15 @@
         self.store.set_mode(if is_hidden { Mode::HidesResponses } else { Mode::Normal });
     }
 
+    /// Polls the worker with a fencing token, as an owner of that epoch would.
+    pub async fn fence_worker(&self, epoch: u64) {
+        let url = format!("http://{}/sycamorechute/hold", self.worker.address());
+        let body = format!("{{\"fence\":{epoch},\"ack-seq\":0}}");
+        let headers = [("sycamorechute-expect-instance", "worker-1")];
+        let response = call_with_headers("POST", &url, &headers, &body).await;
+        assert_eq!(response.map(|(status, _)| status), Some(200));
+    }
+
     pub fn corrupt_owner_record(&self) {
         self.store.overwrite("sycamore/owner", b"not a record");
     }
--- a/crates/node/tests/path/process.rs
+++ b/crates/node/tests/path/process.rs
@@ -127,15 +127,23 @@
     key: &str,
     body: &str,
     deadline_ms: &str,
+) -> Option<(u16, String)> {
+    let headers = [(fenced::KEY_HEADER, key), (fenced::DEADLINE_HEADER, deadline_ms)];
+    call_with_headers(method, url, &headers, body).await
+}
+
+pub async fn call_with_headers(
+    method: &str,
+    url: &str,
+    headers: &[(&str, &str)],
+    body: &str,
 ) -> Option<(u16, String)> {
     let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
-    let request = Request::builder()
-        .method(method)
-        .uri(url)
-        .header(fenced::KEY_HEADER, key)
-        .header(fenced::DEADLINE_HEADER, deadline_ms)
-        .body(Full::new(Bytes::from(body.to_string())))
-        .expect("a request");
+    let mut request = Request::builder().method(method).uri(url);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(Bytes::from(body.to_string()))).expect("a request");
     let response = client.request(request).await.ok()?;
     let status = response.status().as_u16();
     let body = response.into_body().collect().await.ok()?.to_bytes();
--- a/crates/platform/src/site/worker.rs
+++ b/crates/platform/src/site/worker.rs
@@ -16,6 +16,9 @@
 use super::worker_wire::{PollBody, StartBody, StartResponse, StopBody, parse_report};
 use crate::http::{Client, Error};
 
+/// Reason of a refusal because of a higher fencing token.
+const FENCED: &str = "fence";
+
 /// The outcome of a call that stops a run or polls a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallOutcome {
@@ -23,6 +26,8 @@
     Taken,
     /// Another incarnation of the worker responded at this address.
     Gone,
+    /// The worker has seen a higher fencing token.
+    Fenced,
     /// The worker refused the call.
     Refused,
     /// There was no valid response: the call may have been carried out or not.
@@ -71,7 +76,7 @@
             StatusCode::OK => StartOutcome::Started,
             StatusCode::MISDIRECTED_REQUEST => StartOutcome::Gone,
             StatusCode::CONFLICT => match response.reason.as_str() {
-                "fence" => StartOutcome::Fenced,
+                FENCED => StartOutcome::Fenced,
                 "room" => StartOutcome::NoRoom,
                 "ticket" => StartOutcome::BadTicket,
                 _ => StartOutcome::Rejected,
@@ -119,6 +124,7 @@
         match self.call(address, "hold", &poll.host, &body, timeout).await {
             Ok((StatusCode::OK, bytes)) => parse_report(&bytes).ok_or(CallOutcome::Unknown),
             Ok((StatusCode::MISDIRECTED_REQUEST, _)) => Err(CallOutcome::Gone),
+            Ok((StatusCode::CONFLICT, bytes)) if is_fenced(&bytes) => Err(CallOutcome::Fenced),
             Ok(_) => Err(CallOutcome::Refused),
             Err(_) => Err(CallOutcome::Unknown),
         }
@@ -142,3 +148,8 @@
         Ok((response.status(), response.into_body()))
     }
 }
+
+/// Returns whether a refusal says that the worker has seen a higher fencing token.
+fn is_fenced(bytes: &[u8]) -> bool {
+    serde_json::from_slice::<StartResponse>(bytes).is_ok_and(|response| response.reason == FENCED)
+}
