--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -8,6 +8,7 @@
 mod oracle;
 mod overload;
 mod regression;
+mod silence;
 mod takeover;
 mod worker;
 mod world;
