--- a/crates/bench/src/site/mod.rs
+++ b/crates/bench/src/site/mod.rs
@@ -88,7 +88,7 @@
 /// Returns the time that a job's objective allows, in microseconds.
 fn objective_us(draft: &Draft) -> u64 {
     let path_ms: f64 = draft.work_ms.iter().sum();
-    let objective_ms = [1_000.0, 3_000.0, 250.0][draft.kind];
+    let objective_ms = KINDS[draft.kind].objective_ms as f64;
     ((SLACK_FACTOR * path_ms + objective_ms) * 1_000.0) as u64
 }
 
--- a/crates/bench/src/site/simulation.rs
+++ b/crates/bench/src/site/simulation.rs
@@ -11,8 +11,8 @@
 use rand::{Rng, SeedableRng};
 use sycamore_graph::job::{Id, State};
 use sycamore_graph::{
-    Action, Answer, Engine, Event, HostEntry, Moment, Poll, Recovered, Report, RunEnd,
-    StartOutcome, TaskId, Timing, Verdict,
+    Action, Engine, Event, HostEntry, Moment, Poll, Recovered, Report, RunEnd, StartOutcome,
+    TaskId, Timing, Verdict,
 };
 use sycamore_types::Name;
 use sycamore_types::resources::Resources;
@@ -20,6 +20,7 @@
 use super::workload::{Draft, KINDS, SERVICE, catalog, draft};
 use super::{Outcome, Settings};
 
+/// Wall clock at the start, in milliseconds since 1970.
 const UNIX_MS: u64 = 1_700_000_000_000;
 
 /// One way between two processes, in microseconds.
@@ -32,8 +33,8 @@
 /// Interval of the engine's ticks, in microseconds.
 const TICK_US: u64 = 50_000;
 
-/// Share of the control thread that dispatch passes may use.
-const PASS_SHARE: u64 = 4;
+/// Part of the control thread's time that dispatch passes may use, as a divisor.
+const PASS_SHARE_DIVISOR: u64 = 4;
 
 /// Speed of a slow worker, as a multiple of that of an ordinary one.
 const SLOW_SPEED: f64 = 0.2;
@@ -251,7 +252,7 @@
         self.outcome.most_waiting = self.outcome.most_waiting.max(waiting);
         let spent_us = (spent.as_micros() as f64 * self.settings.slow_down) as u64;
         self.now_us += spent_us;
-        self.next_pass_us = self.now_us + ((PASS_SHARE - 1) * spent_us).max(2_000);
+        self.next_pass_us = self.now_us + ((PASS_SHARE_DIVISOR - 1) * spent_us).max(2_000);
         self.execute(actions);
     }
 
@@ -286,10 +287,8 @@
                     self.schedule(after_us, Item::Event(event));
                 }
                 Action::RecordDecision(decision) => self.note(decision.verdict),
-                Action::Answer { answer: Answer::State(_), .. }
-                | Action::Answer { .. }
-                | Action::Stop(_)
-                | Action::Deposed => {}
+                // Nobody waits for answers, and nothing fails.
+                Action::Answer { .. } | Action::Stop(_) | Action::Deposed => {}
             }
         }
     }
--- a/crates/bench/src/site/workload.rs
+++ b/crates/bench/src/site/workload.rs
@@ -22,7 +22,7 @@
     /// Jobs per second and worker.
     pub rate: f64,
     priority: u32,
-    objective_ms: u64,
+    pub objective_ms: u64,
     /// Fraction of the jobs whose steps are gangs.
     gang_share: f64,
     mean_steps: f64,
--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -1,8 +1,8 @@
 //! Decides which hosts the advice service is asked about, and when.
 //!
 //! The answer for a step and a host never changes, so that each host is asked about once per
-//! step. Only allowed hosts are asked about again, to renew an expired ticket. A step has at
-//! most one call in flight.
+//! step. Only allowed hosts are asked about again, to renew an expired ticket. A step makes new
+//! calls only when none of its calls is in flight; the calls of a gang go out together.
 
 use std::cmp::Reverse;
 
@@ -16,17 +16,12 @@
 use crate::progress::Ticket;
 use crate::{Action, Advise, CallClass, StepId, WaitReason};
 
-/// Most new hosts in one call. The platform documents a maximum of 100; beyond 40, a second
-/// call costs less.
+/// Most hosts in one call: the platform's documented maximum.
 const MAX_HOSTS_PER_CALL: usize = 100;
 
-/// Most hosts in one call for a gang; more are asked about in calls at the same time. Half of
-/// a call's duration is its fixed part then.
-const MAX_HOSTS_PER_GANG_CALL: usize = 35;
-
-/// Most hosts in one call that renews the tickets of a gang: the platform's documented
-/// maximum.
-const MAX_RENEWALS_PER_CALL: usize = 100;
+/// Hosts in one of several calls at the same time for a gang. Fewer would spend most of the
+/// service's time on the fixed part of each call.
+const HOSTS_PER_PARALLEL_CALL: usize = 35;
 
 /// Fraction of hosts that is expected to be allowed while a queue has no answers yet.
 const INITIAL_ALLOW_RATE: f64 = 0.4;
@@ -78,7 +73,7 @@
     /// Returns whether a call of some length may be made for a step.
     fn may_call(&self, demand: &Demand, cost: AdviceCost) -> bool {
         let shortest = CallClass::of(cost.call_ms(1));
-        let longest = CallClass::of(cost.call_ms(MAX_RENEWALS_PER_CALL));
+        let longest = CallClass::of(cost.call_ms(MAX_HOSTS_PER_CALL));
         let is_free = |class: &CallClass| self.has_free_call(demand, *class);
         CallClass::ALL.iter().filter(|class| (shortest..=longest).contains(class)).any(is_free)
     }
@@ -147,7 +142,7 @@
         }
         // The answers come sooner, at the cost of a call's fixed duration.
         let is_split = demand.is_gang && self.has_idle_callers(cost.call_ms(hosts.len()));
-        let calls = if is_split { hosts.len().div_ceil(MAX_HOSTS_PER_GANG_CALL) } else { 1 };
+        let calls = if is_split { hosts.len().div_ceil(HOSTS_PER_PARALLEL_CALL) } else { 1 };
         for part in hosts.chunks(hosts.len().div_ceil(calls)) {
             let cost_ms = cost.call_ms(part.len());
             let class = CallClass::of(cost_ms);
@@ -280,7 +275,7 @@
         let call_ms = cost.call_ms(self.renewals(wanted, u64::MAX).len());
         let mut chosen =
             self.renewals(wanted, min_expiry_ms + call_ms as u64 + GANG_TICKET_MARGIN_MS);
-        chosen.truncate(MAX_RENEWALS_PER_CALL);
+        chosen.truncate(MAX_HOSTS_PER_CALL);
         chosen
     }
 
