--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -39,7 +39,7 @@
 
 /// Divisor of the limit of calls in flight for steps whose start has no value any more. The
 /// other calls stay free for steps that have.
-const WORTHLESS_CALLS_DIVISOR: u32 = 2;
+const HOPELESS_CALLS_DIVISOR: u32 = 2;
 
 /// Time between the expected end of a call and the dispatch pass that uses its tickets, in
 /// milliseconds. Calls end 4 to 12 ms late and passes take up to 92 ms.
@@ -86,8 +86,7 @@
 
     fn has_free_call(&self, demand: &Demand, class: CallClass) -> bool {
         let limit = self.advice_limits[class as usize];
-        let limit =
-            if demand.is_worthless { limit.div_ceil(WORTHLESS_CALLS_DIVISOR) } else { limit };
+        let limit = if demand.is_hopeless { limit.div_ceil(HOPELESS_CALLS_DIVISOR) } else { limit };
         self.advice_calls[class as usize] < limit
     }
 
--- a/crates/graph/src/engine/backlog.rs
+++ b/crates/graph/src/engine/backlog.rs
@@ -25,10 +25,10 @@
     /// milliseconds since 1970.
     pub latest_start_unix_ms: i64,
     /// Time from which starting the step has no value any more, in milliseconds since 1970.
-    pub worthless_unix_ms: i64,
+    pub hopeless_unix_ms: i64,
 }
 
-/// Position among the worthless steps: priority class, latest start, step.
+/// Position among the hopeless steps: priority class, latest start, step.
 type Place = (u32, i64, StepId);
 
 /// The steps with tasks that wait to be started.
@@ -36,12 +36,12 @@
 pub(super) struct Backlog {
     /// Steps whose start still has value.
     live: BTreeMap<StepId, Urgency>,
-    /// The live steps by the time at which they become worthless.
+    /// The live steps by the time at which they become hopeless.
     expiring: BTreeSet<(i64, StepId)>,
     /// Steps whose start has no value any more, in the order in which they are served.
-    worthless: BTreeMap<Place, Urgency>,
+    hopeless: BTreeMap<Place, Urgency>,
     places: BTreeMap<StepId, Place>,
-    /// Last worthless step that a pass has looked at.
+    /// Last hopeless step that a pass has looked at.
     cursor: Option<Place>,
 }
 
@@ -51,7 +51,7 @@
         let now_ms = now_unix_ms as i64;
         let slack_ms = self.latest_start_unix_ms - now_ms;
         Rank {
-            is_hopeless: now_ms > self.worthless_unix_ms,
+            is_hopeless: now_ms > self.hopeless_unix_ms,
             is_over_share: over_share.contains(&self.team),
             is_late: slack_ms < 0,
             priority: self.priority,
@@ -62,16 +62,16 @@
 
 impl Backlog {
     pub fn is_empty(&self) -> bool {
-        self.live.is_empty() && self.worthless.is_empty()
+        self.live.is_empty() && self.hopeless.is_empty()
     }
 
     pub fn len(&self) -> usize {
-        self.live.len() + self.worthless.len()
+        self.live.len() + self.hopeless.len()
     }
 
     /// Returns the number of steps whose start has no value any more.
-    pub fn worthless_len(&self) -> usize {
-        self.worthless.len()
+    pub fn hopeless_len(&self) -> usize {
+        self.hopeless.len()
     }
 
     pub fn steps(&self) -> impl Iterator<Item = &StepId> {
@@ -81,27 +81,27 @@
     /// Adds a step, or replaces its urgency.
     pub fn insert(&mut self, step_id: StepId, urgency: Urgency) {
         self.remove(step_id);
-        self.expiring.insert((urgency.worthless_unix_ms, step_id));
+        self.expiring.insert((urgency.hopeless_unix_ms, step_id));
         self.live.insert(step_id, urgency);
     }
 
     pub fn remove(&mut self, step_id: StepId) {
         if let Some(urgency) = self.live.remove(&step_id) {
-            self.expiring.remove(&(urgency.worthless_unix_ms, step_id));
+            self.expiring.remove(&(urgency.hopeless_unix_ms, step_id));
         }
         if let Some(place) = self.places.remove(&step_id) {
-            self.worthless.remove(&place);
+            self.hopeless.remove(&place);
         }
     }
 
     pub fn remove_job(&mut self, job: job::Id) {
         let live = self.live.range(steps_of(job)).map(|(step_id, _)| *step_id);
-        let worthless = self.places.range(steps_of(job)).map(|(step_id, _)| *step_id);
-        let steps: Vec<StepId> = live.chain(worthless).collect();
+        let hopeless = self.places.range(steps_of(job)).map(|(step_id, _)| *step_id);
+        let steps: Vec<StepId> = live.chain(hopeless).collect();
         steps.into_iter().for_each(|step_id| self.remove(step_id));
     }
 
-    /// Moves the steps that have become worthless behind the others.
+    /// Moves the steps that have become hopeless behind the others.
     pub fn expire(&mut self, now_unix_ms: u64) {
         while let Some((at, step_id)) = self.expiring.first().copied() {
             if now_unix_ms as i64 <= at {
@@ -111,7 +111,7 @@
             if let Some(urgency) = self.live.remove(&step_id) {
                 let place = (urgency.priority, urgency.latest_start_unix_ms, step_id);
                 self.places.insert(step_id, place);
-                self.worthless.insert(place, urgency);
+                self.hopeless.insert(place, urgency);
             }
         }
     }
@@ -126,9 +126,9 @@
         order
     }
 
-    /// Returns the next slice of at most `count` worthless steps, the most urgent first. The
+    /// Returns the next slice of at most `count` hopeless steps, the most urgent first. The
     /// slice after the last one begins anew.
-    pub fn next_worthless(
+    pub fn next_hopeless(
         &mut self,
         count: usize,
         now_unix_ms: u64,
@@ -136,7 +136,7 @@
     ) -> Vec<(Rank, StepId)> {
         let start = self.cursor.map_or(Bound::Unbounded, Bound::Excluded);
         let slice: Vec<(Place, Rank)> = self
-            .worthless
+            .hopeless
             .range((start, Bound::Unbounded))
             .take(count)
             .map(|(place, urgency)| (*place, urgency.rank(now_unix_ms, over_share)))
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -18,9 +18,9 @@
 /// longer pass would make callers wait for the control thread.
 const MAX_FAILED_SEARCHES: u32 = 300;
 
-/// Worthless steps that a pass looks at. At 20 passes a second, the least that ticks cause,
+/// Hopeless steps that a pass looks at. At 20 passes a second, the least that ticks cause,
 /// a thousand are looked at each second.
-const WORTHLESS_SLICE: usize = 50;
+const HOPELESS_SLICE: usize = 50;
 
 /// Requirements of a step, looked up once per pass.
 pub(super) struct Demand {
@@ -33,7 +33,7 @@
     pub has_objective: bool,
     pub is_best_effort: bool,
     /// Completing the job has no value any more.
-    pub is_worthless: bool,
+    pub is_hopeless: bool,
     /// Tasks that wait to be started.
     pub waiting: u32,
     /// Most tasks that the team's limit allows to start now.
@@ -69,7 +69,7 @@
         let capacity = self.listed_capacity();
         let over_share = self.teams_over_share(&capacity);
         let mut order = self.backlog.ranked(now_unix_ms, &over_share);
-        order.extend(self.backlog.next_worthless(WORTHLESS_SLICE, now_unix_ms, &over_share));
+        order.extend(self.backlog.next_hopeless(HOPELESS_SLICE, now_unix_ms, &over_share));
         let waiting = self.backlog.len() as u32;
         let mut failed_searches = 0;
         for (at, (rank, step_id)) in order.into_iter().enumerate() {
@@ -146,7 +146,7 @@
             footprint: spec.footprint(),
             has_objective: spec.latency_objective_ms > 0,
             is_best_effort: spec.is_best_effort,
-            is_worthless: position.rank.is_hopeless,
+            is_hopeless: position.rank.is_hopeless,
             waiting,
             within_limit,
         }))
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -282,8 +282,8 @@
 
     /// Returns how many of the waiting steps are so late that starting them has no value any
     /// more.
-    pub fn worthless_steps(&self) -> usize {
-        self.backlog.worthless_len()
+    pub fn hopeless_steps(&self) -> usize {
+        self.backlog.hopeless_len()
     }
 
     /// Returns the steps that have waited for at least `min_age_ms` milliseconds since they
--- a/crates/graph/src/engine/placement.rs
+++ b/crates/graph/src/engine/placement.rs
@@ -27,8 +27,8 @@
     if demand.is_best_effort {
         return spread(ready, wanted);
     }
-    // Slow hosts last and near the data first, then best fit: the host with the least free CPU that still fits,
-    // so that large gaps stay available for large tasks.
+    // Slow hosts last and near the data first, then best fit: the host with the least free CPU
+    // that still fits, so that large gaps stay available for large tasks.
     ready.sort_by_key(|candidate| (candidate.is_slow, !candidate.is_near, candidate.free_cpu));
     let mut plan = Vec::new();
     let mut remaining = wanted;
--- a/crates/graph/src/engine/rank.rs
+++ b/crates/graph/src/engine/rank.rs
@@ -51,7 +51,7 @@
             team: job.team.clone(),
             priority: queue.priority,
             latest_start_unix_ms: due_unix_ms + objective_ms as i64 - remaining_ms,
-            worthless_unix_ms: due_unix_ms + last_value_ms - remaining_ms,
+            hopeless_unix_ms: due_unix_ms + last_value_ms - remaining_ms,
         })
     }
 
--- a/crates/node/src/api/request.rs
+++ b/crates/node/src/api/request.rs
@@ -21,8 +21,8 @@
 /// Time limit of a request if its route sets none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Part of a short time limit that is reserved for the response, as a divisor.
-const SHORTEST_MARGIN_DIVISOR: u32 = 4;
+/// Largest part of a time limit that is reserved for the response, as a divisor.
+const RESPONSE_MARGIN_DIVISOR: u32 = 4;
 
 /// Answers one request of a caller, and counts and logs the response.
 pub(super) async fn handle(node: Arc<Node>, request: Request<Incoming>) -> ApiResponse {
@@ -132,7 +132,7 @@
         route_timeout.min(Duration::from_millis(ms.max(0.0) as u64))
     });
     // A caller's last attempt may have little time left, most of which is needed to serve it.
-    timeout - RESPONSE_MARGIN.min(timeout / SHORTEST_MARGIN_DIVISOR)
+    timeout - RESPONSE_MARGIN.min(timeout / RESPONSE_MARGIN_DIVISOR)
 }
 
 async fn parse_submission(
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -133,7 +133,7 @@
         log::info!(
             target: "load", running = self.engine.running_tasks(),
             waiting_steps = self.engine.waiting_steps(),
-            worthless_steps = self.engine.worthless_steps(), events = load.events,
+            hopeless_steps = self.engine.hopeless_steps(), events = load.events,
             events_ms = millis(load.event_time), passes = load.passes,
             passes_ms = millis(load.pass_time), longest_pass_ms = millis(load.longest_pass);
             "load of the control thread"
--- a/crates/node/src/ownership/owner_record.rs
+++ b/crates/node/src/ownership/owner_record.rs
@@ -47,7 +47,7 @@
         match serde_json::from_slice(&item.value) {
             Ok(record) => Ok((Some(record), item.rev)),
             Err(error) => {
-                log::error!(target: "lead", error:%; "can't decode the owner record");
+                log::error!(target: "sycamore_node::lead::claim", error:%; "can't decode the owner record");
                 Ok((Some(OwnerRecord::undecodable(item.rev)), item.rev))
             }
         }
--- a/crates/soak/src/round.rs
+++ b/crates/soak/src/round.rs
@@ -26,6 +26,9 @@
 };
 use crate::workers::{SERVICE, WorkerHost};
 
+/// CPU capacity that the settings state for a host, in cores: enough to own at once.
+const HOST_CORES: f64 = 1.0;
+
 /// Longest wait for all jobs to end once all faults are over. It covers three takeovers in a
 /// row, with leases of 6 s, and leaves the rest for a busy host.
 const COMPLETION_TIMEOUT: Duration = Duration::from_secs(60);
@@ -60,9 +63,6 @@
     pub faults: BTreeMap<&'static str, u64>,
 }
 
-/// CPU capacity that the settings state for a host, in cores: enough to own at once.
-const HOST_CORES: f64 = 1.0;
-
 /// The processes of a round and everything that faults act on.
 struct Cluster {
     store: Store,
