--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -17,6 +17,10 @@
   sycamore-bench site [OPTIONS]     cost and waits of the engine of sycamore-node
   sycamore-bench faults [OPTIONS]   real processes killed, paused and replaced under load";
 
+/// Options whose value is a number.
+const NUMBERS: [&str; 9] =
+    ["seed", "workers", "teams", "placements", "outage", "load", "burst", "slow", "seconds"];
+
 fn main() -> ExitCode {
     let mut options = Options::new();
     options.optopt("", "format", "text or json (default: text)", "FORMAT");
@@ -47,6 +51,13 @@
         println!("{}", options.usage(USAGE));
         return ExitCode::SUCCESS;
     }
+    for name in NUMBERS {
+        let text = matches.opt_str(name);
+        if text.as_ref().is_some_and(|text| text.parse::<u64>().is_err()) {
+            eprintln!("sycamore-bench: --{name}: `{}` is not a number", text.unwrap_or_default());
+            return ExitCode::from(2);
+        }
+    }
     let is_json = matches.opt_str("format").as_deref() == Some("json");
     match matches.free[0].as_str() {
         "decide" => run_decide(&matches, is_json),
@@ -61,8 +72,8 @@
     ExitCode::SUCCESS
 }
 
-/// Returns the value of a numeric option, or the default if the option is missing
-/// or its value is not a number.
+/// Returns the value of an option that is among the checked [`NUMBERS`], or the default if it is
+/// missing.
 fn parse_number(matches: &Matches, name: &str, default: u64) -> u64 {
     matches.opt_str(name).and_then(|text| text.parse().ok()).unwrap_or(default)
 }
@@ -123,15 +134,24 @@
         0 => vec![50, 540, 2_000],
         workers => vec![workers],
     };
+    let (load, burst, slow) = (
+        parse_number(matches, "load", 100),
+        parse_number(matches, "burst", 100),
+        parse_number(matches, "slow", 0),
+    );
+    if load == 0 || burst == 0 || slow > 100 {
+        eprintln!("sycamore-bench: --load and --burst are above 0, --slow is 100 at most");
+        return ExitCode::from(2);
+    }
     for workers in sizes {
         let outcome = site::run(site::Settings {
             seed: parse_number(matches, "seed", 1),
             workers,
             seconds: parse_number(matches, "seconds", 60),
-            load: parse_number(matches, "load", 100) as f64 / 100.0,
-            burst_factor: parse_number(matches, "burst", 100) as f64 / 100.0,
+            load: load as f64 / 100.0,
+            burst_factor: burst as f64 / 100.0,
             burst_seconds: 4,
-            slow_share: parse_number(matches, "slow", 0) as f64 / 100.0,
+            slow_share: slow as f64 / 100.0,
             slow_down: 3.0,
         });
         let (passes, events) = (&outcome.passes, &outcome.events);
