Log and count configurations that are not received

Each failed transfer is now a config line with origin, error, bytes received and duration; config_transfers_total counts them, and config_known_version shows a host that lags. No decision changes.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 
 use crate::backoff::Backoff;
+use crate::clock::millis;
 use crate::metrics::Meters;
 use crate::timing::{
     CONFIG_WATCH_WAIT, STORE_RETRY, STORE_RETRY_MAX, STORE_STEADY_TIME, STORE_TIMEOUT,
@@ -84,6 +85,28 @@
         }
     }
 
+    /// Records the version that another process has in force.
+    pub fn record_known_version(&self, version: u64) {
+        let version = version as i64;
+        if version > self.meters.config_known.get() {
+            self.meters.config_known.set(version);
+        }
+    }
+
+    /// Counts an attempt to receive a configuration, and logs a failed one with its duration.
+    pub fn record_transfer(&self, origin: &str, started: Instant, failure: Option<&str>) {
+        let outcome = if failure.is_some() { "failed" } else { "received" };
+        self.meters.config_transfers.with_label_values(&[origin, outcome]).inc();
+        if let Some(error) = failure {
+            let (version, ms) = (self.version(), millis(started.elapsed()));
+            let known_version = self.meters.config_known.get();
+            log::warn!(
+                target: "config", origin, error, ms, version, known_version;
+                "configuration not received"
+            );
+        }
+    }
+
     /// Puts a configuration into force if it is newer than the current one.
     pub fn apply_if_newer(&self, source: Vec<u8>, origin: &str) {
         let config = match Config::parse(&source) {
@@ -106,17 +129,28 @@
     pub async fn follow_store(self, store: Store) {
         let mut backoff = Backoff::new(STORE_RETRY, STORE_RETRY_MAX);
         loop {
-            let error = self.read_and_watch(&store, &mut backoff).await;
-            log::debug!("configuration watch failed: {error}");
+            let mut started = Instant::now();
+            let error = self.read_and_watch(&store, &mut backoff, &mut started).await;
+            // The first configuration may not have been written yet.
+            if error != StoreError::Refused(404) {
+                self.record_transfer("store", started, Some(&error.to_string()));
+            }
             self.record_store_failure();
             backoff.pause().await;
         }
     }
 
-    async fn read_and_watch(&self, store: &Store, backoff: &mut Backoff) -> StoreError {
+    /// Returns the error of the first call that fails, and in `started` when that call began.
+    async fn read_and_watch(
+        &self,
+        store: &Store,
+        backoff: &mut Backoff,
+        started: &mut Instant,
+    ) -> StoreError {
         let mut after = match store.get(key::CONFIG, STORE_TIMEOUT).await {
             Ok(Some(item)) => {
                 self.record_store_reply();
+                self.record_transfer("store", *started, None);
                 self.apply_if_newer(item.value, "store");
                 // The store may have compacted its history past the key's last change.
                 item.as_of.max(item.rev)
@@ -125,6 +159,7 @@
             Err(error) => return error,
         };
         loop {
+            *started = Instant::now();
             match store.watch(key::CONFIG, after, CONFIG_WATCH_WAIT).await {
                 Ok(watched) => {
                     self.record_store_reply();
@@ -132,6 +167,7 @@
                     after = watched.as_of.max(after);
                     for change in watched.events {
                         if change.key == key::CONFIG && !change.removed {
+                            self.record_transfer("store", *started, None);
                             self.apply_if_newer(change.value, "store");
                         }
                     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -48,6 +48,11 @@
     pub epoch: IntGauge,
     /// Version of the configuration in force.
     pub config: IntGauge,
+    /// Highest version of the configuration that another process has in force. It stays above
+    /// [`Meters::config`] on a process that does not receive new versions.
+    pub config_known: IntGauge,
+    /// Attempts to receive a configuration, by origin and outcome.
+    pub config_transfers: IntCounterVec,
 }
 
 impl Meters {
@@ -77,6 +82,15 @@
             polls: all.counters("looks_total", "Looks at workers.", &["outcome"]),
             epoch: all.gauge("owner_epoch", "Epoch of the owner that is known."),
             config: all.gauge("config_version", "Version of the configuration in force."),
+            config_known: all.gauge(
+                "config_known_version",
+                "Highest version of the configuration that another process has in force.",
+            ),
+            config_transfers: all.counters(
+                "config_transfers_total",
+                "Attempts to receive a configuration.",
+                &["origin", "outcome"],
+            ),
             all,
         }
     }
--- a/crates/node/src/ownership/follow.rs
+++ b/crates/node/src/ownership/follow.rs
@@ -274,16 +274,24 @@
 
 /// Fetches the configuration from a peer in the background if the peer's version is newer.
 pub(crate) fn fetch_newer_config(node: &Arc<Node>, address: SocketAddr, version: u64) {
+    node.configs.record_known_version(version);
     if version <= node.configs.version() {
         return;
     }
     let node = node.clone();
     tokio::spawn(async move {
+        let started = Instant::now();
         let call = node.pool.call::<Reply>(address, ConnectionKind::Control, &Command::Config);
-        if let Ok(Ok(Reply::Config(Some(source)))) = tokio::time::timeout(PING_TIMEOUT, call).await
-        {
-            node.configs.apply_if_newer(source, "peer");
-        }
+        let failure = match tokio::time::timeout(PING_TIMEOUT, call).await {
+            Ok(Ok(Reply::Config(Some(source)))) => {
+                node.configs.apply_if_newer(source, "peer");
+                None
+            }
+            Ok(Ok(_)) => Some("the peer has no configuration".to_string()),
+            Ok(Err(error)) => Some(error.to_string()),
+            Err(_) => Some(format!("not received within {} ms", PING_TIMEOUT.as_millis())),
+        };
+        node.configs.record_transfer("peer", started, failure.as_deref());
     });
 }
 
--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -3,6 +3,7 @@
 //! It pools connections and reports whether a failed request may have been processed, so that
 //! the caller knows what is safe to retry.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -70,18 +71,25 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, Error> {
-        match tokio::time::timeout(timeout, self.call_without_timeout(request)).await {
+        let received = AtomicUsize::new(0);
+        match tokio::time::timeout(timeout, self.call_without_timeout(request, &received)).await {
             Ok(result) => result,
-            Err(_) => Err(Error::Unknown(format!("no response within {} ms", timeout.as_millis()))),
+            Err(_) => Err(Error::Unknown(format!(
+                "no complete response within {} ms, {} bytes of its body received",
+                timeout.as_millis(),
+                received.load(Ordering::Relaxed)
+            ))),
         }
     }
 
+    /// Adds the bytes of the response's body to `received` as they arrive.
     async fn call_without_timeout(
         &self,
         request: Request<Full<Bytes>>,
+        received: &AtomicUsize,
     ) -> Result<Response<Bytes>, Error> {
         let response = self.inner.request(request).await.map_err(classify)?;
-        read_body(response).await
+        read_body(response, received).await
     }
 }
 
@@ -105,8 +113,15 @@
     }
 }
 
-async fn read_body(response: Response<Incoming>) -> Result<Response<Bytes>, Error> {
+async fn read_body(
+    response: Response<Incoming>,
+    received: &AtomicUsize,
+) -> Result<Response<Bytes>, Error> {
     let (parts, body) = response.into_parts();
+    let body = body.map_frame(|frame| {
+        received.fetch_add(frame.data_ref().map_or(0, Bytes::len), Ordering::Relaxed);
+        frame
+    });
     let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let bytes = collected.map_err(|error| Error::Unknown(error.to_string()))?.to_bytes();
     Ok(Response::from_parts(parts, bytes))
