Share the soak's link proxy with other tests, and let it limit bandwidth

The proxy moves unchanged to sycamore_standin::link; the new state Narrow carries at most so many bytes a second in each direction, over all connections. No scenario of the soak draws it.

--- a/crates/soak/src/round.rs
+++ b/crates/soak/src/round.rs
@@ -13,6 +13,7 @@
 use futures::future::join_all;
 use serde_json::Value;
 use sycamore_standin::fenced::{self, Mode, Observation, ProcessSettings, Queue, Store, Team};
+use sycamore_standin::link::{LinkState, Proxy};
 use sycamore_standin::ports::Port;
 use tokio::sync::Mutex;
 
@@ -20,9 +21,8 @@
 use crate::checker::{Violation, check};
 use crate::history::{Event, History};
 use crate::process::Process;
-use crate::proxy::Proxy;
 use crate::scenario::{
-    Fault, FaultKind, LinkState, MAX_ATTEMPTS, Scenario, TEAM_LIMIT_CPU_MILLIS, TEAMS, WORKER_COUNT,
+    Fault, FaultKind, MAX_ATTEMPTS, Scenario, TEAM_LIMIT_CPU_MILLIS, TEAMS, WORKER_COUNT,
 };
 use crate::workers::{SERVICE, WorkerHost};
 
--- a/crates/soak/src/scenario.rs
+++ b/crates/soak/src/scenario.rs
@@ -6,6 +6,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
+use sycamore_standin::link::LinkState;
 
 /// Time during which jobs are submitted and faults start, in milliseconds.
 const SUBMISSION_WINDOW_MS: u64 = 8_000;
@@ -76,23 +77,6 @@
     }
 }
 
-/// State of a proxied link.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LinkState {
-    /// All bytes are forwarded.
-    Open,
-    /// All bytes are forwarded, each chunk late by this many milliseconds.
-    Slow(u64),
-    /// Open and new connections are closed.
-    Reset,
-    /// Bytes sent to the server are dropped.
-    LosesCalls,
-    /// Bytes sent by the server are dropped.
-    LosesAnswers,
-    /// Nothing is forwarded until the state changes, while connections stay open.
-    Silent,
-}
-
 /// What a fault does, and the number of the process or worker that it hits.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FaultKind {
--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -4,9 +4,9 @@
 //! address stays the same and only its id may change.
 
 use sycamore_standin::fenced::{Capacity, Store, Worker};
+use sycamore_standin::link::Proxy;
 
 use crate::history::History;
-use crate::proxy::Proxy;
 use crate::scenario::{WORKER_CPU_MILLIS, WORKER_MEMORY_MIB};
 
 /// Service that the workers belong to.
--- a/crates/soak/src/proxy.rs
+++ b/crates/standin/src/link/proxy.rs
@@ -1,10 +1,8 @@
-//! TCP proxy on loopback that can slow down, lose or reset what it forwards.
-//!
-//! Faults act on the state of the link, which all connections of a proxy share. The proxy
-//! forwards bytes and knows nothing of HTTP.
+//! Forwards TCP connections to one server, as the state of the link allows.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -12,14 +10,14 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use crate::LinkState;
+use super::LinkState;
 
 /// Most bytes that are forwarded at a time.
 const CHUNK_BYTES: usize = 16 * 1024;
 
 /// Forwards connections to one server. The proxy stops when it is dropped.
 #[derive(Debug)]
-pub(crate) struct Proxy {
+pub struct Proxy {
     /// Address that the proxy listens on.
     pub address: SocketAddr,
     link: watch::Sender<LinkState>,
@@ -35,12 +33,16 @@
 
 impl Proxy {
     /// Starts a proxy for the server at an address, with an open link.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the listener can't be bound.
     pub async fn start(target: SocketAddr) -> std::io::Result<Proxy> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let (link, state) = watch::channel(LinkState::Open);
         let (target, server) = watch::channel(target);
-        let task = tokio::spawn(accept(listener, server, state));
+        let task = tokio::spawn(accept(listener, server, state, Lanes::default()));
         Ok(Proxy { address, link, target, task })
     }
 
@@ -55,16 +57,43 @@
     }
 }
 
+/// When one direction of a narrow link has carried all bytes accepted so far.
+#[derive(Clone, Debug, Default)]
+struct Lane(Arc<Mutex<Option<Instant>>>);
+
+/// The two directions of a link, shared by its connections.
+#[derive(Clone, Debug, Default)]
+struct Lanes {
+    to_server: Lane,
+    to_caller: Lane,
+}
+
+impl Lane {
+    /// Waits until the link has carried this many bytes at a rate, after those before them.
+    async fn carry(&self, bytes: usize, bytes_per_s: u64) {
+        let duration = Duration::from_secs_f64(bytes as f64 / bytes_per_s as f64);
+        let end = {
+            let mut free_at = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+            let now = Instant::now();
+            let end = free_at.map_or(now, |at| at.max(now)) + duration;
+            *free_at = Some(end);
+            end
+        };
+        tokio::time::sleep_until(end.into()).await;
+    }
+}
+
 async fn accept(
     listener: TcpListener,
     server: watch::Receiver<SocketAddr>,
     link: watch::Receiver<LinkState>,
+    lanes: Lanes,
 ) {
     while let Ok((caller, _)) = listener.accept().await {
         // While the link is reset, an accepted connection is dropped, which closes it.
         if *link.borrow() != LinkState::Reset {
             let target = *server.borrow();
-            tokio::spawn(forward_connection(caller, target, link.clone()));
+            tokio::spawn(forward_connection(caller, target, link.clone(), lanes.clone()));
         }
     }
 }
@@ -73,6 +102,7 @@
     caller: TcpStream,
     target: SocketAddr,
     link: watch::Receiver<LinkState>,
+    lanes: Lanes,
 ) {
     let Ok(server) = TcpStream::connect(target).await else { return };
     let _ = (caller.set_nodelay(true), server.set_nodelay(true));
@@ -80,8 +110,8 @@
     let (from_server, to_server) = server.into_split();
     // Both connections close as soon as one direction ends.
     tokio::select! {
-        () = forward(from_caller, to_server, link.clone(), LinkState::LosesCalls) => {}
-        () = forward(from_server, to_caller, link.clone(), LinkState::LosesAnswers) => {}
+        () = forward(from_caller, to_server, link.clone(), lanes.to_server, LinkState::LosesCalls) => {}
+        () = forward(from_server, to_caller, link.clone(), lanes.to_caller, LinkState::LosesAnswers) => {}
         () = until_reset(link) => {}
     }
 }
@@ -97,6 +127,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut link: watch::Receiver<LinkState>,
+    lane: Lane,
     dropping_state: LinkState,
 ) {
     let mut chunk = vec![0; CHUNK_BYTES];
@@ -105,8 +136,10 @@
             return;
         }
         let now = *link.borrow_and_update();
-        if let LinkState::Slow(ms) = now {
-            tokio::time::sleep(Duration::from_millis(ms)).await;
+        match now {
+            LinkState::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+            LinkState::Narrow(bytes_per_s) => lane.carry(count, bytes_per_s).await,
+            _ => {}
         }
         if now == dropping_state || now == LinkState::Silent {
             let is_open_again = link.wait_for(|state| *state != now).await.is_ok();
