--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -1,18 +1,18 @@
 //! The configuration in force, read from the store or received from peers. Within one
 //! process its version never decreases.
 
+mod from_peer;
+mod from_store;
+
 use std::sync::Arc;
 use std::time::Instant;
 
-use sycamore_platform::site::{Config, Store, StoreError, key};
+use sycamore_platform::site::Config;
 use tokio::sync::watch;
 
-use crate::backoff::Backoff;
 use crate::clock::millis;
 use crate::metrics::Meters;
-use crate::timing::{
-    CONFIG_WATCH_WAIT, STORE_RETRY, STORE_RETRY_MAX, STORE_STEADY_TIME, STORE_TIMEOUT,
-};
+use crate::timing::{CONFIG_WATCH_WAIT, STORE_STEADY_TIME};
 
 /// A configuration and the bytes that it was parsed from.
 #[derive(Debug, Default)]
@@ -86,7 +86,7 @@
     }
 
     /// Records the version that another process has in force.
-    pub fn record_known_version(&self, version: u64) {
+    fn record_known_version(&self, version: u64) {
         let version = version as i64;
         if version > self.meters.config_known.get() {
             self.meters.config_known.set(version);
@@ -94,7 +94,7 @@
     }
 
     /// Counts an attempt to receive a configuration, and logs a failed one with its duration.
-    pub fn record_transfer(&self, origin: &str, started: Instant, failure: Option<&str>) {
+    fn record_transfer(&self, origin: &str, started: Instant, failure: Option<&str>) {
         let outcome = if failure.is_some() { "failed" } else { "received" };
         self.meters.config_transfers.with_label_values(&[origin, outcome]).inc();
         if let Some(error) = failure {
@@ -124,56 +124,4 @@
         log::info!(target: "config", version, origin; "configuration applied");
         self.sender.send_replace(Some(Arc::new(LoadedConfig { config, source })));
     }
-
-    /// Reads and watches the configuration in the store until the process exits.
-    pub async fn follow_store(self, store: Store) {
-        let mut backoff = Backoff::new(STORE_RETRY, STORE_RETRY_MAX);
-        loop {
-            let mut started = Instant::now();
-            let error = self.read_and_watch(&store, &mut backoff, &mut started).await;
-            // The first configuration may not have been written yet.
-            if error != StoreError::Refused(404) {
-                self.record_transfer("store", started, Some(&error.to_string()));
-            }
-            self.record_store_failure();
-            backoff.pause().await;
-        }
-    }
-
-    /// Returns the error of the first call that fails, and in `started` when that call began.
-    async fn read_and_watch(
-        &self,
-        store: &Store,
-        backoff: &mut Backoff,
-        started: &mut Instant,
-    ) -> StoreError {
-        let mut after = match store.get(key::CONFIG, STORE_TIMEOUT).await {
-            Ok(Some(item)) => {
-                self.record_store_reply();
-                self.record_transfer("store", *started, None);
-                self.apply_if_newer(item.value, "store");
-                // The store may have compacted its history past the key's last change.
-                item.as_of.max(item.rev)
-            }
-            Ok(None) => return StoreError::Refused(404),
-            Err(error) => return error,
-        };
-        loop {
-            *started = Instant::now();
-            match store.watch(key::CONFIG, after, CONFIG_WATCH_WAIT).await {
-                Ok(watched) => {
-                    self.record_store_reply();
-                    backoff.reset();
-                    after = watched.as_of.max(after);
-                    for change in watched.events {
-                        if change.key == key::CONFIG && !change.removed {
-                            self.record_transfer("store", *started, None);
-                            self.apply_if_newer(change.value, "store");
-                        }
-                    }
-                }
-                Err(error) => return error,
-            }
-        }
-    }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,7 +18,7 @@
 use crate::clock::Clock;
 use crate::config::Configs;
 use crate::metrics::Meters;
-use crate::ownership::{self, CurrentOwner, Ownership};
+use crate::ownership::{CurrentOwner, Ownership};
 use crate::peer::{CallerRequest, Ping, Pong, RequestOutcome, Role};
 use crate::timing::OWNER_TIMEOUT;
 
@@ -146,7 +146,7 @@
         if let Ok(mut known_peers) = self.known_peers.lock() {
             known_peers.insert(ping.host.clone(), (ping.address, Instant::now()));
         }
-        ownership::fetch_newer_config(self, ping.address, ping.config_version);
+        self.configs.fetch_if_newer(&self.pool, ping.address, ping.config_version);
         if let Some(owner) = &ping.owner {
             self.ownership.record_owner(owner);
         }
--- a/crates/node/src/ownership/follow.rs
+++ b/crates/node/src/ownership/follow.rs
@@ -146,7 +146,7 @@
                     last_pong = Instant::now();
                     refusals = 0;
                     node.ownership.record_pong(pong.peers);
-                    fetch_newer_config(node, owner.address, pong.config_version);
+                    node.configs.fetch_if_newer(&node.pool, owner.address, pong.config_version);
                     if pong.is_leaving
                         && !node.is_stopping()
                         && let Some(next) = check_record(node, owner, "owner stops").await
@@ -272,29 +272,6 @@
     }
 }
 
-/// Fetches the configuration from a peer in the background if the peer's version is newer.
-pub(crate) fn fetch_newer_config(node: &Arc<Node>, address: SocketAddr, version: u64) {
-    node.configs.record_known_version(version);
-    if version <= node.configs.version() {
-        return;
-    }
-    let node = node.clone();
-    tokio::spawn(async move {
-        let started = Instant::now();
-        let call = node.pool.call::<Reply>(address, ConnectionKind::Control, &Command::Config);
-        let failure = match tokio::time::timeout(PING_TIMEOUT, call).await {
-            Ok(Ok(Reply::Config(Some(source)))) => {
-                node.configs.apply_if_newer(source, "peer");
-                None
-            }
-            Ok(Ok(_)) => Some("the peer has no configuration".to_string()),
-            Ok(Err(error)) => Some(error.to_string()),
-            Err(_) => Some(format!("not received within {} ms", PING_TIMEOUT.as_millis())),
-        };
-        node.configs.record_transfer("peer", started, failure.as_deref());
-    });
-}
-
 /// Notifies the previous owner, which may be unable to reach the store, that it was
 /// replaced. The ping carries the new owner.
 fn notify_previous_owner(node: &Arc<Node>, address: SocketAddr) {
--- a/crates/node/src/ownership/mod.rs
+++ b/crates/node/src/ownership/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::Mutex;
 use std::time::Instant;
 
-pub(crate) use follow::{fetch_newer_config, follow};
+pub(crate) use follow::follow;
 pub(crate) use owner_record::{OWNER_KEY, OwnerRecord};
 
 use sycamore_types::Name;
