--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -3,6 +3,8 @@
 
 mod from_peer;
 mod from_store;
+#[cfg(test)]
+mod tests;
 
 use std::sync::Arc;
 use std::time::Instant;
--- /dev/null
+++ b/crates/node/tests/path/configuration.rs
@@ -0,0 +1,36 @@
+//! New versions of the configuration reach a process whose link to the store is slow.
+
+use sycamore_standin::link::{LinkState, Proxy};
+
+use crate::platform::Platform;
+use crate::process::{Host, Process, call, until};
+use crate::{KEY, submit};
+
+/// Carries a configuration of 1 MB in about three seconds.
+const SLOW_LINK: LinkState = LinkState::Narrow(350_000);
+
+async fn start_behind(link: &Proxy) -> Process {
+    let process = Process::start_on(&Host { name: "one", cores: 1.0, store: link.address }).await;
+    until("the process serves", || submit(&process, "00000000000000a1")).await;
+    process
+}
+
+async fn serves_queue(process: &Process, prefix: &str) -> bool {
+    let response = call("GET", &process.address(prefix), KEY, "").await;
+    response.is_some_and(|(status, _)| status == 200)
+}
+
+/// Incident inc1: each copy was cut off at the time limit of its call, however much had arrived.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_configuration_arrives_over_a_slow_link() {
+    let platform = Platform::start().await;
+    let link = platform.store_link(SLOW_LINK).await;
+    let process = start_behind(&link).await;
+
+    platform.add_queues(2, 4_200);
+
+    until("an added queue is served", || serves_queue(&process, "/added-4199/")).await;
+    let failures = process.grep(&["configuration not received"]);
+    assert!(failures.is_empty(), "{failures:?}");
+    process.kill().await;
+}
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -9,6 +9,7 @@
 use sycamore_standin::fenced::{
     self, Capacity, Mode, Observation, Observer, Queue, Store, Team, Worker,
 };
+use sycamore_standin::link::{LinkState, Proxy};
 
 use crate::process::call_with_headers;
 use crate::{GUEST_KEY, KEY};
@@ -58,6 +59,28 @@
         Platform { address: store.server.address, store, duplicate_starts, worker }
     }
 
+    /// Puts a link in the given state between a process and the store.
+    pub async fn store_link(&self, state: LinkState) -> Proxy {
+        let link = Proxy::start(self.address).await.expect("a free port");
+        link.set_state(state);
+        link
+    }
+
+    /// Writes a configuration with this many further queues, `/added-0/` and so on.
+    pub fn add_queues(&self, version: u64, count: usize) {
+        let mut document = config();
+        document["version"] = version.into();
+        let queue = document["routes"][0].clone();
+        let added = (0..count).map(|number| {
+            let mut queue = queue.clone();
+            queue["name"] = format!("added-{number}").into();
+            queue["prefix"] = format!("/added-{number}/").into();
+            queue
+        });
+        document["routes"].as_array_mut().expect("a list").extend(added);
+        self.store.configure(&document);
+    }
+
     pub fn set_store_unavailable(&self, is_unavailable: bool) {
         self.store.set_mode(if is_unavailable { Mode::Unavailable } else { Mode::Normal });
     }
