Give a call up when it makes no progress, not when it takes long

Cause: the time limit of a call covered its whole body. A configuration of 1.1 MB takes 0.9 s over 10 Mbit/s, and longer beside other traffic; a read had 1.0 s, a watch what was left of 2.3 s. Each retry began at the first byte and was cut off again, for ever.

The limit of a call now covers the wait for its response. A body may take as long as it keeps arriving, faster than 8 KiB/s and with pauses below a second; the same holds for the body of a request, whose buffers are kept small so that progress is seen.

--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -3,7 +3,7 @@
 //! It pools connections and reports whether a failed request may have been processed, so that
 //! the caller knows what is safe to retry.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +14,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 use super::Error;
+use super::progress::{Progress, Upload};
 
 /// Largest response body that is read into memory, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
@@ -30,12 +31,16 @@
 /// Largest number of idle connections to one address.
 const MAX_IDLE_PER_HOST: usize = 64;
 
+/// Bytes of a request that may wait in this process, and again in the socket. What waits there
+/// counts as sent, so that large buffers would hide how fast the link is.
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
+
 /// An HTTP client with a connection pool.
 ///
 /// Cloning is cheap; clones share the pool.
 #[derive(Clone, Debug)]
 pub struct Client {
-    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+    inner: legacy::Client<HttpConnector, Upload>,
 }
 
 impl Default for Client {
@@ -52,16 +57,24 @@
 
     /// Builds a client with its own idle timeout.
     pub fn with_idle_timeout(idle_timeout: Duration) -> Client {
+        let mut connector = connector();
+        connector.set_send_buffer_size(Some(SEND_BUFFER_BYTES));
         let inner = legacy::Client::builder(TokioExecutor::new())
+            .http1_max_buf_size(SEND_BUFFER_BYTES)
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(idle_timeout)
             .pool_max_idle_per_host(MAX_IDLE_PER_HOST)
-            .build(connector());
+            .build(connector);
         Client { inner }
     }
 
     /// Sends a request and reads the whole response.
     ///
+    /// `timeout` limits the time until the response begins, from the last part of the request
+    /// that was sent. A body is given up only when it stops for one second, or for
+    /// `timeout` if that is shorter, or comes slower than 8 KiB/s. A limit on its
+    /// whole duration would cut a large body off on a slow link, again at each retry.
+    ///
     /// # Errors
     ///
     /// Returns [`Error::NotSent`] if no connection was established and [`Error::Unknown`] if the
@@ -71,25 +84,22 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, Error> {
-        let received = AtomicUsize::new(0);
-        match tokio::time::timeout(timeout, self.call_without_timeout(request, &received)).await {
-            Ok(result) => result,
-            Err(_) => Err(Error::Unknown(format!(
-                "no complete response within {} ms, {} bytes of its body received",
-                timeout.as_millis(),
-                received.load(Ordering::Relaxed)
-            ))),
+        let progress = Arc::new(Progress::start(timeout));
+        let request = request.map(|body| Upload::new(body, progress.clone()));
+        tokio::select! {
+            result = self.exchange(request, &progress) => result,
+            () = progress.stalled() => Err(Error::Unknown(format!("no progress: {progress}"))),
         }
     }
 
-    /// Adds the bytes of the response's body to `received` as they arrive.
-    async fn call_without_timeout(
+    async fn exchange(
         &self,
-        request: Request<Full<Bytes>>,
-        received: &AtomicUsize,
+        request: Request<Upload>,
+        progress: &Progress,
     ) -> Result<Response<Bytes>, Error> {
         let response = self.inner.request(request).await.map_err(classify)?;
-        read_body(response, received).await
+        progress.on_response();
+        read_body(response, progress).await
     }
 }
 
@@ -115,11 +125,11 @@
 
 async fn read_body(
     response: Response<Incoming>,
-    received: &AtomicUsize,
+    progress: &Progress,
 ) -> Result<Response<Bytes>, Error> {
     let (parts, body) = response.into_parts();
     let body = body.map_frame(|frame| {
-        received.fetch_add(frame.data_ref().map_or(0, Bytes::len), Ordering::Relaxed);
+        progress.on_received(frame.data_ref().map_or(0, Bytes::len));
         frame
     });
     let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod error;
+mod progress;
 
 pub use client::{Client, IDLE_TIMEOUT, classify, connector};
 pub use error::Error;
