Fetch a configuration from a peer once at a time, and only if the store does not send it

Cause: a process that lagged behind began a copy from the owner at each ping, five a second, and cut it off after 400 ms; 10 Mbit/s carry 500 kB in that time. The copies took half of the link, so that the store's copy missed its own limit, and the owner sent 7 to 14 MB/s for nothing.

Now one transfer runs at a time, on a connection of its own, for as long as data arrives; none begins while the store answers and its data came within 400 ms; the store's copy ends it. The decision is FetchPolicy, which needs no network.

--- a/crates/node/src/config/from_peer.rs
+++ b/crates/node/src/config/from_peer.rs
@@ -1,35 +1,51 @@
 //! Fetches the configuration from a process that has a newer version in force.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Instant;
 
-use sycamore_wire::{ConnectionKind, Pool};
+use sycamore_wire::Pool;
 
-use super::Configs;
+use super::{Configs, LoadedConfig};
 use crate::peer::{Command, Reply};
-use crate::timing::PING_TIMEOUT;
+use crate::timing::CONFIG_FETCH_TIMEOUT;
 
 impl Configs {
-    /// Fetches the configuration from a peer in the background if the peer's version is newer.
-    pub fn fetch_if_newer(&self, pool: &Pool, address: SocketAddr, version: u64) {
+    /// Handles the version that a peer has in force. If it is newer and the store does not
+    /// deliver it, fetches it from the peer in the background.
+    pub fn on_peer_version(&self, pool: &Pool, address: SocketAddr, version: u64) {
         self.record_known_version(version);
-        if version <= self.version() {
+        if !self.begins_fetch(version > self.version()) {
             return;
         }
         let (configs, pool) = (self.clone(), pool.clone());
         tokio::spawn(async move {
             let started = Instant::now();
-            let call = pool.call::<Reply>(address, ConnectionKind::Control, &Command::Config);
-            let failure = match tokio::time::timeout(PING_TIMEOUT, call).await {
-                Ok(Ok(Reply::Config(Some(source)))) => {
-                    configs.apply_if_newer(source, "peer");
-                    None
+            let mut applied = configs.subscribe();
+            let is_applied = |current: &Option<Arc<LoadedConfig>>| {
+                current.as_ref().is_some_and(|now| now.config.catalog.version >= version)
+            };
+            let is_received = tokio::select! {
+                failure = configs.fetch(&pool, address) => {
+                    configs.record_transfer("peer", started, failure.as_deref());
+                    failure.is_none()
                 }
-                Ok(Ok(_)) => Some("the peer has no configuration".to_string()),
-                Ok(Err(error)) => Some(error.to_string()),
-                Err(_) => Some(format!("not received within {} ms", PING_TIMEOUT.as_millis())),
+                // The store's copy was faster.
+                _ = applied.wait_for(is_applied) => true,
             };
-            configs.record_transfer("peer", started, failure.as_deref());
+            configs.end_fetch(is_received);
         });
     }
+
+    /// Returns the failure, if any.
+    async fn fetch(&self, pool: &Pool, address: SocketAddr) -> Option<String> {
+        match pool.fetch::<Reply>(address, &Command::Config, CONFIG_FETCH_TIMEOUT).await {
+            Ok(Reply::Config(Some(source))) => {
+                self.apply_if_newer(source, "peer");
+                None
+            }
+            Ok(_) => Some("the peer has no configuration".to_string()),
+            Err(error) => Some(error.to_string()),
+        }
+    }
 }
--- a/crates/node/src/config/from_store.rs
+++ b/crates/node/src/config/from_store.rs
@@ -11,6 +11,7 @@
 impl Configs {
     /// Reads and watches the configuration in the store until the process exits.
     pub async fn follow_store(self, store: Store) {
+        let store = store.with_activity(self.store_activity.clone());
         let mut backoff = Backoff::new(STORE_RETRY, STORE_RETRY_MAX);
         loop {
             let mut started = Instant::now();
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -1,14 +1,17 @@
 //! The configuration in force, read from the store or received from peers. Within one
 //! process its version never decreases.
 
+mod fetch_policy;
 mod from_peer;
 mod from_store;
 #[cfg(test)]
 mod tests;
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
+use fetch_policy::{FetchPolicy, StoreState};
+use sycamore_platform::http::Activity;
 use sycamore_platform::site::Config;
 use tokio::sync::watch;
 
@@ -37,14 +40,18 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Configs {
     sender: Arc<watch::Sender<Option<Arc<LoadedConfig>>>>,
-    store_replies: Arc<std::sync::Mutex<StoreReplies>>,
+    store_replies: Arc<Mutex<StoreReplies>>,
+    /// When data of the store last arrived.
+    store_activity: Activity,
+    fetches: Arc<Mutex<FetchPolicy>>,
     meters: Meters,
 }
 
 impl Configs {
     pub fn new(meters: Meters) -> Configs {
         let sender = Arc::new(watch::Sender::new(None));
-        Configs { sender, store_replies: Arc::default(), meters }
+        let (store_replies, store_activity, fetches) = Default::default();
+        Configs { sender, store_replies, store_activity, fetches, meters }
     }
 
     pub fn current(&self) -> Option<Arc<LoadedConfig>> {
@@ -81,6 +88,20 @@
         }
     }
 
+    /// Returns whether to fetch the configuration from a peer now.
+    fn begins_fetch(&self, is_behind: bool) -> bool {
+        let is_answering = self.store_replies.lock().is_ok_and(|replies| replies.first.is_some());
+        let store = StoreState { is_answering, last_data: self.store_activity.last() };
+        let policy = self.fetches.lock();
+        policy.is_ok_and(|mut policy| policy.begins(Instant::now(), is_behind, store))
+    }
+
+    fn end_fetch(&self, is_received: bool) {
+        if let Ok(mut policy) = self.fetches.lock() {
+            policy.on_ended(Instant::now(), is_received);
+        }
+    }
+
     fn record_store_failure(&self) {
         if let Ok(mut replies) = self.store_replies.lock() {
             replies.first = None;
--- /dev/null
+++ b/crates/node/src/config/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of how a configuration reaches a process.
+
+mod fetch_policy;
+mod transfers;
--- a/crates/node/src/config/tests.rs
+++ b/crates/node/src/config/tests/transfers.rs
@@ -9,7 +9,7 @@
 use sycamore_wire::{Incoming, Pool};
 use tokio::net::TcpListener;
 
-use super::Configs;
+use super::super::Configs;
 use crate::metrics::Meters;
 use crate::peer::{Command, Reply};
 use crate::timing::PING_INTERVAL;
@@ -66,7 +66,7 @@
 async fn report_until_applied(configs: &Configs, pool: &Pool, peer: &Peer, version: u64) {
     let end = Instant::now() + APPLY_TIMEOUT;
     while configs.version() < version && Instant::now() < end {
-        configs.fetch_if_newer(pool, peer.address(), version);
+        configs.on_peer_version(pool, peer.address(), version);
         tokio::time::sleep(PING_INTERVAL).await;
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -146,7 +146,7 @@
         if let Ok(mut known_peers) = self.known_peers.lock() {
             known_peers.insert(ping.host.clone(), (ping.address, Instant::now()));
         }
-        self.configs.fetch_if_newer(&self.pool, ping.address, ping.config_version);
+        self.configs.on_peer_version(&self.pool, ping.address, ping.config_version);
         if let Some(owner) = &ping.owner {
             self.ownership.record_owner(owner);
         }
--- a/crates/node/src/ownership/follow.rs
+++ b/crates/node/src/ownership/follow.rs
@@ -146,7 +146,7 @@
                     last_pong = Instant::now();
                     refusals = 0;
                     node.ownership.record_pong(pong.peers);
-                    node.configs.fetch_if_newer(&node.pool, owner.address, pong.config_version);
+                    node.configs.on_peer_version(&node.pool, owner.address, pong.config_version);
                     if pong.is_leaving
                         && !node.is_stopping()
                         && let Some(next) = check_record(node, owner, "owner stops").await
--- a/crates/node/src/timing.rs
+++ b/crates/node/src/timing.rs
@@ -46,6 +46,17 @@
 /// connection stays unnoticed.
 pub(crate) const CONFIG_WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Time for which the store's data may be late before a peer is asked for a configuration. The
+/// store's slowest documented response takes 240 ms.
+pub(crate) const CONFIG_STORE_GRACE: Duration = Duration::from_millis(400);
+
+/// Delay after a failed transfer of a configuration, during which another peer may report.
+pub(crate) const CONFIG_FETCH_RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Longest pause in the transfer of a configuration from a peer. The peer answers at once; what
+/// takes time is a link that other traffic shares.
+pub(crate) const CONFIG_FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Interval at which the owner reads the list of workers.
 pub(crate) const WORKER_LIST_INTERVAL: Duration = Duration::from_millis(500);
 
--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -13,8 +13,8 @@
 use hyper_util::client::legacy::{self, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
-use super::Error;
 use super::progress::{Progress, Upload};
+use super::{Activity, Error};
 
 /// Largest response body that is read into memory, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
@@ -41,6 +41,7 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     inner: legacy::Client<HttpConnector, Upload>,
+    activity: Activity,
 }
 
 impl Default for Client {
@@ -65,7 +66,12 @@
             .pool_idle_timeout(idle_timeout)
             .pool_max_idle_per_host(MAX_IDLE_PER_HOST)
             .build(connector);
-        Client { inner }
+        Client { inner, activity: Activity::default() }
+    }
+
+    /// Returns a client with the same connections that records when it receives data.
+    pub fn with_activity(&self, activity: Activity) -> Client {
+        Client { inner: self.inner.clone(), activity }
     }
 
     /// Sends a request and reads the whole response.
@@ -84,7 +90,7 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, Error> {
-        let progress = Arc::new(Progress::start(timeout));
+        let progress = Arc::new(Progress::start(timeout, self.activity.clone()));
         let request = request.map(|body| Upload::new(body, progress.clone()));
         tokio::select! {
             result = self.exchange(request, &progress) => result,
--- a/crates/platform/src/http/progress.rs
+++ b/crates/platform/src/http/progress.rs
@@ -12,6 +12,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::time::Instant;
 
+use super::Activity;
+
 /// Longest pause within the body of a response.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -29,6 +31,8 @@
     /// Longest wait for the start of the response.
     timeout: Duration,
     state: Mutex<State>,
+    /// Time of the last received bytes of all calls of the client.
+    activity: Activity,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -41,10 +45,10 @@
 }
 
 impl Progress {
-    pub fn start(timeout: Duration) -> Progress {
+    pub fn start(timeout: Duration, activity: Activity) -> Progress {
         let now = Instant::now();
         let state = State { last: now, has_response: false, sent_bytes: 0, received_bytes: 0 };
-        Progress { started: now, timeout, state: Mutex::new(state) }
+        Progress { started: now, timeout, state: Mutex::new(state), activity }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -59,6 +63,7 @@
 
     /// Records that the head of the response has arrived.
     pub fn on_response(&self) {
+        self.activity.record();
         let mut state = self.state();
         state.last = Instant::now();
         state.has_response = true;
@@ -66,6 +71,7 @@
 
     /// Records bytes of the response's body.
     pub fn on_received(&self, bytes: usize) {
+        self.activity.record();
         let mut state = self.state();
         state.last = Instant::now();
         state.received_bytes += bytes;
--- a/crates/platform/src/site/store.rs
+++ b/crates/platform/src/site/store.rs
@@ -14,7 +14,7 @@
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 
-use crate::http::{Client, Error};
+use crate::http::{Activity, Client, Error};
 
 /// Time allowed for the response on top of the wait of a watch.
 const WATCH_MARGIN: Duration = Duration::from_millis(800);
@@ -166,6 +166,11 @@
         Store { address, client }
     }
 
+    /// Returns a client of the same store that records when it receives data.
+    pub fn with_activity(&self, activity: Activity) -> Store {
+        Store { address: self.address, client: self.client.with_activity(activity) }
+    }
+
     /// Reads one key. Returns `None` if it does not exist.
     ///
     /// # Errors
--- a/crates/wire/src/channel/pool.rs
+++ b/crates/wire/src/channel/pool.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use h2::client::SendRequest;
@@ -25,6 +26,8 @@
     Control,
     /// Requests and jobs from callers.
     Traffic,
+    /// Whole configurations.
+    Bulk,
 }
 
 /// The current connection to one process, if any. The lock is held while connecting, so
@@ -55,6 +58,26 @@
         reader.read_frame().await
     }
 
+    /// Makes a call whose response may be too large for a limit on its whole duration.
+    ///
+    /// `timeout` limits the wait for the response, and then each pause within it.
+    ///
+    /// # Errors
+    ///
+    /// As of [`Pool::call`].
+    pub async fn fetch<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        command: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<T, Error> {
+        let call = self.open(address, ConnectionKind::Bulk, command, true).await?;
+        let response = tokio::time::timeout(timeout, call.response());
+        let stalled = |_| Error::Stalled(timeout.as_millis() as u64);
+        let reader = response.await.map_err(stalled)??;
+        reader.with_stall_timeout(timeout).read_frame().await
+    }
+
     /// Opens a stream and sends its first frame. With `end_stream`, no further data follows.
     ///
     /// # Errors
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -19,6 +19,8 @@
     Malformed(String),
     /// stream ended before the data was complete
     Truncated,
+    /// no data arrived for {0} ms
+    Stalled(u64),
 }
 
 impl std::error::Error for Error {}
--- a/crates/wire/src/frame/mod.rs
+++ b/crates/wire/src/frame/mod.rs
@@ -7,7 +7,7 @@
 mod writer;
 
 pub use reader::Reader;
-pub use writer::Writer;
+pub use writer::{Writer, encode_frame};
 
 /// Largest frame that a reader accepts, in bytes. Configuration documents are the largest frames.
 pub const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
--- a/crates/wire/src/frame/reader.rs
+++ b/crates/wire/src/frame/reader.rs
@@ -3,6 +3,8 @@
 //! A frame's length is checked before its body is buffered, which bounds the memory that a peer can
 //! use.
 
+use std::time::Duration;
+
 use bytes::{Buf, Bytes, BytesMut};
 use h2::RecvStream;
 use serde::de::DeserializeOwned;
@@ -15,11 +17,19 @@
 pub struct Reader {
     stream: RecvStream,
     buf: BytesMut,
+    /// Longest pause between two parts of the data, if it is limited.
+    stall_timeout: Option<Duration>,
 }
 
 impl Reader {
     pub(crate) fn new(stream: RecvStream) -> Reader {
-        Reader { stream, buf: BytesMut::new() }
+        Reader { stream, buf: BytesMut::new(), stall_timeout: None }
+    }
+
+    /// Limits the pause between two parts of the data. However long it takes in all, data
+    /// that keeps arriving is read to its end.
+    pub fn with_stall_timeout(self, timeout: Duration) -> Reader {
+        Reader { stall_timeout: Some(timeout), ..self }
     }
 
     /// Reads one frame.
@@ -65,7 +75,13 @@
     }
 
     async fn receive(&mut self) -> Result<Option<Bytes>, Error> {
-        let Some(received) = self.stream.data().await else {
+        let received = match self.stall_timeout {
+            Some(timeout) => tokio::time::timeout(timeout, self.stream.data())
+                .await
+                .map_err(|_| Error::Stalled(timeout.as_millis() as u64))?,
+            None => self.stream.data().await,
+        };
+        let Some(received) = received else {
             return Ok(None);
         };
         let bytes = received?;
--- a/crates/wire/src/frame/writer.rs
+++ b/crates/wire/src/frame/writer.rs
@@ -2,13 +2,28 @@
 
 use std::future::poll_fn;
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::Bytes;
 use h2::{Reason, SendStream};
 use serde::Serialize;
 
 use super::LENGTH_PREFIX_BYTES;
 use crate::Error;
 
+/// Encodes one frame. Cloning the result is cheap, so that many streams can send it.
+///
+/// # Errors
+///
+/// Returns an error if the value can't be encoded or is too large for a frame.
+pub fn encode_frame<T: Serialize>(value: &T) -> Result<Bytes, Error> {
+    let mut frame = vec![0; LENGTH_PREFIX_BYTES];
+    bincode::serde::encode_into_std_write(value, &mut frame, bincode::config::standard())
+        .map_err(|error| Error::Malformed(error.to_string()))?;
+    let length = frame.len() - LENGTH_PREFIX_BYTES;
+    let prefix = u32::try_from(length).map_err(|_| Error::TooLarge(length))?;
+    frame[..LENGTH_PREFIX_BYTES].copy_from_slice(&prefix.to_be_bytes());
+    Ok(frame.into())
+}
+
 /// The sending half of a stream.
 #[derive(Debug)]
 pub struct Writer {
@@ -30,13 +45,7 @@
         value: &T,
         end_stream: bool,
     ) -> Result<(), Error> {
-        let body = bincode::serde::encode_to_vec(value, bincode::config::standard())
-            .map_err(|error| Error::Malformed(error.to_string()))?;
-        let length = u32::try_from(body.len()).map_err(|_| Error::TooLarge(body.len()))?;
-        let mut buf = BytesMut::with_capacity(LENGTH_PREFIX_BYTES + body.len());
-        buf.put_u32(length);
-        buf.put_slice(&body);
-        self.write_bytes(buf.freeze(), end_stream).await
+        self.write_bytes(encode_frame(value)?, end_stream).await
     }
 
     /// Sends raw bytes, waiting for flow-control capacity as needed. With `end_stream`, they
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use channel::{Call, ConnectionKind, PendingResponse, Pool};
 pub use error::Error;
-pub use frame::{MAX_FRAME_BYTES, Reader, Writer};
+pub use frame::{MAX_FRAME_BYTES, Reader, Writer, encode_frame};
 pub use message::{
     Command, Header, InteractiveRequest, PeerMessage, Reply, ReplyHead, RequestHead,
 };
