Send a configuration to many processes from one encoded copy

Each process that asked for the configuration cost the owner three copies of it while it was sent: a clone, its encoding and the frame.

The reply is now encoded once, when a version comes into force, and all transfers share its bytes; encode_frame writes the frame in place. The bytes on the wire are the same. Not measured by itself. A path test covers the reply of a real owner to a process that has lost the store.

--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -10,21 +10,24 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
+use bytes::Bytes;
 use fetch_policy::{FetchPolicy, StoreState};
 use sycamore_platform::http::Activity;
 use sycamore_platform::site::Config;
+use sycamore_wire::encode_frame;
 use tokio::sync::watch;
 
 use crate::clock::millis;
 use crate::metrics::Meters;
+use crate::peer::Reply;
 use crate::timing::{CONFIG_WATCH_WAIT, STORE_STEADY_TIME};
 
-/// A configuration and the bytes that it was parsed from.
+/// A configuration, and the reply to processes that ask for it.
 #[derive(Debug, Default)]
 pub(crate) struct LoadedConfig {
     pub config: Config,
-    /// Passed on to processes that can't reach the store.
-    pub source: Vec<u8>,
+    /// Encoded once, because many processes may ask at the same time.
+    pub reply: Bytes,
 }
 
 /// When the store replied to this process.
@@ -145,6 +148,7 @@
         }
         self.meters.config.set(version as i64);
         log::info!(target: "config", version, origin; "configuration applied");
-        self.sender.send_replace(Some(Arc::new(LoadedConfig { config, source })));
+        let reply = encode_frame(&Reply::Config(Some(source))).unwrap_or_default();
+        self.sender.send_replace(Some(Arc::new(LoadedConfig { config, reply })));
     }
 }
--- a/crates/node/src/peer/serve.rs
+++ b/crates/node/src/peer/serve.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sycamore_wire::Incoming;
+use bytes::Bytes;
+use sycamore_wire::{Incoming, encode_frame};
 use tokio::net::TcpListener;
 
 use super::{Command, Reply};
@@ -40,7 +41,21 @@
 }
 
 async fn handle(node: Arc<Node>, incoming: Incoming<Command>) {
-    let reply = match &incoming.command {
+    let reply = match encoded_reply(&node, &incoming.command).await {
+        Ok(reply) => reply,
+        Err(error) => return log::debug!("can't encode a reply to a peer: {error}"),
+    };
+    let sent = match incoming.respond() {
+        Ok((_reader, mut writer)) => writer.write_bytes(reply, true).await,
+        Err(error) => Err(error),
+    };
+    if let Err(error) = sent {
+        log::debug!("can't send a reply to a peer: {error}");
+    }
+}
+
+async fn encoded_reply(node: &Arc<Node>, command: &Command) -> Result<Bytes, sycamore_wire::Error> {
+    let reply = match command {
         Command::Ping(ping) => Reply::Pong(node.handle_ping(ping)),
         Command::CallerRequest(request) => {
             Reply::Outcome(node.ask_local_owner(request.clone()).await)
@@ -48,16 +63,11 @@
         Command::Advise { step, hosts, timeout_ms } => {
             Reply::Advice(node.advise(step, hosts, Duration::from_millis(*timeout_ms)).await)
         }
-        Command::Config => {
-            Reply::Config(node.configs.current().map(|current| current.source.clone()))
-        }
+        Command::Config => match node.configs.current() {
+            Some(current) => return Ok(current.reply.clone()),
+            None => Reply::Config(None),
+        },
         Command::QueryOwner => Reply::Owner(node.ownership.recently_heard_owner()),
     };
-    let sent = match incoming.respond() {
-        Ok((_reader, mut writer)) => writer.write_frame(&reply, true).await,
-        Err(error) => Err(error),
-    };
-    if let Err(error) = sent {
-        log::debug!("can't send a reply to a peer: {error}");
-    }
+    encode_frame(&reply)
 }
--- a/crates/node/tests/path/configuration.rs
+++ b/crates/node/tests/path/configuration.rs
@@ -9,8 +9,8 @@
 /// Carries a configuration of 1 MB in about three seconds.
 const SLOW_LINK: LinkState = LinkState::Narrow(350_000);
 
-async fn start_behind(link: &Proxy) -> Process {
-    let process = Process::start_on(&Host { name: "one", cores: 1.0, store: link.address }).await;
+async fn start_behind(link: &Proxy, name: &str) -> Process {
+    let process = Process::start_on(&Host { name, cores: 1.0, store: link.address }).await;
     until("the process serves", || submit(&process, "00000000000000a1")).await;
     process
 }
@@ -25,7 +25,7 @@
 async fn a_large_configuration_arrives_over_a_slow_link() {
     let platform = Platform::start().await;
     let link = platform.store_link(SLOW_LINK).await;
-    let process = start_behind(&link).await;
+    let process = start_behind(&link, "one").await;
 
     platform.add_queues(2, 4_200);
 
@@ -34,3 +34,20 @@
     assert!(failures.is_empty(), "{failures:?}");
     process.kill().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_without_the_store_gets_the_configuration_of_the_owner() {
+    let platform = Platform::start().await;
+    let owner = Process::start(&platform, "one").await;
+    until("the owner serves", || submit(&owner, "00000000000000b1")).await;
+    let link = platform.store_link(LinkState::Open).await;
+    let process = start_behind(&link, "two").await;
+
+    link.set_state(LinkState::Silent);
+    platform.add_queues(2, 4_200);
+
+    until("an added queue is served", || serves_queue(&process, "/added-4199/")).await;
+    assert_eq!(process.grep(&["configuration applied", "\"peer\"", "\"version\":2"]).len(), 1);
+    owner.kill().await;
+    process.kill().await;
+}
