--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -146,9 +146,20 @@
         if version <= self.version() {
             return;
         }
-        self.meters.config.set(version as i64);
-        log::info!(target: "config", version, origin; "configuration applied");
         let reply = encode_frame(&Reply::Config(Some(source))).unwrap_or_default();
-        self.sender.send_replace(Some(Arc::new(LoadedConfig { config, reply })));
+        let loaded = Arc::new(LoadedConfig { config, reply });
+        // Another copy may have come into force meanwhile, so the version is compared again.
+        let is_applied = self.sender.send_if_modified(|current| {
+            let now = current.as_ref().map_or(0, |current| current.config.catalog.version);
+            let is_newer = version > now;
+            if is_newer {
+                self.meters.config.set(version as i64);
+                *current = Some(loaded);
+            }
+            is_newer
+        });
+        if is_applied {
+            log::info!(target: "config", version, origin; "configuration applied");
+        }
     }
 }
