Let the simulated store report each change to a watch, as the platform's does

Its watch reported only the newest value of each key, so that no test could see what a watch costs that has missed several versions. It now keeps the last 2,000 changes, reports removals too, and answers 410 for history that is gone.

--- a/crates/standin/src/fenced/kv.rs
+++ b/crates/standin/src/fenced/kv.rs
@@ -3,33 +3,48 @@
 //! Every write raises one revision that all keys share, so that a watch can ask for the changes
 //! after it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 use serde_json::{Value, json};
 
+/// Number of changes that the store keeps for watches.
+const MAX_HISTORY: usize = 2_000;
+
 /// Contents of the store.
 #[derive(Debug, Default)]
 pub(super) struct Kv {
     /// Revision of the last write to any key.
     rev: u64,
     /// Value in base64 and revision of its last write, by key.
-    items: BTreeMap<String, (String, u64)>,
+    items: BTreeMap<String, (Arc<str>, u64)>,
+    /// Writes and removals with their revisions, the oldest first.
+    history: VecDeque<(u64, String, Option<Arc<str>>)>,
 }
 
 impl Kv {
     pub fn put(&mut self, key: &str, value: &str) {
-        self.rev += 1;
-        self.items.insert(key.to_string(), (value.to_string(), self.rev));
+        let value: Arc<str> = value.into();
+        self.record(key, Some(value.clone()));
+        self.items.insert(key.to_string(), (value, self.rev));
     }
 
     pub fn remove(&mut self, key: &str) {
-        self.rev += 1;
+        self.record(key, None);
         self.items.remove(key);
     }
 
+    fn record(&mut self, key: &str, value: Option<Arc<str>>) {
+        self.rev += 1;
+        self.history.push_back((self.rev, key.to_string(), value));
+        if self.history.len() > MAX_HISTORY {
+            self.history.pop_front();
+        }
+    }
+
     fn item(&self, key: &str) -> Option<Value> {
         let (value, rev) = self.items.get(key)?;
-        Some(json!({ "key": key, "value": value, "rev": rev, "as-of": self.rev }))
+        Some(json!({ "key": key, "value": &**value, "rev": rev, "as-of": self.rev }))
     }
 
     pub fn get(&self, key: &str) -> (u16, Value) {
@@ -43,13 +58,19 @@
         (200, json!({ "items": items, "more-pages": false, "as-of": self.rev }))
     }
 
-    /// Returns the keys with a prefix that were written after a revision. Removals aren't
-    /// reported.
+    /// Returns each write and removal of the keys with a prefix after a revision, or 410 if
+    /// that history is gone.
     pub fn changes(&self, prefix: &str, after: u64) -> (u16, Value) {
-        let is_new =
-            |(key, (_, rev)): &(&String, &(String, u64))| key.starts_with(prefix) && *rev > after;
-        let events: Vec<Value> =
-            self.items.iter().filter(is_new).filter_map(|(key, _)| self.item(key)).collect();
+        if self.history.front().is_some_and(|(oldest, ..)| after + 1 < *oldest) {
+            return (410, json!({}));
+        }
+        let first = self.history.partition_point(|(rev, ..)| *rev <= after);
+        let event = |(rev, key, value): &(u64, String, Option<Arc<str>>)| match value {
+            Some(value) => json!({ "key": key, "value": &**value, "rev": rev }),
+            None => json!({ "key": key, "rev": rev, "removed": true }),
+        };
+        let changes = self.history.range(first..).filter(|(_, key, _)| key.starts_with(prefix));
+        let events: Vec<Value> = changes.map(event).collect();
         (200, json!({ "events": events, "as-of": self.rev }))
     }
 
--- a/crates/standin/src/fenced/store.rs
+++ b/crates/standin/src/fenced/store.rs
@@ -152,7 +152,7 @@
         "kv-txn" => kv.commit(body),
         "kv-watch" => {
             let (status, reply) = kv.changes(parameter("prefix"), number("after"));
-            let is_empty = reply["events"].as_array().is_none_or(Vec::is_empty);
+            let is_empty = reply["events"].as_array().is_some_and(Vec::is_empty);
             if is_empty && waited < Duration::from_millis(number("wait-ms")) {
                 return None;
             }
