Read the newest configuration when a watch would send several versions

Cause: a watch sends each version written since the last one. While a slow link carries one version, several are written, then more while it carries those, so that it falls behind further with each response.

A watch of the configuration now receives 512 KiB, or half more than the version in force takes. When the response announces more, it is dropped and the key is read, which gives the newest version only.

--- a/crates/node/src/config/from_store.rs
+++ b/crates/node/src/config/from_store.rs
@@ -8,6 +8,16 @@
 use crate::backoff::Backoff;
 use crate::timing::{CONFIG_WATCH_WAIT, STORE_RETRY, STORE_RETRY_MAX, STORE_TIMEOUT};
 
+/// Size of a watch's response that is received in any case, in bytes. 10 Mbit/s carry it in
+/// half a second.
+const MIN_WATCH_BYTES: u64 = 512 * 1024;
+
+/// Largest growth from one version to the next that a watch receives.
+const MAX_WATCH_GROWTH: f64 = 1.5;
+
+/// Size of a value in the store's responses, which hold it in base64.
+const BASE64_FACTOR: f64 = 4.0 / 3.0;
+
 impl Configs {
     /// Reads and watches the configuration in the store until the process exits.
     pub async fn follow_store(self, store: Store) {
@@ -16,6 +26,10 @@
         loop {
             let mut started = Instant::now();
             let error = self.read_and_watch(&store, &mut backoff, &mut started).await;
+            // Several versions came at once, of which a read receives only the newest.
+            if matches!(error, StoreError::TooLarge(_)) {
+                continue;
+            }
             // The first configuration may not have been written yet.
             if error != StoreError::Refused(404) {
                 self.record_transfer("store", started, Some(&error.to_string()));
@@ -45,7 +59,8 @@
         };
         loop {
             *started = Instant::now();
-            match store.watch(key::CONFIG, after, CONFIG_WATCH_WAIT).await {
+            let max_bytes = self.max_watch_bytes();
+            match store.watch(key::CONFIG, after, CONFIG_WATCH_WAIT, max_bytes).await {
                 Ok(watched) => {
                     self.record_store_reply();
                     backoff.reset();
@@ -61,4 +76,11 @@
             }
         }
     }
+
+    /// Returns the size up to which a watch holds one new version, not several. A larger
+    /// version is read like several ones, which costs a round trip.
+    fn max_watch_bytes(&self) -> u64 {
+        let current = self.current().map_or(0, |current| current.reply.len());
+        MIN_WATCH_BYTES.max((MAX_WATCH_GROWTH * BASE64_FACTOR * current as f64) as u64)
+    }
 }
--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::{self, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
@@ -89,11 +89,26 @@
         &self,
         request: Request<Full<Bytes>>,
         timeout: Duration,
+    ) -> Result<Response<Bytes>, Error> {
+        self.call_limited(request, timeout, MAX_RESPONSE_BYTES as u64).await
+    }
+
+    /// Sends a request and reads the whole response unless it announces a body above
+    /// `max_bytes`, which is not received then.
+    ///
+    /// # Errors
+    ///
+    /// As of [`Client::call`], and [`Error::TooLarge`] if the body is not received.
+    pub async fn call_limited(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+        max_bytes: u64,
     ) -> Result<Response<Bytes>, Error> {
         let progress = Arc::new(Progress::start(timeout, self.activity.clone()));
         let request = request.map(|body| Upload::new(body, progress.clone()));
         tokio::select! {
-            result = self.exchange(request, &progress) => result,
+            result = self.exchange(request, &progress, max_bytes) => result,
             () = progress.stalled() => Err(Error::Unknown(format!("no progress: {progress}"))),
         }
     }
@@ -102,9 +117,14 @@
         &self,
         request: Request<Upload>,
         progress: &Progress,
+        max_bytes: u64,
     ) -> Result<Response<Bytes>, Error> {
         let response = self.inner.request(request).await.map_err(classify)?;
         progress.on_response();
+        let announced = response.body().size_hint().lower();
+        if announced > max_bytes {
+            return Err(Error::TooLarge(announced));
+        }
         read_body(response, progress).await
     }
 }
--- a/crates/platform/src/http/error.rs
+++ b/crates/platform/src/http/error.rs
@@ -12,6 +12,8 @@
     NotSent(String),
     /// the request may have been processed: {0}
     Unknown(String),
+    /// the response of {0} bytes is larger than asked for
+    TooLarge(u64),
 }
 
 impl std::error::Error for Error {}
--- a/crates/platform/src/site/store.rs
+++ b/crates/platform/src/site/store.rs
@@ -33,6 +33,8 @@
     Conflict,
     /// the store no longer has the changes after the requested revision
     Compacted,
+    /// the changes take {0} bytes, more than asked for
+    TooLarge(u64),
 }
 
 impl std::error::Error for StoreError {}
@@ -42,6 +44,7 @@
         match error {
             Error::NotSent(text) => StoreError::NotSent(text),
             Error::Unknown(text) => StoreError::Unknown(text),
+            Error::TooLarge(bytes) => StoreError::TooLarge(bytes),
         }
     }
 }
@@ -213,21 +216,27 @@
 
     /// Waits up to `wait` for changes to keys with a prefix, made after the revision `after`.
     ///
+    /// The response holds each version of a key that was written since, so that a caller who
+    /// needs only the newest one limits its size, in bytes, and reads the key instead.
+    ///
     /// # Errors
     ///
     /// Returns [`StoreError::Compacted`] if the store no longer has the changes since that
-    /// revision, and another error if it rejects the request or does not respond in time.
+    /// revision, [`StoreError::TooLarge`] if the response announces more than `max_bytes`, and
+    /// another error if the store rejects the request or does not respond in time.
     pub async fn watch(
         &self,
         prefix: &str,
         after: u64,
         wait: Duration,
+        max_bytes: u64,
     ) -> Result<WatchResponse, StoreError> {
         let wait_ms = wait.as_millis();
         let path =
             format!("/sycamorechute/kv-watch?prefix={prefix}&after={after}&wait-ms={wait_ms}");
-        let (status, body) =
-            self.call(Method::GET, &path, Bytes::new(), wait + WATCH_MARGIN).await?;
+        let request = self.request(Method::GET, &path, Bytes::new())?;
+        let response = self.client.call_limited(request, wait + WATCH_MARGIN, max_bytes).await?;
+        let (status, body) = (response.status(), response.into_body());
         match status {
             StatusCode::OK => decode(&body),
             StatusCode::GONE => Err(StoreError::Compacted),
@@ -268,15 +277,23 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
-        let request = Request::builder()
+        let request = self.request(method, path, body)?;
+        let response = self.client.call(request, timeout).await?;
+        Ok((response.status(), response.into_body()))
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, StoreError> {
+        Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
             .header("content-type", "application/json")
             .body(Full::new(body))
-            .map_err(|error| StoreError::NotSent(error.to_string()))?;
-        let response = self.client.call(request, timeout).await?;
-        let status = response.status();
-        Ok((status, response.into_body()))
+            .map_err(|error| StoreError::NotSent(error.to_string()))
     }
 }
 
--- a/crates/platform/src/site/worker.rs
+++ b/crates/platform/src/site/worker.rs
@@ -69,7 +69,7 @@
         let (status, bytes) = match result {
             Ok(response) => response,
             Err(Error::NotSent(_)) => return (StartOutcome::Rejected, 0),
-            Err(Error::Unknown(_)) => return (StartOutcome::Unknown, 0),
+            Err(_) => return (StartOutcome::Unknown, 0),
         };
         let response: StartResponse = serde_json::from_slice(&bytes).unwrap_or_default();
         let outcome = match status {
