Limit the pauses, not the duration, of a configuration sent between processes

These messages now use Pool::fetch, as sycamore-node does, with a limit of one second on each pause in either direction, on a connection of their own. An operator's push is still reported after a second, but its transfer goes on.

--- a/crates/rollout/src/gossip.rs
+++ b/crates/rollout/src/gossip.rs
@@ -7,7 +7,7 @@
 
 use rand::seq::IndexedRandom;
 use sycamore_types::id::Revision;
-use sycamore_wire::{Command, ConnectionKind, Pool, Reply};
+use sycamore_wire::{Command, Pool, Reply};
 use tokio::time::Duration;
 
 use crate::Rollout;
@@ -15,9 +15,12 @@
 /// Time between two comparisons with a random peer.
 const GOSSIP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time after which a call to a peer is given up.
+/// Longest pause in a call to a peer. The document may take longer over a slow link.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest wait of an operator for the reply of one peer to a push.
+const PUSH_REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Compares revisions with a random peer every second until the process ends.
 ///
 /// The side with the lower revision receives the document of the other.
@@ -43,10 +46,12 @@
 
 /// Sends the configuration in force to a peer.
 ///
-/// Returns the revision that the peer has in force afterwards, or `None` if it did not reply in
-/// time.
+/// Returns the revision that the peer has in force afterwards, or `None` if it did not reply
+/// within one second. The transfer goes on then.
 pub async fn push(rollout: &Rollout, pool: &Pool, peer: SocketAddr) -> Option<Revision> {
-    send_config(rollout, pool, peer, true).await
+    let (rollout, pool) = (rollout.clone(), pool.clone());
+    let transfer = tokio::spawn(async move { send_config(&rollout, &pool, peer, true).await });
+    tokio::time::timeout(PUSH_REPORT_TIMEOUT, transfer).await.ok()?.ok()?
 }
 
 /// Sends the current revision, and the document on request, and adopts a newer one from the reply.
@@ -59,8 +64,7 @@
     let current = rollout.current();
     let document = with_document.then(|| Box::new((*current.document).clone()));
     let command = Command::Config { revision: current.revision, document };
-    let call = pool.call::<Reply>(peer, ConnectionKind::Control, &command);
-    let reply = tokio::time::timeout(CALL_TIMEOUT, call).await.ok()?.ok()?;
+    let reply = pool.fetch::<Reply>(peer, &command, CALL_TIMEOUT).await.ok()?;
     let Reply::Config { revision, document } = reply else {
         return None;
     };
--- a/crates/wire/src/channel/pool.rs
+++ b/crates/wire/src/channel/pool.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use h2::client::SendRequest;
+use h2::client::{ResponseFuture, SendRequest};
 use http::Request;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -58,9 +58,11 @@
         reader.read_frame().await
     }
 
-    /// Makes a call whose response may be too large for a limit on its whole duration.
+    /// Makes a call that carries a document, in either direction, which may be too large for a
+    /// limit on the whole duration of the call.
     ///
-    /// `timeout` limits the wait for the response, and then each pause within it.
+    /// `timeout` limits the wait for the response, and each pause while data is sent or
+    /// received.
     ///
     /// # Errors
     ///
@@ -71,8 +73,10 @@
         command: &impl Serialize,
         timeout: Duration,
     ) -> Result<T, Error> {
-        let call = self.open(address, ConnectionKind::Bulk, command, true).await?;
-        let response = tokio::time::timeout(timeout, call.response());
+        let (writer, response) = self.start_call(address, ConnectionKind::Bulk).await?;
+        let mut writer = writer.with_stall_timeout(timeout);
+        writer.write_frame(command, true).await?;
+        let response = tokio::time::timeout(timeout, Call::new(writer, response).response());
         let stalled = |_| Error::Stalled(timeout.as_millis() as u64);
         let reader = response.await.map_err(stalled)??;
         reader.with_stall_timeout(timeout).read_frame().await
@@ -91,6 +95,17 @@
         command: &impl Serialize,
         end_stream: bool,
     ) -> Result<Call, Error> {
+        let (mut writer, response) = self.start_call(address, kind).await?;
+        writer.write_frame(command, end_stream).await?;
+        Ok(Call::new(writer, response))
+    }
+
+    /// Opens a stream.
+    async fn start_call(
+        &self,
+        address: SocketAddr,
+        kind: ConnectionKind,
+    ) -> Result<(Writer, ResponseFuture), Error> {
         let mut sender = self.sender(address, kind).await?;
         let request = Request::post(format!("http://{address}/"))
             .body(())
@@ -98,9 +113,7 @@
         let (response, stream) = sender
             .send_request(request, false)
             .map_err(|error| Error::NotSent(error.to_string()))?;
-        let mut writer = Writer::new(stream);
-        writer.write_frame(command, end_stream).await?;
-        Ok(Call::new(writer, response))
+        Ok((Writer::new(stream), response))
     }
 
     /// Returns a connection that can open another stream, connecting if necessary.
--- a/crates/wire/src/frame/writer.rs
+++ b/crates/wire/src/frame/writer.rs
@@ -1,6 +1,7 @@
 //! Writes frames and raw bytes to one stream, no faster than the receiver takes them.
 
 use std::future::poll_fn;
+use std::time::Duration;
 
 use bytes::Bytes;
 use h2::{Reason, SendStream};
@@ -28,11 +29,19 @@
 #[derive(Debug)]
 pub struct Writer {
     stream: SendStream<Bytes>,
+    /// Longest wait for the receiver to take more data, if it is limited.
+    stall_timeout: Option<Duration>,
 }
 
 impl Writer {
     pub(crate) fn new(stream: SendStream<Bytes>) -> Writer {
-        Writer { stream }
+        Writer { stream, stall_timeout: None }
+    }
+
+    /// Limits the wait for the receiver to take more data. However long it takes in all, data
+    /// that the receiver keeps taking is sent to its end.
+    pub fn with_stall_timeout(self, timeout: Duration) -> Writer {
+        Writer { stall_timeout: Some(timeout), ..self }
     }
 
     /// Sends one frame. With `end_stream`, it is the last data of the stream.
@@ -71,6 +80,12 @@
 
     /// Returns the number of bytes that may be sent now, waiting until it is above zero.
     async fn wait_for_capacity(&mut self, wanted: usize) -> Result<usize, Error> {
+        let Some(timeout) = self.stall_timeout else { return self.capacity(wanted).await };
+        let capacity = tokio::time::timeout(timeout, self.capacity(wanted)).await;
+        capacity.unwrap_or(Err(Error::Stalled(timeout.as_millis() as u64)))
+    }
+
+    async fn capacity(&mut self, wanted: usize) -> Result<usize, Error> {
         self.stream.reserve_capacity(wanted);
         loop {
             let granted = poll_fn(|cx| self.stream.poll_capacity(cx)).await;
