Replace a connection between processes that has gone silent

What callers would see: a host whose open connection to the owner goes silent without being closed sends its requests into it, and its pings, until the kernel gives up after minutes; other hosts still hear the owner, so that nobody takes over.

Cause: the time limits stood around Pool::call, which never learned that a call had timed out and used the connection again.

Pool::call_within and Pool::fetch now drop a connection from the pool when a call times out and nothing has arrived on it meanwhile, for 300 ms at least. What arrives is seen at the socket, so that a slow reply beside others drops nothing. All calls with a time limit use it.

Two tests with a proxy that silences open connections failed without the change (the second call stalls as well) and pass with it. Not tried with real processes: no proxy fits between them.

--- a/crates/entry/src/jobs/mod.rs
+++ b/crates/entry/src/jobs/mod.rs
@@ -16,7 +16,7 @@
 use sycamore_types::id;
 use sycamore_types::job::{Spec, SpecError};
 use sycamore_types::outcome::{Certainty, Failure, Reason};
-use sycamore_wire::{Command, ConnectionKind, Reply};
+use sycamore_wire::{Command, ConnectionKind, Error, Reply};
 
 use crate::api::{
     Body, Caller, MAX_JOB_BYTES, failure_response, identify, malformed, read_limited, respond,
@@ -209,16 +209,16 @@
     let Some(address) = shared.directory.snapshot().owner_address(shard) else {
         return Err(Failure::not_run(Reason::NoOwner));
     };
-    let call = shared.pool.call::<Reply>(address, ConnectionKind::Traffic, &command);
     let unanswered = |reason| match starts_work {
         true => Failure::unknown(reason),
         false => Failure::not_run(reason),
     };
-    match tokio::time::timeout(OWNER_TIMEOUT, call).await {
-        Ok(Ok(Reply::Failed(failure))) => Err(failure),
-        Ok(Ok(reply)) => Ok(reply),
-        Ok(Err(error)) if error.is_not_sent() => Err(Failure::not_run(Reason::NoOwner)),
-        Ok(Err(_)) => Err(unanswered(Reason::Moved)),
-        Err(_) => Err(unanswered(Reason::DeadlinePassed)),
+    let kind = ConnectionKind::Traffic;
+    match shared.pool.call_within(address, kind, &command, OWNER_TIMEOUT).await {
+        Ok(Reply::Failed(failure)) => Err(failure),
+        Ok(reply) => Ok(reply),
+        Err(error) if error.is_not_sent() => Err(Failure::not_run(Reason::NoOwner)),
+        Err(Error::Stalled(_)) => Err(unanswered(Reason::DeadlinePassed)),
+        Err(_) => Err(unanswered(Reason::Moved)),
     }
 }
--- a/crates/node/src/api/forward.rs
+++ b/crates/node/src/api/forward.rs
@@ -1,7 +1,7 @@
 //! Forwards callers' requests to the owner, and retries while ownership moves.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use sycamore_wire::{ConnectionKind, Pool};
 
@@ -63,16 +63,18 @@
         CurrentOwner::Peer { .. } if node.ownership.is_owner_overdue() => RequestOutcome::NotOwner,
         CurrentOwner::Peer { address } => {
             let command = Command::CallerRequest(request.clone());
-            let call = call(&node.pool, address, &command);
-            tokio::time::timeout(remaining.min(OWNER_REQUEST_TIMEOUT), call)
-                .await
-                .unwrap_or(RequestOutcome::Unknown)
+            call(&node.pool, address, &command, remaining.min(OWNER_REQUEST_TIMEOUT)).await
         }
     }
 }
 
-async fn call(pool: &Pool, address: std::net::SocketAddr, command: &Command) -> RequestOutcome {
-    match pool.call::<Reply>(address, ConnectionKind::Traffic, command).await {
+async fn call(
+    pool: &Pool,
+    address: std::net::SocketAddr,
+    command: &Command,
+    timeout: Duration,
+) -> RequestOutcome {
+    match pool.call_within::<Reply>(address, ConnectionKind::Traffic, command, timeout).await {
         Ok(Reply::Outcome(outcome)) => outcome,
         Ok(_) => RequestOutcome::Unknown,
         Err(error) if error.is_not_sent() => RequestOutcome::NotOwner,
--- a/crates/node/src/owner/advice.rs
+++ b/crates/node/src/owner/advice.rs
@@ -179,11 +179,11 @@
         hosts: advise.hosts.clone(),
         timeout_ms: millis(timeout),
     };
-    let call = node.pool.call::<Reply>(address, ConnectionKind::Traffic, &command);
-    match tokio::time::timeout(timeout, call).await {
-        Ok(Ok(Reply::Advice(allowed))) => allowed,
-        Ok(Ok(_)) | Err(_) => None,
-        Ok(Err(error)) => {
+    let kind = ConnectionKind::Traffic;
+    match node.pool.call_within::<Reply>(address, kind, &command, timeout).await {
+        Ok(Reply::Advice(allowed)) => allowed,
+        Ok(_) => None,
+        Err(error) => {
             log::debug!("call for advice through {address} failed: {error}");
             None
         }
--- a/crates/node/src/ownership/follow.rs
+++ b/crates/node/src/ownership/follow.rs
@@ -232,10 +232,9 @@
     let calls = addresses.into_iter().take(MAX_QUERIED_PEERS).map(|address| {
         let node = node.clone();
         async move {
-            let call =
-                node.pool.call::<Reply>(address, ConnectionKind::Control, &Command::QueryOwner);
-            match tokio::time::timeout(PEER_QUERY_TIMEOUT, call).await {
-                Ok(Ok(Reply::Owner(owner))) => owner,
+            let (kind, query) = (ConnectionKind::Control, Command::QueryOwner);
+            match node.pool.call_within(address, kind, &query, PEER_QUERY_TIMEOUT).await {
+                Ok(Reply::Owner(owner)) => owner,
                 _ => None,
             }
         }
@@ -255,20 +254,18 @@
         config_version: node.configs.version(),
         owner: node.ownership.newest_owner(),
     });
-    let call = node.pool.call::<Reply>(address, ConnectionKind::Control, &ping);
-    match tokio::time::timeout(PING_TIMEOUT, call).await {
-        Ok(Ok(Reply::Pong(pong))) => {
+    match node.pool.call_within(address, ConnectionKind::Control, &ping, PING_TIMEOUT).await {
+        Ok(Reply::Pong(pong)) => {
             if let Some(owner) = &pong.owner {
                 node.ownership.record_owner(owner);
             }
             Ok(pong)
         }
-        Ok(Ok(_)) => Err(false),
-        Ok(Err(error)) => {
+        Ok(_) | Err(sycamore_wire::Error::Stalled(_)) => Err(false),
+        Err(error) => {
             log::debug!("ping of {address} failed: {error}");
             Err(true)
         }
-        Err(_) => Err(false),
     }
 }
 
--- a/crates/scheduler/src/outbox/mod.rs
+++ b/crates/scheduler/src/outbox/mod.rs
@@ -67,8 +67,8 @@
     let mut batch = Vec::new();
     while receiver.recv_many(&mut batch, MAX_BATCH).await > 0 {
         let command = Command::Peer(std::mem::take(&mut batch));
-        let call = pool.call::<Reply>(address, ConnectionKind::Control, &command);
+        let kind = ConnectionKind::Control;
         // Failures are ignored: the core sends a lost message again if it still matters.
-        let _ = tokio::time::timeout(SEND_TIMEOUT, call).await;
+        let _ = pool.call_within::<Reply>(address, kind, &command, SEND_TIMEOUT).await;
     }
 }
--- a/crates/scheduler/src/relay/mod.rs
+++ b/crates/scheduler/src/relay/mod.rs
@@ -53,10 +53,9 @@
     /// Lets a peer call the store. Returns `None` if the outcome is unknown.
     async fn call_peer(&self, peer: SocketAddr, op: Op) -> Option<Reply> {
         let command = Command::Store(op);
-        let call = self.pool.call::<WireReply>(peer, ConnectionKind::Control, &command);
-        match tokio::time::timeout(RELAY_TIMEOUT, call).await {
-            Ok(Ok(WireReply::Store(reply))) => Some(reply),
-            Ok(Err(error)) if error.is_not_sent() => Some(Reply::Unavailable),
+        match self.pool.call_within(peer, ConnectionKind::Control, &command, RELAY_TIMEOUT).await {
+            Ok(WireReply::Store(reply)) => Some(reply),
+            Err(error) if error.is_not_sent() => Some(Reply::Unavailable),
             _ => None,
         }
     }
--- a/crates/standin/src/link/proxy.rs
+++ b/crates/standin/src/link/proxy.rs
@@ -1,6 +1,7 @@
 //! Forwards TCP connections to one server, as the state of the link allows.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,8 @@
     pub address: SocketAddr,
     link: watch::Sender<LinkState>,
     target: watch::Sender<SocketAddr>,
+    /// Number of times that the open connections went silent.
+    silenced: watch::Sender<u64>,
     task: JoinHandle<()>,
 }
 
@@ -42,8 +45,10 @@
         let address = listener.local_addr()?;
         let (link, state) = watch::channel(LinkState::Open);
         let (target, server) = watch::channel(target);
-        let task = tokio::spawn(accept(listener, server, state, Lanes::default()));
-        Ok(Proxy { address, link, target, task })
+        let (silenced, silence) = watch::channel(0);
+        let link_view = Link { state, silence, lanes: Lanes::default() };
+        let task = tokio::spawn(accept(listener, server, link_view));
+        Ok(Proxy { address, link, target, silenced, task })
     }
 
     /// Sets the state of the link, for open connections too.
@@ -51,6 +56,11 @@
         self.link.send_replace(state);
     }
 
+    /// Forwards nothing more on the connections that are open now, and does not close them.
+    pub fn silence_open_connections(&self) {
+        self.silenced.send_modify(|count| *count += 1);
+    }
+
     /// Forwards new connections to another server.
     pub fn retarget(&self, target: SocketAddr) {
         self.target.send_replace(target);
@@ -68,6 +78,15 @@
     to_caller: Lane,
 }
 
+/// What a connection sees of its link.
+#[derive(Clone, Debug)]
+struct Link {
+    state: watch::Receiver<LinkState>,
+    /// Changes when the connections that are open go silent.
+    silence: watch::Receiver<u64>,
+    lanes: Lanes,
+}
+
 impl Lane {
     /// Waits until the link has carried this many bytes at a rate, after those before them.
     async fn carry(&self, bytes: usize, bytes_per_s: u64) {
@@ -83,37 +102,38 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
-    server: watch::Receiver<SocketAddr>,
-    link: watch::Receiver<LinkState>,
-    lanes: Lanes,
-) {
+async fn accept(listener: TcpListener, server: watch::Receiver<SocketAddr>, link: Link) {
     while let Ok((caller, _)) = listener.accept().await {
         // While the link is reset, an accepted connection is dropped, which closes it.
-        if *link.borrow() != LinkState::Reset {
+        if *link.state.borrow() != LinkState::Reset {
             let target = *server.borrow();
-            tokio::spawn(forward_connection(caller, target, link.clone(), lanes.clone()));
+            tokio::spawn(forward_connection(caller, target, link.clone()));
         }
     }
 }
 
-async fn forward_connection(
-    caller: TcpStream,
-    target: SocketAddr,
-    link: watch::Receiver<LinkState>,
-    lanes: Lanes,
-) {
+async fn forward_connection(caller: TcpStream, target: SocketAddr, mut link: Link) {
+    link.silence.borrow_and_update();
     let Ok(server) = TcpStream::connect(target).await else { return };
     let _ = (caller.set_nodelay(true), server.set_nodelay(true));
     let (from_caller, to_caller) = caller.into_split();
     let (from_server, to_server) = server.into_split();
+    let Link { mut state, mut silence, lanes } = link;
+    let (to_server_lane, to_caller_lane) = (lanes.to_server, lanes.to_caller);
+    let (loses_calls, loses_answers) = (LinkState::LosesCalls, LinkState::LosesAnswers);
+    let calls = forward(from_caller, to_server, state.clone(), to_server_lane, loses_calls);
+    let answers = forward(from_server, to_caller, state.clone(), to_caller_lane, loses_answers);
+    let (mut calls, mut answers) = (pin!(calls), pin!(answers));
     // Both connections close as soon as one direction ends.
     tokio::select! {
-        () = forward(from_caller, to_server, link.clone(), lanes.to_server, LinkState::LosesCalls) => {}
-        () = forward(from_server, to_caller, link.clone(), lanes.to_caller, LinkState::LosesAnswers) => {}
-        () = until_reset(link) => {}
+        () = &mut calls => return,
+        () = &mut answers => return,
+        () = until_reset(state.clone()) => return,
+        // Fails when the proxy was dropped.
+        changed = silence.changed() => if changed.is_err() { return },
     }
+    // The halves stay open in `calls` and `answers`.
+    while state.changed().await.is_ok() {}
 }
 
 async fn until_reset(mut link: watch::Receiver<LinkState>) {
--- a/crates/wire/src/channel/connection.rs
+++ b/crates/wire/src/channel/connection.rs
@@ -1,11 +1,13 @@
 //! Establishes HTTP/2 connections to other processes.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use h2::client::SendRequest;
 use tokio::net::TcpStream;
+use tokio_util::io::InspectReader;
 
 use crate::Error;
 
@@ -18,8 +20,28 @@
 /// Flow-control window of one connection, in bytes.
 const CONNECTION_WINDOW_BYTES: u32 = 4 * 1024 * 1024;
 
+/// A connection on which calls can be started. Clones use the same one.
+#[derive(Clone, Debug)]
+pub(super) struct Connection {
+    pub sender: SendRequest<Bytes>,
+    /// When data last arrived from the peer.
+    last_heard: Arc<Mutex<Instant>>,
+}
+
+impl Connection {
+    /// Waits until another call can be started.
+    pub async fn ready(self) -> Result<Connection, h2::Error> {
+        Ok(Connection { sender: self.sender.ready().await?, ..self })
+    }
+
+    /// Returns the time since data last arrived from the peer.
+    pub fn silence(&self) -> Duration {
+        self.last_heard.lock().unwrap_or_else(PoisonError::into_inner).elapsed()
+    }
+}
+
 /// Connects to a process. A spawned task drives the connection until it closes.
-pub(super) async fn connect(address: SocketAddr) -> Result<SendRequest<Bytes>, Error> {
+pub(super) async fn connect(address: SocketAddr) -> Result<Connection, Error> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, handshake(address));
     match connecting.await {
         Ok(result) => result,
@@ -30,10 +52,15 @@
     }
 }
 
-async fn handshake(address: SocketAddr) -> Result<SendRequest<Bytes>, Error> {
+async fn handshake(address: SocketAddr) -> Result<Connection, Error> {
     let not_sent = |error: std::io::Error| Error::NotSent(format!("{address}: {error}"));
     let socket = TcpStream::connect(address).await.map_err(not_sent)?;
     socket.set_nodelay(true).map_err(not_sent)?;
+    let last_heard = Arc::new(Mutex::new(Instant::now()));
+    let heard = last_heard.clone();
+    let socket = InspectReader::new(socket, move |_: &[u8]| {
+        *heard.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    });
     let (sender, connection) = h2::client::Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
@@ -44,5 +71,5 @@
         // Each caller gets the error of the connection on its own stream.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(Connection { sender, last_heard })
 }
--- a/crates/wire/src/channel/pool.rs
+++ b/crates/wire/src/channel/pool.rs
@@ -8,14 +8,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use h2::client::{ResponseFuture, SendRequest};
+use h2::client::ResponseFuture;
 use http::Request;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::Mutex;
 
-use super::{Call, connection};
+use super::Call;
+use super::connection::{self, Connection};
 use crate::Error;
 use crate::frame::Writer;
 
@@ -30,14 +30,17 @@
     Bulk,
 }
 
+/// Silence of a connection that may be due to a busy peer.
+const MIN_SILENCE: Duration = Duration::from_millis(300);
+
 /// The current connection to one process, if any. The lock is held while connecting, so
 /// that concurrent calls share the new connection.
-type SharedSender = Arc<Mutex<Option<SendRequest<Bytes>>>>;
+type SharedConnection = Arc<Mutex<Option<Connection>>>;
 
 /// Connections to other processes, one for each address and kind.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
-    connections: Arc<Mutex<HashMap<(SocketAddr, ConnectionKind), SharedSender>>>,
+    connections: Arc<Mutex<HashMap<(SocketAddr, ConnectionKind), SharedConnection>>>,
 }
 
 impl Pool {
@@ -58,6 +61,30 @@
         reader.read_frame().await
     }
 
+    /// Makes a call like [`Pool::call`] that is given up after `timeout`.
+    ///
+    /// A connection on which nothing arrived meanwhile is not used again. It may have gone
+    /// silent without being closed, while a new one would work.
+    ///
+    /// # Errors
+    ///
+    /// As of [`Pool::call`], and [`Error::Stalled`] after the timeout.
+    pub async fn call_within<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        kind: ConnectionKind,
+        command: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<T, Error> {
+        match tokio::time::timeout(timeout, self.call(address, kind, command)).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.discard_if_silent(address, kind, timeout).await;
+                Err(Error::Stalled(timeout.as_millis() as u64))
+            }
+        }
+    }
+
     /// Makes a call that carries a document, in either direction, which may be too large for a
     /// limit on the whole duration of the call.
     ///
@@ -72,6 +99,19 @@
         address: SocketAddr,
         command: &impl Serialize,
         timeout: Duration,
+    ) -> Result<T, Error> {
+        let result = self.fetch_stalling(address, command, timeout).await;
+        if matches!(result, Err(Error::Stalled(_))) {
+            self.discard_if_silent(address, ConnectionKind::Bulk, timeout).await;
+        }
+        result
+    }
+
+    async fn fetch_stalling<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        command: &impl Serialize,
+        timeout: Duration,
     ) -> Result<T, Error> {
         let (writer, response) = self.start_call(address, ConnectionKind::Bulk).await?;
         let mut writer = writer.with_stall_timeout(timeout);
@@ -106,33 +146,45 @@
         address: SocketAddr,
         kind: ConnectionKind,
     ) -> Result<(Writer, ResponseFuture), Error> {
-        let mut sender = self.sender(address, kind).await?;
+        let mut connection = self.connection(address, kind).await?;
         let request = Request::post(format!("http://{address}/"))
             .body(())
             .map_err(|error| Error::NotSent(error.to_string()))?;
-        let (response, stream) = sender
+        let (response, stream) = connection
+            .sender
             .send_request(request, false)
             .map_err(|error| Error::NotSent(error.to_string()))?;
         Ok((Writer::new(stream), response))
     }
 
     /// Returns a connection that can open another stream, connecting if necessary.
-    async fn sender(
+    async fn connection(
         &self,
         address: SocketAddr,
         kind: ConnectionKind,
-    ) -> Result<SendRequest<Bytes>, Error> {
+    ) -> Result<Connection, Error> {
         let shared = self.connections.lock().await.entry((address, kind)).or_default().clone();
         let mut current = shared.lock().await;
-        if let Some(sender) = current.take()
-            && let Ok(ready) = sender.ready().await
+        if let Some(connection) = current.take()
+            && let Ok(ready) = connection.ready().await
         {
             *current = Some(ready.clone());
             return Ok(ready);
         }
-        let sender = connection::connect(address).await?;
-        let ready = sender.ready().await.map_err(|error| Error::NotSent(error.to_string()))?;
+        let ready = connection::connect(address).await?.ready().await;
+        let ready = ready.map_err(|error| Error::NotSent(error.to_string()))?;
         *current = Some(ready.clone());
         Ok(ready)
     }
+
+    /// Removes the connection to a process if nothing has arrived on it for a time, at least
+    /// [`MIN_SILENCE`]. Calls that are in flight on it go on.
+    async fn discard_if_silent(&self, address: SocketAddr, kind: ConnectionKind, time: Duration) {
+        let silence = time.max(MIN_SILENCE);
+        let shared = self.connections.lock().await.get(&(address, kind)).cloned();
+        // A locked connection is being replaced already.
+        if let Some(mut current) = shared.as_ref().and_then(|shared| shared.try_lock().ok()) {
+            current.take_if(|connection| connection.silence() >= silence);
+        }
+    }
 }
