Give a write of the log the time that the host's link needs for its page

What callers would see: an owner whose link is slow accepts nothing more after a burst.

Cause: a write had 450 ms. Up to 384 kB of records share a page, 512 kB in base64, and four pages the link. The bytes that wait in buffers count as sent, so that progress can't show how much of a page is on its way, and each retry began at the first byte.

The limit now adds the time that the link of the settings needs for the page beside the other writes, and doubles that time with each failure. A page of 4 kB still has less than 460 ms at 200 Mbit/s, so that a lost response is noticed as before.

The path test hands in 70 jobs of 4 kB over 0.8 Mbit/s. The proxy of the tests holds back what the link has not carried; its buffers had hidden that.

--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -17,13 +17,14 @@
 use tokio::sync::mpsc;
 
 use super::page::{self, PageError};
+use super::write_timeout::WriteTimeout;
 use super::{Handle, Shared};
 use crate::backoff::Backoff;
 use crate::metrics::Meters;
 use crate::node::Node;
 use crate::ownership::{OWNER_KEY, OwnerRecord};
 use crate::timing::{
-    COMMIT_DELAY, LOG_RETRY_MAX, LOG_TIMEOUT, STORE_RETRY, STORE_TIMEOUT, STORE_UNAVAILABLE_AFTER,
+    COMMIT_DELAY, LOG_RETRY_MAX, STORE_RETRY, STORE_TIMEOUT, STORE_UNAVAILABLE_AFTER,
 };
 
 /// Most new records in one page. Keeps pages well below the store's value size limit.
@@ -85,6 +86,7 @@
     meters: Meters,
     /// Revision of the owner record under which this process is the owner.
     owner_rev: u64,
+    timeout: WriteTimeout,
 }
 
 /// The only writer of the log.
@@ -115,7 +117,8 @@
     ) -> Journal {
         let next_page = pages.iter().map(|page| page.number).max().unwrap_or(0) + 1;
         let (store, meters) = (node.store.clone(), node.meters.clone());
-        let writer = PageWriter { store, shared, meters, owner_rev };
+        let timeout = WriteTimeout::new(node.settings.link_mbps, MAX_PAGES_IN_FLIGHT);
+        let writer = PageWriter { store, shared, meters, owner_rev, timeout };
         Journal { writer, handle, pages: pages.into(), next_page, durable_records: 0 }
     }
 
@@ -217,8 +220,10 @@
         let started = Instant::now();
         let mut backoff = Backoff::new(STORE_RETRY / 2, LOG_RETRY_MAX);
         let mut may_be_written = false;
+        let mut failures = 0;
         loop {
-            let outcome = self.store.commit(transaction, LOG_TIMEOUT).await;
+            let timeout = self.timeout.of(transaction.value_bytes(), failures);
+            let outcome = self.store.commit(transaction, timeout).await;
             let label = if outcome.is_ok() { "kept" } else { "failed" };
             self.meters.log_writes.with_label_values(&[label]).inc();
             match outcome {
@@ -234,6 +239,7 @@
                 }
                 Err(error) => log::debug!("log page {key} not written: {error}"),
             }
+            failures += 1;
             if started.elapsed() > STORE_UNAVAILABLE_AFTER {
                 self.shared.set_store_unavailable(true);
             }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -16,6 +16,9 @@
 mod page;
 mod records;
 mod recover;
+#[cfg(test)]
+mod tests;
+mod write_timeout;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
--- /dev/null
+++ b/crates/node/src/owner/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of decisions of the owner that need no network.
+
+mod write_timeout;
--- a/crates/node/src/timing.rs
+++ b/crates/node/src/timing.rs
@@ -34,8 +34,8 @@
 /// after the store is back.
 pub(crate) const STORE_RETRY_MAX: Duration = Duration::from_millis(900);
 
-/// Timeout of one log write before it is repeated: twice the store's response time while
-/// it is slow, less the time that a large page adds.
+/// Timeout of one log write before it is repeated, in addition to the time that the host's
+/// link needs for the page: about twice the store's response time while it is slow.
 pub(crate) const LOG_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// Longest delay before a failed log write is repeated. It is short because every decision
--- a/crates/node/tests/path/configuration.rs
+++ b/crates/node/tests/path/configuration.rs
@@ -15,7 +15,7 @@
 const APPLY_TIMEOUT: Duration = Duration::from_secs(3);
 
 async fn start_behind(link: &Proxy, name: &str) -> Process {
-    let process = Process::start_on(&Host { name, cores: 1.0, store: link.address }).await;
+    let process = Process::start_on(&Host::strong(name, link.address)).await;
     until("the process serves", || submit(&process, "00000000000000a1")).await;
     process
 }
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod platform;
 mod process;
+mod slow_links;
 
 use std::time::Duration;
 
@@ -181,7 +182,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_strong_host_takes_over_from_a_weak_owner() {
     let platform = Platform::start().await;
-    let host = |name, cores| Host { name, cores, store: platform.address };
+    let host = |name, cores| Host { cores, ..Host::strong(name, platform.address) };
     let weak = Process::start_on(&host("weak", 0.12)).await;
     until("the weak host serves", || submit(&weak, "00000000000000e1")).await;
 
--- a/crates/node/tests/path/process.rs
+++ b/crates/node/tests/path/process.rs
@@ -36,13 +36,22 @@
     pub name: &'a str,
     /// CPU capacity that the settings state, in cores.
     pub cores: f64,
+    /// Bandwidth that the settings state, in Mbit/s.
+    pub link_mbps: f64,
     /// Address at which the process reaches the store.
     pub store: SocketAddr,
 }
 
+impl Host<'_> {
+    /// A host that may own at once.
+    pub fn strong(name: &str, store: SocketAddr) -> Host<'_> {
+        Host { name, cores: 1.0, link_mbps: 1_000.0, store }
+    }
+}
+
 impl Process {
     pub async fn start(platform: &Platform, name: &str) -> Process {
-        Process::start_on(&Host { name, cores: 1.0, store: platform.address }).await
+        Process::start_on(&Host::strong(name, platform.address)).await
     }
 
     pub async fn start_on(host: &Host<'_>) -> Process {
@@ -58,6 +67,7 @@
             store_address: host.store,
             grace_s: 6,
             cores: host.cores,
+            link_mbps: host.link_mbps,
         });
         let settings =
             std::env::temp_dir().join(format!("sycamore-{}-{callers}.toml", std::process::id()));
--- /dev/null
+++ b/crates/node/tests/path/slow_links.rs
@@ -0,0 +1,43 @@
+//! Owners whose link to the store is slow.
+
+use futures::future::join_all;
+use sycamore_standin::fenced::{self, Step};
+use sycamore_standin::link::LinkState;
+
+use crate::platform::Platform;
+use crate::process::{Host, Process, call, until};
+use crate::{KEY, submit};
+
+/// A job with the longest payload that callers may send.
+fn large_job() -> String {
+    let step = Step { tasks: 1, cpu_millis: 100, memory_mib: 10, estimate_ms: 100, after: vec![] };
+    fenced::job(&"x".repeat(4_000), &[step]).to_string()
+}
+
+/// Incident inc1, the other direction: a page of the log that took longer than the time limit of
+/// a write was cut off, and written again from its first byte.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_page_of_the_log_is_written_over_a_slow_link() {
+    let platform = Platform::start().await;
+    let link = platform.store_link(LinkState::Open).await;
+    let host = Host { link_mbps: 0.8, ..Host::strong("one", link.address) };
+    let process = Process::start_on(&host).await;
+    until("the process serves", || submit(&process, "00000000000000a1")).await;
+
+    // The jobs together take more than three seconds; a write has 450 ms to be answered.
+    link.set_state(LinkState::Narrow(100_000));
+    let submissions = (0..70).map(|number| {
+        let url = process.url(&format!("{:016x}", 0xb000 + number));
+        async move {
+            // A submission that was not answered in time is repeated, as callers do.
+            until("the job is accepted", || async {
+                let response = call("POST", &url, KEY, &large_job()).await;
+                response.is_some_and(|(status, _)| status == 200)
+            })
+            .await;
+        }
+    });
+    join_all(submissions).await;
+
+    process.kill().await;
+}
--- a/crates/platform/src/site/store.rs
+++ b/crates/platform/src/site/store.rs
@@ -144,6 +144,11 @@
         self
     }
 
+    /// Returns the size of all values as they are sent, in bytes.
+    pub fn value_bytes(&self) -> usize {
+        self.puts.iter().map(|put| put.value.len()).sum()
+    }
+
     /// Adds a removal of a key.
     pub fn remove(mut self, key: &str) -> Transaction {
         self.remove.push(key.to_string());
--- a/crates/soak/src/round.rs
+++ b/crates/soak/src/round.rs
@@ -29,6 +29,9 @@
 /// CPU capacity that the settings state for a host, in cores: enough to own at once.
 const HOST_CORES: f64 = 1.0;
 
+/// Bandwidth that the settings state for a host, in Mbit/s: enough to own at once.
+const HOST_LINK_MBPS: f64 = 1_000.0;
+
 /// Longest wait for all jobs to end once all faults are over. It covers three takeovers in a
 /// row, with leases of 6 s, and leaves the rest for a busy host.
 const COMPLETION_TIMEOUT: Duration = Duration::from_secs(60);
@@ -111,6 +114,7 @@
             store_address: link.address,
             grace_s: STOP_GRACE_S,
             cores: HOST_CORES,
+            link_mbps: HOST_LINK_MBPS,
         };
         let environment = environment.to_vec();
         let mut process =
--- a/crates/standin/src/fenced/documents.rs
+++ b/crates/standin/src/fenced/documents.rs
@@ -71,6 +71,8 @@
     pub grace_s: u32,
     /// CPU capacity of the host, in cores.
     pub cores: f64,
+    /// Bandwidth of the host's link, in Mbit/s.
+    pub link_mbps: f64,
 }
 
 /// Builds the body with which a job is submitted.
@@ -111,7 +113,7 @@
     format!(
         "node = \"{}\"\nip = \"{}\"\nzone = \"a\"\ninternal-ports = [{}, 1]\nseeds = [{}]\n\
          [listen]\nfront = \"{}\"\n[bounds]\nhold-max-ms = 6000\ngrace-s = {}\n\
-         [limits]\ncpu-share = {:?}\n[platform]\naddr = \"{}\"\n",
+         [limits]\ncpu-share = {:?}\nlink-mbps = {:?}\n[platform]\naddr = \"{}\"\n",
         process.host,
         process.address,
         process.peer_port,
@@ -119,6 +121,7 @@
         process.caller_address,
         process.grace_s,
         process.cores,
+        process.link_mbps,
         process.store_address
     )
 }
--- a/crates/standin/src/link/proxy.rs
+++ b/crates/standin/src/link/proxy.rs
@@ -7,7 +7,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -16,6 +16,13 @@
 /// Most bytes that are forwarded at a time.
 const CHUNK_BYTES: usize = 16 * 1024;
 
+/// Bytes that may wait in the proxy's sockets. A real link holds little more than it carries
+/// within a round trip.
+const RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
+
+/// Most connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// Forwards connections to one server. The proxy stops when it is dropped.
 #[derive(Debug)]
 pub struct Proxy {
@@ -41,7 +48,9 @@
     ///
     /// Returns an error if the listener can't be bound.
     pub async fn start(target: SocketAddr) -> std::io::Result<Proxy> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let socket = small_socket()?;
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let listener = socket.listen(BACKLOG)?;
         let address = listener.local_addr()?;
         let (link, state) = watch::channel(LinkState::Open);
         let (target, server) = watch::channel(target);
@@ -67,6 +76,13 @@
     }
 }
 
+/// Returns a socket that holds back what the link has not carried yet.
+fn small_socket() -> std::io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    Ok(socket)
+}
+
 /// When one direction of a narrow link has carried all bytes accepted so far.
 #[derive(Clone, Debug, Default)]
 struct Lane(Arc<Mutex<Option<Instant>>>);
@@ -114,7 +130,8 @@
 
 async fn forward_connection(caller: TcpStream, target: SocketAddr, mut link: Link) {
     link.silence.borrow_and_update();
-    let Ok(server) = TcpStream::connect(target).await else { return };
+    let Ok(socket) = small_socket() else { return };
+    let Ok(server) = socket.connect(target).await else { return };
     let _ = (caller.set_nodelay(true), server.set_nodelay(true));
     let (from_caller, to_caller) = caller.into_split();
     let (from_server, to_server) = server.into_split();
