--- a/crates/node/tests/path/explain.rs
+++ b/crates/node/tests/path/explain.rs
@@ -1,10 +1,11 @@
-//! Follows the three procedures of `docs/OPERATIONS.md` that lead from a failed or delayed
+//! Follows the four procedures of `docs/OPERATIONS.md` that lead from a failed or delayed
 //! request to its cause, with the log of a real process.
 
 use serde_json::Value;
+use sycamore_standin::link::LinkState;
 
 use crate::platform::Platform;
-use crate::process::{call, until};
+use crate::process::{Host, Process, call, until};
 use crate::{GUEST_KEY, KEY, is_complete, job, start_serving, submit};
 
 fn has(lines: &[Value], field: &str, value: impl Into<Value>) -> bool {
@@ -70,3 +71,20 @@
     until("the load line counts the step", load).await;
     process.kill().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_explains_why_an_old_configuration_is_in_force() {
+    let platform = Platform::start().await;
+    let link = platform.store_link(LinkState::Open).await;
+    let process = Process::start_on(&Host::strong("one", link.address)).await;
+    until("the process serves", || submit(&process, "00000000000000a9")).await;
+    link.set_state(LinkState::Silent);
+    platform.add_queues(2, 1);
+
+    let explained = || async {
+        let lines = process.grep(&["configuration not received", "no progress"]);
+        has(&lines, "origin", "store") && has(&lines, "version", 1)
+    };
+    until("the log tells why no version arrives", explained).await;
+    process.kill().await;
+}
