Bound the time limit of a log write whatever the settings state

Found on a second reading of the change: a bandwidth of 0 in the settings divided by zero and ended the process, and six doublings gave a page of 512 kB eleven seconds at 200 Mbit/s, in which a write that was lost with an outage holds the log up. The bandwidth has a floor of 0.5 Mbit/s and the doublings end at three.

A call also reads what has arrived before it decides that it has stalled, so that a process that was not scheduled for a second does not give a complete response up.

--- a/crates/node/src/owner/write_timeout.rs
+++ b/crates/node/src/owner/write_timeout.rs
@@ -8,12 +8,15 @@
 
 use crate::timing::LOG_TIMEOUT;
 
+/// Least bandwidth assumed, in Mbit/s, whatever the settings state.
+const MIN_LINK_MBPS: f64 = 0.5;
+
 /// Bandwidth assumed where the settings limit it less, in Mbit/s.
 const MAX_LINK_MBPS: f64 = 100.0;
 
 /// Number of times that the allowance for the transfer doubles. Other traffic may leave the
-/// write only a part of the link.
-const MAX_DOUBLINGS: u32 = 6;
+/// write only a part of the link; more doublings would delay the log after an outage.
+const MAX_DOUBLINGS: u32 = 3;
 
 /// Derives the time limit of a write from its size.
 #[derive(Clone, Copy, Debug)]
@@ -24,7 +27,7 @@
 impl WriteTimeout {
     /// `writes_in_flight` is the number of writes that may share the link.
     pub fn new(link_mbps: f64, writes_in_flight: usize) -> WriteTimeout {
-        let bits_per_s = 1e6 * link_mbps.min(MAX_LINK_MBPS);
+        let bits_per_s = 1e6 * link_mbps.clamp(MIN_LINK_MBPS, MAX_LINK_MBPS);
         WriteTimeout { bytes_per_s: bits_per_s / 8.0 / writes_in_flight as f64 }
     }
 
--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -108,6 +108,8 @@
         let progress = Arc::new(Progress::start(timeout, self.activity.clone()));
         let request = request.map(|body| Upload::new(body, progress.clone()));
         tokio::select! {
+            // A process that was not scheduled for a while first reads what has arrived.
+            biased;
             result = self.exchange(request, &progress, max_bytes) => result,
             () = progress.stalled() => Err(Error::Unknown(format!("no progress: {progress}"))),
         }
