Take a store that is sending a reply for reachable

What callers would see: ownership moves while a large configuration arrives, about as long as it takes.

Every part of a reply counts now.

--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -70,10 +70,11 @@
         self.current().map_or(0, |current| current.config.catalog.version)
     }
 
-    /// Returns whether the store has replied within twice [`CONFIG_WATCH_WAIT`].
+    /// Returns whether the store has replied, or sent a part of a reply, within twice
+    /// [`CONFIG_WATCH_WAIT`].
     pub fn is_store_reachable(&self) -> bool {
         let last = self.store_replies.lock().map(|replies| replies.last).unwrap_or(None);
-        last.is_some_and(|at| at.elapsed() < 2 * CONFIG_WATCH_WAIT)
+        last.max(self.store_activity.last()).is_some_and(|at| at.elapsed() < 2 * CONFIG_WATCH_WAIT)
     }
 
     /// Returns whether the store has replied to every call for [`STORE_STEADY_TIME`].
--- a/crates/node/tests/path/slow_links.rs
+++ b/crates/node/tests/path/slow_links.rs
@@ -41,3 +41,28 @@
 
     process.kill().await;
 }
+
+/// An owner was replaced as one without the store while it received a large configuration from
+/// the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_receives_a_large_configuration_stays_the_owner() {
+    let platform = Platform::start().await;
+    let link = platform.store_link(LinkState::Narrow(200_000)).await;
+    let owner = Process::start_on(&Host::strong("one", link.address)).await;
+    until("the owner serves", || submit(&owner, "00000000000000a1")).await;
+    let other = Process::start(&platform, "two").await;
+    until("the other process serves", || submit(&other, "00000000000000a2")).await;
+
+    // Takes five seconds over the link of the owner.
+    platform.add_queues(2, 4_200);
+    let is_received = || async {
+        !owner.grep(&["configuration applied", "\"store\"", "\"version\":2"]).is_empty()
+            || !owner.grep(&["ownership ended"]).is_empty()
+    };
+    until("the owner has received it", is_received).await;
+
+    let claims = other.grep(&["claimed ownership"]);
+    assert!(claims.is_empty(), "{claims:?}");
+    owner.kill().await;
+    other.kill().await;
+}
