Keep a slow connection between processes, and let connecting end

Found on a trial with 2 Mbit/s: a ping that took longer than its 400 ms beside a large configuration had its connection replaced at once, and the next ping gave up before the new one was there, so that it was begun again and again.

A connection is replaced after 1.2 s of silence, and connecting goes on when the caller stops waiting. That connecting goes on is not tested: the proxy accepts at once.

--- a/crates/wire/src/channel/pool.rs
+++ b/crates/wire/src/channel/pool.rs
@@ -30,8 +30,9 @@
     Bulk,
 }
 
-/// Silence of a connection that may be due to a busy peer.
-const MIN_SILENCE: Duration = Duration::from_millis(300);
+/// Silence of a connection that may be due to a busy peer or a link that other data fills. A
+/// new connection needs two round trips on that link before its first call is answered.
+const MIN_SILENCE: Duration = Duration::from_millis(1_200);
 
 /// The current connection to one process, if any. The lock is held while connecting, so
 /// that concurrent calls share the new connection.
@@ -158,23 +159,29 @@
     }
 
     /// Returns a connection that can open another stream, connecting if necessary.
+    ///
+    /// The connection is established even if the caller stops waiting for it, so that the next
+    /// call does not begin anew.
     async fn connection(
         &self,
         address: SocketAddr,
         kind: ConnectionKind,
     ) -> Result<Connection, Error> {
         let shared = self.connections.lock().await.entry((address, kind)).or_default().clone();
-        let mut current = shared.lock().await;
+        let mut current = shared.lock_owned().await;
         if let Some(connection) = current.take()
             && let Ok(ready) = connection.ready().await
         {
             *current = Some(ready.clone());
             return Ok(ready);
         }
-        let ready = connection::connect(address).await?.ready().await;
-        let ready = ready.map_err(|error| Error::NotSent(error.to_string()))?;
-        *current = Some(ready.clone());
-        Ok(ready)
+        let connecting = tokio::spawn(async move {
+            let ready = connection::connect(address).await?.ready().await;
+            let ready = ready.map_err(|error| Error::NotSent(error.to_string()))?;
+            *current = Some(ready.clone());
+            Ok(ready)
+        });
+        connecting.await.unwrap_or_else(|error| Err(Error::NotSent(error.to_string())))
     }
 
     /// Removes the connection to a process if nothing has arrived on it for a time, at least
