Wait longer for the owner while a large document fills the link

What callers would see: ownership moves from a sound owner to hosts with slow links, and requests are refused or late for seconds.

Cause: pings had 400 ms and the owner 700 ms of silence. On a link that a configuration fills, replies wait behind its data for longer; the peers that are asked whether they hear the owner had 150 ms. Each large version so cost three changes of the owner.

A process that receives a response of 64 KiB or more, or a configuration from a peer, now waits 1.5 s for a ping, 3.5 s before it doubts the owner, and 1 s for peers. Others take over as before; on 200 Mbit/s a configuration takes 50 ms.

--- a/crates/node/src/api/forward.rs
+++ b/crates/node/src/api/forward.rs
@@ -60,7 +60,9 @@
                 .unwrap_or(RequestOutcome::Unknown)
         }
         // The owner misses pings. A request that is not sent has certainly not run.
-        CurrentOwner::Peer { .. } if node.ownership.is_owner_overdue() => RequestOutcome::NotOwner,
+        CurrentOwner::Peer { .. } if node.ownership.is_owner_overdue(node.patience()) => {
+            RequestOutcome::NotOwner
+        }
         CurrentOwner::Peer { address } => {
             let command = Command::CallerRequest(request.clone());
             call(&node.pool, address, &command, remaining.min(OWNER_REQUEST_TIMEOUT)).await
--- a/crates/node/src/config/fetch_policy.rs
+++ b/crates/node/src/config/fetch_policy.rs
@@ -50,6 +50,11 @@
         true
     }
 
+    /// Returns whether a transfer is in progress.
+    pub fn is_fetching(&self) -> bool {
+        self.is_fetching
+    }
+
     /// Records the end of a transfer.
     pub fn on_ended(&mut self, now: Instant, is_received: bool) {
         self.is_fetching = false;
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -20,7 +20,7 @@
 use crate::clock::millis;
 use crate::metrics::Meters;
 use crate::peer::Reply;
-use crate::timing::{CONFIG_WATCH_WAIT, STORE_STEADY_TIME};
+use crate::timing::{BUSY_LINK_TIME, CONFIG_WATCH_WAIT, STORE_STEADY_TIME};
 
 /// A configuration, and the reply to processes that ask for it.
 #[derive(Debug, Default)]
@@ -92,6 +92,13 @@
         }
     }
 
+    /// Returns whether a large configuration is arriving.
+    pub fn is_receiving(&self) -> bool {
+        let last_bulk = self.store_activity.last_bulk();
+        last_bulk.is_some_and(|at| at.elapsed() < BUSY_LINK_TIME)
+            || self.fetches.lock().is_ok_and(|policy| policy.is_fetching())
+    }
+
     /// Returns whether to fetch the configuration from a peer now.
     fn begins_fetch(&self, is_behind: bool) -> bool {
         let is_answering = self.store_replies.lock().is_ok_and(|replies| replies.first.is_some());
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,7 +18,7 @@
 use crate::clock::Clock;
 use crate::config::Configs;
 use crate::metrics::Meters;
-use crate::ownership::{CurrentOwner, Ownership};
+use crate::ownership::{CurrentOwner, Ownership, Patience};
 use crate::peer::{CallerRequest, Ping, Pong, RequestOutcome, Role};
 use crate::timing::OWNER_TIMEOUT;
 
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Returns the time limits for replies of the owner and of peers at present.
+    pub fn patience(&self) -> Patience {
+        Patience::new(self.configs.is_receiving())
+    }
+
     /// Records what a ping says about its sender and the newest owner, and replies to it.
     pub fn handle_ping(self: &Arc<Node>, ping: &Ping) -> Pong {
         if let Ok(mut known_peers) = self.known_peers.lock() {
--- a/crates/node/src/ownership/follow.rs
+++ b/crates/node/src/ownership/follow.rs
@@ -18,8 +18,8 @@
 use crate::owner;
 use crate::peer::{Command, Owner, Ping, Pong, Reply, Role};
 use crate::timing::{
-    CLAIM_JITTER, OWNER_MIN_CORES, OWNER_MIN_LINK_MBPS, OWNER_STRENGTH_CHECK_DELAY, OWNER_TIMEOUT,
-    PING_INTERVAL, PING_TIMEOUT, STORE_RETRY, STORE_RETRY_MAX, WEAK_HOST_CLAIM_DELAY,
+    CLAIM_JITTER, OWNER_MIN_CORES, OWNER_MIN_LINK_MBPS, OWNER_STRENGTH_CHECK_DELAY, PING_INTERVAL,
+    STORE_RETRY, STORE_RETRY_MAX, WEAK_HOST_CLAIM_DELAY,
 };
 
 /// Consecutive replies of an owner that can't reach the store after which a process that can
@@ -37,9 +37,6 @@
 /// Most peers asked whether they still hear from the owner before a takeover.
 const MAX_QUERIED_PEERS: usize = 4;
 
-/// Timeout of the query to one peer.
-const PEER_QUERY_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// What a process that followed an owner does next.
 enum Next {
     /// Take over from the owner, for the reason given.
@@ -180,7 +177,7 @@
             },
             Err(is_refused) => refusals += u32::from(is_refused),
         }
-        let why = if last_pong.elapsed() > OWNER_TIMEOUT {
+        let why = if last_pong.elapsed() > node.patience().silence {
             Some("silent")
         } else if refusals >= MAX_CONSECUTIVE_REFUSALS {
             Some("refuses connections")
@@ -212,7 +209,7 @@
         Err(StoreError::Refused(_)) => None,
         Err(error) => {
             log::debug!("can't read the owner record: {error}");
-            if node.ownership.is_owner_overdue() {
+            if node.ownership.is_owner_overdue(node.patience()) {
                 node.ownership.set_detached(true);
             }
             None
@@ -229,11 +226,12 @@
     let own_address = node.settings.peers;
     let suspect_address = known.map(|owner| owner.address);
     addresses.retain(|address| *address != own_address && Some(*address) != suspect_address);
+    let timeout = node.patience().peer_query;
     let calls = addresses.into_iter().take(MAX_QUERIED_PEERS).map(|address| {
         let node = node.clone();
         async move {
             let (kind, query) = (ConnectionKind::Control, Command::QueryOwner);
-            match node.pool.call_within(address, kind, &query, PEER_QUERY_TIMEOUT).await {
+            match node.pool.call_within(address, kind, &query, timeout).await {
                 Ok(Reply::Owner(owner)) => owner,
                 _ => None,
             }
@@ -254,7 +252,8 @@
         config_version: node.configs.version(),
         owner: node.ownership.newest_owner(),
     });
-    match node.pool.call_within(address, ConnectionKind::Control, &ping, PING_TIMEOUT).await {
+    let timeout = node.patience().ping;
+    match node.pool.call_within(address, ConnectionKind::Control, &ping, timeout).await {
         Ok(Reply::Pong(pong)) => {
             if let Some(owner) = &pong.owner {
                 node.ownership.record_owner(owner);
--- a/crates/node/src/ownership/mod.rs
+++ b/crates/node/src/ownership/mod.rs
@@ -4,6 +4,9 @@
 
 mod follow;
 mod owner_record;
+mod patience;
+#[cfg(test)]
+mod tests;
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -11,12 +14,13 @@
 
 pub(crate) use follow::follow;
 pub(crate) use owner_record::{OWNER_KEY, OwnerRecord};
+pub(crate) use patience::Patience;
 
 use sycamore_types::Name;
 
 use crate::owner::Handle;
 use crate::peer::Owner;
-use crate::timing::{OWNER_TIMEOUT, PING_INTERVAL, PING_TIMEOUT};
+use crate::timing::OWNER_TIMEOUT;
 
 /// The current owner, as far as this process knows.
 #[derive(Clone, Debug, Default)]
@@ -111,8 +115,8 @@
     }
 
     /// Returns whether the owner has missed pings.
-    pub fn is_owner_overdue(&self) -> bool {
-        self.time_since_pong().is_some_and(|silence| silence > 2 * PING_INTERVAL + PING_TIMEOUT / 2)
+    pub fn is_owner_overdue(&self, patience: Patience) -> bool {
+        self.time_since_pong().is_some_and(|silence| silence > patience.overdue)
     }
 
     /// Returns the time since the owner's last reply to a ping, `None` before the first.
--- /dev/null
+++ b/crates/node/src/ownership/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of decisions about the owner that need no network.
+
+mod patience;
--- a/crates/node/src/timing.rs
+++ b/crates/node/src/timing.rs
@@ -16,6 +16,23 @@
 /// has really failed.
 pub(crate) const OWNER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Timeout of the query whether a peer still hears from the owner.
+pub(crate) const PEER_QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// [`PING_TIMEOUT`] while the process receives a large document. At 2 Mbit/s, the data that
+/// waits in the sockets of two transfers takes a second.
+pub(crate) const BUSY_LINK_PING_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// [`OWNER_TIMEOUT`] while the process receives a large document. Other processes, whose links
+/// are free, take over sooner.
+pub(crate) const BUSY_LINK_OWNER_TIMEOUT: Duration = Duration::from_millis(3_500);
+
+/// [`PEER_QUERY_TIMEOUT`] while the process receives a large document.
+pub(crate) const BUSY_LINK_PEER_QUERY_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Time after the last part of a large document for which the link counts as busy.
+pub(crate) const BUSY_LINK_TIME: Duration = Duration::from_millis(300);
+
 /// Upper bound of the random delay before a claim, which spreads competing claims.
 pub(crate) const CLAIM_JITTER: Duration = Duration::from_millis(120);
 
--- a/crates/platform/src/http/progress.rs
+++ b/crates/platform/src/http/progress.rs
@@ -63,7 +63,7 @@
 
     /// Records that the head of the response has arrived.
     pub fn on_response(&self) {
-        self.activity.record();
+        self.activity.record(0);
         let mut state = self.state();
         state.last = Instant::now();
         state.has_response = true;
@@ -71,10 +71,10 @@
 
     /// Records bytes of the response's body.
     pub fn on_received(&self, bytes: usize) {
-        self.activity.record();
         let mut state = self.state();
         state.last = Instant::now();
         state.received_bytes += bytes;
+        self.activity.record(state.received_bytes);
     }
 
     /// Waits until the call has to be given up.
