Don't act as the owner long after ownership was last certain

What callers would see: 410 for jobs that were accepted.

Cause: the process had claimed epoch 4 at 10.7 s, read the log over its slow link until 24.1 s, and then owned, although two others had replaced it; the log it had read was older than the job. Nothing asked again whether it was still the owner, neither after the read nor before an answer.

A process stops reading the log when a peer knows a higher epoch, and asks the store again after a read of over 350 ms. An owner answers 410 only if a log write, or a read of its record, has confirmed its ownership within 2 s; otherwise it reads the record first. Jobs have to be known after 3 s, so that a job accepted by a successor since then may still be unknown. Under load every log write confirms; no call is added.

The same record is read at one place now, for conflicts of log writes too.

--- a/crates/node/src/api/forward.rs
+++ b/crates/node/src/api/forward.rs
@@ -54,7 +54,7 @@
     match node.ownership.current() {
         CurrentOwner::Recovering { .. } | CurrentOwner::Unknown => RequestOutcome::NotOwner,
         CurrentOwner::Local(handle) => {
-            let answer = handle.ask(request.clone());
+            let answer = handle.ask(request.clone(), node);
             tokio::time::timeout(remaining.min(OWNER_REQUEST_TIMEOUT), answer)
                 .await
                 .unwrap_or(RequestOutcome::Unknown)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -165,6 +165,10 @@
                 is_store_reachable &= !handle.is_store_unavailable();
                 Role::Owner { epoch: handle.epoch }
             }
+            CurrentOwner::Recovering { epoch } if self.is_outranked(epoch) => {
+                self.outranked.notify_waiters();
+                Role::Follower
+            }
             CurrentOwner::Recovering { epoch } => {
                 is_store_reachable = true;
                 Role::Owner { epoch }
@@ -198,7 +202,7 @@
     /// Answers a caller's request if this process is the owner.
     pub async fn ask_local_owner(&self, request: CallerRequest) -> RequestOutcome {
         match self.ownership.current() {
-            CurrentOwner::Local(handle) => handle.ask(request).await,
+            CurrentOwner::Local(handle) => handle.ask(request, self).await,
             _ => RequestOutcome::NotOwner,
         }
     }
--- a/crates/node/src/owner/handle.rs
+++ b/crates/node/src/owner/handle.rs
@@ -13,7 +13,9 @@
 
 use super::Shared;
 use super::listing::Addresses;
+use crate::node::Node;
 use crate::peer::{CallerRequest, RequestOutcome};
+use crate::timing::UNCONFIRMED_DENIAL_TIME;
 
 /// A message to the control thread.
 #[derive(Debug)]
@@ -63,11 +65,29 @@
         let _ = self.control.send(Input::Stop);
     }
 
-    /// Returns the engine's answer to a caller's request.
+    /// Returns the answer to a caller's request.
     ///
     /// Refuses submissions and cancellations at once while the log can't be written, since
-    /// they are answered only when they are durable.
-    pub async fn ask(&self, request: CallerRequest) -> RequestOutcome {
+    /// they are answered only when they are durable. Denies that a job exists only while no
+    /// successor can have accepted it long ago.
+    pub async fn ask(&self, request: CallerRequest, node: &Node) -> RequestOutcome {
+        let outcome = self.ask_engine(request).await;
+        if !matches!(outcome, RequestOutcome::NoSuchJob)
+            || self.shared.is_recently_confirmed(UNCONFIRMED_DENIAL_TIME)
+        {
+            return outcome;
+        }
+        match self.shared.confirm(&node.store).await {
+            Ok(true) => outcome,
+            Ok(false) => {
+                node.outranked.notify_waiters();
+                RequestOutcome::NotOwner
+            }
+            Err(_) => RequestOutcome::StoreAway,
+        }
+    }
+
+    async fn ask_engine(&self, request: CallerRequest) -> RequestOutcome {
         let must_be_durable =
             matches!(request, CallerRequest::Submit { .. } | CallerRequest::Cancel { .. });
         if must_be_durable && self.is_store_unavailable() {
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -22,7 +22,7 @@
 use crate::backoff::Backoff;
 use crate::metrics::Meters;
 use crate::node::Node;
-use crate::ownership::{OWNER_KEY, OwnerRecord};
+use crate::ownership::OWNER_KEY;
 use crate::timing::{
     COMMIT_DELAY, LOG_RETRY_MAX, STORE_RETRY, STORE_TIMEOUT, STORE_UNAVAILABLE_AFTER,
 };
@@ -84,8 +84,6 @@
     store: Store,
     shared: Arc<Shared>,
     meters: Meters,
-    /// Revision of the owner record under which this process is the owner.
-    owner_rev: u64,
     timeout: WriteTimeout,
 }
 
@@ -108,17 +106,11 @@
 }
 
 impl Journal {
-    pub fn new(
-        node: &Node,
-        handle: Handle,
-        shared: Arc<Shared>,
-        owner_rev: u64,
-        pages: Vec<Page>,
-    ) -> Journal {
+    pub fn new(node: &Node, handle: Handle, shared: Arc<Shared>, pages: Vec<Page>) -> Journal {
         let next_page = pages.iter().map(|page| page.number).max().unwrap_or(0) + 1;
         let (store, meters) = (node.store.clone(), node.meters.clone());
         let timeout = WriteTimeout::new(node.settings.link_mbps, MAX_PAGES_IN_FLIGHT);
-        let writer = PageWriter { store, shared, meters, owner_rev, timeout };
+        let writer = PageWriter { store, shared, meters, timeout };
         Journal { writer, handle, pages: pages.into(), next_page, durable_records: 0 }
     }
 
@@ -167,7 +159,7 @@
         records.extend(batch);
         let key = page::key(self.next_page);
         let mut transaction = Transaction::default()
-            .expect(OWNER_KEY, self.writer.owner_rev)
+            .expect(OWNER_KEY, self.writer.shared.owner_rev)
             .expect(&key, 0)
             .put(&key, &page::encode(&records)?);
         for number in &dropped {
@@ -223,11 +215,15 @@
         let mut failures = 0;
         loop {
             let timeout = self.timeout.of(transaction.value_bytes(), failures);
+            let attempted = Instant::now();
             let outcome = self.store.commit(transaction, timeout).await;
             let label = if outcome.is_ok() { "kept" } else { "failed" };
             self.meters.log_writes.with_label_values(&[label]).inc();
             match outcome {
-                Ok(_) => break,
+                Ok(_) => {
+                    self.shared.record_confirmation(attempted);
+                    break;
+                }
                 Err(StoreError::Conflict) => match self.is_written(key, may_be_written).await {
                     Some(true) => break,
                     Some(false) => return false,
@@ -255,8 +251,7 @@
     /// Returns whether an earlier attempt has written the page, after one that failed with a
     /// conflict. Returns `None` when the store does not reply.
     async fn is_written(&self, key: &str, may_be_written: bool) -> Option<bool> {
-        let (_, rev) = OwnerRecord::read(&self.store).await.ok()?;
-        if rev != self.owner_rev {
+        if !self.shared.confirm(&self.store).await.ok()? {
             return Some(false);
         }
         let found = self.store.get(key, STORE_TIMEOUT).await.ok()?;
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -20,29 +20,34 @@
 mod tests;
 mod write_timeout;
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use sycamore_graph::catalog::Catalog;
-use sycamore_graph::{Engine, Event, Timing};
-use sycamore_platform::site::StoreError;
+use sycamore_graph::{Engine, Event, Recovered, Timing};
+use sycamore_platform::site::{Store, StoreError};
 use tokio::sync::mpsc;
 
 pub(crate) use handle::Handle;
 
 use crate::node::Node;
 use crate::ownership::{CurrentOwner, OwnerRecord};
-use crate::timing::{STORE_RETRY, STORE_TIMEOUT};
+use crate::timing::{STORE_RETRY, STORE_TIMEOUT, UNCONFIRMED_RECOVERY_TIME};
 
 /// Added to the platform's retention time for the state of a finished job, in
 /// milliseconds: clocks of hosts differ, and callers start counting at different moments.
 const STATUS_MARGIN_MS: u64 = 30_000;
 
 /// State shared by the tasks of one owner.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Shared {
     /// Log writes have been failing for a while.
     pub is_store_unavailable: AtomicBool,
+    /// Revision of the owner record under which this process is the owner.
+    owner_rev: u64,
+    /// Last time at which the record certainly had that revision.
+    confirmed_at: Mutex<Instant>,
 }
 
 /// Why this process stops being the owner.
@@ -62,19 +67,15 @@
 /// store. Log writes require that the record is still at this revision.
 pub(crate) async fn run(node: &Arc<Node>, record: OwnerRecord, rev: u64) {
     node.ownership.set_current(CurrentOwner::Recovering { epoch: record.epoch });
-    let (recovered, pages) = loop {
-        match recover::read_log(&node.store).await {
-            Ok(found) => break found,
-            Err(error) => log::warn!(target: "store", error:%; "log read failed; retrying"),
-        }
-        tokio::time::sleep(STORE_RETRY).await;
-        // Reading the log does not fail when another process has replaced the owner record.
-        if !matches!(OwnerRecord::read(&node.store).await, Ok((_, current)) if current == rev)
-            || node.is_stopping()
-        {
-            node.ownership.set_current(CurrentOwner::Unknown);
-            return;
-        }
+    let shared = Arc::new(Shared::new(rev));
+    let recovered = tokio::select! {
+        recovered = read_log_as_owner(node, &shared) => recovered,
+        () = node.outranked.notified() => None,
+    };
+    let Some((recovered, pages)) = recovered else {
+        log::info!(target: "lead", epoch = record.epoch; "replaced before it owned");
+        node.ownership.set_current(CurrentOwner::Unknown);
+        return;
     };
     if node.is_stopping() {
         node.ownership.set_current(CurrentOwner::Unknown);
@@ -96,7 +97,6 @@
     };
     let engine = Engine::new(node.clock.now(), timing, catalog, recovered);
     let (actions, received) = mpsc::unbounded_channel();
-    let shared = Arc::new(Shared::default());
     let control = match control::spawn(engine, node.clock, actions) {
         Ok(control) => control,
         Err(error) => {
@@ -106,7 +106,7 @@
     };
     let handle = Handle::new(record.epoch, control, shared.clone());
     node.ownership.set_current(CurrentOwner::Local(handle.clone()));
-    let journal = journal::Journal::new(node, handle.clone(), shared, rev, pages);
+    let journal = journal::Journal::new(node, handle.clone(), shared, pages);
     let end = tokio::select! {
         end = execute::run(node.clone(), handle.clone(), received, journal) => end,
         _ = listing::run(node.clone(), handle.clone()) => EndReason::Deposed,
@@ -123,6 +123,29 @@
     }
 }
 
+/// Reads the log. Returns `None` if this process is stopping or another one has replaced the
+/// owner record, which does not make the read fail.
+async fn read_log_as_owner(
+    node: &Node,
+    shared: &Shared,
+) -> Option<(Recovered, Vec<journal::Page>)> {
+    loop {
+        let found = recover::read_log(&node.store).await;
+        if let Err(error) = &found {
+            log::warn!(target: "store", error:%; "log read failed; retrying");
+            tokio::time::sleep(STORE_RETRY).await;
+        }
+        let is_owner = shared.is_recently_confirmed(UNCONFIRMED_RECOVERY_TIME)
+            || shared.confirm(&node.store).await.is_ok_and(|is_owner| is_owner);
+        match found {
+            _ if !is_owner => return None,
+            Ok(found) => return Some(found),
+            Err(_) if node.is_stopping() => return None,
+            Err(_) => {}
+        }
+    }
+}
+
 /// Returns the catalog in force, for which it waits up to [`STORE_TIMEOUT`].
 ///
 /// Falls back to an empty catalog, with which the engine can decide little.
@@ -165,6 +188,39 @@
 }
 
 impl Shared {
+    /// `owner_rev` is the revision of the record that this process has just written or read.
+    fn new(owner_rev: u64) -> Shared {
+        let confirmed_at = Mutex::new(Instant::now());
+        Shared { is_store_unavailable: AtomicBool::new(false), owner_rev, confirmed_at }
+    }
+
+    /// Records that this process was still the owner at a time.
+    fn record_confirmation(&self, at: Instant) {
+        let mut confirmed_at = self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
+        *confirmed_at = at.max(*confirmed_at);
+    }
+
+    /// Returns whether this process was certainly the owner within a time before now.
+    pub fn is_recently_confirmed(&self, time: Duration) -> bool {
+        let confirmed_at = self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
+        confirmed_at.elapsed() < time
+    }
+
+    /// Reads the owner record, and returns whether this process is still the owner.
+    ///
+    /// # Errors
+    ///
+    /// Returns the store's error if the record can't be read.
+    pub async fn confirm(&self, store: &Store) -> Result<bool, StoreError> {
+        let started = Instant::now();
+        let (_, rev) = OwnerRecord::read(store).await?;
+        let is_owner = rev == self.owner_rev;
+        if is_owner {
+            self.record_confirmation(started);
+        }
+        Ok(is_owner)
+    }
+
     pub fn set_store_unavailable(&self, is_unavailable: bool) {
         if self.is_store_unavailable.swap(is_unavailable, Ordering::Relaxed) != is_unavailable {
             log::warn!(target: "store", is_away = is_unavailable; "log store availability changed");
--- a/crates/node/src/timing.rs
+++ b/crates/node/src/timing.rs
@@ -74,6 +74,14 @@
 /// takes time is a link that other traffic shares.
 pub(crate) const CONFIG_FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time after a claim within which the log is taken as read by the owner. No process replaces
+/// an owner sooner without having been told to.
+pub(crate) const UNCONFIRMED_RECOVERY_TIME: Duration = Duration::from_millis(350);
+
+/// Time since the owner was last certain of its ownership within which it denies that a job
+/// exists. A job must be known everywhere 3 s after it was accepted, by a successor too.
+pub(crate) const UNCONFIRMED_DENIAL_TIME: Duration = Duration::from_millis(2_000);
+
 /// Interval at which the owner reads the list of workers.
 pub(crate) const WORKER_LIST_INTERVAL: Duration = Duration::from_millis(500);
 
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -122,6 +122,26 @@
     third.kill().await;
 }
 
+/// An owner that did not know yet that it had been replaced answered 410 for jobs that its
+/// successor had accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replaced_owner_does_not_deny_a_job() {
+    let platform = Platform::start().await;
+    let process = start_serving(&platform, "one", "00000000000000a1").await;
+    until("the job is complete", || is_complete(&process, "00000000000000a1")).await;
+    // Jobs of the last few seconds may be unknown.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    platform.replace_owner(9);
+
+    call("GET", &process.url("00000000000000a2"), KEY, "").await;
+
+    // It claims a higher epoch, since nothing answers at its successor's address.
+    until("a job is accepted", || submit(&process, "00000000000000a3")).await;
+    let answers = process.grep(&["00000000000000a2", "NoSuchJob"]);
+    assert!(answers.iter().all(|line| line["epoch"].as_u64() > Some(9)), "{answers:?}");
+    process.kill().await;
+}
+
 /// An owner that was cut off from the store and its peers went on after it had been replaced,
 /// although its workers refused its polls. It learned only from a refused start.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use serde_json::Value;
+use serde_json::{Value, json};
 use sycamore_standin::fenced::{
     self, Capacity, Mode, Observation, Observer, Queue, Store, Team, Worker,
 };
@@ -90,6 +90,16 @@
         assert_eq!(response.map(|(status, _)| status), Some(200));
     }
 
+    /// Writes the owner record that another process would write if it won this epoch. Nothing
+    /// answers at its address.
+    pub fn replace_owner(&self, epoch: u64) {
+        let record = json!({
+            "epoch": epoch, "host": "other", "address": "127.0.0.1:9", "nonce": 1,
+            "is_vacant": false,
+        });
+        self.store.overwrite("sycamore/owner", record.to_string().as_bytes());
+    }
+
     pub fn corrupt_owner_record(&self) {
         self.store.overwrite("sycamore/owner", b"not a record");
     }
--- a/crates/node/tests/path/slow_links.rs
+++ b/crates/node/tests/path/slow_links.rs
@@ -14,6 +14,11 @@
     fenced::job(&"x".repeat(4_000), &[step]).to_string()
 }
 
+async fn submit_large_to(url: &str) -> bool {
+    let response = call("POST", url, KEY, &large_job()).await;
+    response.is_some_and(|(status, _)| status == 200)
+}
+
 /// Incident inc1, the other direction: a page of the log that took longer than the time limit of
 /// a write was cut off, and written again from its first byte.
 #[tokio::test(flavor = "multi_thread")]
@@ -30,11 +35,7 @@
         let url = process.url(&format!("{:016x}", 0xb000 + number));
         async move {
             // A submission that was not answered in time is repeated, as callers do.
-            until("the job is accepted", || async {
-                let response = call("POST", &url, KEY, &large_job()).await;
-                response.is_some_and(|(status, _)| status == 200)
-            })
-            .await;
+            until("the job is accepted", || submit_large_to(&url)).await;
         }
     });
     join_all(submissions).await;
@@ -66,3 +67,31 @@
     owner.kill().await;
     other.kill().await;
 }
+
+/// A process read the log for 13 s, was replaced meanwhile, and then answered 410 for jobs that
+/// its successor had accepted. Seen with hosts of 2 Mbit/s.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_that_is_replaced_while_it_reads_the_log_does_not_own() {
+    let platform = Platform::start().await;
+    let first = Process::start(&platform, "one").await;
+    for number in 0..70 {
+        let url = first.url(&format!("{:016x}", 0xb000 + number));
+        until("the job is accepted", || submit_large_to(&url)).await;
+    }
+    let link = platform.store_link(LinkState::Open).await;
+    let second = Process::start_on(&Host::strong("two", link.address)).await;
+    until("the second process serves", || submit(&second, "00000000000000a1")).await;
+
+    // Reading the log takes three seconds.
+    link.set_state(LinkState::Narrow(100_000));
+    first.kill().await;
+    let has_claimed = || async { !second.grep(&["claimed ownership"]).is_empty() };
+    until("the second process has claimed", has_claimed).await;
+    platform.replace_owner(9);
+
+    let owns = || async { !second.grep(&["\"owning\""]).is_empty() };
+    until("the second process owns", owns).await;
+    let epoch = second.grep(&["\"owning\""])[0]["epoch"].as_u64();
+    assert!(epoch.is_some_and(|epoch| epoch > 9), "{epoch:?}");
+    second.kill().await;
+}
