--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -70,11 +70,12 @@
         self.current().map_or(0, |current| current.config.catalog.version)
     }
 
-    /// Returns whether the store has replied, or sent a part of a reply, within twice
-    /// [`CONFIG_WATCH_WAIT`].
+    /// Returns whether the store has replied, or sent a part of a large reply, within twice
+    /// [`CONFIG_WATCH_WAIT`]. A refusal is no reply.
     pub fn is_store_reachable(&self) -> bool {
         let last = self.store_replies.lock().map(|replies| replies.last).unwrap_or(None);
-        last.max(self.store_activity.last()).is_some_and(|at| at.elapsed() < 2 * CONFIG_WATCH_WAIT)
+        last.max(self.store_activity.last_bulk())
+            .is_some_and(|at| at.elapsed() < 2 * CONFIG_WATCH_WAIT)
     }
 
     /// Returns whether the store has replied to every call for [`STORE_STEADY_TIME`].
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -230,3 +230,20 @@
     until("the job completes", || is_complete(&second, "00000000000000d3")).await;
     second.kill().await;
 }
+
+/// A response that refuses a call must not count as a sign that the store can be used, or
+/// callers are told that the owner moves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_refuses_all_calls_is_not_reachable() {
+    let platform = Platform::start().await;
+    let process = start_serving(&platform, "one", "00000000000000a1").await;
+    platform.set_store_unavailable(true);
+
+    let is_told = || async {
+        let response = call("POST", &process.url("00000000000000a2"), KEY, &job(1)).await;
+        response.is_some_and(|(status, body)| status == 503 && body.contains("the store is away"))
+    };
+
+    until("a caller is told that the store is away", is_told).await;
+    process.kill().await;
+}
