Tell runs with the same number apart in the soak's checker

Cause, from the history and the logs: attempt 2 of a task was done on worker-3, the owner was killed before it could acknowledge the end, and the worker lost power. Starts are not logged, so that the next owner numbered its start on worker-0 as attempt 2 again. When that one was acknowledged, the checker took it for the lost end of the same number. The platform's rule counts an end only if it is taken note of.

Ends are told apart by their worker and order now; a success that was acknowledged after a further start is still a violation, as the unchanged tests show.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -93,14 +93,23 @@
     /// Attempts that succeeded, acknowledged or not.
     done: BTreeSet<u64>,
     is_done_acknowledged: bool,
-    /// Successful attempts after which the task was started again. That is a violation once
-    /// the end of one of them is acknowledged.
-    superseded: BTreeSet<u64>,
+    /// Successful ends in order. An end that is not acknowledged may be lost with its worker,
+    /// and its attempt be numbered anew on another worker.
+    successes: Vec<Success>,
     /// Attempts that failed, acknowledged or not.
     failed: BTreeSet<u64>,
     failed_acknowledged: BTreeSet<u64>,
 }
 
+/// Successful end of a run.
+#[derive(Debug)]
+struct Success {
+    worker: String,
+    attempt: u64,
+    /// The task was started again after it. That is a violation once it is acknowledged.
+    is_superseded: bool,
+}
+
 /// Job, step and index of a task. The occurrence is left out, since jobs of a round run once.
 type TaskKey = (u64, usize, u32);
 
@@ -192,8 +201,8 @@
             Event::Worker(worker, Observation::Ended { task, attempt, how }) => {
                 self.on_ended(worker, task, *attempt, how);
             }
-            Event::Worker(_, Observation::Noted { task, attempt, how }) => {
-                self.on_acknowledged(at_ms, task, *attempt, how);
+            Event::Worker(worker, Observation::Noted { task, attempt, how }) => {
+                self.on_acknowledged(at_ms, worker, task, *attempt, how);
             }
         }
     }
@@ -268,7 +277,7 @@
 
     fn check_attempt(&mut self, at_ms: u64, key: TaskKey, task: &str) {
         let facts = self.tasks.entry(key).or_default();
-        facts.superseded.extend(facts.done.iter());
+        facts.successes.iter_mut().for_each(|success| success.is_superseded = true);
         let (is_repeated, failed) = (
             facts.is_done_acknowledged || !facts.running.is_empty(),
             facts.failed_acknowledged.len(),
@@ -324,6 +333,8 @@
         facts.running.retain(|run| (run.0.as_str(), run.1) != (worker, attempt));
         if how == "done" {
             facts.done.insert(attempt);
+            let success = Success { worker: worker.to_string(), attempt, is_superseded: false };
+            facts.successes.push(success);
         }
         if how == "failed" {
             facts.failed.insert(attempt);
@@ -336,7 +347,7 @@
         *used = used.saturating_sub(cpu_millis);
     }
 
-    fn on_acknowledged(&mut self, at_ms: u64, task: &str, attempt: u64, how: &str) {
+    fn on_acknowledged(&mut self, at_ms: u64, worker: &str, task: &str, attempt: u64, how: &str) {
         let Some(key) = parse_task_name(task) else { return };
         let facts = self.tasks.entry(key).or_default();
         match how {
@@ -345,7 +356,12 @@
             }
             "done" => {
                 facts.is_done_acknowledged = true;
-                if facts.superseded.contains(&attempt) {
+                // A worker that lost power has forgotten its earlier ends.
+                let is_this = |success: &&Success| {
+                    (success.worker.as_str(), success.attempt) == (worker, attempt)
+                };
+                let acknowledged = facts.successes.iter().rev().find(is_this);
+                if acknowledged.is_some_and(|success| success.is_superseded) {
                     self.record_violation(
                         Invariant::Once,
                         at_ms,
--- a/crates/soak/tests/soak/checker.rs
+++ b/crates/soak/tests/soak/checker.rs
@@ -88,6 +88,22 @@
     assert_eq!(violated_after_acceptance(events), [Invariant::Kept]);
 }
 
+/// The worker of the first run lost power before its end was acknowledged, so that the next
+/// owner numbers the run anew. Found in round 754.
+#[test]
+fn an_attempt_that_is_numbered_anew_on_another_worker_does_not_violate_once() {
+    let on_other_worker = |event| match event {
+        Event::Worker(_, observation) => Event::Worker("two".to_string(), observation),
+        event => event,
+    };
+    let again = [started(0, 1), ended(0, 1, "done"), acknowledged(0, 1, "done")];
+    let events = [started(0, 1), ended(0, 1, "done")]
+        .into_iter()
+        .chain(again.into_iter().map(on_other_worker))
+        .collect();
+    assert_eq!(violated_after_acceptance(events), [Invariant::Kept]);
+}
+
 #[test]
 fn a_step_before_the_one_it_depends_on_is_a_violation() {
     assert!(violated_after_acceptance(vec![started(1, 1)]).contains(&Invariant::Order));
