Tell lost workers apart in the log: crashed, drained or out of reach

The records called the end of each lost run 'lapsed', whether the worker had crashed, had left or was cut off, and nothing said how long the runs had been there. So the log could not tell a task that crashes its workers from workers that fail by themselves.

A line for each lost worker now names the cause, the run that was started last and its age when the worker went out of reach; worker_losses_total counts them by cause. No decision changes.

--- a/crates/graph/src/action.rs
+++ b/crates/graph/src/action.rs
@@ -6,7 +6,7 @@
 use sycamore_types::Name;
 
 use crate::job::State;
-use crate::{CallClass, Decision, Record, StepId, TaskId};
+use crate::{CallClass, Decision, HostLoss, Record, StepId, TaskId};
 
 /// Request to a host to start a task.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -104,6 +104,8 @@
     Advise(Advise),
     /// Adds a decision to the audit records.
     RecordDecision(Decision),
+    /// Reports the loss of a host with its runs to operators.
+    ReportLoss(HostLoss),
     /// Ends this owner: a host has seen a higher fencing token.
     Deposed,
 }
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -8,8 +8,8 @@
 use sycamore_types::Name;
 
 use super::Engine;
-use crate::host::{Host, LogState, RunEnd, Speed};
-use crate::{HostEntry, Record};
+use crate::host::{Host, LogState, Speed};
+use crate::{HostEntry, LossCause, Record};
 
 impl Engine {
     pub(super) fn update_host_list(&mut self, entries: Vec<HostEntry>) {
@@ -53,7 +53,7 @@
 
     /// Begins a new incarnation of a host. All runs of the earlier one are gone.
     pub(super) fn start_incarnation(&mut self, name: &Name, incarnation: u64) {
-        self.expire_runs(name);
+        self.lose_incarnation(name);
         if let Some(host) = self.hosts.get_mut(name) {
             host.entry.incarnation = incarnation;
             host.speed = Speed::default();
@@ -66,15 +66,6 @@
         }
     }
 
-    /// Ends all runs of a host as expired.
-    pub(super) fn expire_runs(&mut self, name: &Name) {
-        let Some(host) = self.hosts.get(name) else { return };
-        let runs: Vec<_> = host.runs.keys().copied().collect();
-        for (task, attempt) in runs {
-            self.end_run(name, task, attempt, RunEnd::LeaseExpired, None);
-        }
-    }
-
     /// Ends the runs of unreachable hosts whose lease has expired.
     pub(super) fn expire_leases(&mut self) {
         let now_ms = self.now.monotonic_ms;
@@ -84,7 +75,7 @@
         let expired: Vec<Name> =
             self.hosts.values().filter(has_expired).map(|host| host.entry.id.clone()).collect();
         for name in expired {
-            self.expire_runs(&name);
+            self.lose_runs(&name, LossCause::LeaseExpired);
             if let Some(host) = self.hosts.get_mut(&name) {
                 host.has_reported = false;
             }
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -28,6 +28,7 @@
 mod dispatch;
 mod health;
 mod hosts;
+mod losses;
 mod placement;
 mod polls;
 mod rank;
--- a/crates/graph/src/engine/polls.rs
+++ b/crates/graph/src/engine/polls.rs
@@ -77,6 +77,7 @@
             host.poll_in_flight = None;
         }
         host.missed_polls = 0;
+        host.unreachable_since_ms = None;
         host.reported_ms = now_ms;
         host.clock_offset_ms = report.clock_ms as i64 - now_ms as i64;
         host.has_reported = true;
--- a/crates/graph/src/engine/run_ends.rs
+++ b/crates/graph/src/engine/run_ends.rs
@@ -222,7 +222,7 @@
     /// Handles a reply of another incarnation at a host's address: the runs of the
     /// incarnation known so far are gone.
     pub(super) fn handle_lost_incarnation(&mut self, name: &Name) {
-        self.expire_runs(name);
+        self.lose_incarnation(name);
         if let Some(host) = self.hosts.get_mut(name) {
             host.has_reported = false;
             host.missed_polls += 1;
@@ -232,6 +232,7 @@
     pub(super) fn handle_poll_failure(&mut self, name: &Name, poll: u64, is_gone: bool) {
         let (now_ms, retry_ms) = (self.now.monotonic_ms, self.timing.poll_retry_ms);
         let Some(host) = self.hosts.get_mut(name) else { return };
+        host.unreachable_since_ms.get_or_insert(now_ms);
         if host.poll_in_flight == Some(poll) {
             host.poll_in_flight = None;
             host.poll_not_before_ms = now_ms + retry_ms * u64::from(host.missed_polls.clamp(1, 8));
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -72,6 +72,8 @@
     pub poll_not_before_ms: u64,
     /// Time of the last reply to a poll, in milliseconds.
     pub reported_ms: u64,
+    /// Time of the first failed poll since the last report, in milliseconds.
+    pub unreachable_since_ms: Option<u64>,
     /// Consecutive polls without a reply.
     pub missed_polls: u32,
     /// Consecutive failed runs, a sign that the host itself is faulty. A completed run resets
@@ -104,6 +106,7 @@
             poll_in_flight: None,
             poll_not_before_ms: 0,
             reported_ms: 0,
+            unreachable_since_ms: None,
             missed_polls: 0,
             consecutive_failures: 0,
             quarantined_until_ms: 0,
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -361,7 +361,7 @@
                     let host = poll.host.clone();
                     self.send(&host, action, 0.0);
                 }
-                Action::RecordDecision(_) | Action::Deposed => {}
+                Action::RecordDecision(_) | Action::ReportLoss(_) | Action::Deposed => {}
             }
         }
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -28,6 +28,8 @@
     pub request_s: HistogramVec,
     /// Start requests to workers, by outcome.
     pub starts: IntCounterVec,
+    /// Lost workers that had runs, by cause.
+    pub host_losses: IntCounterVec,
     /// Ended runs, by how they ended.
     pub ends: IntCounterVec,
     /// Closed jobs, by final state.
@@ -62,6 +64,11 @@
             requests: all.counters("requests_total", "Answers to callers.", &["method", "status"]),
             request_s: all.histograms("request_seconds", "Time to answer.", &["method"], &BUCKETS),
             starts: all.counters("starts_total", "Orders to start a task.", &["outcome"]),
+            host_losses: all.counters(
+                "worker_losses_total",
+                "Lost workers that had runs.",
+                &["cause"],
+            ),
             ends: all.counters("ends_total", "Ends of runs.", &["how"]),
             jobs_closed: all.counters("jobs_closed_total", "Last states of jobs.", &["state"]),
             start_wait_s: all.histograms(
--- a/crates/node/src/owner/execute.rs
+++ b/crates/node/src/owner/execute.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sycamore_graph::{Action, Event, Poll, Start, Stop};
+use sycamore_graph::{Action, Event, HostLoss, LossCause, Poll, Start, Stop};
 use sycamore_platform::site::{CallOutcome, WorkerClient};
 use tokio::sync::{Notify, mpsc};
 
@@ -65,6 +65,7 @@
                     }
                 }
                 Some(Action::RecordDecision(decision)) => recorder.record(decision),
+                Some(Action::ReportLoss(loss)) => report_loss(&node, &loss, handle.epoch),
                 Some(Action::Advise(advise)) => advice.enqueue(advise),
                 Some(Action::Start(request)) => start(&node, &handle, &worker, request),
                 Some(Action::Stop(request)) => stop(&handle, &worker, request),
@@ -76,6 +77,22 @@
     }
 }
 
+fn report_loss(node: &Node, loss: &HostLoss, epoch: u64) {
+    let cause = match loss.cause {
+        LossCause::Crashed => "crashed",
+        LossCause::Drained => "drained",
+        LossCause::LeaseExpired => "lease_expired",
+    };
+    node.meters.host_losses.with_label_values(&[cause]).inc();
+    let (task, attempt) = loss.youngest;
+    log::info!(
+        target: "worker", host:% = loss.host, epoch, cause, runs = loss.runs,
+        job:% = task.step.job, occurrence = task.step.occurrence, step = task.step.index,
+        task = task.index, attempt, youngest_age_ms = loss.youngest_age_ms,
+        silent_ms = loss.silent_ms; "lost a worker with its runs"
+    );
+}
+
 fn start(node: &Node, handle: &Handle, worker: &WorkerClient, start: Start) {
     let (handle, worker) = (handle.clone(), worker.clone());
     let starts = node.meters.starts.clone();
