Reproduce BUDGET and LIMIT in the engine's tests, failing

The simulation learns tasks that crash their worker, workers that come back under another name at the same address, capacities that change and a store that is away.

BUDGET: a lost run is started again and nothing is counted, for ordinary tasks, gangs and services. LIMIT: a poll that shows a new incarnation before the list does leaves the old capacity in use, and a capacity that was read before the store went away is used however old it is.

--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the engine in a simulation of its log, its callers and the hosts' workers.
 
 mod advice;
+mod capacity;
+mod crashes;
 mod fixture;
 mod fuzz;
 mod gangs;
--- a/crates/graph/tests/engine/oracle.rs
+++ b/crates/graph/tests/engine/oracle.rs
@@ -12,6 +12,9 @@
 
 use crate::worker::Worker;
 
+/// Starts of a task after three workers have crashed under it that break the rule.
+const MAX_STARTS_AFTER_CRASHES: u32 = 3;
+
 /// A run end that a worker has reported.
 #[derive(Clone, Copy, Debug)]
 pub struct End {
@@ -33,6 +36,8 @@
     /// Time of the last start of each task, in milliseconds.
     last_start: BTreeMap<TaskId, u64>,
     failures: BTreeMap<TaskId, BTreeSet<u32>>,
+    /// Crashes of workers under each task, and its starts after the third of them.
+    crashes: BTreeMap<TaskId, (u32, u32)>,
     pub max_attempts: u32,
     pub limit_cpu: u32,
     pub starts: u64,
@@ -71,8 +76,12 @@
             is_service || failed < self.max_attempts,
             "BUDGET: {task:?} after {failed} failures"
         );
+        if let Some((crashes, starts)) = self.crashes.get_mut(&task).filter(|(n, _)| *n >= 3) {
+            *starts += 1;
+            assert!(*starts < MAX_STARTS_AFTER_CRASHES, "BUDGET: {task:?} after {crashes} crashes");
+        }
         let worker = &workers[at];
-        let capacity = worker.entry.capacity.cpu_millis;
+        let capacity = worker.cpu_limit(now_ms);
         assert!(worker.used_cpu() <= capacity, "LIMIT: {} over its capacity", worker.entry.id);
         let running: u32 =
             workers.iter().filter(|worker| worker.is_alive).map(Worker::used_cpu).sum();
@@ -108,6 +117,15 @@
         }
     }
 
+    /// Records that a worker crashed while it had a run of the task.
+    pub fn record_crash(&mut self, task: TaskId) {
+        self.crashes.entry(task).or_default().0 += 1;
+    }
+
+    pub fn crashes_under(&self, task: TaskId) -> u32 {
+        self.crashes.get(&task).map_or(0, |(crashes, _)| *crashes)
+    }
+
     /// Records that a run completed its task, or its whole gang.
     pub fn mark_done(&mut self, task: TaskId) {
         let spec = &self.jobs[&task.step.job].steps[usize::from(task.step.index)];
--- a/crates/graph/tests/engine/worker.rs
+++ b/crates/graph/tests/engine/worker.rs
@@ -5,6 +5,7 @@
 
 use sycamore_graph::{HostEntry, Poll, Report, RunEnd, Start, StartOutcome, Stop, TaskId};
 use sycamore_types::Name;
+use sycamore_types::resources::Resources;
 
 /// One run on the worker.
 #[derive(Clone, Debug)]
@@ -54,6 +55,12 @@
     pub is_unreachable: bool,
     /// Multiple of the ordinary time that the worker takes for its tasks.
     pub slowness: u64,
+    /// Names of the incarnations that had the address of this one.
+    pub former_names: Vec<Name>,
+    /// Time at which a crashed worker is back, in milliseconds.
+    pub back_ms: Option<u64>,
+    /// Capacity before the last time that it shrank, and until when that may still be used.
+    pub former_capacity: Option<(Resources, u64)>,
     /// Polls that may wait get lost, as on a connection that has gone silent. Other requests
     /// arrive.
     pub loses_long_polls: bool,
@@ -75,6 +82,9 @@
             hides_members: false,
             is_unreachable: false,
             slowness: 1,
+            former_names: Vec::new(),
+            back_ms: None,
+            former_capacity: None,
             loses_long_polls: false,
         }
     }
@@ -86,6 +96,30 @@
         *self = Worker { is_unreachable: self.is_unreachable, ..Worker::new(entry) };
     }
 
+    /// Starts under another name at the same address, as the platform restarts crashed workers.
+    pub fn replace(&mut self) {
+        let mut entry = self.entry.clone();
+        let mut former_names = std::mem::take(&mut self.former_names);
+        former_names.push(entry.id.clone());
+        let first = former_names[0].clone();
+        entry.id = Name::from(format!("{first}-{}", former_names.len()));
+        entry.incarnation += 1;
+        *self = Worker { former_names, ..Worker::new(entry) };
+    }
+
+    /// Changes the capacity. A smaller one counts after `grace_ms`.
+    pub fn resize(&mut self, cpu_millis: u32, now_ms: u64, grace_ms: u64) {
+        self.former_capacity = Some((self.entry.capacity, now_ms + grace_ms));
+        self.entry.capacity.cpu_millis = cpu_millis;
+    }
+
+    /// Returns the CPU that its runs may take up.
+    pub fn cpu_limit(&self, now_ms: u64) -> u32 {
+        let former = self.former_capacity.filter(|(_, until_ms)| now_ms < *until_ms);
+        let former_cpu = former.map_or(0, |(capacity, _)| capacity.cpu_millis);
+        former_cpu.max(self.entry.capacity.cpu_millis)
+    }
+
     pub fn used_cpu(&self) -> u32 {
         self.runs.values().map(|run| run.cpu_millis).sum()
     }
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -4,7 +4,7 @@
 //! takes the same course each time.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -26,6 +26,12 @@
 /// Time after which a run whose gang is incomplete gives up, in milliseconds.
 const GANG_TIMEOUT_MS: u64 = 3_000;
 
+/// Time for which a crashed worker is down, in milliseconds.
+const RESTART_MS: u64 = 3_000;
+
+/// Time after which a write to a store that is away is tried again, in milliseconds.
+const STORE_RETRY_MS: u64 = 100;
+
 /// Wall clock at the start of the simulation, in milliseconds since 1970.
 const START_UNIX_MS: u64 = 1_000_000;
 
@@ -54,6 +60,13 @@
     pub advice_calls: u64,
     pub advised_hosts: u64,
     pub polls: u64,
+    /// Tasks that crash the worker, and the time that they take for it, in milliseconds.
+    pub deadly: BTreeSet<TaskId>,
+    pub crash_after_ms: u64,
+    /// Number of crashes that deadly tasks caused.
+    pub crashes: u32,
+    /// The store is away: no record becomes durable, and the list of workers is not read.
+    pub is_store_away: bool,
     /// Runs that gave up waiting for the other members of their gang.
     pub gang_timeouts: u64,
     pub answers: BTreeMap<u64, Answer>,
@@ -96,6 +109,10 @@
             advice_calls: 0,
             advised_hosts: 0,
             polls: 0,
+            deadly: BTreeSet::new(),
+            crash_after_ms: 10,
+            crashes: 0,
+            is_store_away: false,
             gang_timeouts: 0,
             answers: BTreeMap::new(),
             timing,
@@ -129,6 +146,9 @@
 
     /// Passes the list of reachable workers to the engine.
     pub fn list_hosts(&mut self) {
+        if self.is_store_away {
+            return;
+        }
         let listed = self.workers.iter().filter(|worker| worker.is_alive && !worker.is_unreachable);
         let entries: Vec<HostEntry> = listed.map(|worker| worker.entry.clone()).collect();
         self.handle(Event::Listed(entries));
@@ -205,6 +225,7 @@
         while self.now_ms < until {
             self.now_ms += TIME_STEP_MS;
             self.advance_workers();
+            self.crash_workers();
             while let Some(Reverse((at, key))) = self.delivery_times.peek().copied() {
                 if at > self.now_ms {
                     break;
@@ -281,8 +302,42 @@
         }
     }
 
+    /// Crashes the workers that have run a deadly task for long enough, and restarts those whose
+    /// time has come.
+    fn crash_workers(&mut self) {
+        for at in 0..self.workers.len() {
+            let worker = &mut self.workers[at];
+            if worker.back_ms.is_some_and(|back_ms| self.now_ms >= back_ms) {
+                worker.replace();
+                self.list_hosts();
+                continue;
+            }
+            let is_due = |((task, _), run): (&(TaskId, u32), &crate::worker::Run)| {
+                self.deadly.contains(task) && self.now_ms >= run.started_ms + self.crash_after_ms
+            };
+            if worker.runs.iter().any(is_due) {
+                self.crashes += 1;
+                self.crash_worker(at, RESTART_MS);
+            }
+        }
+    }
+
+    /// Crashes a worker. It is back under another name after a time.
+    pub fn crash_worker(&mut self, at: usize, restart_ms: u64) {
+        self.workers[at].back_ms = Some(self.now_ms + restart_ms);
+        for (task, _) in self.workers[at].runs.keys() {
+            self.oracle.record_crash(*task);
+        }
+        self.stop_worker(at);
+    }
+
     /// Stops a worker for good. The other members of the gangs that it ran are broken off.
     pub fn lose_worker(&mut self, at: usize) {
+        self.stop_worker(at);
+        self.list_hosts();
+    }
+
+    fn stop_worker(&mut self, at: usize) {
         self.workers[at].is_alive = false;
         let lost = std::mem::take(&mut self.workers[at].runs);
         for (task, attempt) in lost.into_keys() {
@@ -299,7 +354,6 @@
                 }
             }
         }
-        self.list_hosts();
     }
 
     fn wait_for_members(&mut self, at: usize, task: TaskId, attempt: u32) {
@@ -367,7 +421,9 @@
     }
 
     fn send(&mut self, host: &Name, action: Action, late_start_share: f64) {
-        let Some(at) = self.workers.iter().position(|worker| worker.entry.id == *host) else {
+        let had_name =
+            |worker: &Worker| worker.entry.id == *host || worker.former_names.contains(host);
+        let Some(at) = self.workers.iter().position(had_name) else {
             return;
         };
         let is_lost = self.random.random_bool(late_start_share);
@@ -408,6 +464,9 @@
     fn deliver(&mut self, delivery: Delivery) {
         match delivery {
             Delivery::Event { epoch, event } if epoch == self.epoch => self.handle(event),
+            Delivery::Commit { .. } if self.is_store_away => {
+                self.schedule(STORE_RETRY_MS, delivery);
+            }
             Delivery::Commit { epoch, records } if epoch == self.epoch => {
                 // Records of this epoch are the last ones of the log.
                 let pending = self.engine.appended_records() - records;
@@ -427,10 +486,16 @@
         let is_dropped = worker.loses_long_polls && is_long_poll;
         if !worker.is_alive || worker.is_unreachable || is_dropped {
             if !is_lost && epoch == self.epoch {
-                self.report_no_reply(&action, 500);
+                // A process that is gone refuses connections; a cut swallows them.
+                let after_ms = if worker.back_ms.is_some() { 1 } else { 500 };
+                self.report_no_reply(&action, after_ms);
             }
             return;
         }
+        if let Some(event) = reply_of_successor(&action, &worker.entry.id) {
+            self.schedule(1, Delivery::Event { epoch, event });
+            return;
+        }
         let reply = match &action {
             Action::Start(start) => self.start(at, epoch, start),
             Action::Stop(stop) => {
@@ -527,6 +592,30 @@
     }
 }
 
+/// Returns the reply to a request that was meant for an earlier incarnation at the address of a
+/// worker. `None` if it was meant for this one.
+fn reply_of_successor(action: &Action, name: &Name) -> Option<Event> {
+    match action {
+        Action::Start(start) if start.host != *name => Some(Event::Started {
+            host: start.host.clone(),
+            task: start.task,
+            attempt: start.attempt,
+            outcome: StartOutcome::Gone,
+            clock_ms: 0,
+        }),
+        Action::Stop(stop) if stop.host != *name => Some(Event::Stopped {
+            host: stop.host.clone(),
+            task: stop.task,
+            attempt: stop.attempt,
+            is_accepted: false,
+        }),
+        Action::Poll(poll) if poll.host != *name => {
+            Some(Event::PollFailed { host: poll.host.clone(), poll: poll.number, is_gone: true })
+        }
+        _ => None,
+    }
+}
+
 /// Returns whether advice allows a worker for the steps of a job: the same answer for each
 /// call.
 fn is_allowed(job: Id, name: &Name, share: f64) -> bool {
