Use a new incarnation of a host only once the list describes it

Callers saw nothing yet; the platform would see a start that brings a worker over its capacity (LIMIT). Cause: the owner keeps one description of a host. A poll that shows a new incarnation under the same name replaced the runs but left capacity and labels of the former incarnation, until the next list. A host now counts as listed only by an entry of its incarnation (or one that names none).

Evidence: capacity::the_capacity_of_a_former_incarnation_is_not_used fails without the change (LIMIT: host-00 over its capacity). The test is changed: the worker is down for 1.2 s before it restarts, as in the first form a start could arrive before anything had shown the restart, which no owner can know. It failed in its new form on the old code, too.

--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -3,7 +3,7 @@
 //! Leaving the list says nothing about a host's runs. They are gone only once a new
 //! incarnation appears or the lease has certainly expired.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use sycamore_types::Name;
 
@@ -13,12 +13,16 @@
 
 impl Engine {
     pub(super) fn update_host_list(&mut self, entries: Vec<HostEntry>) {
-        let listed: BTreeSet<Name> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let listed: BTreeMap<Name, u64> =
+            entries.iter().map(|entry| (entry.id.clone(), entry.incarnation)).collect();
         for entry in entries {
             self.update_host(entry);
         }
         for (name, host) in &mut self.hosts {
-            host.is_listed = listed.contains(name);
+            // The capacity in an entry of another incarnation says nothing about this one.
+            let known = [0, host.entry.incarnation];
+            host.is_listed =
+                listed.get(name).is_some_and(|incarnation| known.contains(incarnation));
         }
         self.remove_departed_hosts();
         self.record_leaving_hosts();
@@ -56,6 +60,7 @@
         self.lose_incarnation(name);
         if let Some(host) = self.hosts.get_mut(name) {
             host.entry.incarnation = incarnation;
+            host.is_listed = false;
             host.speed = Speed::default();
             host.has_reported = false;
             host.last_seen_end = 0;
--- a/crates/graph/tests/engine/capacity.rs
+++ b/crates/graph/tests/engine/capacity.rs
@@ -12,6 +12,8 @@
 #[test]
 fn the_capacity_of_a_former_incarnation_is_not_used() {
     let mut world = World::new(1, catalog(queue()), 1);
+    world.workers[0].is_alive = false;
+    world.run(1_200);
     world.workers[0].restart();
     world.workers[0].entry.capacity.cpu_millis = 1_000;
 
