Don't place tasks by a list of workers that is too old

Callers saw nothing yet; the platform would see starts that bring a worker over its capacity (LIMIT). Cause: the capacity of a worker is a reading, and the owner used the last one however old it was. The store is the only place that shows a worker's capacity; while it is away, the owner went on for as long as the outage lasted. A smaller capacity counts stability-ms and one report after it shrank; a reading can lag by that report. So a list may be used until stability-ms after its read began, less the 500 ms that a start order may be under way. The reader confirms each read to the engine; without one in time, steps wait with the obstacle 'the list of workers is too old'.

--- a/crates/bench/src/site/simulation.rs
+++ b/crates/bench/src/site/simulation.rs
@@ -139,6 +139,7 @@
         let callers = (self.settings.workers as f64 * 97.0 / 540.0).max(4.0);
         let limits = [callers, callers * 0.75, callers * 0.45].map(|count| count as u32 + 1);
         self.handle(Event::Listed(entries));
+        self.handle(Event::ListRead { age_ms: 0 });
         self.handle(Event::AdviceConcurrency(limits));
         for kind in 0..KINDS.len() {
             self.schedule_arrival(kind);
@@ -207,6 +208,7 @@
             Item::Event(event) => self.handle(event),
             Item::Tick => {
                 self.schedule(TICK_US, Item::Tick);
+                self.handle(Event::ListRead { age_ms: 0 });
                 self.handle(Event::Tick);
             }
             Item::Poll(poll) => self.receive_poll(poll),
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -135,6 +135,9 @@
         if waiting == 0 || (spec.is_gang && waiting < spec.tasks) {
             return Some(Err(WaitReason::GangEnding));
         }
+        if !self.is_list_current() {
+            return Some(Err(WaitReason::ListTooOld));
+        }
         let within_limit = self.tasks_within_limit(&job.team, &spec.size);
         if within_limit == 0 || (spec.is_gang && within_limit < waiting) {
             return Some(Err(WaitReason::TeamLimit));
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -30,6 +30,19 @@
         self.needs_dispatch = true;
     }
 
+    pub(super) fn record_list_read(&mut self, age_ms: u64) {
+        let was_current = self.is_list_current();
+        let read_ms = self.now.monotonic_ms.saturating_sub(age_ms);
+        self.list_read_ms = self.list_read_ms.max(Some(read_ms));
+        self.needs_dispatch |= !was_current;
+    }
+
+    /// Returns whether the capacities in the list may still be used for placement.
+    pub(super) fn is_list_current(&self) -> bool {
+        let max_age_ms = self.timing.list_max_age_ms;
+        self.list_read_ms.is_some_and(|read_ms| self.now.monotonic_ms <= read_ms + max_age_ms)
+    }
+
     fn update_host(&mut self, entry: HostEntry) {
         let now_ms = self.now.monotonic_ms;
         let Some(host) = self.hosts.get_mut(&entry.id) else {
--- a/crates/graph/src/event.rs
+++ b/crates/graph/src/event.rs
@@ -87,6 +87,11 @@
     Configured(Catalog),
     /// The platform's list of hosts was read.
     Listed(Vec<HostEntry>),
+    /// The platform's list of hosts was read and is that of the last [`Event::Listed`].
+    ListRead {
+        /// Time since the read began, in milliseconds.
+        age_ms: u64,
+    },
     /// A caller submits a job.
     Submit {
         /// Token that the reply repeats.
--- a/crates/graph/src/waiting.rs
+++ b/crates/graph/src/waiting.rs
@@ -17,6 +17,9 @@
     /// A gang can't start again while runs of its last attempt are left.
     #[displaydoc("runs of the gang's last attempt have not all ended")]
     GangEnding,
+    /// The list of hosts was read so long ago that their capacities may have shrunk since.
+    #[displaydoc("the list of workers is too old")]
+    ListTooOld,
     /// The tasks would exceed the team's limit.
     #[displaydoc("the team is at its limit")]
     TeamLimit,
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -29,6 +29,9 @@
 /// Time for which a crashed worker is down, in milliseconds.
 const RESTART_MS: u64 = 3_000;
 
+/// Interval at which the list of workers is read, in milliseconds.
+const LIST_INTERVAL_MS: u64 = 500;
+
 /// Time after which a write to a store that is away is tried again, in milliseconds.
 const STORE_RETRY_MS: u64 = 100;
 
@@ -152,6 +155,7 @@
         let listed = self.workers.iter().filter(|worker| worker.is_alive && !worker.is_unreachable);
         let entries: Vec<HostEntry> = listed.map(|worker| worker.entry.clone()).collect();
         self.handle(Event::Listed(entries));
+        self.handle(Event::ListRead { age_ms: 0 });
     }
 
     pub fn submit(&mut self, job: Id, spec: Spec) -> u64 {
@@ -235,6 +239,9 @@
                     self.deliver(delivery);
                 }
             }
+            if self.now_ms.is_multiple_of(LIST_INTERVAL_MS) && !self.is_store_away {
+                self.handle(Event::ListRead { age_ms: 0 });
+            }
             if self.now_ms.is_multiple_of(50) {
                 self.handle(Event::Tick);
             }
--- a/crates/node/src/owner/listing.rs
+++ b/crates/node/src/owner/listing.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use rustc_hash::FxHashMap;
 use sycamore_graph::{Event, HostEntry};
@@ -13,6 +14,7 @@
 
 use super::Handle;
 use crate::backoff::Backoff;
+use crate::clock::millis;
 use crate::node::Node;
 use crate::timing::{STORE_RETRY_MAX, STORE_TIMEOUT, WORKER_LIST_INTERVAL};
 
@@ -40,6 +42,7 @@
     let mut last = Vec::new();
     let mut backoff = Backoff::new(WORKER_LIST_INTERVAL, STORE_RETRY_MAX);
     loop {
+        let started = Instant::now();
         match read(&node.store, &handle.addresses).await {
             Ok(entries) => {
                 backoff.reset();
@@ -50,6 +53,7 @@
                     last = entries.clone();
                     handle.send(Event::Listed(entries));
                 }
+                handle.send(Event::ListRead { age_ms: millis(started.elapsed()) });
             }
             Err(error) => {
                 log::debug!("worker list not read: {error}");
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -31,9 +31,10 @@
 
 pub(crate) use handle::Handle;
 
+use crate::clock::millis;
 use crate::node::Node;
 use crate::ownership::{CurrentOwner, OwnerRecord};
-use crate::timing::{STORE_RETRY, STORE_TIMEOUT, UNCONFIRMED_RECOVERY_TIME};
+use crate::timing::{START_STOP_TIMEOUT, STORE_RETRY, STORE_TIMEOUT, UNCONFIRMED_RECOVERY_TIME};
 
 /// Added to the platform's retention time for the state of a finished job, in
 /// milliseconds: clocks of hosts differ, and callers start counting at different moments.
@@ -92,6 +93,7 @@
     );
     let timing = Timing {
         lease_ms: node.settings.lease_ms,
+        list_max_age_ms: node.settings.stability_ms.saturating_sub(millis(START_STOP_TIMEOUT)),
         status_retention_ms: node.settings.status_ms + STATUS_MARGIN_MS,
         ..Timing::default()
     };
--- a/crates/platform/src/site/settings.rs
+++ b/crates/platform/src/site/settings.rs
@@ -38,6 +38,9 @@
     pub lease_ms: u64,
     /// Time for which the state of a closed job can be queried, in milliseconds.
     pub status_ms: u64,
+    /// Time for which a worker that has shrunk may still be used at its former capacity, counted
+    /// from its next report, in milliseconds.
+    pub stability_ms: u64,
     /// Time from SIGTERM to SIGKILL, in milliseconds.
     pub grace_ms: u64,
 }
@@ -100,6 +103,8 @@
     // The platform spells some of these names with dashes and some with underscores.
     #[serde(rename = "hold-max-ms", default = "default_lease_ms")]
     hold_max_ms: u64,
+    #[serde(rename = "stability-ms", default = "default_stability_ms")]
+    stability_ms: u64,
     #[serde(rename = "grace-s", default = "default_grace_s")]
     grace_s: f64,
     #[serde(default = "default_status_s")]
@@ -118,6 +123,9 @@
 fn default_lease_ms() -> u64 {
     6_000
 }
+fn default_stability_ms() -> u64 {
+    3_000
+}
 fn default_grace_s() -> f64 {
     6.0
 }
@@ -168,6 +176,7 @@
             link_mbps: file.limits.link_mbps.unwrap_or(f64::INFINITY),
             lease_ms: file.bounds.hold_max_ms,
             status_ms: (file.bounds.status_s * 1_000.0) as u64,
+            stability_ms: file.bounds.stability_ms,
             grace_ms: (file.bounds.grace_s * 1_000.0) as u64,
         })
     }
