--- a/crates/audit/src/explain.rs
+++ b/crates/audit/src/explain.rs
@@ -37,6 +37,9 @@
         Verdict::RunEnded { host, attempt, how } => {
             format!("attempt {attempt} on {host} ended: {how}")
         }
+        Verdict::GivenUp { crashes } => {
+            format!("given up: {crashes} workers crashed or were lost while they ran it")
+        }
         Verdict::Closed { state } => format!("closed: {state}"),
         Verdict::Owned { owner } => format!("{owner} became the owner"),
     };
--- a/crates/bench/src/site/simulation.rs
+++ b/crates/bench/src/site/simulation.rs
@@ -290,7 +290,11 @@
                 }
                 Action::RecordDecision(decision) => self.note(decision.verdict),
                 // Nobody waits for answers, and nothing fails.
-                Action::Answer { .. } | Action::Stop(_) | Action::Deposed => {}
+                Action::Answer { .. }
+                | Action::Stop(_)
+                | Action::ReportLoss(_)
+                | Action::ReportRestriction(_)
+                | Action::Deposed => {}
             }
         }
     }
--- a/crates/core/src/record/decision.rs
+++ b/crates/core/src/record/decision.rs
@@ -54,6 +54,11 @@
         /// How it ended.
         how: Name,
     },
+    /// Such a job was given up, because hosts crash under one of its tasks.
+    GivenUp {
+        /// Number of hosts that crashed or were lost under the task.
+        crashes: u32,
+    },
     /// A job that is a graph of steps reached its final state.
     Closed {
         /// The final state.
--- a/crates/graph/src/action.rs
+++ b/crates/graph/src/action.rs
@@ -106,6 +106,8 @@
     RecordDecision(Decision),
     /// Reports the loss of a host with its runs to operators.
     ReportLoss(HostLoss),
+    /// Reports to operators that a queue is restricted, since its jobs bring hosts down.
+    ReportRestriction(Name),
     /// Ends this owner: a host has seen a higher fencing token.
     Deposed,
 }
--- a/crates/graph/src/decision.rs
+++ b/crates/graph/src/decision.rs
@@ -47,6 +47,13 @@
         /// How the run ended.
         how: RunEnd,
     },
+    /// A job was given up because hosts crash under one of its tasks.
+    GivenUp {
+        /// The task.
+        task: TaskId,
+        /// Number of hosts that crashed or were lost under it.
+        crashes: u32,
+    },
     /// A job reached its final state.
     Closed(job::Id, State),
 }
--- a/crates/graph/src/engine/broken_gangs.rs
+++ b/crates/graph/src/engine/broken_gangs.rs
@@ -47,8 +47,9 @@
                 && self.are_lost_together(&left, attempt)
                 && self.has_spare_attempt(step_id)
             {
-                for (host, task) in left {
-                    self.end_run(&host, task, attempt, RunEnd::GangBroken, None);
+                let lost: Vec<_> = left.iter().map(|(_, task)| (*task, attempt)).collect();
+                if let Some((host, _)) = left.first() {
+                    self.lose_runs(host, self.cause_of_end(host), &lost);
                 }
             }
         }
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -12,6 +12,7 @@
 
 use super::Engine;
 use super::dispatch::Demand;
+use super::isolation::Isolation;
 use crate::host::Host;
 use crate::job;
 use crate::progress::StepProgress;
@@ -26,6 +27,8 @@
     labels: Arc<[Name]>,
     capacity: Resources,
     is_slow: bool,
+    /// Whether the host has runs that may crash it.
+    pub has_isolated_run: bool,
     /// Whether the host runs a task with a latency objective.
     has_latency_task: bool,
     /// Whether the host runs a best-effort task.
@@ -45,6 +48,11 @@
     by_number: FxHashMap<u32, usize>,
     /// Upper bound of the free capacity of any single host, by kind of resource.
     max_free: Resources,
+    /// Hosts with isolated runs, and those with isolated runs of prime suspects.
+    pub isolated_hosts: u32,
+    pub prime_hosts: u32,
+    /// Listed hosts.
+    pub listed_hosts: u32,
 }
 
 impl HostViews {
@@ -57,7 +65,15 @@
             other.cmp(one).then(first.cmp(second))
         });
         let by_number = all.iter().enumerate().map(|(at, view)| (view.number, at)).collect();
-        HostViews { all, by_free_cpu, by_number, max_free }
+        HostViews {
+            all,
+            by_free_cpu,
+            by_number,
+            max_free,
+            isolated_hosts: 0,
+            prime_hosts: 0,
+            listed_hosts: 0,
+        }
     }
 
     /// Returns whether a task may fit on some host. A cheap check: only `false` is certain.
@@ -65,6 +81,15 @@
         footprint.fits_in(&self.max_free)
     }
 
+    /// Counts a host that gets runs in isolation.
+    pub fn add_isolated(&mut self, index: usize, isolation: Isolation) {
+        if isolation.is_isolated() {
+            self.all[index].has_isolated_run = true;
+            self.isolated_hosts += 1;
+            self.prime_hosts += u32::from(isolation == Isolation::Prime);
+        }
+    }
+
     /// Returns the hosts that may have at least `min_cpu` free CPU, in thousandths of a
     /// core, with their indices.
     fn most_cpu_first(&self, min_cpu: u32) -> impl Iterator<Item = usize> {
@@ -129,11 +154,15 @@
             labels: host.entry.labels.clone(),
             capacity: host.entry.capacity,
             is_slow: host.speed.is_slow(),
+            has_isolated_run: !host.isolated_runs.is_empty(),
             has_latency_task: host.latency_runs > 0,
             has_best_effort_task: host.best_effort_runs > 0,
             free: host.free(),
         };
-        HostViews::new(usable.map(view).collect())
+        let mut views = HostViews::new(usable.map(view).collect());
+        (views.isolated_hosts, views.prime_hosts) = self.isolated_hosts();
+        views.listed_hosts = self.hosts.values().filter(|host| host.is_listed).count() as u32;
+        views
     }
 
     /// Returns how many tasks of a size still fit into the team's limit.
@@ -180,6 +209,8 @@
     pub progress: &'a StepProgress,
     service: &'a Name,
     footprint: Resources,
+    /// Hosts with isolated runs are left out.
+    is_isolated: bool,
     /// Tasks of the step that each host has, if their number is limited.
     placed: FxHashMap<Name, u32>,
 }
@@ -190,10 +221,12 @@
         step: &'a job::Step,
         progress: &'a StepProgress,
         service: &'a Name,
+        isolation: Isolation,
     ) -> Search<'a> {
         let placed =
             if step.max_per_host > 0 { runs_per_host(progress) } else { FxHashMap::default() };
-        Search { views, step, progress, service, footprint: step.footprint(), placed }
+        let (footprint, is_isolated) = (step.footprint(), isolation.is_isolated());
+        Search { views, step, progress, service, footprint, is_isolated, placed }
     }
 
     /// Returns the candidates among all hosts, the most free CPU first.
@@ -233,6 +266,9 @@
 
     fn candidate(&self, index: usize) -> Option<Candidate> {
         let (step, view) = (self.step, &self.views[index]);
+        if self.is_isolated && view.has_isolated_run {
+            return None;
+        }
         // Best-effort tasks slow down latency-sensitive ones by an unpredictable amount.
         let is_compatible = !(step.is_best_effort && view.has_latency_task
             || step.latency_objective_ms > 0 && view.has_best_effort_task);
--- a/crates/graph/src/engine/close.rs
+++ b/crates/graph/src/engine/close.rs
@@ -31,6 +31,7 @@
             at_unix_ms: job.closed_unix_ms,
         };
         job.occurrences = Vec::new();
+        job.suspicions.clear();
         job.spec = Default::default();
         self.closed_jobs.push_back((self.now.unix_ms + self.timing.status_retention_ms, id));
         self.backlog.remove_job(id);
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -10,7 +10,8 @@
 use sycamore_types::resources::Resources;
 
 use super::candidates::{Candidate, HostViews, Search};
-use super::placement::plan_placement;
+use super::isolation::{Isolation, suspects};
+use super::placement::{plan_isolated, plan_placement};
 use super::{Engine, Rank};
 use crate::{Grounds, StepId, TaskId, Verdict, WaitReason};
 
@@ -32,6 +33,7 @@
     /// Whether the tasks have a latency objective.
     pub has_objective: bool,
     pub is_best_effort: bool,
+    pub isolation: Isolation,
     /// Completing the job has no value any more.
     pub is_hopeless: bool,
     /// Tasks that wait to be started.
@@ -102,6 +104,9 @@
             Ok(demand) => demand,
             Err(reason) => return Some(reason),
         };
+        if !self.has_isolated_host_left(&demand, views) {
+            return Some(WaitReason::IsolatedHostsBusy);
+        }
         if !demand.is_gang && !views.may_fit(&demand.footprint) {
             return Some(WaitReason::NoRoom);
         }
@@ -135,6 +140,15 @@
         if waiting == 0 || (spec.is_gang && waiting < spec.tasks) {
             return Some(Err(WaitReason::GangEnding));
         }
+        let isolation = match self.isolation(job, step_id, progress) {
+            Ok(isolation) => isolation,
+            Err(reason) => return Some(Err(reason)),
+        };
+        let waiting = if isolation.is_for_suspects() && !spec.is_gang {
+            suspects(job, step_id, progress).len() as u32
+        } else {
+            waiting
+        };
         if !self.is_list_current() {
             return Some(Err(WaitReason::ListTooOld));
         }
@@ -149,6 +163,7 @@
             footprint: spec.footprint(),
             has_objective: spec.latency_objective_ms > 0,
             is_best_effort: spec.is_best_effort,
+            isolation,
             is_hopeless: position.rank.is_hopeless,
             waiting,
             within_limit,
@@ -169,7 +184,7 @@
         let (progress, spec) =
             (job.step(step_id)?, job.spec.steps.get(usize::from(step_id.index))?);
         let is_durable = job.is_durable;
-        let search = Search::new(views, spec, progress, &queue.service);
+        let search = Search::new(views, spec, progress, &queue.service, demand.isolation);
         let ready = match queue.advice {
             None => search.all(),
             Some(cost) => {
@@ -202,16 +217,31 @@
         ready: Vec<Candidate>,
         views: &mut HostViews,
     ) -> bool {
-        let plan = plan_placement(ready, demand, views);
+        let plan = if demand.isolation.is_isolated() {
+            plan_isolated(ready, demand, views, |name| self.work_at_stake(name))
+        } else {
+            plan_placement(ready, demand, views)
+        };
         let planned: u32 = plan.iter().map(|(_, tasks)| tasks).sum();
         if planned == 0 || (demand.is_gang && planned < demand.waiting) {
             return false;
         }
-        let step = self.jobs.get(&demand.step_id.job).and_then(|job| job.step(demand.step_id));
-        let Some(step) = step else { return false };
-        let mut waiting: Vec<u32> = step.waiting.iter().copied().collect();
+        let Some(job) = self.jobs.get(&demand.step_id.job) else { return false };
+        let Some(step) = job.step(demand.step_id) else { return false };
+        let mut waiting = if demand.isolation.is_for_suspects() {
+            suspects(job, demand.step_id, step)
+        } else {
+            Vec::new()
+        };
+        if demand.is_gang || !demand.isolation.is_for_suspects() {
+            // The suspects of a gang come first, so that they share hosts.
+            let others = step.waiting.iter().filter(|index| !waiting.contains(index));
+            let others: Vec<u32> = others.copied().collect();
+            waiting.extend(others);
+        }
         let gang_attempt = step.tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
         for (at, tasks) in plan {
+            views.add_isolated(at, demand.isolation);
             let host = views[at].host.clone();
             for _ in 0..tasks {
                 let Some((index, last)) = self.take_task_for(demand.step_id, &mut waiting, &host)
@@ -224,10 +254,11 @@
                 views[at].free = free.minus(&demand.footprint);
                 views[at].add_task(demand);
                 self.record_placement(position, task, attempt, &host, free);
-                self.start_run(&host, task, attempt);
+                self.start_run(&host, task, attempt, demand.isolation);
             }
         }
-        if waiting.is_empty() {
+        let step = self.jobs.get(&demand.step_id.job).and_then(|job| job.step(demand.step_id));
+        if step.is_none_or(|step| step.waiting.is_empty()) {
             self.backlog.remove(demand.step_id);
         }
         true
@@ -293,7 +324,7 @@
         };
         let Some(queue) = self.queues.get(&job.queue) else { return };
         let spec = &job.spec.steps[usize::from(demand.step_id.index)];
-        let search = Search::new(views, spec, progress, &queue.service);
+        let search = Search::new(views, spec, progress, &queue.service, demand.isolation);
         let mut order = match queue.advice {
             None => search.all(),
             Some(_) => search.allowed(),
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -75,6 +75,7 @@
             host.entry.incarnation = incarnation;
             host.is_listed = false;
             host.speed = Speed::default();
+            host.lost_suspects.clear();
             host.has_reported = false;
             host.last_seen_end = 0;
             host.last_durable_end = 0;
@@ -93,7 +94,7 @@
         let expired: Vec<Name> =
             self.hosts.values().filter(has_expired).map(|host| host.entry.id.clone()).collect();
         for name in expired {
-            self.lose_runs(&name, LossCause::LeaseExpired);
+            self.lose_all_runs(&name, LossCause::LeaseExpired);
             if let Some(host) = self.hosts.get_mut(&name) {
                 host.has_reported = false;
             }
--- /dev/null
+++ b/crates/graph/src/engine/isolation.rs
@@ -0,0 +1,203 @@
+//! Keeps runs that may crash their host apart from each other.
+//!
+//! A job that is isolated has its suspect tasks on one host at a time (a gang on the hosts that it
+//! needs), no two isolated jobs share a host, and the number of hosts that have one is bounded.
+//! Other work goes to other hosts where there is room. A run that is still there well after the
+//! age at which its host crashed before is cleared.
+
+use sycamore_types::Name;
+
+use super::Engine;
+use super::candidates::HostViews;
+use super::dispatch::Demand;
+use crate::host::Host;
+use crate::job;
+use crate::progress::{Job, StepProgress};
+use crate::{StepId, TaskId, WaitReason};
+
+/// Time after its start for which a run stays isolated at least, in milliseconds.
+const MIN_ISOLATION_MS: u64 = 300;
+
+/// Time for which a run stays isolated at most, in milliseconds. The hosts for isolated runs are
+/// few.
+const MAX_ISOLATION_MS: u64 = 3_000;
+
+/// Multiple of the longest time to a crash that a run has to survive.
+const SURVIVAL_FACTOR: u64 = 2;
+
+/// Divisor of the number of hosts that may have isolated runs at the same time.
+const ISOLATED_HOSTS_DIVISOR: u32 = 3;
+
+/// The same for jobs whose next crash is all but certain. Jobs that are probably harmless come
+/// first.
+const PRIME_HOSTS_DIVISOR: u32 = 12;
+
+/// Pause between two polls that check whether the isolated runs of a host are there, in
+/// milliseconds.
+const CHECK_INTERVAL_MS: u64 = 200;
+
+/// Why the tasks of a step have to be isolated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Isolation {
+    /// They need not be.
+    None,
+    /// The queue is restricted, and no run of the step has survived its start yet.
+    Unproven,
+    /// A host crashed under them, perhaps because of them.
+    Suspect,
+    /// The next crash settles it.
+    Prime,
+}
+
+impl Isolation {
+    pub fn is_isolated(self) -> bool {
+        self != Isolation::None
+    }
+
+    /// Returns whether only the suspect tasks of a step may start.
+    pub fn is_for_suspects(self) -> bool {
+        matches!(self, Isolation::Suspect | Isolation::Prime)
+    }
+}
+
+/// Returns the time from the start of a run to the end of its isolation, in milliseconds.
+pub(super) fn isolation_ms(job: &Job, task: TaskId) -> u64 {
+    let max_age_ms = job.suspicions.get(&task).map_or(0, |suspicion| suspicion.max_age_ms);
+    (MIN_ISOLATION_MS + SURVIVAL_FACTOR * max_age_ms).min(MAX_ISOLATION_MS)
+}
+
+/// Returns the waiting tasks of a step that have to be isolated.
+pub(super) fn suspects(job: &Job, step_id: StepId, progress: &StepProgress) -> Vec<u32> {
+    let is_suspect = |index: &u32| job.needs_isolation(TaskId { step: step_id, index: *index });
+    progress.waiting.iter().copied().filter(is_suspect).collect()
+}
+
+impl Engine {
+    /// Returns how a step has to be isolated, or why none of its tasks may start now.
+    pub(super) fn isolation(
+        &self,
+        job: &Job,
+        step_id: StepId,
+        progress: &StepProgress,
+    ) -> Result<Isolation, WaitReason> {
+        let now_ms = self.now.monotonic_ms;
+        let has_suspects = job.has_suspects();
+        let is_unproven =
+            !progress.has_survivor && self.bulkheads.is_restricted(&job.queue, now_ms);
+        if !has_suspects && !is_unproven {
+            return Ok(Isolation::None);
+        }
+        if self.isolated_runs.contains_key(&job.id) {
+            return Err(WaitReason::Isolated);
+        }
+        if !has_suspects {
+            return Ok(Isolation::Unproven);
+        }
+        if suspects(job, step_id, progress).is_empty() {
+            // The job's other tasks may be like the suspects.
+            return Err(WaitReason::Isolated);
+        }
+        Ok(if job.is_prime_suspect() { Isolation::Prime } else { Isolation::Suspect })
+    }
+
+    /// Returns whether one more host may get isolated runs.
+    pub(super) fn has_isolated_host_left(&self, demand: &Demand, views: &HostViews) -> bool {
+        let (used, divisor) = match demand.isolation {
+            Isolation::None => return true,
+            Isolation::Prime => (views.prime_hosts, PRIME_HOSTS_DIVISOR),
+            Isolation::Unproven | Isolation::Suspect => {
+                (views.isolated_hosts, ISOLATED_HOSTS_DIVISOR)
+            }
+        };
+        used < (views.listed_hosts / divisor).max(1)
+    }
+
+    /// Returns the number of hosts with isolated runs, and how many of those are of prime
+    /// suspects.
+    pub(super) fn isolated_hosts(&self) -> (u32, u32) {
+        if self.isolated_runs.is_empty() {
+            return (0, 0);
+        }
+        let is_prime = |id: &job::Id| self.jobs.get(id).is_some_and(Job::is_prime_suspect);
+        let isolated = self.hosts.values().filter(|host| !host.isolated_runs.is_empty());
+        isolated.fold((0, 0), |(all, prime), host| {
+            (all + 1, prime + u32::from(host.isolated_runs.keys().any(is_prime)))
+        })
+    }
+
+    /// Returns the CPU time that a crash of a host would waste, in thousandths of a core times
+    /// milliseconds.
+    pub(super) fn work_at_stake(&self, name: &Name) -> u64 {
+        let now_ms = self.now.monotonic_ms;
+        let runs = self.hosts.get(name).into_iter().flat_map(|host| host.runs.values());
+        runs.map(|run| u64::from(run.size.cpu_millis) * now_ms.saturating_sub(run.requested_ms))
+            .sum()
+    }
+
+    /// Polls the hosts whose isolated runs have lasted long enough.
+    pub(super) fn check_isolated_runs(&mut self) {
+        if self.isolated_runs.is_empty() {
+            return;
+        }
+        let now_ms = self.now.monotonic_ms;
+        let is_due = |host: &&Host| {
+            let mut ends = host.runs.values().filter_map(|run| run.isolated_until_ms);
+            !host.isolated_runs.is_empty()
+                && host.missed_polls == 0
+                && now_ms >= host.isolation_checked_ms + CHECK_INTERVAL_MS
+                && ends.any(|until_ms| now_ms >= until_ms)
+        };
+        let due: Vec<Name> =
+            self.hosts.values().filter(is_due).map(|host| host.entry.id.clone()).collect();
+        for name in due {
+            if let Some(host) = self.hosts.get_mut(&name) {
+                host.isolation_checked_ms = now_ms;
+            }
+            self.poll(&name, 0);
+        }
+    }
+
+    /// Ends the isolation of a run that has survived, and clears its task.
+    pub(super) fn clear_suspicion(&mut self, name: &Name, task: TaskId, attempt: u32) {
+        self.end_isolation(name, task, attempt);
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            job.suspicions.remove(&task);
+            if let Some(step) = job.step_mut(task.step) {
+                step.has_survivor = true;
+            }
+        }
+        self.needs_dispatch = true;
+    }
+
+    /// Counts an isolated run in its host and its job.
+    pub(super) fn begin_isolation(&mut self, name: &Name, job: job::Id) {
+        if let Some(host) = self.hosts.get_mut(name) {
+            *host.isolated_runs.entry(job).or_default() += 1;
+        }
+        *self.isolated_runs.entry(job).or_default() += 1;
+    }
+
+    fn end_isolation(&mut self, name: &Name, task: TaskId, attempt: u32) {
+        let run = self.hosts.get_mut(name).and_then(|host| host.runs.get_mut(&(task, attempt)));
+        if run.is_some_and(|run| run.isolated_until_ms.take().is_some()) {
+            self.forget_isolated_run(name, task.step.job);
+        }
+    }
+
+    /// Reverts [`Engine::begin_isolation`] for a run that has ended or is cleared.
+    pub(super) fn forget_isolated_run(&mut self, name: &Name, job: job::Id) {
+        if let Some(host) = self.hosts.get_mut(name)
+            && let Some(runs) = host.isolated_runs.get_mut(&job)
+        {
+            *runs -= 1;
+            host.isolated_runs.retain(|_, runs| *runs > 0);
+        }
+        if let Some(runs) = self.isolated_runs.get_mut(&job) {
+            *runs -= 1;
+            if *runs == 0 {
+                self.isolated_runs.remove(&job);
+            }
+        }
+        self.needs_dispatch = true;
+    }
+}
--- a/crates/graph/src/engine/losses.rs
+++ b/crates/graph/src/engine/losses.rs
@@ -1,42 +1,211 @@
-//! Ends the runs of hosts that are lost.
+//! Ends the runs of hosts that are lost, and finds the tasks that may have crashed them.
+//!
+//! All runs of a host that crashed are suspects. Those that were started last are the likeliest:
+//! they start again in isolation, each job apart from other suspects (see [`super::isolation`]).
+//! If the host crashes again, that settles it. A job is given up when the second host crashed
+//! under one of its tasks and nothing else explains the crash, or when too many have. Runs of
+//! other jobs beside an isolated one are not held responsible.
+//!
+//! Each loss is on the log before the task starts again, so that a successor knows the count.
+
+use std::collections::BTreeSet;
 
 use sycamore_types::Name;
 
 use super::Engine;
-use crate::host::{Host, RunEnd};
-use crate::{Action, HostLoss, LossCause};
+use super::bulkhead::PROMPT_MS;
+use crate::host::{Phase, Run, RunEnd};
+use crate::job::{Id, State};
+use crate::{Action, HostLoss, LossCause, TaskId, Verdict};
+
+/// Time between the starts of the youngest run of a host and of another one up to which both are
+/// isolated after a crash, in milliseconds.
+const SUSPECT_WINDOW_MS: u64 = 200;
+
+/// Losses of hosts under a task from which all its runs are isolated, however old they were.
+const ISOLATE_AFTER: u32 = 2;
+
+/// Crashes under a task from which its job is given up if nothing else explains the last one.
+const GIVE_UP_AFTER_EXPLAINED: u32 = 2;
+
+/// Losses of hosts under a task from which its job is given up in any case. The platform allows
+/// for two starts after the third crash, of which one may have gone unseen between two owners.
+pub(super) const GIVE_UP_AFTER: u32 = 4;
+
+/// A run of a lost host.
+#[derive(Clone, Copy, Debug)]
+struct LostRun {
+    task: TaskId,
+    attempt: u32,
+    /// Time from its start request until the host was out of reach, in milliseconds.
+    age_ms: u64,
+    is_isolated: bool,
+    /// The run may have been on the host when that went out of reach.
+    was_there: bool,
+}
+
+/// Whether a loss counts against a task.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Blame {
+    /// The loss does not count.
+    None,
+    /// The host crashed because of another task.
+    Collateral,
+    /// The host may have crashed.
+    Silent,
+    /// The host crashed, perhaps because of the task.
+    Suspect { is_isolated: bool, is_prime: bool },
+}
 
 impl Engine {
     /// Ends all runs of a host whose incarnation has ended.
     pub(super) fn lose_incarnation(&mut self, name: &Name) {
-        let is_draining = self.hosts.get(name).is_some_and(|host| host.entry.is_draining);
-        let cause = if is_draining { LossCause::Drained } else { LossCause::Crashed };
-        self.lose_runs(name, cause);
+        self.lose_all_runs(name, self.cause_of_end(name));
     }
 
     /// Ends all runs of a host.
-    pub(super) fn lose_runs(&mut self, name: &Name, cause: LossCause) {
+    pub(super) fn lose_all_runs(&mut self, name: &Name, cause: LossCause) {
         let Some(host) = self.hosts.get(name) else { return };
         let runs: Vec<_> = host.runs.keys().copied().collect();
-        if let Some(loss) = describe_loss(host, cause, self.now.monotonic_ms) {
-            self.actions.push(Action::ReportLoss(loss));
+        self.lose_runs(name, cause, &runs);
+    }
+
+    /// Returns why a host is lost whose incarnation has ended.
+    pub(super) fn cause_of_end(&self, name: &Name) -> LossCause {
+        let is_draining = self.hosts.get(name).is_some_and(|host| host.entry.is_draining);
+        if is_draining { LossCause::Drained } else { LossCause::Crashed }
+    }
+
+    /// Ends runs of a lost host.
+    pub(super) fn lose_runs(&mut self, name: &Name, cause: LossCause, lost: &[(TaskId, u32)]) {
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let now_ms = self.now.monotonic_ms;
+        let lost_ms = host.unreachable_since_ms.unwrap_or(now_ms);
+        let lost = lost.iter().filter_map(|key| Some((key, host.runs.get(key)?)));
+        let runs: Vec<LostRun> = lost.map(|(key, run)| lost_run(*key, run, lost_ms)).collect();
+        let youngest = runs.iter().min_by_key(|run| (!run.was_there, run.age_ms)).copied();
+        let Some(youngest) = youngest else { return };
+        let is_mass_loss = self.bulkheads.is_mass_loss(lost_ms);
+        let isolated_runs = runs.iter().filter(|run| run.is_isolated);
+        host.lost_suspects.extend(isolated_runs.map(|run| run.task.step.job));
+        let suspects = host.lost_suspects.clone();
+        let mut isolated = 0;
+        let mut given_up = Vec::new();
+        for run in &runs {
+            let blame = blame(run, cause, &suspects, youngest.age_ms, is_mass_loss);
+            isolated += usize::from(matches!(blame, Blame::Suspect { is_isolated: true, .. }));
+            if let Some(crashes) = self.count_loss(run, blame) {
+                given_up.push((run.task, crashes));
+            }
+            let how = match blame {
+                Blame::Suspect { .. } => RunEnd::HostCrashed,
+                Blame::Collateral => RunEnd::Collateral,
+                Blame::None | Blame::Silent => RunEnd::LeaseExpired,
+            };
+            self.end_run(name, run.task, run.attempt, how, None);
+        }
+        self.actions.push(Action::ReportLoss(HostLoss {
+            host: name.clone(),
+            cause,
+            runs: runs.len(),
+            suspects: isolated,
+            youngest: (youngest.task, youngest.attempt),
+            youngest_age_ms: youngest.age_ms,
+            silent_ms: now_ms.saturating_sub(lost_ms),
+        }));
+        for (task, crashes) in given_up {
+            self.give_up(task, crashes);
         }
-        for (task, attempt) in runs {
-            self.end_run(name, task, attempt, RunEnd::LeaseExpired, None);
+    }
+
+    /// Counts the loss of a host against a task. Returns the number of hosts lost under it if its
+    /// job is to be given up.
+    fn count_loss(&mut self, run: &LostRun, blame: Blame) -> Option<u32> {
+        let job = self.jobs.get_mut(&run.task.step.job).filter(|job| job.closed.is_none())?;
+        if job.step(run.task.step)?.tasks.get(run.task.index as usize)?.is_done {
+            return None;
+        }
+        let mut suspicion = job.suspicions.get(&run.task).copied().unwrap_or_default();
+        let mut is_explained = false;
+        match blame {
+            Blame::None | Blame::Collateral => return None,
+            Blame::Silent => suspicion.silent_losses += 1,
+            Blame::Suspect { is_isolated, is_prime } => {
+                suspicion.crashes += 1;
+                suspicion.max_age_ms = suspicion.max_age_ms.max(run.age_ms);
+                suspicion.needs_isolation |= is_isolated;
+                suspicion.is_prime |= is_prime;
+                is_explained = is_prime;
+            }
+        }
+        suspicion.needs_isolation |= suspicion.losses() >= ISOLATE_AFTER;
+        job.suspicions.insert(run.task, suspicion);
+        let is_settled = is_explained && suspicion.crashes >= GIVE_UP_AFTER_EXPLAINED;
+        (is_settled || suspicion.losses() >= GIVE_UP_AFTER).then(|| suspicion.losses())
+    }
+
+    /// Closes a job as failed because of a task that crashes its hosts.
+    pub(super) fn give_up(&mut self, task: TaskId, crashes: u32) {
+        let Some(job) = self.jobs.get(&task.step.job).filter(|job| job.closed.is_none()) else {
+            return;
+        };
+        let team = job.team.clone();
+        self.record_decision(team, Verdict::GivenUp { task, crashes });
+        self.close_job(task.step.job, State::Failed);
+    }
+
+    /// Records that a host with runs has gone out of reach.
+    pub(super) fn note_unreachable(&mut self, name: &Name) {
+        let now_ms = self.now.monotonic_ms;
+        let Some(host) = self.hosts.get(name) else { return };
+        // A start in flight may never have reached the host.
+        let confirmed = host.runs.iter().filter(|(_, run)| run.phase != Phase::Requested);
+        let youngest = confirmed.max_by_key(|(_, run)| run.requested_ms);
+        let Some(((task, _), run)) = youngest else { return };
+        let job = self.jobs.get(&task.step.job);
+        if run.isolated_until_ms.is_some() && job.is_some_and(|job| job.has_suspects()) {
+            // Expected, and no sign of further jobs of the kind.
+            return;
+        }
+        let is_prompt = now_ms <= run.requested_ms + PROMPT_MS;
+        let queue = job.filter(|_| is_prompt).map(|job| job.queue.clone());
+        if self.bulkheads.record_loss(now_ms, name.clone(), queue.clone())
+            && let Some(queue) = queue
+        {
+            self.actions.push(Action::ReportRestriction(queue));
         }
     }
 }
 
-/// Returns the loss of a host with its runs. `None` if it has none.
-fn describe_loss(host: &Host, cause: LossCause, now_ms: u64) -> Option<HostLoss> {
-    let lost_ms = host.unreachable_since_ms.unwrap_or(now_ms);
-    let (youngest, run) = host.runs.iter().max_by_key(|(_, run)| run.requested_ms)?;
-    Some(HostLoss {
-        host: host.entry.id.clone(),
-        cause,
-        runs: host.runs.len(),
-        youngest: *youngest,
-        youngest_age_ms: lost_ms.saturating_sub(run.requested_ms),
-        silent_ms: now_ms.saturating_sub(lost_ms),
-    })
+fn lost_run((task, attempt): (TaskId, u32), run: &Run, lost_ms: u64) -> LostRun {
+    let was_there = run.phase == Phase::Running || run.requested_ms <= lost_ms;
+    LostRun {
+        task,
+        attempt,
+        age_ms: lost_ms.saturating_sub(run.requested_ms),
+        is_isolated: was_there && run.isolated_until_ms.is_some(),
+        was_there,
+    }
+}
+
+fn blame(
+    run: &LostRun,
+    cause: LossCause,
+    suspects: &BTreeSet<Id>,
+    youngest_age_ms: u64,
+    is_mass_loss: bool,
+) -> Blame {
+    match cause {
+        _ if !run.was_there => Blame::None,
+        LossCause::Drained => Blame::None,
+        LossCause::LeaseExpired => Blame::Silent,
+        LossCause::Crashed if suspects.is_empty() => {
+            let is_young = run.age_ms <= youngest_age_ms.saturating_add(SUSPECT_WINDOW_MS);
+            Blame::Suspect { is_isolated: is_young && !is_mass_loss, is_prime: false }
+        }
+        LossCause::Crashed if run.is_isolated => {
+            Blame::Suspect { is_isolated: true, is_prime: suspects.len() == 1 && !is_mass_loss }
+        }
+        LossCause::Crashed => Blame::Collateral,
+    }
 }
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -23,11 +23,13 @@
 mod advice;
 mod backlog;
 mod broken_gangs;
+mod bulkhead;
 mod candidates;
 mod close;
 mod dispatch;
 mod health;
 mod hosts;
+mod isolation;
 mod losses;
 mod placement;
 mod polls;
@@ -48,12 +50,13 @@
 use crate::job;
 use crate::progress::Job;
 use crate::{
-    Action, Answer, CallClass, Decision, Event, Moment, Record, StepId, Timing, Verdict,
+    Action, Answer, CallClass, Decision, Event, Moment, Record, StepId, TaskId, Timing, Verdict,
     WaitingStep,
 };
 
 use backlog::Backlog;
 use broken_gangs::GangEnds;
+use bulkhead::Bulkheads;
 pub use rank::Rank;
 pub use recover::Recovered;
 
@@ -77,6 +80,8 @@
     },
     /// Allows placing tasks on the host.
     UseHost(Name),
+    /// Makes a task wait again whose host was lost.
+    Requeue(TaskId),
 }
 
 /// Scheduler of one shard: owns all of its hosts and jobs.
@@ -98,6 +103,10 @@
     team_usage: FxHashMap<Name, Resources>,
     /// Steps with tasks that wait to be started.
     backlog: Backlog,
+    /// Queues whose jobs bring hosts down.
+    bulkheads: Bulkheads,
+    /// Number of isolated runs, by job.
+    isolated_runs: FxHashMap<job::Id, u32>,
     /// Gangs of which members have ended, by attempt, until all have.
     gang_ends: BTreeMap<(StepId, u32), GangEnds>,
     /// Jobs with a schedule, by the due time of their next occurrence in milliseconds since
@@ -190,6 +199,7 @@
         self.forget_closed_jobs();
         self.resend_stops();
         self.evacuate_stalled_hosts();
+        self.check_isolated_runs();
         self.stop_unstarted_gangs();
         self.end_broken_gangs();
         self.poll_due_hosts();
@@ -262,6 +272,7 @@
                 }
                 self.needs_poll = true;
             }
+            Effect::Requeue(task) => self.requeue(task),
             Effect::UseHost(name) => {
                 if let Some(host) = self.hosts.get_mut(&name)
                     && host.log == LogState::UsePending
@@ -287,6 +298,11 @@
         self.hosts.values().map(|host| host.runs.len()).sum()
     }
 
+    /// Returns the number of runs that are kept apart because they may crash their host.
+    pub fn isolated_runs(&self) -> u32 {
+        self.isolated_runs.values().sum()
+    }
+
     /// Returns the number of steps with tasks that wait to be started.
     pub fn waiting_steps(&self) -> usize {
         self.backlog.len()
@@ -318,20 +334,20 @@
         self.is_recovering
     }
 
-    /// Returns the record that replaces all earlier ones of a job, or `None` if the job is
-    /// unknown or forgotten.
-    pub fn job_snapshot(&self, id: job::Id) -> Option<Record> {
-        let job = self.jobs.get(&id)?;
-        Some(match job.closed {
-            Some(state) => Record::Closed(crate::Closed {
+    /// Returns the records that replace all earlier ones of a job: none if the job is unknown
+    /// or forgotten.
+    pub fn job_records(&self, id: job::Id) -> Vec<Record> {
+        let Some(job) = self.jobs.get(&id) else { return Vec::new() };
+        match job.closed {
+            Some(state) => vec![Record::Closed(crate::Closed {
                 job: id,
                 queue: job.queue.clone(),
                 team: job.team.clone(),
                 state,
                 at_unix_ms: job.closed_unix_ms,
-            }),
-            None => Record::Snapshot(job.snapshot()),
-        })
+            })],
+            None => job.records(),
+        }
     }
 
     /// Returns the record that replaces all earlier ones of a host, or `None` if the log
--- a/crates/graph/src/engine/placement.rs
+++ b/crates/graph/src/engine/placement.rs
@@ -18,18 +18,51 @@
     views: &HostViews,
 ) -> Vec<(usize, u32)> {
     let wanted = demand.wanted();
-    ready.retain(|candidate| candidate.fits_now > 0);
-    if demand.prefers_one_rack
-        && let Some(rack) = smallest_fitting_rack(&ready, wanted, views)
-    {
-        ready.retain(|candidate| views[candidate.index].rack == rack);
-    }
+    retain_fitting(&mut ready, demand, views);
     if demand.is_best_effort {
         return spread(ready, wanted);
     }
     // Slow hosts last and near the data first, then best fit: the host with the least free CPU
     // that still fits, so that large gaps stay available for large tasks.
-    ready.sort_by_key(|candidate| (candidate.is_slow, !candidate.is_near, candidate.free_cpu));
+    // Hosts that a suspect may crash come after all others.
+    ready.sort_by_key(|candidate| {
+        let may_crash = views[candidate.index].has_isolated_run;
+        (may_crash, candidate.is_slow, !candidate.is_near, candidate.free_cpu)
+    });
+    fill(ready, wanted)
+}
+
+/// Returns the hosts for tasks that may crash them: those where the least work would be lost. All
+/// go to one host, as far as they fit there, unless they are a gang.
+pub(super) fn plan_isolated(
+    mut ready: Vec<Candidate>,
+    demand: &Demand,
+    views: &HostViews,
+    work_at_stake: impl Fn(&Name) -> u64,
+) -> Vec<(usize, u32)> {
+    retain_fitting(&mut ready, demand, views);
+    ready.sort_by_cached_key(|candidate| {
+        (candidate.is_slow, work_at_stake(&views[candidate.index].host), !candidate.is_near)
+    });
+    if !demand.is_gang {
+        ready.truncate(1);
+    }
+    fill(ready, demand.wanted())
+}
+
+/// Keeps the hosts on which tasks fit; of these, those of one rack if the step prefers that and
+/// there is a rack that has capacity for all.
+fn retain_fitting(ready: &mut Vec<Candidate>, demand: &Demand, views: &HostViews) {
+    ready.retain(|candidate| candidate.fits_now > 0);
+    if demand.prefers_one_rack
+        && let Some(rack) = smallest_fitting_rack(ready, demand.wanted(), views)
+    {
+        ready.retain(|candidate| views[candidate.index].rack == rack);
+    }
+}
+
+/// Puts as many tasks on each host, in order, as fit there.
+fn fill(ready: Vec<Candidate>, wanted: u32) -> Vec<(usize, u32)> {
     let mut plan = Vec::new();
     let mut remaining = wanted;
     for candidate in ready {
--- a/crates/graph/src/engine/polls.rs
+++ b/crates/graph/src/engine/polls.rs
@@ -76,11 +76,16 @@
         if host.poll_in_flight == Some(poll) {
             host.poll_in_flight = None;
         }
+        let was_unreachable = host.missed_polls > 0;
         host.missed_polls = 0;
         host.unreachable_since_ms = None;
         host.reported_ms = now_ms;
         host.clock_offset_ms = report.clock_ms as i64 - now_ms as i64;
         host.has_reported = true;
+        if was_unreachable {
+            host.lost_suspects.clear();
+            self.bulkheads.retract_loss(name);
+        }
         self.handle_run_ends(name, &report);
         self.update_runs(name, poll, &report);
         self.record_use(name);
@@ -161,6 +166,9 @@
                     run.phase = Phase::Running;
                     run.visible_after_poll = visible_after_poll;
                 }
+                if run.isolated_until_ms.is_some_and(|until_ms| now_ms >= until_ms) {
+                    self.clear_suspicion(name, task, attempt);
+                }
             }
             None => self.adopt_run(name, task, attempt),
         }
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -12,10 +12,11 @@
 
 use super::Engine;
 use super::backlog::Backlog;
+use super::bulkhead::Bulkheads;
 use crate::catalog::Catalog;
 use crate::host::{Host, LogState, RunEnd};
 use crate::job::Id;
-use crate::progress::Job;
+use crate::progress::{Job, Suspicion};
 use crate::{CallClass, Ended, HostEntry, Moment, Record, Snapshot, StepId, TaskId, Timing};
 
 /// Attempt numbers skipped per task at a recovery, because the previous owner may have sent
@@ -118,6 +119,8 @@
             let at = if is_gang { 0 } else { ended.task.index as usize };
             step.tasks[at].checkpoint = Some(ended.checkpoint.clone());
         }
+        recover_suspicion(&mut job.suspicions, ended);
+        let Some(step) = job.step_mut(step_id) else { return };
         match ended.how {
             RunEnd::Done if is_gang => {
                 (0..step.tasks.len() as u32).for_each(|index| {
@@ -151,6 +154,23 @@
     job
 }
 
+/// Applies what the end of a run says about its task. Ages are not in the log, so that each task
+/// under which a host crashed is isolated.
+fn recover_suspicion(suspicions: &mut BTreeMap<TaskId, Suspicion>, ended: &Ended) {
+    match ended.how {
+        RunEnd::HostCrashed => {
+            let suspicion = suspicions.entry(ended.task).or_default();
+            suspicion.crashes += 1;
+            suspicion.needs_isolation = true;
+        }
+        RunEnd::LeaseExpired => suspicions.entry(ended.task).or_default().silent_losses += 1,
+        RunEnd::Done | RunEnd::Failed => {
+            suspicions.remove(&ended.task);
+        }
+        _ => {}
+    }
+}
+
 /// Adds occurrences up to that of a step.
 fn add_occurrences_up_to(job: &mut Job, step_id: StepId) {
     while job.occurrences.len() as u32 <= step_id.occurrence
@@ -192,6 +212,8 @@
             last_host_number,
             team_usage: FxHashMap::default(),
             backlog: Backlog::default(),
+            bulkheads: Bulkheads::default(),
+            isolated_runs: FxHashMap::default(),
             gang_ends: BTreeMap::new(),
             next_occurrences: BTreeSet::new(),
             closed_jobs: VecDeque::new(),
--- a/crates/graph/src/engine/run_ends.rs
+++ b/crates/graph/src/engine/run_ends.rs
@@ -5,7 +5,7 @@
 
 use sycamore_types::Name;
 
-use super::Engine;
+use super::{Effect, Engine};
 use crate::host::{Run, RunEnd};
 use crate::job::State;
 use crate::{Ended, Record, StepId, TaskId, Verdict};
@@ -43,6 +43,9 @@
         self.note_gang_end(task, attempt, how);
         // The run may be unknown here: the previous owner started it, or its lease was
         // considered expired. Then only a completion or a failure counts.
+        if matches!(how, RunEnd::Done | RunEnd::Failed) {
+            self.clear_suspicion(name, task, attempt);
+        }
         match how {
             RunEnd::Done => {
                 if let Some(run) = run {
@@ -120,6 +123,7 @@
             }
         }
         let is_done = step.is_done();
+        job.suspicions.retain(|suspect, _| suspect.step != task.step || !is_done);
         let (id, occurrence) = (task.step.job, task.step.occurrence);
         let steps = job.spec.steps.len() as u16;
         for (host, number) in leftover {
@@ -169,11 +173,16 @@
         let checkpoint = checkpoint.unwrap_or_else(|| Name::from(""));
         self.append(Record::Ended(Ended { task, attempt, how, checkpoint }));
         self.stop_gang(task, attempt);
-        self.requeue(task);
+        if matches!(how, RunEnd::HostCrashed | RunEnd::LeaseExpired) {
+            // A crash that a successor does not know of would not count.
+            self.when_durable(Effect::Requeue(task));
+        } else {
+            self.requeue(task);
+        }
     }
 
     /// Makes a task wait again once it has no runs left.
-    fn requeue(&mut self, task: TaskId) {
+    pub(super) fn requeue(&mut self, task: TaskId) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let Some(step) = job.step_mut(task.step) else { return };
         let Some(task_progress) = step.tasks.get(task.index as usize) else { return };
@@ -241,6 +250,9 @@
             self.handle_lost_incarnation(name);
         } else {
             host.missed_polls += 1;
+            if host.missed_polls == 1 && host.has_reported && !host.entry.is_draining {
+                self.note_unreachable(name);
+            }
         }
     }
 }
--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -7,6 +7,7 @@
 use sycamore_types::resources::Resources;
 
 use super::Engine;
+use super::isolation::{Isolation, isolation_ms};
 use crate::host::{Phase, Run, RunEnd};
 use crate::{Action, Start, StartOutcome, Stop, TaskId};
 
@@ -16,12 +17,19 @@
 
 impl Engine {
     /// Asks a host to start a task.
-    pub(super) fn start_run(&mut self, name: &Name, task: TaskId, attempt: u32) {
+    pub(super) fn start_run(
+        &mut self,
+        name: &Name,
+        task: TaskId,
+        attempt: u32,
+        isolation: Isolation,
+    ) {
         let now_ms = self.now.monotonic_ms;
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let spec = job.spec.clone();
         let step = &spec.steps[usize::from(task.step.index)];
         let team = job.team.clone();
+        let isolated_until_ms = isolation.is_isolated().then(|| now_ms + isolation_ms(job, task));
         let Some(step_progress) = job.step_mut(task.step) else { return };
         let checkpoint_index = if step.is_gang { 0 } else { task.index as usize };
         let checkpoint = step_progress.tasks[checkpoint_index].checkpoint.clone();
@@ -46,6 +54,7 @@
             is_stopping: false,
             is_stop_sent: false,
             stop_accepted_at_poll: None,
+            isolated_until_ms,
             has_objective: step.latency_objective_ms > 0,
             is_best_effort: step.is_best_effort,
             is_service: step.is_service,
@@ -72,7 +81,11 @@
         host.best_effort_runs += u32::from(run.is_best_effort);
         let usage = self.team_usage.entry(run.team.clone()).or_default();
         *usage = usage.plus(&run.size);
+        let is_isolated = run.isolated_until_ms.is_some();
         host.runs.insert((task, attempt), run);
+        if is_isolated {
+            self.begin_isolation(name, task.step.job);
+        }
     }
 
     /// Removes a run and releases its resources. Returns the run if it was known.
@@ -85,6 +98,9 @@
         if let Some(usage) = self.team_usage.get_mut(&run.team) {
             *usage = usage.minus(&run.size);
         }
+        if run.isolated_until_ms.is_some() {
+            self.forget_isolated_run(name, task.step.job);
+        }
         Some(run)
     }
 
@@ -216,6 +232,7 @@
             is_stopping: false,
             is_stop_sent: false,
             stop_accepted_at_poll: None,
+            isolated_until_ms: None,
             has_objective: false,
             is_best_effort: false,
             is_service: false,
@@ -235,6 +252,9 @@
             run.is_service = step.is_service;
             run.estimate_ms = step.estimate_ms;
             run.team = job.team.clone();
+            if job.needs_isolation(task) {
+                run.isolated_until_ms = Some(now_ms + isolation_ms(job, task));
+            }
             job.has_started = true;
             if let Some(step_progress) = job.step_mut(task.step)
                 && let Some(task_progress) = step_progress.tasks.get_mut(task.index as usize)
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -3,7 +3,7 @@
 mod run;
 mod speed;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sycamore_types::resources::Resources;
 
@@ -11,7 +11,7 @@
 pub(crate) use run::{Phase, Run};
 pub(crate) use speed::Speed;
 
-use crate::{HostEntry, Record, TaskId, Timing};
+use crate::{HostEntry, Record, TaskId, Timing, job};
 
 /// Consecutive failed runs after which a host is quarantined.
 const MAX_CONSECUTIVE_FAILURES: u32 = 4;
@@ -54,6 +54,12 @@
     pub latency_runs: u32,
     /// Number of best-effort runs.
     pub best_effort_runs: u32,
+    /// Number of isolated runs, by job.
+    pub isolated_runs: BTreeMap<job::Id, u32>,
+    /// Jobs whose isolated runs were lost with this incarnation.
+    pub lost_suspects: BTreeSet<job::Id>,
+    /// Time of the last poll that checked whether they are there, in milliseconds.
+    pub isolation_checked_ms: u64,
     /// Speed of this incarnation, compared with other hosts.
     pub speed: Speed,
     /// Number of the last run end that was processed.
@@ -98,6 +104,9 @@
             runs: BTreeMap::new(),
             latency_runs: 0,
             best_effort_runs: 0,
+            isolated_runs: BTreeMap::new(),
+            lost_suspects: BTreeSet::new(),
+            isolation_checked_ms: 0,
             speed: Speed::default(),
             last_seen_end: 0,
             last_durable_end: 0,
--- a/crates/graph/src/host/run.rs
+++ b/crates/graph/src/host/run.rs
@@ -26,6 +26,11 @@
     /// The run waited too long for the other members of its gang to start.
     #[serde(rename = "alone")]
     GangTimedOut,
+    /// The host crashed, perhaps because of the run.
+    #[serde(rename = "crashed")]
+    HostCrashed,
+    /// The host crashed because of another run.
+    Collateral,
 }
 
 /// What is known about the start of a run.
@@ -65,6 +70,8 @@
     /// Number of the last poll that was sent before the host's acceptance of the stop
     /// arrived. The report of any later poll no longer lists the run.
     pub stop_accepted_at_poll: Option<u64>,
+    /// Time until which the run is isolated, in milliseconds.
+    pub isolated_until_ms: Option<u64>,
     /// The task has a latency objective.
     pub has_objective: bool,
     /// The task uses only CPU time that other tasks leave idle.
--- a/crates/graph/src/loss.rs
+++ b/crates/graph/src/loss.rs
@@ -27,6 +27,8 @@
     pub cause: LossCause,
     /// Number of runs lost.
     pub runs: usize,
+    /// Number of those that start again in isolation.
+    pub suspects: usize,
     /// Task and attempt number of the run that was started last.
     pub youngest: (TaskId, u32),
     /// Time from the start request of that run to the moment when the host was out of reach, in
--- a/crates/graph/src/progress/job.rs
+++ b/crates/graph/src/progress/job.rs
@@ -3,13 +3,15 @@
 //! The owner keeps it in memory. What a successor can't learn from the reports of the hosts
 //! is in the log, or in the snapshot that replaces the job's log records.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use sycamore_types::Name;
 
-use super::StepProgress;
+use super::{StepProgress, Suspicion};
+use crate::host::RunEnd;
 use crate::job::{Id, Spec, State};
-use crate::{Snapshot, StepId};
+use crate::{Ended, Record, Snapshot, StepId, TaskId};
 
 /// A job and the progress of its occurrences.
 #[derive(Debug)]
@@ -36,6 +38,8 @@
     pub is_close_durable: bool,
     /// Time at which the final state was decided, in milliseconds since 1970.
     pub closed_unix_ms: u64,
+    /// Tasks under which hosts have crashed.
+    pub suspicions: BTreeMap<TaskId, Suspicion>,
     /// The steps of each occurrence that has become due, in order.
     pub occurrences: Vec<Vec<StepProgress>>,
 }
@@ -57,6 +61,7 @@
             closed: None,
             is_close_durable: false,
             closed_unix_ms: 0,
+            suspicions: BTreeMap::new(),
             occurrences: Vec::new(),
         }
     }
@@ -109,8 +114,41 @@
         }
     }
 
+    /// Returns whether the next run of a task has to be isolated.
+    pub fn needs_isolation(&self, task: TaskId) -> bool {
+        self.suspicions.get(&task).is_some_and(|suspicion| suspicion.needs_isolation)
+    }
+
+    /// Returns whether the next run of any task has to be isolated.
+    pub fn has_suspects(&self) -> bool {
+        self.suspicions.values().any(|suspicion| suspicion.needs_isolation)
+    }
+
+    /// Returns whether a host has crashed that had no other suspect than this job.
+    pub fn is_prime_suspect(&self) -> bool {
+        self.suspicions.values().any(|suspicion| suspicion.is_prime)
+    }
+
+    /// Returns the records that replace all earlier ones of the job: a snapshot, and the losses
+    /// of hosts that count against its tasks.
+    pub fn records(&self) -> Vec<Record> {
+        let mut records = vec![Record::Snapshot(self.snapshot())];
+        for (task, suspicion) in &self.suspicions {
+            let step = self.step(task.step);
+            let progress = step.and_then(|step| step.tasks.get(task.index as usize));
+            let Some(attempt) = progress.map(|progress| progress.attempt) else { continue };
+            let crashes = std::iter::repeat_n(RunEnd::HostCrashed, suspicion.crashes as usize);
+            let silent =
+                std::iter::repeat_n(RunEnd::LeaseExpired, suspicion.silent_losses as usize);
+            records.extend(crashes.chain(silent).map(|how| {
+                Record::Ended(Ended { task: *task, attempt, how, checkpoint: Name::from("") })
+            }));
+        }
+        records
+    }
+
     /// Returns what a successor needs to continue the job.
-    pub fn snapshot(&self) -> Snapshot {
+    fn snapshot(&self) -> Snapshot {
         let mut tasks = Vec::new();
         for (occurrence, steps) in self.occurrences.iter().enumerate() {
             for (index, step) in steps.iter().enumerate() {
--- a/crates/graph/src/progress/mod.rs
+++ b/crates/graph/src/progress/mod.rs
@@ -2,6 +2,8 @@
 
 mod job;
 mod step;
+mod suspicion;
 
 pub(crate) use job::Job;
 pub(crate) use step::{StepProgress, TaskProgress, Ticket};
+pub(crate) use suspicion::Suspicion;
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -59,6 +59,8 @@
     /// Durations of completed tasks: host and time in milliseconds. Compares the hosts once the
     /// step is done.
     pub durations: Vec<(Name, u32)>,
+    /// A run of the step has survived its isolation or has ended.
+    pub has_survivor: bool,
     /// Why tasks of the step waited in the last dispatch pass that reached it.
     pub wait_reason: Option<WaitReason>,
     /// Indices of the tasks that wait to be started.
@@ -82,6 +84,7 @@
             done: 0,
             advice: StepAdvice::default(),
             durations: Vec::new(),
+            has_survivor: false,
             wait_reason: None,
             waiting: (0..tasks).collect(),
         }
--- a/crates/graph/src/waiting.rs
+++ b/crates/graph/src/waiting.rs
@@ -20,6 +20,12 @@
     /// The list of hosts was read so long ago that their capacities may have shrunk since.
     #[displaydoc("the list of workers is too old")]
     ListTooOld,
+    /// Another run of the job is isolated, and tasks of the job may be like it.
+    #[displaydoc("a worker crashed under the job; one of its tasks is tried first")]
+    Isolated,
+    /// As many hosts have isolated runs as may have.
+    #[displaydoc("enough workers have tasks that may crash them")]
+    IsolatedHostsBusy,
     /// The tasks would exceed the team's limit.
     #[displaydoc("the team is at its limit")]
     TeamLimit,
--- a/crates/graph/tests/engine/crashes.rs
+++ b/crates/graph/tests/engine/crashes.rs
@@ -38,6 +38,7 @@
     world.run(30_000);
 
     assert_eq!(world.state(id(1)), Some(State::Failed));
+    assert_eq!(world.oracle.crashes_under(task(id(1), 0)), 2);
     for number in 2..60 {
         assert_eq!(world.state(id(number)), Some(State::Complete), "job {number}");
     }
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -215,7 +215,7 @@
     pub fn compact(&mut self) {
         let mut snapshots = Vec::new();
         for job in self.oracle.jobs.keys() {
-            snapshots.extend(self.engine.job_snapshot(*job));
+            snapshots.extend(self.engine.job_records(*job));
         }
         for worker in &self.workers {
             snapshots.extend(self.engine.host_snapshot(&worker.entry.id));
@@ -422,7 +422,10 @@
                     let host = poll.host.clone();
                     self.send(&host, action, 0.0);
                 }
-                Action::RecordDecision(_) | Action::ReportLoss(_) | Action::Deposed => {}
+                Action::RecordDecision(_)
+                | Action::ReportLoss(_)
+                | Action::ReportRestriction(_)
+                | Action::Deposed => {}
             }
         }
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -11,7 +11,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use sycamore_telemetry::metrics::Metrics;
-use sycamore_telemetry::metrics::prometheus::{HistogramVec, IntCounterVec, IntGauge};
+use sycamore_telemetry::metrics::prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge};
 use tokio::net::TcpListener;
 
 /// Bounds of the latency buckets in seconds, from the time of one store call to a caller's
@@ -30,6 +30,12 @@
     pub starts: IntCounterVec,
     /// Lost workers that had runs, by cause.
     pub host_losses: IntCounterVec,
+    /// Runs that were suspected to have crashed their worker.
+    pub suspects: IntCounter,
+    /// Jobs given up because workers crash under one of their tasks.
+    pub given_up: IntCounter,
+    /// Queues restricted because their jobs bring workers down.
+    pub restrictions: IntCounter,
     /// Ended runs, by how they ended.
     pub ends: IntCounterVec,
     /// Closed jobs, by final state.
@@ -69,6 +75,16 @@
                 "Lost workers that had runs.",
                 &["cause"],
             ),
+            suspects: all
+                .counter("suspect_runs_total", "Lost runs that start again apart from others."),
+            given_up: all.counter(
+                "jobs_given_up_total",
+                "Jobs failed because workers crash under one of their tasks.",
+            ),
+            restrictions: all.counter(
+                "queue_restrictions_total",
+                "Queues restricted because their jobs bring workers down.",
+            ),
             ends: all.counters("ends_total", "Ends of runs.", &["how"]),
             jobs_closed: all.counters("jobs_closed_total", "Last states of jobs.", &["state"]),
             start_wait_s: all.histograms(
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -133,7 +133,8 @@
         log::info!(
             target: "load", running = self.engine.running_tasks(),
             waiting_steps = self.engine.waiting_steps(),
-            hopeless_steps = self.engine.hopeless_steps(), events = load.events,
+            hopeless_steps = self.engine.hopeless_steps(),
+            isolated_runs = self.engine.isolated_runs(), events = load.events,
             events_ms = millis(load.event_time), passes = load.passes,
             passes_ms = millis(load.pass_time), longest_pass_ms = millis(load.longest_pass);
             "load of the control thread"
@@ -176,7 +177,7 @@
                 self.handle_event(to_event(request, self.last_token));
             }
             Input::Snapshots { jobs, hosts, respond } => {
-                let job_snapshots = jobs.into_iter().filter_map(|id| self.engine.job_snapshot(id));
+                let job_snapshots = jobs.into_iter().flat_map(|id| self.engine.job_records(id));
                 let host_snapshots =
                     hosts.iter().filter_map(|name| self.engine.host_snapshot(name));
                 let snapshots = job_snapshots.chain(host_snapshots).collect();
--- a/crates/node/src/owner/execute.rs
+++ b/crates/node/src/owner/execute.rs
@@ -66,6 +66,7 @@
                 }
                 Some(Action::RecordDecision(decision)) => recorder.record(decision),
                 Some(Action::ReportLoss(loss)) => report_loss(&node, &loss, handle.epoch),
+                Some(Action::ReportRestriction(queue)) => report_restriction(&node, &queue, handle.epoch),
                 Some(Action::Advise(advise)) => advice.enqueue(advise),
                 Some(Action::Start(request)) => start(&node, &handle, &worker, request),
                 Some(Action::Stop(request)) => stop(&handle, &worker, request),
@@ -84,15 +85,25 @@
         LossCause::LeaseExpired => "lease_expired",
     };
     node.meters.host_losses.with_label_values(&[cause]).inc();
+    node.meters.suspects.inc_by(loss.suspects as u64);
     let (task, attempt) = loss.youngest;
     log::info!(
         target: "worker", host:% = loss.host, epoch, cause, runs = loss.runs,
+        suspects = loss.suspects,
         job:% = task.step.job, occurrence = task.step.occurrence, step = task.step.index,
         task = task.index, attempt, youngest_age_ms = loss.youngest_age_ms,
         silent_ms = loss.silent_ms; "lost a worker with its runs"
     );
 }
 
+fn report_restriction(node: &Node, queue: &str, epoch: u64) {
+    node.meters.restrictions.inc();
+    log::warn!(
+        target: "worker", queue, epoch;
+        "workers are lost right after starts of this queue; keeping its jobs apart"
+    );
+}
+
 fn start(node: &Node, handle: &Handle, worker: &WorkerClient, start: Start) {
     let (handle, worker) = (handle.clone(), worker.clone());
     let starts = node.meters.starts.clone();
--- a/crates/node/src/owner/records.rs
+++ b/crates/node/src/owner/records.rs
@@ -94,6 +94,7 @@
             graph::Verdict::Ended { how, .. } => {
                 self.meters.ends.with_label_values(&[end_name(*how)]).inc();
             }
+            graph::Verdict::GivenUp { .. } => self.meters.given_up.inc(),
             graph::Verdict::Closed(_, state) => {
                 self.meters.jobs_closed.with_label_values(&[state_name(*state)]).inc();
             }
@@ -154,6 +155,9 @@
         graph::Verdict::Closed(job, state) => {
             (job.to_string(), record::Verdict::Closed { state: Name::from(state_name(state)) })
         }
+        graph::Verdict::GivenUp { task, crashes } => {
+            (subject(&task), record::Verdict::GivenUp { crashes })
+        }
         graph::Verdict::Placed { task, attempt, host, grounds } => {
             let grounds = to_record_grounds(&grounds);
             (subject(&task), record::Verdict::Placed { host, attempt, grounds })
@@ -204,5 +208,7 @@
         RunEnd::LeaseExpired => "lapsed",
         RunEnd::GangBroken => "broken",
         RunEnd::GangTimedOut => "alone",
+        RunEnd::HostCrashed => "crashed",
+        RunEnd::Collateral => "collateral",
     }
 }
--- a/crates/scheduler/src/control/thread.rs
+++ b/crates/scheduler/src/control/thread.rs
@@ -204,6 +204,7 @@
         Verdict::Accepted => "accepted",
         Verdict::Placed { .. } => "placed",
         Verdict::RunEnded { .. } => "run_ended",
+        Verdict::GivenUp { .. } => "given_up",
         Verdict::Closed { .. } => "closed",
         Verdict::Owned { .. } => "owned",
     }
--- a/crates/telemetry/src/metrics/mod.rs
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -2,7 +2,8 @@
 
 pub use prometheus;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Metrics of one process.
@@ -37,6 +38,17 @@
         counters
     }
 
+    /// Registers a counter.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the name is invalid or already registered, which is a programming error.
+    pub fn counter(&self, name: &str, help: &str) -> IntCounter {
+        let counter = IntCounter::new(name, help).expect("valid name");
+        self.registry.register(Box::new(counter.clone())).expect("name is free");
+        counter
+    }
+
     /// Registers a gauge.
     ///
     /// # Panics
