Clear all members of a completed gang of suspicion after a takeover

The first step was a gang that had lost members to a crash and completed later. One record stands for the completion of a gang; a successor cleared only the member that the record names and took the others for suspects, which hold back all other tasks of their job. Now what is done is cleared wherever an end is applied.

Evidence: crashes::a_completed_gang_leaves_no_suspect_to_a_successor fails without the change (Running instead of Complete).

--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -136,6 +136,7 @@
             }
             _ => {}
         }
+        job.clear_done_suspects(step_id);
     }
 
     /// Returns the number of known jobs.
--- a/crates/graph/src/engine/run_ends.rs
+++ b/crates/graph/src/engine/run_ends.rs
@@ -123,7 +123,7 @@
             }
         }
         let is_done = step.is_done();
-        job.suspicions.retain(|suspect, _| suspect.step != task.step || !is_done);
+        job.clear_done_suspects(task.step);
         let (id, occurrence) = (task.step.job, task.step.occurrence);
         let steps = job.spec.steps.len() as u16;
         for (host, number) in leftover {
--- a/crates/graph/src/progress/job.rs
+++ b/crates/graph/src/progress/job.rs
@@ -114,6 +114,16 @@
         }
     }
 
+    /// Clears the tasks of a step that are done of all suspicion.
+    pub fn clear_done_suspects(&mut self, step_id: StepId) {
+        let Some(step) = self.occurrences.get(step_id.occurrence as usize) else { return };
+        let Some(step) = step.get(usize::from(step_id.index)) else { return };
+        let is_done = |task: &TaskId| {
+            task.step == step_id && step.tasks.get(task.index as usize).is_some_and(|t| t.is_done)
+        };
+        self.suspicions.retain(|task, _| !is_done(task));
+    }
+
     /// Returns whether the next run of a task has to be isolated.
     pub fn needs_isolation(&self, task: TaskId) -> bool {
         self.suspicions.get(&task).is_some_and(|suspicion| suspicion.needs_isolation)
--- a/crates/graph/tests/engine/crashes.rs
+++ b/crates/graph/tests/engine/crashes.rs
@@ -58,3 +58,24 @@
         assert_eq!(world.state(id(1)), Some(State::Failed));
     }
 }
+
+/// A gang of which one member had lost its worker completed, and a successor still took that
+/// member for a suspect that had to run first: the next step never started. The benchmark
+/// reported LOST (Rolamento Vivo, lubrificacao, share 0.8, seed 3).
+#[test]
+fn a_completed_gang_leaves_no_suspect_to_a_successor() {
+    let mut world = World::new(3, catalog(queue()), 1);
+    world.work_ms = 1_000;
+    let second = Step { after: vec![0], ..step(20, 1_000) };
+    world.submit(id(1), job(vec![gang(6, 1_000), second]));
+    world.run(200);
+    world.crash_worker(0, 3_000);
+    while world.oracle.starts < 24 {
+        world.run(5);
+    }
+
+    world.take_over();
+    world.run(20_000);
+
+    assert_eq!(world.state(id(1)), Some(State::Complete));
+}
