Bound the backlog of a restricted queue, and let suspects of other queues go first

Cause: a restricted queue accepted what came and could start a few jobs a second, since each deadly one holds a host for 3.8 s; and its jobs filled the hosts for isolated runs, so that innocent suspects of other queues waited behind them.

Now a restricted queue refuses a job (503, Retry-After 2, nothing has run) when one waits already for each host that its jobs may have. More hosts may be isolated while the site is idle: a third, or 0.8 of the idle share. A quarter of these is kept for suspects of other queues, and jobs that are all but certain to crash get few hosts until the site is idle. A job that had just started from a restricted queue explains a crash. A queue that only shares hosts with the one at fault is let go.

Evidence: the two tests of streams in crashes.rs.

--- a/crates/graph/src/action.rs
+++ b/crates/graph/src/action.rs
@@ -80,6 +80,9 @@
     Count(u64),
     /// The job is unknown or belongs to another team.
     NoSuchJob,
+    /// The job was refused and has no effect: its queue is restricted, and more jobs wait than it
+    /// can start in time.
+    Overloaded,
 }
 
 /// Effect that the engine asks its caller to carry out.
--- a/crates/graph/src/engine/bulkhead.rs
+++ b/crates/graph/src/engine/bulkhead.rs
@@ -11,7 +11,7 @@
 
 use sycamore_types::Name;
 
-/// Age of a host's youngest run up to which the host's loss is put down to it, in milliseconds.
+/// Age of a run up to which the loss of its host is put down to it, in milliseconds.
 pub(super) const PROMPT_MS: u64 = 150;
 
 /// Losses put down to a queue after which it is restricted.
@@ -20,6 +20,12 @@
 /// Time within which they count, in milliseconds.
 const WINDOW_MS: u64 = 5_000;
 
+/// Share of all losses from which it is. Chance puts up to a third of them down to a queue.
+const MIN_SHARE: f64 = 2.0 / 3.0;
+
+/// Share of all losses below which it no longer is.
+const LIFT_SHARE: f64 = 0.5;
+
 /// Time for which a queue stays restricted after the last loss put down to it, in milliseconds.
 const RESTRICTION_MS: u64 = 5_000;
 
@@ -38,8 +44,21 @@
 struct Loss {
     at_ms: u64,
     host: Name,
-    /// Queue of the task that was started right before.
-    queue: Option<Name>,
+    /// Queues of the tasks that were started right before.
+    queues: Vec<Name>,
+}
+
+/// Number of recent losses.
+#[derive(Clone, Copy, Debug)]
+struct RecentLosses {
+    of_queue: usize,
+    all: usize,
+}
+
+impl RecentLosses {
+    fn share(self) -> f64 {
+        self.of_queue as f64 / self.all.max(1) as f64
+    }
 }
 
 /// Recent losses of hosts, and the queues that are restricted because of them.
@@ -50,22 +69,39 @@
 }
 
 impl Bulkheads {
-    /// Records that a host went out of reach, and the queue of the task that was started there
-    /// right before. Returns whether that queue has become restricted.
-    pub fn record_loss(&mut self, now_ms: u64, host: Name, queue: Option<Name>) -> bool {
+    /// Records that a host went out of reach, and the queues of the tasks that were started there
+    /// right before. Returns those that have become restricted.
+    pub fn record_loss(&mut self, now_ms: u64, host: Name, queues: Vec<Name>) -> Vec<Name> {
         self.losses.retain(|loss| loss.at_ms + RETENTION_MS > now_ms);
         self.restricted_until_ms.retain(|_, until_ms| *until_ms > now_ms);
-        self.losses.push_back(Loss { at_ms: now_ms, host, queue: queue.clone() });
-        let Some(queue) = queue else { return false };
-        let was_restricted = self.is_restricted(&queue, now_ms);
-        let recent = || self.losses.iter().filter(|loss| loss.at_ms + WINDOW_MS > now_ms);
-        let of_queue = recent().filter(|loss| loss.queue.as_ref() == Some(&queue)).count();
-        // Two thirds of all losses: chance puts a third of them down to a run that just started.
-        let is_pattern = of_queue >= RESTRICT_AFTER && of_queue * 3 >= recent().count() * 2;
-        if was_restricted || is_pattern {
-            self.restricted_until_ms.insert(queue, now_ms + RESTRICTION_MS);
+        self.losses.push_back(Loss { at_ms: now_ms, host, queues: queues.clone() });
+        let mut restricted = Vec::new();
+        for queue in queues {
+            let was_restricted = self.is_restricted(&queue, now_ms);
+            let losses = self.recent_losses(&queue, now_ms);
+            if was_restricted || losses.of_queue >= RESTRICT_AFTER && losses.share() >= MIN_SHARE {
+                self.restricted_until_ms.insert(queue.clone(), now_ms + RESTRICTION_MS);
+                restricted.extend((!was_restricted).then_some(queue));
+            }
+        }
+        self.lift_restrictions(now_ms);
+        restricted
+    }
+
+    /// Lifts the restriction of queues that only share their hosts with the one at fault.
+    fn lift_restrictions(&mut self, now_ms: u64) {
+        let is_cleared = |queue: &&Name| self.recent_losses(queue, now_ms).share() < LIFT_SHARE;
+        let cleared: Vec<Name> =
+            self.restricted_until_ms.keys().filter(is_cleared).cloned().collect();
+        for queue in cleared {
+            self.restricted_until_ms.remove(&queue);
         }
-        is_pattern && !was_restricted
+    }
+
+    fn recent_losses(&self, queue: &Name, now_ms: u64) -> RecentLosses {
+        let recent = || self.losses.iter().filter(|loss| loss.at_ms + WINDOW_MS > now_ms);
+        let of_queue = recent().filter(|loss| loss.queues.contains(queue)).count();
+        RecentLosses { of_queue, all: recent().count() }
     }
 
     /// Withdraws the loss of a host that is in reach again and has not crashed.
@@ -82,7 +118,7 @@
     /// without a task that explains it. Such a loss says nothing about tasks.
     pub fn is_mass_loss(&self, at_ms: u64) -> bool {
         let is_near = |loss: &&Loss| loss.at_ms.abs_diff(at_ms) <= MASS_LOSS_MS;
-        let unexplained = self.losses.iter().filter(is_near).filter(|loss| loss.queue.is_none());
+        let unexplained = self.losses.iter().filter(is_near).filter(|loss| loss.queues.is_empty());
         unexplained.count() >= MASS_LOSS
     }
 }
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -12,7 +12,7 @@
 
 use super::Engine;
 use super::dispatch::Demand;
-use super::isolation::Isolation;
+use super::isolation::{Isolation, IsolationLimits};
 use crate::host::Host;
 use crate::job;
 use crate::progress::StepProgress;
@@ -51,8 +51,8 @@
     /// Hosts with isolated runs, and those with isolated runs of prime suspects.
     pub isolated_hosts: u32,
     pub prime_hosts: u32,
-    /// Listed hosts.
-    pub listed_hosts: u32,
+    /// Most of either.
+    pub limits: IsolationLimits,
 }
 
 impl HostViews {
@@ -72,7 +72,7 @@
             max_free,
             isolated_hosts: 0,
             prime_hosts: 0,
-            listed_hosts: 0,
+            limits: IsolationLimits::default(),
         }
     }
 
@@ -161,7 +161,7 @@
         };
         let mut views = HostViews::new(usable.map(view).collect());
         (views.isolated_hosts, views.prime_hosts) = self.isolated_hosts();
-        views.listed_hosts = self.hosts.values().filter(|host| host.is_listed).count() as u32;
+        views.limits = self.isolation_limits();
         views
     }
 
--- a/crates/graph/src/engine/isolation.rs
+++ b/crates/graph/src/engine/isolation.rs
@@ -6,6 +6,7 @@
 //! age at which its host crashed before is cleared.
 
 use sycamore_types::Name;
+use sycamore_types::resources::Resources;
 
 use super::Engine;
 use super::candidates::HostViews;
@@ -25,17 +26,35 @@
 /// Multiple of the longest time to a crash that a run has to survive.
 const SURVIVAL_FACTOR: u64 = 2;
 
-/// Divisor of the number of hosts that may have isolated runs at the same time.
-const ISOLATED_HOSTS_DIVISOR: u32 = 3;
+/// Share of the hosts that may have isolated runs at the same time, however busy the others are.
+const MIN_ISOLATED_SHARE: f64 = 1.0 / 3.0;
 
-/// The same for jobs whose next crash is all but certain. Jobs that are probably harmless come
-/// first.
-const PRIME_HOSTS_DIVISOR: u32 = 12;
+/// Share of the idle capacity that isolated runs may put at risk.
+const IDLE_SHARE: f64 = 0.8;
+
+/// Share of the isolated hosts that restricted queues leave to suspects of others, most of which
+/// are innocent.
+const SUSPECTS_SHARE: f64 = 0.25;
+
+/// Share of the hosts for jobs whose next crash is all but certain. Jobs that are probably
+/// harmless come first.
+const MIN_PRIME_SHARE: f64 = 1.0 / 24.0;
 
 /// Pause between two polls that check whether the isolated runs of a host are there, in
 /// milliseconds.
 const CHECK_INTERVAL_MS: u64 = 200;
 
+/// Most hosts with isolated runs.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct IsolationLimits {
+    /// All hosts with isolated runs.
+    pub all: u32,
+    /// Number of them from which jobs of restricted queues wait.
+    pub restricted: u32,
+    /// Hosts with runs of prime suspects.
+    pub prime: u32,
+}
+
 /// Why the tasks of a step have to be isolated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Isolation {
@@ -45,6 +64,8 @@
     Unproven,
     /// A host crashed under them, perhaps because of them.
     Suspect,
+    /// The same, and the queue is restricted.
+    LikelySuspect,
     /// The next crash settles it.
     Prime,
 }
@@ -56,7 +77,7 @@
 
     /// Returns whether only the suspect tasks of a step may start.
     pub fn is_for_suspects(self) -> bool {
-        matches!(self, Isolation::Suspect | Isolation::Prime)
+        matches!(self, Isolation::Suspect | Isolation::LikelySuspect | Isolation::Prime)
     }
 }
 
@@ -97,19 +118,56 @@
             // The job's other tasks may be like the suspects.
             return Err(WaitReason::Isolated);
         }
-        Ok(if job.is_prime_suspect() { Isolation::Prime } else { Isolation::Suspect })
+        Ok(match self.bulkheads.is_restricted(&job.queue, now_ms) {
+            _ if job.is_prime_suspect() => Isolation::Prime,
+            true => Isolation::LikelySuspect,
+            false => Isolation::Suspect,
+        })
     }
 
     /// Returns whether one more host may get isolated runs.
     pub(super) fn has_isolated_host_left(&self, demand: &Demand, views: &HostViews) -> bool {
-        let (used, divisor) = match demand.isolation {
-            Isolation::None => return true,
-            Isolation::Prime => (views.prime_hosts, PRIME_HOSTS_DIVISOR),
-            Isolation::Unproven | Isolation::Suspect => {
-                (views.isolated_hosts, ISOLATED_HOSTS_DIVISOR)
+        match demand.isolation {
+            Isolation::None => true,
+            Isolation::Unproven | Isolation::LikelySuspect => {
+                views.isolated_hosts < views.limits.restricted
+            }
+            Isolation::Suspect => views.isolated_hosts < views.limits.all,
+            Isolation::Prime => {
+                views.isolated_hosts < views.limits.all && views.prime_hosts < views.limits.prime
             }
+        }
+    }
+
+    /// Returns how many hosts may have isolated runs now.
+    pub(super) fn isolation_limits(&self) -> IsolationLimits {
+        let listed = || self.hosts.values().filter(|host| host.is_listed);
+        let used = listed().fold(Resources::default(), |sum, host| sum.plus(&host.used));
+        let idle = 1.0 - used.dominant_share(&self.listed_capacity()).min(1.0);
+        let share = f64::max(MIN_ISOLATED_SHARE, IDLE_SHARE * idle);
+        let prime_share = f64::max(MIN_PRIME_SHARE, share - MIN_ISOLATED_SHARE);
+        let hosts = listed().count() as f64;
+        let limit = |share: f64| ((hosts * share) as u32).max(1);
+        IsolationLimits {
+            all: limit(share),
+            restricted: limit(share * (1.0 - SUSPECTS_SHARE)),
+            prime: limit(prime_share),
+        }
+    }
+
+    /// Returns whether a new job of a queue could not start in time: the queue is restricted, and
+    /// for each host that its jobs may have, one waits already.
+    pub(super) fn is_overloaded(&self, queue: &Name) -> bool {
+        if !self.bulkheads.is_restricted(queue, self.now.monotonic_ms) {
+            return false;
+        }
+        let is_unproven = |step_id: &&StepId| {
+            let job = self.jobs.get(&step_id.job).filter(|job| job.queue == *queue);
+            let step = job.and_then(|job| job.step(**step_id));
+            step.is_some_and(|step| !step.has_survivor)
         };
-        used < (views.listed_hosts / divisor).max(1)
+        let waiting = self.backlog.steps().filter(is_unproven).count();
+        waiting >= self.isolation_limits().restricted as usize
     }
 
     /// Returns the number of hosts with isolated runs, and how many of those are of prime
--- a/crates/graph/src/engine/losses.rs
+++ b/crates/graph/src/engine/losses.rs
@@ -4,7 +4,8 @@
 //! they start again in isolation, each job apart from other suspects (see [`super::isolation`]).
 //! If the host crashes again, that settles it. A job is given up when the second host crashed
 //! under one of its tasks and nothing else explains the crash, or when too many have. Runs of
-//! other jobs beside an isolated one are not held responsible.
+//! other jobs are not held responsible beside an isolated one, nor beside one that had just
+//! started from a restricted queue (see [`super::bulkhead`]).
 //!
 //! Each loss is on the log before the task starts again, so that a successor knows the count.
 
@@ -16,6 +17,7 @@
 use super::bulkhead::PROMPT_MS;
 use crate::host::{Phase, Run, RunEnd};
 use crate::job::{Id, State};
+use crate::progress::Job;
 use crate::{Action, HostLoss, LossCause, TaskId, Verdict};
 
 /// Time between the starts of the youngest run of a host and of another one up to which both are
@@ -88,7 +90,11 @@
         let is_mass_loss = self.bulkheads.is_mass_loss(lost_ms);
         let isolated_runs = runs.iter().filter(|run| run.is_isolated);
         host.lost_suspects.extend(isolated_runs.map(|run| run.task.step.job));
-        let suspects = host.lost_suspects.clone();
+        let mut suspects = host.lost_suspects.clone();
+        if suspects.is_empty() {
+            let likely = runs.iter().filter(|run| self.is_of_restricted_queue(run));
+            suspects.extend(likely.map(|run| run.task.step.job));
+        }
         let mut isolated = 0;
         let mut given_up = Vec::new();
         for run in &runs {
@@ -158,23 +164,34 @@
     pub(super) fn note_unreachable(&mut self, name: &Name) {
         let now_ms = self.now.monotonic_ms;
         let Some(host) = self.hosts.get(name) else { return };
-        // A start in flight may never have reached the host.
-        let confirmed = host.runs.iter().filter(|(_, run)| run.phase != Phase::Requested);
-        let youngest = confirmed.max_by_key(|(_, run)| run.requested_ms);
-        let Some(((task, _), run)) = youngest else { return };
-        let job = self.jobs.get(&task.step.job);
-        if run.isolated_until_ms.is_some() && job.is_some_and(|job| job.has_suspects()) {
-            // Expected, and no sign of further jobs of the kind.
+        let job_of = |task: &TaskId| self.jobs.get(&task.step.job);
+        let is_known_suspect = |((task, _), run): (&(TaskId, u32), &Run)| {
+            run.isolated_until_ms.is_some() && job_of(task).is_some_and(Job::has_suspects)
+        };
+        // A crash under a known suspect is no sign of further jobs of its kind.
+        if host.runs.is_empty() || host.runs.iter().any(is_known_suspect) {
             return;
         }
-        let is_prompt = now_ms <= run.requested_ms + PROMPT_MS;
-        let queue = job.filter(|_| is_prompt).map(|job| job.queue.clone());
-        if self.bulkheads.record_loss(now_ms, name.clone(), queue.clone())
-            && let Some(queue) = queue
-        {
+        // A start in flight may never have reached the host.
+        let prompt = host.runs.iter().filter(|(_, run)| {
+            run.phase != Phase::Requested && now_ms <= run.requested_ms + PROMPT_MS
+        });
+        let queues: BTreeSet<Name> =
+            prompt.filter_map(|((task, _), _)| Some(job_of(task)?.queue.clone())).collect();
+        let queues = queues.into_iter().collect();
+        for queue in self.bulkheads.record_loss(now_ms, name.clone(), queues) {
             self.actions.push(Action::ReportRestriction(queue));
         }
     }
+
+    /// Returns whether a run is likely to have crashed its host: it had just started, and its
+    /// queue is restricted.
+    fn is_of_restricted_queue(&self, run: &LostRun) -> bool {
+        let job = self.jobs.get(&run.task.step.job);
+        let is_restricted =
+            |job: &Job| self.bulkheads.is_restricted(&job.queue, self.now.monotonic_ms);
+        run.was_there && run.age_ms <= PROMPT_MS && job.is_some_and(is_restricted)
+    }
 }
 
 fn lost_run((task, attempt): (TaskId, u32), run: &Run, lost_ms: u64) -> LostRun {
@@ -203,8 +220,9 @@
             let is_young = run.age_ms <= youngest_age_ms.saturating_add(SUSPECT_WINDOW_MS);
             Blame::Suspect { is_isolated: is_young && !is_mass_loss, is_prime: false }
         }
-        LossCause::Crashed if run.is_isolated => {
-            Blame::Suspect { is_isolated: true, is_prime: suspects.len() == 1 && !is_mass_loss }
+        LossCause::Crashed if suspects.contains(&run.task.step.job) => {
+            let is_prime = run.is_isolated && suspects.len() == 1 && !is_mass_loss;
+            Blame::Suspect { is_isolated: true, is_prime }
         }
         LossCause::Crashed => Blame::Collateral,
     }
--- a/crates/graph/src/engine/requests.rs
+++ b/crates/graph/src/engine/requests.rs
@@ -20,6 +20,10 @@
             self.when_durable(accepted);
             return;
         }
+        if self.is_overloaded(&queue) {
+            self.answer(token, Answer::Overloaded);
+            return;
+        }
         let at_unix_ms = self.now.unix_ms;
         self.append(Record::Accepted {
             job: id,
--- a/crates/graph/tests/engine/crashes.rs
+++ b/crates/graph/tests/engine/crashes.rs
@@ -1,7 +1,7 @@
 //! Tasks that crash the workers that start them, and the innocent tasks beside them.
 
 use sycamore_graph::job::{Id, State, Step};
-use sycamore_graph::{StepId, TaskId};
+use sycamore_graph::{Answer, StepId, TaskId};
 
 use crate::fixture::{catalog, gang, id, job, queue, step};
 use crate::world::World;
@@ -80,6 +80,62 @@
     assert_eq!(world.state(id(1)), Some(State::Complete));
 }
 
+/// Name of a queue beside the one whose jobs are deadly.
+const OTHER_QUEUE: &str = "plans";
+
+/// Submits jobs to both queues, one each 50 ms. Every fourth one of the first queue is deadly.
+fn submit_deadly_stream(world: &mut World, jobs: u64) {
+    for number in 0..jobs {
+        let deadly = id(2 * number);
+        if number % 4 == 0 {
+            world.deadly.insert(task(deadly, 0));
+        }
+        world.submit(deadly, job(vec![step(2, 500)]));
+        world.run(25);
+        world.submit_to(OTHER_QUEUE, id(2 * number + 1), job(vec![step(1, 500)]));
+        world.run(25);
+    }
+}
+
+fn world_with_two_queues(hosts: usize) -> World {
+    let mut catalog = catalog(queue());
+    catalog.queues.insert(OTHER_QUEUE.into(), queue());
+    World::new(hosts, catalog, 1)
+}
+
+/// Each job of a stream in which many are deadly took a worker with it for seconds, until none was
+/// left for other queues. The benchmark served a third of the innocent requests beside deadly
+/// stock checks.
+#[test]
+fn a_stream_of_deadly_jobs_leaves_most_workers_to_other_queues() {
+    let mut world = world_with_two_queues(48);
+
+    submit_deadly_stream(&mut world, 200);
+    let up = world.workers.iter().filter(|worker| worker.is_alive).count();
+    let in_time = (0..190).filter(|n| world.state(id(2 * n + 1)) == Some(State::Complete)).count();
+
+    assert!(up >= 48 / 2, "{up} workers are up");
+    assert!(in_time >= 180, "{in_time} of 190 jobs of the other queue are complete");
+}
+
+/// Jobs of a restricted queue piled up, and at the end of the day most had not started although
+/// the site was idle. The benchmark reported LOST (first Sialkot site, stockcheck, share 0.3).
+#[test]
+fn every_accepted_job_of_a_restricted_queue_ends_soon_after_the_stream() {
+    let mut world = world_with_two_queues(48);
+
+    submit_deadly_stream(&mut world, 200);
+    world.run(15_000);
+
+    let refused = world.answers.values().filter(|answer| **answer == Answer::Overloaded).count();
+    assert!(refused > 0);
+    for job in world.oracle.accepted.clone() {
+        let is_deadly = world.deadly.contains(&task(job, 0));
+        let expected = if is_deadly { State::Failed } else { State::Complete };
+        assert_eq!(world.state(job), Some(expected), "{job}");
+    }
+}
+
 /// A worker that crashed, came back under another name and crashed again before a poll reached it
 /// kept its first runs until their lease had expired: 6.4 s instead of 1 s in this test.
 #[test]
--- a/crates/node/src/api/forward.rs
+++ b/crates/node/src/api/forward.rs
@@ -35,7 +35,8 @@
             RequestOutcome::Unknown => last = RequestOutcome::Unknown,
             // An earlier attempt may have been logged, so that a refusal would be wrong. The
             // store recovers or the owner is replaced, often before the deadline.
-            RequestOutcome::StoreAway if last == RequestOutcome::Unknown => {}
+            RequestOutcome::StoreAway | RequestOutcome::Overloaded
+                if last == RequestOutcome::Unknown => {}
             other => return other,
         }
         if Instant::now() + OWNER_REQUEST_RETRY_DELAY >= deadline {
--- a/crates/node/src/api/response.rs
+++ b/crates/node/src/api/response.rs
@@ -17,6 +17,10 @@
 /// `Retry-After` while the store is unavailable, in seconds.
 pub(super) const RETRY_STORE_S: u32 = 2;
 
+/// `Retry-After` while more jobs of a restricted queue wait than it can start, in seconds. By then
+/// those that wait have started.
+const RETRY_RESTRICTED_S: u32 = 2;
+
 /// HTTP response to a caller.
 pub(super) type ApiResponse = Response<Full<Bytes>>;
 
@@ -61,6 +65,9 @@
             retry_later(RETRY_SOON_S, "the owner moves")
         }
         RequestOutcome::StoreAway => retry_later(RETRY_STORE_S, "the store is away"),
+        RequestOutcome::Overloaded => {
+            retry_later(RETRY_RESTRICTED_S, "workers crash under jobs of this queue")
+        }
         RequestOutcome::Unknown => error_response(StatusCode::GATEWAY_TIMEOUT, "outcome not known"),
     }
 }
--- a/crates/node/src/owner/handle.rs
+++ b/crates/node/src/owner/handle.rs
@@ -119,6 +119,7 @@
             Answer::State(state) => RequestOutcome::State(state),
             Answer::Count(count) => RequestOutcome::Count(count),
             Answer::NoSuchJob => RequestOutcome::NoSuchJob,
+            Answer::Overloaded => RequestOutcome::Overloaded,
         }
     }
 }
--- a/crates/node/src/peer/message.rs
+++ b/crates/node/src/peer/message.rs
@@ -127,4 +127,6 @@
     StoreAway,
     /// No reply came; the request may have been carried out.
     Unknown,
+    /// The owner refused the job, since its queue is restricted; nothing was done.
+    Overloaded,
 }
