Put the loss of a host down to its youngest run only

Cause: a loss was put down to the queues of all runs that had started in the last 150 ms; best fit starts many tasks on the same host, so that a busy queue is there by chance three times in a row. The youngest run alone is rarely there by chance. For the same reason fewer runs are isolated after a crash: those started within 50 ms of the youngest, not 200.

The stream tests pass before and after.

--- a/crates/graph/src/engine/bulkhead.rs
+++ b/crates/graph/src/engine/bulkhead.rs
@@ -44,8 +44,8 @@
 struct Loss {
     at_ms: u64,
     host: Name,
-    /// Queues of the tasks that were started right before.
-    queues: Vec<Name>,
+    /// Queue of the task that was started right before.
+    queue: Option<Name>,
 }
 
 /// Number of recent losses.
@@ -69,19 +69,19 @@
 }
 
 impl Bulkheads {
-    /// Records that a host went out of reach, and the queues of the tasks that were started there
-    /// right before. Returns those that have become restricted.
-    pub fn record_loss(&mut self, now_ms: u64, host: Name, queues: Vec<Name>) -> Vec<Name> {
+    /// Records that a host went out of reach, and the queue of the task that was started there
+    /// right before. Returns that queue if it has become restricted.
+    pub fn record_loss(&mut self, now_ms: u64, host: Name, queue: Option<Name>) -> Option<Name> {
         self.losses.retain(|loss| loss.at_ms + RETENTION_MS > now_ms);
         self.restricted_until_ms.retain(|_, until_ms| *until_ms > now_ms);
-        self.losses.push_back(Loss { at_ms: now_ms, host, queues: queues.clone() });
-        let mut restricted = Vec::new();
-        for queue in queues {
+        self.losses.push_back(Loss { at_ms: now_ms, host, queue: queue.clone() });
+        let mut restricted = None;
+        if let Some(queue) = queue {
             let was_restricted = self.is_restricted(&queue, now_ms);
             let losses = self.recent_losses(&queue, now_ms);
             if was_restricted || losses.of_queue >= RESTRICT_AFTER && losses.share() >= MIN_SHARE {
                 self.restricted_until_ms.insert(queue.clone(), now_ms + RESTRICTION_MS);
-                restricted.extend((!was_restricted).then_some(queue));
+                restricted = (!was_restricted).then_some(queue);
             }
         }
         self.lift_restrictions(now_ms);
@@ -100,7 +100,7 @@
 
     fn recent_losses(&self, queue: &Name, now_ms: u64) -> RecentLosses {
         let recent = || self.losses.iter().filter(|loss| loss.at_ms + WINDOW_MS > now_ms);
-        let of_queue = recent().filter(|loss| loss.queues.contains(queue)).count();
+        let of_queue = recent().filter(|loss| loss.queue.as_ref() == Some(queue)).count();
         RecentLosses { of_queue, all: recent().count() }
     }
 
@@ -118,7 +118,7 @@
     /// without a task that explains it. Such a loss says nothing about tasks.
     pub fn is_mass_loss(&self, at_ms: u64) -> bool {
         let is_near = |loss: &&Loss| loss.at_ms.abs_diff(at_ms) <= MASS_LOSS_MS;
-        let unexplained = self.losses.iter().filter(is_near).filter(|loss| loss.queues.is_empty());
+        let unexplained = self.losses.iter().filter(is_near).filter(|loss| loss.queue.is_none());
         unexplained.count() >= MASS_LOSS
     }
 }
--- a/crates/graph/src/engine/losses.rs
+++ b/crates/graph/src/engine/losses.rs
@@ -22,7 +22,7 @@
 
 /// Time between the starts of the youngest run of a host and of another one up to which both are
 /// isolated after a crash, in milliseconds.
-const SUSPECT_WINDOW_MS: u64 = 200;
+const SUSPECT_WINDOW_MS: u64 = 50;
 
 /// Losses of hosts under a task from which all its runs are isolated, however old they were.
 const ISOLATE_AFTER: u32 = 2;
@@ -179,13 +179,11 @@
             return;
         }
         // A start in flight may never have reached the host.
-        let prompt = host.runs.iter().filter(|(_, run)| {
-            run.phase != Phase::Requested && now_ms <= run.requested_ms + PROMPT_MS
-        });
-        let queues: BTreeSet<Name> =
-            prompt.filter_map(|((task, _), _)| Some(job_of(task)?.queue.clone())).collect();
-        let queues = queues.into_iter().collect();
-        for queue in self.bulkheads.record_loss(now_ms, name.clone(), queues) {
+        let confirmed = host.runs.iter().filter(|(_, run)| run.phase != Phase::Requested);
+        let youngest = confirmed.max_by_key(|(_, run)| run.requested_ms);
+        let prompt = youngest.filter(|(_, run)| now_ms <= run.requested_ms + PROMPT_MS);
+        let queue = prompt.and_then(|((task, _), _)| Some(job_of(task)?.queue.clone()));
+        if let Some(queue) = self.bulkheads.record_loss(now_ms, name.clone(), queue) {
             self.actions.push(Action::ReportRestriction(queue));
         }
     }
