Tell certain crashes of a host under a task from possible ones

Cause, from the records: a start order went to a worker that had crashed a moment before under another task; it got no answer, and the owner counted it like a run that was there. A start without a confirmation may never have reached the host. It counts as uncertain now, as a lease does that ran out: it isolates the task and adds to the bound of four, but two such events settle nothing.

--- a/crates/graph/src/engine/losses.rs
+++ b/crates/graph/src/engine/losses.rs
@@ -44,6 +44,8 @@
     is_isolated: bool,
     /// The run may have been on the host when that went out of reach.
     was_there: bool,
+    /// It certainly was.
+    is_confirmed: bool,
 }
 
 /// Whether a loss counts against a task.
@@ -53,12 +55,29 @@
     None,
     /// The host crashed because of another task.
     Collateral,
-    /// The host may have crashed.
-    Silent,
+    /// The host may have crashed, or the run may not have been there.
+    Uncertain { is_isolated: bool },
     /// The host crashed, perhaps because of the task.
     Suspect { is_isolated: bool, is_prime: bool },
 }
 
+impl Blame {
+    fn of_crash(run: &LostRun, is_isolated: bool, is_prime: bool) -> Blame {
+        if run.is_confirmed {
+            Blame::Suspect { is_isolated, is_prime }
+        } else {
+            Blame::Uncertain { is_isolated }
+        }
+    }
+
+    fn is_isolated(self) -> bool {
+        let (Blame::Suspect { is_isolated, .. } | Blame::Uncertain { is_isolated }) = self else {
+            return false;
+        };
+        is_isolated
+    }
+}
+
 impl Engine {
     /// Ends all runs of a host whose incarnation has ended.
     pub(super) fn lose_incarnation(&mut self, name: &Name) {
@@ -101,14 +120,14 @@
         let mut given_up = Vec::new();
         for run in &runs {
             let blame = blame(run, cause, &suspects, youngest.age_ms, is_mass_loss);
-            isolated += usize::from(matches!(blame, Blame::Suspect { is_isolated: true, .. }));
+            isolated += usize::from(blame.is_isolated());
             if let Some(crashes) = self.count_loss(run, blame) {
                 given_up.push((run.task, crashes));
             }
             let how = match blame {
                 Blame::Suspect { .. } => RunEnd::HostCrashed,
                 Blame::Collateral => RunEnd::Collateral,
-                Blame::None | Blame::Silent => RunEnd::LeaseExpired,
+                Blame::None | Blame::Uncertain { .. } => RunEnd::LeaseExpired,
             };
             self.end_run(name, run.task, run.attempt, how, None);
         }
@@ -140,8 +159,9 @@
         let mut is_explained = false;
         match blame {
             Blame::None | Blame::Collateral => {}
-            Blame::Silent => {
-                suspicion.silent.insert(run.attempt);
+            Blame::Uncertain { is_isolated } => {
+                suspicion.uncertain.insert(run.attempt);
+                suspicion.needs_isolation |= is_isolated;
             }
             Blame::Suspect { is_isolated, is_prime } => {
                 suspicion.crashed.insert(run.attempt);
@@ -206,6 +226,7 @@
         age_ms: lost_ms.saturating_sub(run.requested_ms),
         is_isolated: was_there && run.isolated_until_ms.is_some(),
         was_there,
+        is_confirmed: run.phase == Phase::Running,
     }
 }
 
@@ -219,14 +240,14 @@
     match cause {
         _ if !run.was_there => Blame::None,
         LossCause::Drained => Blame::None,
-        LossCause::LeaseExpired => Blame::Silent,
+        LossCause::LeaseExpired => Blame::Uncertain { is_isolated: false },
         LossCause::Crashed if suspects.is_empty() => {
             let is_young = run.age_ms <= youngest_age_ms.saturating_add(SUSPECT_WINDOW_MS);
-            Blame::Suspect { is_isolated: is_young && !is_mass_loss, is_prime: false }
+            Blame::of_crash(run, is_young && !is_mass_loss, false)
         }
         LossCause::Crashed if suspects.contains(&run.task.step.job) => {
             let is_prime = run.is_isolated && suspects.len() == 1 && !is_mass_loss;
-            Blame::Suspect { is_isolated: true, is_prime }
+            Blame::of_crash(run, true, is_prime)
         }
         LossCause::Crashed => Blame::Collateral,
     }
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -165,7 +165,7 @@
             suspicion.needs_isolation = true;
         }
         RunEnd::LeaseExpired => {
-            suspicions.entry(ended.task).or_default().silent.insert(ended.attempt);
+            suspicions.entry(ended.task).or_default().uncertain.insert(ended.attempt);
         }
         RunEnd::Done | RunEnd::Failed => {
             suspicions.remove(&ended.task);
--- a/crates/graph/src/progress/job.rs
+++ b/crates/graph/src/progress/job.rs
@@ -145,8 +145,9 @@
         let mut records = vec![Record::Snapshot(self.snapshot())];
         for (task, suspicion) in &self.suspicions {
             let crashed = suspicion.crashed.iter().map(|attempt| (attempt, RunEnd::HostCrashed));
-            let silent = suspicion.silent.iter().map(|attempt| (attempt, RunEnd::LeaseExpired));
-            records.extend(crashed.chain(silent).map(|(attempt, how)| {
+            let uncertain = suspicion.uncertain.iter();
+            let uncertain = uncertain.map(|attempt| (attempt, RunEnd::LeaseExpired));
+            records.extend(crashed.chain(uncertain).map(|(attempt, how)| {
                 let checkpoint = Name::from("");
                 Record::Ended(Ended { task: *task, attempt: *attempt, how, checkpoint })
             }));
--- a/crates/graph/src/progress/suspicion.rs
+++ b/crates/graph/src/progress/suspicion.rs
@@ -7,8 +7,9 @@
 pub(crate) struct Suspicion {
     /// Attempts whose host crashed. Two owners in turn may see the same crash.
     pub crashed: BTreeSet<u32>,
-    /// Attempts whose host was out of reach until its lease had expired. It may have crashed.
-    pub silent: BTreeSet<u32>,
+    /// Attempts that may have crashed their host: it was out of reach until its lease had expired,
+    /// or it crashed and may never have got the start request.
+    pub uncertain: BTreeSet<u32>,
     /// Longest time from the start of a run to the crash of its host, in milliseconds.
     pub max_age_ms: u64,
     /// The next run has to be isolated.
@@ -20,6 +21,6 @@
 impl Suspicion {
     /// Returns the number of hosts that crashed or may have crashed.
     pub fn losses(&self) -> u32 {
-        self.crashed.union(&self.silent).count() as u32
+        self.crashed.union(&self.uncertain).count() as u32
     }
 }
