Count runs that no owner has confirmed, and young ones beside a suspect, as uncertain

LOST: a successor adopts from the log the runs that a silent host may have, some of which never started, and took their loss for a certain crash. Only what a report or the reply to a start has shown to this owner is certain now. BUDGET: beside an isolated job another task crashed three hosts in turn and was never blamed. A run as young as the youngest is uncertain now instead of unblamed.

--- a/crates/graph/src/engine/losses.rs
+++ b/crates/graph/src/engine/losses.rs
@@ -55,7 +55,7 @@
     None,
     /// The host crashed because of another task.
     Collateral,
-    /// The host may have crashed, or the run may not have been there.
+    /// The host may have crashed, the run may not have been there, or another one is likelier.
     Uncertain { is_isolated: bool },
     /// The host crashed, perhaps because of the task.
     Suspect { is_isolated: bool, is_prime: bool },
@@ -226,7 +226,7 @@
         age_ms: lost_ms.saturating_sub(run.requested_ms),
         is_isolated: was_there && run.isolated_until_ms.is_some(),
         was_there,
-        is_confirmed: run.phase == Phase::Running,
+        is_confirmed: run.is_confirmed,
     }
 }
 
@@ -237,18 +237,20 @@
     youngest_age_ms: u64,
     is_mass_loss: bool,
 ) -> Blame {
+    let is_young = run.age_ms <= youngest_age_ms.saturating_add(SUSPECT_WINDOW_MS);
     match cause {
         _ if !run.was_there => Blame::None,
         LossCause::Drained => Blame::None,
         LossCause::LeaseExpired => Blame::Uncertain { is_isolated: false },
         LossCause::Crashed if suspects.is_empty() => {
-            let is_young = run.age_ms <= youngest_age_ms.saturating_add(SUSPECT_WINDOW_MS);
             Blame::of_crash(run, is_young && !is_mass_loss, false)
         }
         LossCause::Crashed if suspects.contains(&run.task.step.job) => {
             let is_prime = run.is_isolated && suspects.len() == 1 && !is_mass_loss;
             Blame::of_crash(run, true, is_prime)
         }
+        // The likely culprit may be innocent, too.
+        LossCause::Crashed if is_young => Blame::Uncertain { is_isolated: false },
         LossCause::Crashed => Blame::Collateral,
     }
 }
--- a/crates/graph/src/engine/polls.rs
+++ b/crates/graph/src/engine/polls.rs
@@ -162,6 +162,7 @@
                     run.percent = percent;
                     run.last_progress_ms = now_ms;
                 }
+                run.is_confirmed = true;
                 if run.phase != Phase::Running {
                     run.phase = Phase::Running;
                     run.visible_after_poll = visible_after_poll;
@@ -170,7 +171,13 @@
                     self.clear_suspicion(name, task, attempt);
                 }
             }
-            None => self.adopt_run(name, task, attempt),
+            None => {
+                self.adopt_run(name, task, attempt);
+                let host = self.hosts.get_mut(name);
+                if let Some(run) = host.and_then(|host| host.runs.get_mut(&(task, attempt))) {
+                    run.is_confirmed = true;
+                }
+            }
         }
         self.save_checkpoint(task, checkpoint);
     }
--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -44,6 +44,7 @@
         let deadline_ms = host.grant(now_ms, self.timing.start_ttl_ms, &self.timing);
         let run = Run {
             phase: Phase::Requested,
+            is_confirmed: false,
             requested_ms: now_ms,
             is_partial: checkpoint.is_some(),
             footprint: step.footprint(),
@@ -121,6 +122,7 @@
         match outcome {
             StartOutcome::Started => {
                 run.phase = Phase::Running;
+                run.is_confirmed = true;
                 run.visible_after_poll = last_poll;
                 run.last_progress_ms = now_ms;
                 if let Some(job) = self.jobs.get_mut(&task.step.job) {
@@ -221,6 +223,7 @@
         let capacity = host.entry.capacity;
         let mut run = Run {
             phase: Phase::Running,
+            is_confirmed: false,
             requested_ms: now_ms,
             is_partial: true,
             // Its size is unknown if the job is; the run then takes up the whole host.
--- a/crates/graph/src/host/run.rs
+++ b/crates/graph/src/host/run.rs
@@ -48,6 +48,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
     pub phase: Phase,
+    /// The host has shown this owner that it has the run.
+    pub is_confirmed: bool,
     /// Time of the start request, in milliseconds.
     pub requested_ms: u64,
     /// The time since the request is not that of the whole task: an earlier owner started the
