Count a worker at its largest capacity until it is accounted for

Callers saw nothing yet; the platform would see a team above its limit (QUOTA). A successor counts workers that have not reported yet as full. It took the capacity of their first use from the log, even if they had grown since, or the listed one, even if they had shrunk under their runs.

The log notes a worker again when it has grown, before the new room is used, and the successor counts the larger of what the log and the list say. A new incarnation is noted with its own capacity.

Evidence: capacity::a_limit_holds_while_a_worker_of_another_size_is_unreachable fails without the change (QUOTA: 7000 running, 6000 allowed).

--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -197,7 +197,7 @@
         let now_ms = self.now.monotonic_ms;
         let is_unaccounted = |host: &&Host| host.may_have_unlisted_runs(now_ms);
         let unaccounted = self.hosts.values().filter(is_unaccounted);
-        unaccounted.fold(Resources::default(), |sum, host| sum.plus(&host.entry.capacity))
+        unaccounted.fold(Resources::default(), |sum, host| sum.plus(&host.largest_capacity()))
     }
 }
 
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -8,6 +8,7 @@
 
 use rustc_hash::FxHashMap;
 use sycamore_types::Name;
+use sycamore_types::resources::Resources;
 
 use super::Engine;
 use crate::host::{Host, LogState, Speed};
@@ -104,6 +105,7 @@
             host.is_listed = false;
             host.speed = Speed::default();
             host.lost_suspects.clear();
+            host.logged_capacity = Resources::default();
             host.has_reported = false;
             host.last_seen_end = 0;
             host.last_durable_end = 0;
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -357,7 +357,7 @@
         match host.log {
             LogState::Unused => None,
             LogState::UsePending | LogState::Used => {
-                Some(Record::HostUsed { host: name.clone(), capacity: host.entry.capacity })
+                Some(Record::HostUsed { host: name.clone(), capacity: host.largest_capacity() })
             }
             LogState::Leaving => Some(host.leaving_record()),
         }
--- a/crates/graph/src/engine/polls.rs
+++ b/crates/graph/src/engine/polls.rs
@@ -94,15 +94,20 @@
         self.needs_dispatch = true;
     }
 
-    /// Records in the log that a host is in use, before the first task is placed on it.
+    /// Records in the log that a host is in use, before the first task is placed on it, and again
+    /// when it has grown.
     fn record_use(&mut self, name: &Name) {
         let Some(host) = self.hosts.get_mut(name) else { return };
         let accepts_work = host.is_listed && !host.entry.is_draining;
-        if !accepts_work || matches!(host.log, LogState::UsePending | LogState::Used) {
+        let is_logged = matches!(host.log, LogState::UsePending | LogState::Used)
+            && host.entry.capacity.fits_in(&host.logged_capacity);
+        if !accepts_work || is_logged {
             return;
         }
         host.log = LogState::UsePending;
-        let capacity = host.entry.capacity;
+        // Runs may still take up what a host had before it shrank.
+        let capacity = host.largest_capacity();
+        host.logged_capacity = capacity;
         self.append(Record::HostUsed { host: name.clone(), capacity });
         self.when_durable(Effect::UseHost(name.clone()));
     }
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -197,6 +197,7 @@
             let mut host = Host::new(entry, number, now.monotonic_ms, &timing);
             host.is_listed = false;
             host.log = log;
+            host.logged_capacity = capacity;
             hosts.insert(name.clone(), host);
             if let LoggedHost::Leaving(runs) = logged {
                 logged_runs.extend(runs.into_iter().map(|(task, n)| (name.clone(), task, n)));
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -46,6 +46,8 @@
     pub has_reported: bool,
     /// What the log says about the host.
     pub log: LogState,
+    /// Largest capacity in the log.
+    pub logged_capacity: Resources,
     /// Resources allocated to the runs.
     pub used: Resources,
     /// Runs that exist or may exist, by task and attempt.
@@ -100,6 +102,7 @@
             is_listed: true,
             has_reported: false,
             log: LogState::Unused,
+            logged_capacity: Resources::default(),
             used: Resources::default(),
             runs: BTreeMap::new(),
             latency_runs: 0,
@@ -138,6 +141,11 @@
         Record::HostLeaving { host: self.entry.id.clone(), runs }
     }
 
+    /// Returns the most resources that runs of an earlier owner may take up.
+    pub fn largest_capacity(&self) -> Resources {
+        self.entry.capacity.max_per_dimension(&self.logged_capacity)
+    }
+
     /// Returns the capacity that is not allocated.
     pub fn free(&self) -> Resources {
         self.entry.capacity.minus(&self.used)
--- a/crates/graph/tests/engine/capacity.rs
+++ b/crates/graph/tests/engine/capacity.rs
@@ -1,6 +1,6 @@
 //! Workers whose capacity changes while they run.
 
-use crate::fixture::{catalog, id, job, queue, step};
+use crate::fixture::{catalog, id, job, limited, queue, size, step};
 use crate::world::World;
 
 /// Time after which a smaller capacity counts: `stability-ms` and one report of the worker, as on
@@ -38,3 +38,36 @@
 
     assert!(world.running() <= 1);
 }
+
+/// A worker whose capacity had changed was counted at the wrong size while a successor waited for
+/// its report: at that of its first use after it had grown, and at the listed one after it had
+/// shrunk under its runs. The team got more than its limit. The benchmark reports QUOTA.
+#[test]
+fn a_limit_holds_while_a_worker_of_another_size_is_unreachable() {
+    for (before, after) in [(2_000, 4_000), (4_000, 1_000)] {
+        let mut world = World::new(3, limited(catalog(queue()), size(6_000, 0)), 1);
+        world.work_ms = 60_000;
+        world.workers[0].entry.capacity.cpu_millis = before;
+        (1..3).for_each(|at| world.workers[at].entry.is_draining = true);
+        world.list_hosts();
+        world.run(200);
+        if after > before {
+            world.workers[0].entry.capacity.cpu_millis = after;
+            world.list_hosts();
+            world.run(1_200);
+        }
+        world.submit(id(1), job(vec![step(4, 1_000)]));
+        world.run(300);
+        assert_eq!(world.running(), 4);
+
+        let grace_ms = GRACE_MS;
+        world.workers[0].resize(after, world.now_ms, grace_ms);
+        (1..3).for_each(|at| world.workers[at].entry.is_draining = false);
+        world.take_over();
+        world.workers[0].is_unreachable = true;
+        world.submit(id(2), job(vec![step(6, 1_000)]));
+        world.run(5_000);
+
+        assert!(world.running() <= 6, "{before} to {after}: {} run", world.running());
+    }
+}
