Let the soak and the stand-in workers have tasks that crash their worker

In every second round 2% of the jobs crash each worker that starts them; the worker is back after 1.5 s, every second time under another id. The checker counts BUDGET as the platform does (invariant attempts), and a job may be shown as failed after two crashes under one of its tasks.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -25,6 +25,13 @@
 /// The check allows one further task on top.
 const MAX_LIMIT_OVERAGE: f64 = 0.1;
 
+/// Crashes of workers under a task from which its job may be given up, by the documentation of the
+/// platform.
+const MIN_CRASHES: u32 = 2;
+
+/// Starts of a task that crashes its workers after the third crash, likewise.
+const MAX_STARTS_AFTER_CRASHES: u32 = 2;
+
 /// A guarantee that the product gives to callers and workers.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -37,7 +44,8 @@
     Order,
     /// A team stays within its CPU limit and the allowed overage.
     Limit,
-    /// A task that has failed as often as its queue allows is not started again.
+    /// A task that has failed as often as its queue allows, or under which workers crash, is not
+    /// started again.
     Attempts,
     /// Only submitted jobs run, unchanged, and nothing of them starts long after a cancel.
     Asked,
@@ -99,6 +107,10 @@
     /// Attempts that failed, acknowledged or not.
     failed: BTreeSet<u64>,
     failed_acknowledged: BTreeSet<u64>,
+    /// Workers that crashed under it.
+    crashes: u32,
+    /// Starts after the third of them.
+    starts_after_crashes: u32,
 }
 
 /// Successful end of a run.
@@ -271,6 +283,7 @@
             );
         }
         self.check_attempt(at_ms, key, task);
+        self.check_crashes(at_ms, job, key, task);
         self.check_capacity_and_limit(at_ms, worker, job, step, task);
         self.tasks.entry(key).or_default().running.push((worker.to_string(), attempt));
     }
@@ -298,6 +311,18 @@
         }
     }
 
+    fn check_crashes(&mut self, at_ms: u64, job: &Job, key: TaskKey, task: &str) {
+        let facts = self.tasks.entry(key).or_default();
+        if !job.is_deadly || facts.crashes <= MIN_CRASHES {
+            return;
+        }
+        facts.starts_after_crashes += 1;
+        if facts.starts_after_crashes > MAX_STARTS_AFTER_CRASHES {
+            let detail = format!("{task} started again after {} crashes", facts.crashes);
+            self.record_violation(Invariant::Attempts, at_ms, detail);
+        }
+    }
+
     fn check_capacity_and_limit(
         &mut self,
         at_ms: u64,
@@ -339,6 +364,7 @@
         if how == "failed" {
             facts.failed.insert(attempt);
         }
+        facts.crashes += u32::from(how == "crashed");
         let Some(job) = self.jobs.get(&key.0) else { return };
         let cpu_millis = job.steps.get(key.1).map_or(0, |step| step.cpu_millis);
         let used = self.worker_cpu_millis.entry(worker.to_string()).or_default();
@@ -385,7 +411,9 @@
         let facts = self.job_facts(id);
         facts.last_state = Some(state);
         let (accepted_ms, is_cancel_sent) = (facts.accepted_ms, facts.is_cancel_sent);
-        let has_failed = |facts: &TaskFacts| facts.failed.len() as u64 >= MAX_ATTEMPTS;
+        let has_failed = |facts: &TaskFacts| {
+            facts.failed.len() as u64 >= MAX_ATTEMPTS || facts.crashes >= MIN_CRASHES
+        };
         let is_true = match state {
             ReportedState::Open => true,
             ReportedState::Complete => {
--- a/crates/soak/src/round.rs
+++ b/crates/soak/src/round.rs
@@ -9,11 +9,12 @@
 use std::path::Path;
 use std::time::Duration;
 
-use futures::future::join_all;
+use futures::future::{join_all, try_join_all};
 use sycamore_standin::fenced::{Mode, Observation, ProcessSettings, Store};
 use sycamore_standin::link::{LinkState, Proxy};
 use sycamore_standin::ports::Port;
 use tokio::sync::Mutex;
+use tokio::task::JoinHandle;
 
 use crate::caller::Caller;
 use crate::checker::{STABILITY_MS, Violation, check};
@@ -48,6 +49,12 @@
 /// Time between two checks whether a process that was sent SIGTERM has exited.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for which a worker that a task has crashed is down.
+const WORKER_RESTART_DELAY: Duration = Duration::from_millis(1_500);
+
+/// Interval of the checks for such workers.
+const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Delay of each call to a slow store.
 const SLOW_STORE_DELAY: Duration = Duration::from_millis(240);
 
@@ -142,21 +149,12 @@
     let job_tasks =
         scenario.jobs.iter().map(|job| tokio::spawn(caller.clone().run_job(job.clone())));
     let job_tasks: Vec<_> = job_tasks.collect();
-    let faults =
-        join_all(scenario.faults.iter().map(|fault| cluster.inject(*fault, &scenario.store_links)));
-    let (last_change, changes) =
-        scenario.config_changes.split_last().ok_or_else(|| std::io::Error::other("no change"))?;
-    let changes = config_writer.write_all(&cluster.store, changes);
-    let (injected, ()) = tokio::join!(faults, changes);
-    injected.into_iter().collect::<std::io::Result<()>>()?;
-    // Without faults, the last version has to reach every process in time.
-    tokio::time::sleep(STABILITY_TIME).await;
-    let apply_time = config_writer.write(&cluster.store, last_change.extra_queues);
-    tokio::time::sleep(apply_time + PROBE_TIME).await;
     let abort_handles: Vec<_> =
         job_tasks.iter().map(tokio::task::JoinHandle::abort_handle).collect();
-    // The checker reports accepted jobs that have not ended by then.
-    let _ = tokio::time::timeout(COMPLETION_TIMEOUT, join_all(job_tasks)).await;
+    tokio::select! {
+        played = cluster.play(scenario, &config_writer, job_tasks) => played?,
+        error = cluster.restart_crashed_workers() => return Err(error),
+    }
     abort_handles.iter().for_each(tokio::task::AbortHandle::abort);
     probes.iter().for_each(tokio::task::JoinHandle::abort);
     for (number, process) in cluster.processes.iter().enumerate() {
@@ -193,6 +191,53 @@
 }
 
 impl Cluster {
+    /// Injects the faults and changes of the round, and waits until all jobs have ended.
+    async fn play(
+        &self,
+        scenario: &Scenario,
+        config_writer: &ConfigWriter,
+        job_tasks: Vec<JoinHandle<()>>,
+    ) -> std::io::Result<()> {
+        let faults = join_all(
+            scenario.faults.iter().map(|fault| self.inject(*fault, &scenario.store_links)),
+        );
+        let (last_change, changes) = scenario
+            .config_changes
+            .split_last()
+            .ok_or_else(|| std::io::Error::other("no change"))?;
+        let changes = config_writer.write_all(&self.store, changes);
+        let (injected, ()) = tokio::join!(faults, changes);
+        injected.into_iter().collect::<std::io::Result<()>>()?;
+        // Without faults, the last version has to reach every process in time.
+        tokio::time::sleep(STABILITY_TIME).await;
+        let apply_time = config_writer.write(&self.store, last_change.extra_queues);
+        tokio::time::sleep(apply_time + PROBE_TIME).await;
+        // The checker reports accepted jobs that have not ended by then.
+        let _ = tokio::time::timeout(COMPLETION_TIMEOUT, join_all(job_tasks)).await;
+        Ok(())
+    }
+
+    /// Restarts the workers that a task has crashed. Returns only if one can't be started.
+    async fn restart_crashed_workers(&self) -> std::io::Error {
+        let restarts = self.worker_hosts.iter().map(|host| async {
+            loop {
+                if host.lock().await.is_crashed_by_task() {
+                    tokio::time::sleep(WORKER_RESTART_DELAY).await;
+                    let mut host = host.lock().await;
+                    // A fault may have taken the worker over meanwhile.
+                    if host.is_crashed_by_task()
+                        && let Err(error) = host.restart(&self.store).await
+                    {
+                        return Err(error);
+                    }
+                }
+                tokio::time::sleep(CRASH_CHECK_INTERVAL).await;
+            }
+        });
+        let restarts: Result<Vec<()>, _> = try_join_all(restarts).await;
+        restarts.err().unwrap_or_else(|| std::io::Error::other("no worker"))
+    }
+
     /// Waits for the start of a fault, starts it, and ends it after its duration.
     async fn inject(&self, fault: Fault, store_links: &[StoreLink]) -> std::io::Result<()> {
         tokio::time::sleep(Duration::from_millis(fault.at_ms)).await;
--- a/crates/soak/src/scenario.rs
+++ b/crates/soak/src/scenario.rs
@@ -36,6 +36,12 @@
 /// which a recorded seed repeats.
 const CONFIG_SEED: u64 = 0x636f_6e66_6967;
 
+/// Distinguishes the random draws of deadly jobs likewise.
+const CRASH_SEED: u64 = 0x0063_7261_7368;
+
+/// Share of deadly jobs in a round that has any. Six workers can't bear many.
+const DEADLY_SHARE: f64 = 0.02;
+
 /// Most queues without jobs. The store takes 0.8 MB to send them, which is longer over the
 /// slowest link than the product waits for the response to a single call.
 const MAX_EXTRA_QUEUES: usize = 3_600;
@@ -67,6 +73,8 @@
     pub work_ms: u64,
     /// Number of first attempts of each task that fail.
     pub failing: u64,
+    /// Each run crashes its worker.
+    pub is_deadly: bool,
     /// When it is submitted, in milliseconds after the load of the round starts.
     pub at_ms: u64,
     /// Delay from its acceptance to its cancel, in milliseconds. `None`: it is not cancelled.
@@ -76,12 +84,14 @@
 impl Job {
     /// Returns the payload, which gives workers the run time and the number of failing attempts.
     pub fn payload(&self) -> String {
-        format!("{{\"ms\":{},\"failing\":{}}}", self.work_ms, self.failing)
+        let crashing = if self.is_deadly { ",\"crashing\":true" } else { "" };
+        format!("{{\"ms\":{},\"failing\":{}{crashing}}}", self.work_ms, self.failing)
     }
 
-    /// Returns whether the job can only fail, since all allowed attempts of its tasks fail.
+    /// Returns whether the job can only fail, since all allowed attempts of its tasks fail or
+    /// crash their worker.
     pub fn is_doomed(&self) -> bool {
-        self.failing >= MAX_ATTEMPTS
+        self.failing >= MAX_ATTEMPTS || self.is_deadly
     }
 }
 
@@ -207,13 +217,15 @@
     pub fn from_seed(seed: u64, processes: usize) -> Scenario {
         let mut random = SmallRng::seed_from_u64(seed);
         let count = (JOBS_PER_SECOND * SUBMISSION_WINDOW_MS as f64 / 1_000.0) as u64;
-        let jobs = (0..count)
+        let mut jobs: Vec<Job> = (0..count)
             .map(|number| random_job(&mut random, number * SUBMISSION_WINDOW_MS / count, number))
             .collect();
         let count = random.random_range(4..=9);
         let mut faults: Vec<Fault> =
             (0..count).map(|_| random_fault(&mut random, processes)).collect();
         faults.sort_by_key(|fault| fault.at_ms);
+        let mut random = SmallRng::seed_from_u64(seed ^ CRASH_SEED);
+        make_some_deadly(&mut random, &mut jobs);
         let mut random = SmallRng::seed_from_u64(seed ^ CONFIG_SEED);
         let store_links = random_store_links(&mut random, processes);
         let config_changes = random_config_changes(&mut random);
@@ -262,6 +274,13 @@
     (0..processes).map(&mut link).collect()
 }
 
+/// Makes a few jobs deadly, in every second round.
+fn make_some_deadly(random: &mut SmallRng, jobs: &mut [Job]) {
+    if random.random_bool(0.5) {
+        jobs.iter_mut().for_each(|job| job.is_deadly = random.random_bool(DEADLY_SHARE));
+    }
+}
+
 fn random_job(random: &mut SmallRng, at_ms: u64, number: u64) -> Job {
     let steps = (0..random.random_range(1..=3))
         .map(|step| Step {
@@ -282,6 +301,7 @@
         steps,
         work_ms: random.random_range(50..=600),
         failing,
+        is_deadly: false,
         at_ms,
         cancel_after_ms: random.random_bool(0.05).then(|| random.random_range(0..2_000)),
     }
--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -20,6 +20,8 @@
     id: String,
     worker: Worker<History>,
     pub link: Proxy,
+    /// The fault that took the worker down starts the next incarnation, too.
+    is_down_by_fault: bool,
     history: History,
 }
 
@@ -34,16 +36,31 @@
         let worker = start_worker(&id, &history).await?;
         let link = Proxy::start(worker.address()).await?;
         store.add_worker(&id, &worker.entry(SERVICE, link.address));
-        Ok(WorkerHost { number, incarnation: 0, id, worker, link, history })
+        Ok(WorkerHost {
+            number,
+            incarnation: 0,
+            id,
+            worker,
+            link,
+            is_down_by_fault: false,
+            history,
+        })
     }
 
     /// Simulates a loss of power. The worker's entry stays in the store, as on the platform.
-    pub fn crash(&self) {
+    pub fn crash(&mut self) {
+        self.is_down_by_fault = true;
         self.worker.crash();
     }
 
+    /// Returns whether a task has crashed the worker.
+    pub fn is_crashed_by_task(&self) -> bool {
+        self.worker.has_crashed() && !self.is_down_by_fault
+    }
+
     /// Starts another incarnation, every second time under a new id.
     pub async fn restart(&mut self, store: &Store) -> std::io::Result<()> {
+        self.is_down_by_fault = false;
         self.incarnation += 1;
         if self.incarnation.is_multiple_of(2) {
             store.remove_worker(&self.id);
--- a/crates/soak/tests/soak/checker.rs
+++ b/crates/soak/tests/soak/checker.rs
@@ -13,6 +13,7 @@
         steps: vec![step(false), step(true)],
         work_ms: 100,
         failing: 0,
+        is_deadly: false,
         at_ms: 0,
         cancel_after_ms: None,
     }
--- a/crates/standin/src/fenced/mod.rs
+++ b/crates/standin/src/fenced/mod.rs
@@ -38,7 +38,7 @@
         /// Number of the attempt to run the task.
         attempt: u64,
         /// Outcome in the platform's terms: `done`, `failed`, `stopped` or `lapsed` (the lease
-        /// expired or the worker crashed).
+        /// expired); or `crashed`, of which the platform hears nothing.
         how: &'static str,
     },
     /// The scheduler has acknowledged the end of a run. Left out for ends that the worker still
--- a/crates/standin/src/fenced/worker.rs
+++ b/crates/standin/src/fenced/worker.rs
@@ -34,6 +34,9 @@
 /// Run time of a task whose payload can't be decoded.
 const DEFAULT_RUN_MS: u64 = 150;
 
+/// Time from the start of a run that crashes the worker to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
 /// Capacity of a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Capacity {
@@ -51,6 +54,9 @@
     /// Attempts of a task up to this number fail.
     #[serde(default)]
     failing: u64,
+    /// Each run crashes the worker shortly after its start.
+    #[serde(default)]
+    crashing: bool,
 }
 
 #[derive(Debug)]
@@ -58,6 +64,7 @@
     started: Instant,
     duration: Duration,
     will_fail: bool,
+    will_crash: bool,
 }
 
 impl Run {
@@ -91,6 +98,8 @@
     /// scheduler may have ended these runs itself by then and started the tasks again, so
     /// acknowledgements up to this end aren't observed.
     expired_end_seq: u64,
+    /// Set when the worker has crashed or was dropped.
+    is_down: Arc<AtomicBool>,
     observer: W,
 }
 
@@ -112,6 +121,7 @@
     /// Returns an error if the listener can't be bound.
     pub async fn start(id: &str, capacity: Capacity, observer: W) -> std::io::Result<Worker<W>> {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let is_down = Arc::new(AtomicBool::new(false));
         let state = Arc::new(Mutex::new(State {
             id: id.to_string(),
             incarnation: since_epoch.as_millis() as u64,
@@ -123,9 +133,9 @@
             ends: VecDeque::new(),
             last_end_seq: 0,
             expired_end_seq: 0,
+            is_down: is_down.clone(),
             observer,
         }));
-        let is_down = Arc::new(AtomicBool::new(false));
         let (handler_state, handler_is_down) = (state.clone(), is_down.clone());
         let server = Server::start(Arc::default(), move |request| {
             handle(handler_state.clone(), handler_is_down.clone(), request)
@@ -154,8 +164,12 @@
 
     /// Simulates a power loss: all runs end, and no call gets a reply any more.
     pub fn crash(&self) {
-        self.is_down.store(true, Ordering::Relaxed);
-        lock(&self.state).end_all_runs("lapsed");
+        lock(&self.state).crash();
+    }
+
+    /// Returns whether the worker has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.is_down.load(Ordering::Relaxed)
     }
 }
 
@@ -197,6 +211,9 @@
             state.handle_call(&call, &body)
         }
     };
+    if is_down.load(Ordering::Relaxed) {
+        return None;
+    }
     let (status, reply) = match reply {
         Some(reply) => reply,
         None => (200, wait_for_report(&state, &is_down, &body).await?),
@@ -243,6 +260,9 @@
             self.expired_end_seq = self.last_end_seq;
             self.end_all_runs("lapsed");
         }
+        if self.runs.values().any(|run| run.will_crash && run.started.elapsed() >= CRASH_DELAY) {
+            return self.crash();
+        }
         let is_finished = |(_, run): &(&(String, u64), &Run)| run.started.elapsed() >= run.duration;
         let finished: Vec<_> = self
             .runs
@@ -255,6 +275,12 @@
         }
     }
 
+    /// Ends all runs. No call gets a reply any more.
+    fn crash(&mut self) {
+        self.is_down.store(true, Ordering::Relaxed);
+        self.end_all_runs("crashed");
+    }
+
     fn end_all_runs(&mut self, how: &'static str) {
         let runs: Vec<_> = self.runs.keys().cloned().collect();
         for (task, attempt) in runs {
@@ -282,6 +308,10 @@
     /// Returns `None` for a poll, whose reply is a report.
     fn handle_call(&mut self, call: &str, body: &Value) -> Option<(u16, Value)> {
         self.advance();
+        if self.is_down.load(Ordering::Relaxed) {
+            // The reply is dropped.
+            return Some((503, json!({})));
+        }
         let clock_ms = self.clock_ms();
         let fence = body["fence"].as_u64().unwrap_or(0);
         let refused = |reason| Some((409, json!({ "clock-ms": clock_ms, "reason": reason })));
@@ -328,11 +358,15 @@
             return Err("old");
         }
         let payload = body["spec"].as_str().unwrap_or_default().to_string();
-        let parsed =
-            serde_json::from_str(&payload).unwrap_or(Payload { ms: DEFAULT_RUN_MS, failing: 0 });
+        let parsed = serde_json::from_str(&payload).unwrap_or(Payload {
+            ms: DEFAULT_RUN_MS,
+            failing: 0,
+            crashing: false,
+        });
         let will_fail = attempt <= parsed.failing;
         let duration = Duration::from_millis(parsed.ms);
-        self.runs.insert(key, Run { started: Instant::now(), duration, will_fail });
+        let (started, will_crash) = (Instant::now(), parsed.crashing);
+        self.runs.insert(key, Run { started, duration, will_fail, will_crash });
         self.extend_lease(body);
         self.observe(Observation::Started { task: task.to_string(), attempt, payload });
         Ok(())
