--- a/crates/audit/tests/tampering.rs
+++ b/crates/audit/tests/tampering.rs
@@ -104,6 +104,17 @@
     assert!(explanation[0].contains("of team a ended well"), "{}", explanation[0]);
 }
 
+#[test]
+fn the_reason_for_which_a_job_was_given_up_is_explained() {
+    let given_up = Decision { verdict: Verdict::GivenUp { crashes: 2 }, ..decision(1) };
+    let subject = given_up.subject.clone();
+    let line = serde_json::to_string(&Chain::default().append(given_up, 1_000)).unwrap();
+
+    let explanation = explain([line.as_str()].into_iter(), &subject);
+
+    assert!(explanation[0].contains("given up: 2 workers crashed or were lost"));
+}
+
 /// Guards against false findings: when some shares lost precision in JSON, 963 of 16,941
 /// unaltered records of a simulated day were reported as changed.
 #[test]
--- a/crates/platform/tests/site/settings.rs
+++ b/crates/platform/tests/site/settings.rs
@@ -17,6 +17,7 @@
 ready = "10.1.0.17:8184"
 [bounds]
 hold-max-ms = 6000
+stability-ms = 4000
 gang-ms = 3000
 grace-s = 6
 status_s = 120
@@ -33,6 +34,7 @@
     assert_eq!(settings.peers.to_string(), "10.1.0.17:7420");
     assert_eq!(settings.seeds[1].to_string(), "10.2.0.15:7420");
     assert_eq!(settings.lease_ms, 6_000);
+    assert_eq!(settings.stability_ms, 4_000);
     assert_eq!(settings.grace_ms, 6_000);
     assert_eq!(settings.max_value_bytes, 1 << 20);
 }
