Walk from a job that was given up to its cause on a real process

The fifth way of the operations page: a task crashes the stand-in worker twice, which comes back under another id at the same address; the job is shown as failed, the records tell of two crashes and of the reason, the lines for lost workers of the suspect. A further engine test has tasks that take up to 750 ms to crash their worker.

--- a/crates/graph/tests/engine/crashes.rs
+++ b/crates/graph/tests/engine/crashes.rs
@@ -44,6 +44,26 @@
     }
 }
 
+/// The likeliest suspects are the youngest runs. A task that needs longer to crash its worker than
+/// others take to start beside it must be found all the same.
+#[test]
+fn a_task_that_crashes_its_workers_later_is_given_up() {
+    for crash_after_ms in [60, 150, 400, 750] {
+        let mut world = world_with_deadly_task(6);
+        world.work_ms = 800;
+        world.crash_after_ms = crash_after_ms;
+        world.submit(id(1), job(vec![step(3, 1_000)]));
+
+        submit_innocent_jobs(&mut world, 2..120);
+        world.run(40_000);
+
+        assert_eq!(world.state(id(1)), Some(State::Failed), "after {crash_after_ms} ms");
+        for number in 2..120 {
+            assert_eq!(world.state(id(number)), Some(State::Complete), "job {number}");
+        }
+    }
+}
+
 /// Members of a gang and long-running tasks are started again without a limit on failures, and
 /// crashed their workers without one as well.
 #[test]
--- a/crates/node/tests/path/explain.rs
+++ b/crates/node/tests/path/explain.rs
@@ -1,4 +1,4 @@
-//! Follows the four procedures of `docs/OPERATIONS.md` that lead from a failed or delayed
+//! Follows the five procedures of `docs/OPERATIONS.md` that lead from a failed or delayed
 //! request to its cause, with the log of a real process.
 
 use serde_json::Value;
@@ -6,7 +6,7 @@
 
 use crate::platform::Platform;
 use crate::process::{Host, Process, call, until};
-use crate::{GUEST_KEY, KEY, is_complete, job, start_serving, submit};
+use crate::{GUEST_KEY, KEY, deadly_job, is_complete, job, start_serving, submit};
 
 fn has(lines: &[Value], field: &str, value: impl Into<Value>) -> bool {
     let value = value.into();
@@ -88,3 +88,28 @@
     until("the log tells why no version arrives", explained).await;
     process.kill().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_explains_why_a_job_was_given_up() {
+    let platform = Platform::start().await;
+    let process = start_serving(&platform, "one", "00000000000000aa").await;
+    until("the job is complete", || is_complete(&process, "00000000000000aa")).await;
+    let url = process.url("00000000000000ab");
+    let response = call("POST", &url, KEY, &deadly_job()).await;
+    assert_eq!(response.map(|(status, _)| status), Some(200));
+
+    let failed = || async {
+        platform.restart_crashed_worker().await;
+        let response = call("GET", &url, KEY, "").await;
+        response.is_some_and(|(_, body)| body.contains("failed"))
+    };
+    until("the job is shown as failed", failed).await;
+
+    let of_job = |text: &'static str| process.grep(&["00000000000000ab.0.0.0", text]);
+    let recorded =
+        || async { of_job("\"how\":\"crashed\"").len() == 2 && !of_job("given_up").is_empty() };
+    until("the records tell of two crashes", recorded).await;
+    let losses = process.grep(&["lost a worker", "00000000000000ab"]);
+    assert!(has(&losses, "cause", "crashed") && has(&losses, "suspects", 1), "{losses:?}");
+    process.kill().await;
+}
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -23,6 +23,13 @@
     fenced::job("work", &[step]).to_string()
 }
 
+/// A job whose tasks crash the worker.
+fn deadly_job() -> String {
+    let step =
+        Step { tasks: 1, cpu_millis: 1_000, memory_mib: 10, estimate_ms: 100, after: vec![] };
+    fenced::job("{\"ms\":100,\"crashing\":true}", &[step]).to_string()
+}
+
 /// Starts a process and waits until it has accepted the job `first`.
 async fn start_serving(platform: &Platform, name: &str, first: &str) -> Process {
     let process = Process::start(platform, name).await;
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -44,19 +44,45 @@
     pub address: SocketAddr,
     store: Store,
     duplicate_starts: DuplicateStarts,
-    worker: Worker<DuplicateStarts>,
+    worker: Mutex<Worker<DuplicateStarts>>,
+    /// Address of the worker, in all its incarnations.
+    worker_link: Proxy,
+    restarts: AtomicU32,
 }
 
 impl Platform {
     pub async fn start() -> Platform {
         let store = Store::start().await.expect("a free port");
-        let capacity = Capacity { cpu_millis: 8_000, memory_mib: 1_000 };
         let duplicate_starts = DuplicateStarts::default();
-        let worker = Worker::start("worker-1", capacity, duplicate_starts.clone()).await;
-        let worker = worker.expect("a free port");
-        store.add_worker("worker-1", &worker.entry("desk", worker.address()));
+        let worker = start_worker("worker-1", &duplicate_starts).await;
+        let worker_link = Proxy::start(worker.address()).await.expect("a free port");
+        store.add_worker("worker-1", &worker.entry("desk", worker_link.address));
         store.configure(&config());
-        Platform { address: store.server.address, store, duplicate_starts, worker }
+        Platform {
+            address: store.server.address,
+            store,
+            duplicate_starts,
+            worker: Mutex::new(worker),
+            worker_link,
+            restarts: AtomicU32::new(0),
+        }
+    }
+
+    /// Starts the worker again under another id, at the same address, if a task has crashed it.
+    pub async fn restart_crashed_worker(&self) {
+        if !self.lock_worker().has_crashed() {
+            return;
+        }
+        let number = self.restarts.fetch_add(1, Ordering::Relaxed) + 2;
+        let id = format!("worker-{number}");
+        let worker = start_worker(&id, &self.duplicate_starts).await;
+        self.worker_link.retarget(worker.address());
+        self.store.add_worker(&id, &worker.entry("desk", self.worker_link.address));
+        *self.lock_worker() = worker;
+    }
+
+    fn lock_worker(&self) -> MutexGuard<'_, Worker<DuplicateStarts>> {
+        self.worker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Puts a link in the given state between a process and the store.
@@ -83,7 +109,7 @@
 
     /// Polls the worker with a fencing token, as an owner of that epoch would.
     pub async fn fence_worker(&self, epoch: u64) {
-        let url = format!("http://{}/sycamorechute/hold", self.worker.address());
+        let url = format!("http://{}/sycamorechute/hold", self.worker_link.address);
         let body = format!("{{\"fence\":{epoch},\"ack-seq\":0}}");
         let headers = [("sycamorechute-expect-instance", "worker-1")];
         let response = call_with_headers("POST", &url, &headers, &body).await;
@@ -115,6 +141,11 @@
     }
 }
 
+async fn start_worker(id: &str, observer: &DuplicateStarts) -> Worker<DuplicateStarts> {
+    let capacity = Capacity { cpu_millis: 8_000, memory_mib: 1_000 };
+    Worker::start(id, capacity, observer.clone()).await.expect("a free port")
+}
+
 fn config() -> Value {
     let team = |name: &str, key: &str, limit_cpu_millis| Team {
         name: name.to_string(),
