Let the list of workers be used for two reads at least

A site whose stability-ms is at most 500 would never have started a task: the bound on the age of the list came out as zero. No site in use has less than 3,000, so that nothing changes there. Found by reading.

--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -34,7 +34,9 @@
 use crate::clock::millis;
 use crate::node::Node;
 use crate::ownership::{CurrentOwner, OwnerRecord};
-use crate::timing::{START_STOP_TIMEOUT, STORE_RETRY, STORE_TIMEOUT, UNCONFIRMED_RECOVERY_TIME};
+use crate::timing::{
+    START_STOP_TIMEOUT, STORE_RETRY, STORE_TIMEOUT, UNCONFIRMED_RECOVERY_TIME, WORKER_LIST_INTERVAL,
+};
 
 /// Added to the platform's retention time for the state of a finished job, in
 /// milliseconds: clocks of hosts differ, and callers start counting at different moments.
@@ -93,7 +95,7 @@
     );
     let timing = Timing {
         lease_ms: node.settings.lease_ms,
-        list_max_age_ms: node.settings.stability_ms.saturating_sub(millis(START_STOP_TIMEOUT)),
+        list_max_age_ms: list_max_age_ms(node.settings.stability_ms),
         status_retention_ms: node.settings.status_ms + STATUS_MARGIN_MS,
         ..Timing::default()
     };
@@ -148,6 +150,14 @@
     }
 }
 
+/// Returns the age up to which the list of workers may be used to place tasks: a worker that has
+/// shrunk may be used at its former capacity for `stability_ms`, and an order may be under way for
+/// some of it. Without two reads of the list within that time, no task would start.
+fn list_max_age_ms(stability_ms: u64) -> u64 {
+    let max_age_ms = stability_ms.saturating_sub(millis(START_STOP_TIMEOUT));
+    max_age_ms.max(2 * millis(WORKER_LIST_INTERVAL))
+}
+
 /// Returns the catalog in force, for which it waits up to [`STORE_TIMEOUT`].
 ///
 /// Falls back to an empty catalog, with which the engine can decide little.
