Give up jobs at a takeover whose tasks have crashed too many hosts

Found by reading: an owner lost between the record of the last crash and that of the closed job left a task that its successor started once more, as failed attempts had done before close_exhausted_jobs. The bound of the rule held, since one more start is allowed, but without a reserve.

Evidence: crashes::a_job_with_too_many_crashes_in_the_log_fails_at_once fails without the change: the task is started (the oracle stops it as UNASKED, as the job was never confirmed in that test).

--- a/crates/graph/src/engine/close.rs
+++ b/crates/graph/src/engine/close.rs
@@ -2,6 +2,7 @@
 //!
 //! Callers see a final state only once its record is durable.
 
+use super::losses::GIVE_UP_AFTER;
 use super::{Effect, Engine};
 use crate::job::{self, Id, State};
 use crate::progress::{StepProgress, TaskProgress};
@@ -59,11 +60,12 @@
         }
     }
 
-    /// Closes the jobs with a task that has used up its attempts. Needed after recovery and
-    /// after a configuration change: the previous owner may have been lost between
-    /// recording the last failed attempt and closing the job, or may not have known the
-    /// limit.
+    /// Closes the jobs with a task that has used up its attempts or crashed too many hosts. Needed
+    /// after recovery and after a configuration change: the previous owner may have been lost
+    /// between recording the last failed attempt or crash and closing the job, or may not have
+    /// known the limit.
     pub(super) fn close_exhausted_jobs(&mut self) {
+        self.give_up_crashing_jobs();
         let mut exhausted = Vec::new();
         for job in self.jobs.values().filter(|job| job.closed.is_none()) {
             let Some(queue) = self.queues.get(&job.queue) else { continue };
@@ -84,6 +86,18 @@
         }
     }
 
+    fn give_up_crashing_jobs(&mut self) {
+        let open = self.jobs.values().filter(|job| job.closed.is_none());
+        let crashing: Vec<(TaskId, u32)> = open
+            .flat_map(|job| &job.suspicions)
+            .filter(|(_, suspicion)| suspicion.losses() >= GIVE_UP_AFTER)
+            .map(|(task, suspicion)| (*task, suspicion.losses()))
+            .collect();
+        for (task, losses) in crashing {
+            self.give_up(task, losses);
+        }
+    }
+
     pub(super) fn forget_closed_jobs(&mut self) {
         while self.closed_jobs.front().is_some_and(|(at, _)| *at <= self.now.unix_ms) {
             if let Some((_, id)) = self.closed_jobs.pop_front() {
--- a/crates/graph/src/engine/losses.rs
+++ b/crates/graph/src/engine/losses.rs
@@ -32,7 +32,7 @@
 
 /// Losses of hosts under a task from which its job is given up in any case. The platform allows
 /// for two starts after the third crash, of which one may have gone unseen between two owners.
-const GIVE_UP_AFTER: u32 = 4;
+pub(super) const GIVE_UP_AFTER: u32 = 4;
 
 /// A run of a lost host.
 #[derive(Clone, Copy, Debug)]
@@ -177,7 +177,7 @@
     }
 
     /// Closes a job as failed because of a task that crashes its hosts.
-    fn give_up(&mut self, task: TaskId, crashes: u32) {
+    pub(super) fn give_up(&mut self, task: TaskId, crashes: u32) {
         let Some(job) = self.jobs.get(&task.step.job).filter(|job| job.closed.is_none()) else {
             return;
         };
--- a/crates/graph/tests/engine/crashes.rs
+++ b/crates/graph/tests/engine/crashes.rs
@@ -1,7 +1,7 @@
 //! Tasks that crash the workers that start them, and the innocent tasks beside them.
 
 use sycamore_graph::job::{Id, State, Step};
-use sycamore_graph::{Answer, StepId, TaskId};
+use sycamore_graph::{Answer, RunEnd, StepId, TaskId};
 
 use crate::fixture::{catalog, gang, id, job, queue, step};
 use crate::world::World;
@@ -341,3 +341,23 @@
     assert!(world.oracle.crashes_under(task(id(1), 0)) < 2);
     assert_eq!(world.state(id(1)), Some(State::Complete));
 }
+
+/// An owner may be lost after it has recorded the last crash that a task may have, and before it
+/// has closed the job. Its successor must not start the task once more.
+#[test]
+fn a_job_with_too_many_crashes_in_the_log_fails_at_once() {
+    let mut world = World::new(2, catalog(queue()), 1);
+    world.submit(id(1), job(vec![step(1, 1_000)]));
+    world.run(5);
+    (1..5).for_each(|attempt| {
+        world.oracle.record_crash(task(id(1), 0));
+        world.log_end(task(id(1), 0), attempt, RunEnd::HostCrashed);
+    });
+
+    world.take_over();
+    let starts = world.oracle.starts;
+    world.run(5_000);
+
+    assert_eq!(world.oracle.starts, starts);
+    assert_eq!(world.state(id(1)), Some(State::Failed));
+}
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -11,8 +11,8 @@
 use sycamore_graph::catalog::Catalog;
 use sycamore_graph::job::{Id, Spec, State};
 use sycamore_graph::{
-    Action, Advise, Answer, Engine, Event, HostEntry, Moment, Poll, Record, Recovered, Report,
-    RunEnd, Start, StartOutcome, TaskId, Timing,
+    Action, Advise, Answer, Ended, Engine, Event, HostEntry, Moment, Poll, Record, Recovered,
+    Report, RunEnd, Start, StartOutcome, TaskId, Timing,
 };
 use sycamore_types::Name;
 
@@ -215,6 +215,14 @@
         self.engine = Engine::new(self.moment(), timing, self.catalog.clone(), recovered);
     }
 
+    /// Adds the end of a run to the log, as an owner does that is lost right afterwards. Makes all
+    /// records durable.
+    pub fn log_end(&mut self, task: TaskId, attempt: u32, how: RunEnd) {
+        let checkpoint = Name::from("");
+        self.log.push(Record::Ended(Ended { task, attempt, how, checkpoint }));
+        self.durable_records = self.log.len();
+    }
+
     /// Replaces the log by one snapshot of each job and host, as log compaction does.
     pub fn compact(&mut self) {
         let mut snapshots = Vec::new();
