Name the tasks of a step that may start in a function of their own

Read as a newcomer: the function that places tasks had grown by three branches for suspects and gangs. No behaviour changes; the engine's 73 tests pass.

--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -13,6 +13,7 @@
 use super::isolation::{Isolation, suspects};
 use super::placement::{plan_isolated, plan_placement};
 use super::{Engine, Rank};
+use crate::progress::{Job, StepProgress};
 use crate::{Grounds, StepId, TaskId, Verdict, WaitReason};
 
 /// Unsuccessful searches of all hosts after which a pass ends. With hundreds of hosts, a
@@ -60,6 +61,21 @@
     }
 }
 
+/// Returns the waiting tasks of a step that may start now, in order: only the suspects if the step is
+/// isolated because of them, and a gang as a whole, its suspects first so that they share hosts.
+fn startable_tasks(job: &Job, step: &StepProgress, demand: &Demand) -> Vec<u32> {
+    if !demand.isolation.is_for_suspects() {
+        return step.waiting.iter().copied().collect();
+    }
+    let mut tasks = suspects(job, demand.step_id, step);
+    if demand.is_gang {
+        let others = step.waiting.iter().copied().filter(|index| !tasks.contains(index));
+        let others: Vec<u32> = others.collect();
+        tasks.extend(others);
+    }
+    tasks
+}
+
 impl Engine {
     pub(super) fn start_waiting_tasks(&mut self) {
         if self.backlog.is_empty() {
@@ -228,17 +244,7 @@
         }
         let Some(job) = self.jobs.get(&demand.step_id.job) else { return false };
         let Some(step) = job.step(demand.step_id) else { return false };
-        let mut waiting = if demand.isolation.is_for_suspects() {
-            suspects(job, demand.step_id, step)
-        } else {
-            Vec::new()
-        };
-        if demand.is_gang || !demand.isolation.is_for_suspects() {
-            // The suspects of a gang come first, so that they share hosts.
-            let others = step.waiting.iter().filter(|index| !waiting.contains(index));
-            let others: Vec<u32> = others.copied().collect();
-            waiting.extend(others);
-        }
+        let mut waiting = startable_tasks(job, step, demand);
         let gang_attempt = step.tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
         for (at, tasks) in plan {
             views.add_isolated(at, demand.isolation);
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -59,6 +59,7 @@
         }
     }
 
+    /// Records that the list was read `age_ms` milliseconds ago and is still the one that is known.
     pub(super) fn record_list_read(&mut self, age_ms: u64) {
         let was_current = self.is_list_current();
         let read_ms = self.now.monotonic_ms.saturating_sub(age_ms);
