Put the new kind of record behind the others

The order of the kinds may be part of a format somewhere; a kind in their midst would change the numbers of those behind it. Found by the list of outward names. Records are JSON, so that no record changes.

--- a/crates/core/src/record/decision.rs
+++ b/crates/core/src/record/decision.rs
@@ -54,11 +54,6 @@
         /// How it ended.
         how: Name,
     },
-    /// Such a job was given up, because hosts crash under one of its tasks.
-    GivenUp {
-        /// Number of hosts that crashed or were lost under the task.
-        crashes: u32,
-    },
     /// A job that is a graph of steps reached its final state.
     Closed {
         /// The final state.
@@ -69,6 +64,11 @@
         /// The owner.
         owner: id::Member,
     },
+    /// A job that is a graph of steps was given up, because hosts crash under one of its tasks.
+    GivenUp {
+        /// Number of hosts that crashed or were lost under the task.
+        crashes: u32,
+    },
 }
 
 /// One decision of the owner of a shard.
