Make two tests of crashes able to fail, and record the fault that one of them shows

The first now replaces the owner after each start at delays around the detection of a crash; with recover_suspicion taken out it fails with BUDGET after five crashes, and passes as the code is. The second now has one worker instead of two, and fails on the code as it is: an innocent job is failed, since an isolated run is blamed although a deadly task had just started beside it.

--- a/crates/graph/tests/engine/crashes.rs
+++ b/crates/graph/tests/engine/crashes.rs
@@ -220,17 +220,21 @@
 /// Owners that are replaced again and again, each a moment after a crash, must not lose count.
 #[test]
 fn a_deadly_task_is_given_up_however_often_the_owner_changes() {
-    for pause_ms in [300, 900, 1_700, 2_900, 4_100] {
+    for pause_ms in (2_900..4_100).step_by(100) {
         let mut world = world_with_deadly_task(8);
-        world.submit(id(1), job(vec![step(2, 1_000)]));
+        world.submit(id(1), job(vec![step(1, 1_000)]));
 
-        for _ in 0..12 {
+        for starts in 1..8 {
+            let until_ms = world.now_ms + 20_000;
+            while world.start_requests < starts && world.now_ms < until_ms {
+                world.run(20);
+            }
             world.run(pause_ms);
             world.take_over();
         }
-        world.run(40_000);
+        world.run(20_000);
 
-        assert_eq!(world.state(id(1)), Some(State::Failed), "replaced every {pause_ms} ms");
+        assert_eq!(world.state(id(1)), Some(State::Failed), "replaced after {pause_ms} ms");
     }
 }
 
@@ -299,11 +303,11 @@
     assert_eq!(world.state(id(1)), Some(State::Complete));
 }
 
-/// An innocent task that was on the worker each time that one of many deadly tasks crashed it was
-/// to blame as well, and its job was failed.
+/// A job is blamed for a crash in its isolation although a deadly task had just started beside it,
+/// since there was no other worker, and is failed without a fault of its own.
 #[test]
 fn a_job_beside_many_deadly_ones_is_not_failed() {
-    let mut world = World::new(2, catalog(queue()), 1);
+    let mut world = World::new(1, catalog(queue()), 1);
     let service = Step { is_service: true, ..step(1, 500) };
     world.work_ms = 400_000;
     world.submit(id(1), job(vec![service]));
