Give the requirements of a waiting step a module of their own

Cause: candidates, dispatch, isolation and placement imported each other in a circle, through Demand and through the limits on isolated hosts, so that a further decision could not be added beside them. Change: Demand lives in engine/demand.rs, and HostViews answers whether another isolated host is left. No behaviour changes.

--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -10,7 +10,7 @@
 
 use super::Engine;
 use super::candidates::{Candidate, Search};
-use super::dispatch::Demand;
+use super::demand::Demand;
 use super::placement::has_capacity_for;
 use crate::catalog::AdviceCost;
 use crate::progress::Ticket;
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -11,7 +11,7 @@
 use sycamore_types::resources::Resources;
 
 use super::Engine;
-use super::dispatch::Demand;
+use super::demand::Demand;
 use super::isolation::{Isolation, IsolationLimits};
 use crate::host::Host;
 use crate::job;
@@ -90,6 +90,19 @@
         }
     }
 
+    /// Returns whether one more host may get runs in this kind of isolation.
+    pub fn has_isolated_host_left(&self, isolation: Isolation) -> bool {
+        let limits = &self.limits;
+        match isolation {
+            Isolation::None => true,
+            Isolation::Unproven | Isolation::LikelySuspect => {
+                self.isolated_hosts < limits.restricted
+            }
+            Isolation::Suspect => self.isolated_hosts < limits.all,
+            Isolation::Prime => self.isolated_hosts < limits.all && self.prime_hosts < limits.prime,
+        }
+    }
+
     /// Returns the hosts that may have at least `min_cpu` free CPU, in thousandths of a
     /// core, with their indices.
     fn most_cpu_first(&self, min_cpu: u32) -> impl Iterator<Item = usize> {
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -10,7 +10,8 @@
 use sycamore_types::resources::Resources;
 
 use super::candidates::{Candidate, HostViews, Search};
-use super::isolation::{Isolation, suspects};
+use super::demand::Demand;
+use super::isolation::suspects;
 use super::placement::{plan_isolated, plan_placement};
 use super::{Engine, Rank};
 use crate::progress::{Job, StepProgress};
@@ -24,25 +25,6 @@
 /// a thousand are looked at each second.
 const HOPELESS_SLICE: usize = 50;
 
-/// Requirements of a step, looked up once per pass.
-pub(super) struct Demand {
-    pub step_id: StepId,
-    pub is_gang: bool,
-    pub prefers_one_rack: bool,
-    /// Resources of a host that one task takes up.
-    pub footprint: Resources,
-    /// Whether the tasks have a latency objective.
-    pub has_objective: bool,
-    pub is_best_effort: bool,
-    pub isolation: Isolation,
-    /// Completing the job has no value any more.
-    pub is_hopeless: bool,
-    /// Tasks that wait to be started.
-    pub waiting: u32,
-    /// Most tasks that the team's limit allows to start now.
-    pub within_limit: u32,
-}
-
 /// Position of a step within one pass, kept for the audit records.
 struct PassPosition {
     rank: Rank,
@@ -54,13 +36,6 @@
     capacity: Resources,
 }
 
-impl Demand {
-    /// Returns how many tasks may start now if there is capacity for them.
-    pub fn wanted(&self) -> u32 {
-        self.waiting.min(self.within_limit)
-    }
-}
-
 /// Returns the waiting tasks of a step that may start now, in order: only the suspects if the step is
 /// isolated because of them, and a gang as a whole, its suspects first so that they share hosts.
 fn startable_tasks(job: &Job, step: &StepProgress, demand: &Demand) -> Vec<u32> {
@@ -120,7 +95,7 @@
             Ok(demand) => demand,
             Err(reason) => return Some(reason),
         };
-        if !self.has_isolated_host_left(&demand, views) {
+        if !views.has_isolated_host_left(demand.isolation) {
             return Some(WaitReason::IsolatedHostsBusy);
         }
         if !demand.is_gang && !views.may_fit(&demand.footprint) {
--- a/crates/graph/src/engine/isolation.rs
+++ b/crates/graph/src/engine/isolation.rs
@@ -9,8 +9,6 @@
 use sycamore_types::resources::Resources;
 
 use super::Engine;
-use super::candidates::HostViews;
-use super::dispatch::Demand;
 use crate::host::Host;
 use crate::job;
 use crate::progress::{Job, StepProgress};
@@ -125,20 +123,6 @@
         })
     }
 
-    /// Returns whether one more host may get isolated runs.
-    pub(super) fn has_isolated_host_left(&self, demand: &Demand, views: &HostViews) -> bool {
-        match demand.isolation {
-            Isolation::None => true,
-            Isolation::Unproven | Isolation::LikelySuspect => {
-                views.isolated_hosts < views.limits.restricted
-            }
-            Isolation::Suspect => views.isolated_hosts < views.limits.all,
-            Isolation::Prime => {
-                views.isolated_hosts < views.limits.all && views.prime_hosts < views.limits.prime
-            }
-        }
-    }
-
     /// Returns how many hosts may have isolated runs now.
     pub(super) fn isolation_limits(&self) -> IsolationLimits {
         let listed = || self.hosts.values().filter(|host| host.is_listed);
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -26,6 +26,7 @@
 mod bulkhead;
 mod candidates;
 mod close;
+mod demand;
 mod dispatch;
 mod health;
 mod hosts;
--- a/crates/graph/src/engine/placement.rs
+++ b/crates/graph/src/engine/placement.rs
@@ -9,7 +9,7 @@
 use sycamore_types::Name;
 
 use super::candidates::{Candidate, HostViews};
-use super::dispatch::Demand;
+use super::demand::Demand;
 
 /// Returns the chosen hosts, as indices into `views`, with the number of tasks for each.
 pub(super) fn plan_placement(
