Add a failing test of a store that returns with old capacities

Cause: the age of a read is taken for the age of the capacities in it. Change: an engine test in which a worker shrinks while the store is away and the store returns with the old entry.

--- a/crates/graph/tests/engine/capacity.rs
+++ b/crates/graph/tests/engine/capacity.rs
@@ -39,6 +39,30 @@
     assert!(world.running() <= 1);
 }
 
+/// Workers can't write while the store is away, so the first list after its return shows entries
+/// from before. The age of that read was taken for the age of the capacities. The benchmark reports
+/// LIMIT.
+#[test]
+fn the_first_list_after_an_outage_does_not_renew_a_capacity() {
+    let mut world = World::new(1, catalog(queue()), 1);
+    world.work_ms = 300;
+    world.submit(id(1), job(vec![step(200, 1_000)]));
+    world.run(500);
+
+    world.is_store_away = true;
+    world.run(500);
+    world.workers[0].resize(1_000, world.now_ms, GRACE_MS);
+    world.run(5_500);
+    world.is_store_away = false;
+    world.run(1_400);
+    let before_report = world.running();
+    world.list_hosts();
+    world.run(400);
+
+    assert_eq!(before_report, 0);
+    assert_eq!(world.running(), 1);
+}
+
 /// A worker whose capacity had changed was counted at the wrong size while a successor waited for
 /// its report: at that of its first use after it had grown, and at the listed one after it had
 /// shrunk under its runs. The team got more than its limit. The benchmark reports QUOTA.
