Date each worker's capacity by the store's revisions

Cause: the age of a list read was taken for the age of the capacities in it. Workers can't write while the store is away, so the first read after its return shows entries from before. Change: each process keeps a bounded history of the store's revisions at its reads and watches, and dates an entry by the newest response that has a lower revision. The engine keeps the newest date of each worker and incarnation, and uses a worker until stability-ms plus heartbeat-ms less 500 ms after it. heartbeat-ms is parsed (default 1500). The stand-in's workers write their entries every 1.5 s. The floor of two reads for the age is gone, as it broke LIMIT where stability-ms is small.

--- a/crates/bench/src/site/simulation.rs
+++ b/crates/bench/src/site/simulation.rs
@@ -11,8 +11,8 @@
 use rand::{Rng, SeedableRng};
 use sycamore_graph::job::{Id, State};
 use sycamore_graph::{
-    Action, Engine, Event, HostEntry, Moment, Poll, Recovered, Report, RunEnd, StartOutcome,
-    TaskId, Timing, Verdict,
+    Action, Engine, Event, HostEntry, Moment, Poll, Reading, Recovered, Report, RunEnd,
+    StartOutcome, TaskId, Timing, Verdict,
 };
 use sycamore_types::Name;
 use sycamore_types::resources::Resources;
@@ -33,6 +33,12 @@
 /// Interval of the engine's ticks, in microseconds.
 const TICK_US: u64 = 50_000;
 
+/// Interval at which the list of workers is read, in microseconds.
+const LIST_INTERVAL_US: u64 = 500_000;
+
+/// Reads of the list between two writes of a worker's entry, which are 1.5 s apart.
+const READS_PER_HEARTBEAT: usize = 3;
+
 /// Part of the control thread's time that dispatch passes may use, as a divisor.
 const PASS_SHARE_DIVISOR: u64 = 4;
 
@@ -49,6 +55,8 @@
     Run(usize, TaskId, u32),
     RunEnds(usize, TaskId, u32),
     Tick,
+    /// The list of workers is read, with the number of reads before.
+    ListRead(usize),
 }
 
 #[derive(Default)]
@@ -140,12 +148,13 @@
         let callers = (self.settings.workers as f64 * 97.0 / 540.0).max(4.0);
         let limits = [callers, callers * 0.75, callers * 0.45].map(|count| count as u32 + 1);
         self.handle(Event::Listed(entries));
-        self.handle(Event::ListRead { age_ms: 0 });
+        self.handle(Event::Dated(self.readings(0, 1)));
         self.handle(Event::AdviceConcurrency(limits));
         for kind in 0..KINDS.len() {
             self.schedule_arrival(kind);
         }
         self.schedule(TICK_US, Item::Tick);
+        self.schedule(LIST_INTERVAL_US, Item::ListRead(0));
     }
 
     pub fn run(mut self) -> Outcome {
@@ -177,6 +186,13 @@
         self.outcome
     }
 
+    /// Returns the readings of each `stride`-th worker from the worker `first` on.
+    fn readings(&self, first: usize, stride: usize) -> Vec<Reading> {
+        let written_ms = self.now_us / 1_000;
+        let reading = |host: &Name| Reading { host: host.clone(), incarnation: 1, written_ms };
+        self.names.iter().skip(first).step_by(stride).map(reading).collect()
+    }
+
     fn moment(&self) -> Moment {
         let ms = self.now_us / 1_000;
         Moment { monotonic_ms: ms, unix_ms: UNIX_MS + ms }
@@ -209,9 +225,13 @@
             Item::Event(event) => self.handle(event),
             Item::Tick => {
                 self.schedule(TICK_US, Item::Tick);
-                self.handle(Event::ListRead { age_ms: 0 });
                 self.handle(Event::Tick);
             }
+            Item::ListRead(number) => {
+                self.schedule(LIST_INTERVAL_US, Item::ListRead(number + 1));
+                let readings = self.readings(number % READS_PER_HEARTBEAT, READS_PER_HEARTBEAT);
+                self.handle(Event::Dated(readings));
+            }
             Item::Poll(poll) => self.receive_poll(poll),
             Item::PollEnds(at, number) => {
                 if self.workers[at].poll.as_ref().is_some_and(|poll| poll.number == number) {
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -13,6 +13,7 @@
 use super::Engine;
 use super::demand::Demand;
 use super::isolation::{Isolation, IsolationLimits};
+use crate::WaitReason;
 use crate::host::Host;
 use crate::job;
 use crate::progress::StepProgress;
@@ -48,6 +49,9 @@
     by_number: FxHashMap<u32, usize>,
     /// Upper bound of the free capacity of any single host, by kind of resource.
     max_free: Resources,
+    /// Upper bound of the free capacity of any single host that is left out because its capacity
+    /// is too old, by kind of resource. `None` if there is no such host.
+    max_undated_free: Option<Resources>,
     /// Hosts with isolated runs, and those with isolated runs of prime suspects.
     pub isolated_hosts: u32,
     pub prime_hosts: u32,
@@ -70,6 +74,7 @@
             by_free_cpu,
             by_number,
             max_free,
+            max_undated_free: None,
             isolated_hosts: 0,
             prime_hosts: 0,
             limits: IsolationLimits::default(),
@@ -81,6 +86,17 @@
         footprint.fits_in(&self.max_free)
     }
 
+    /// Returns why a task waits that fits on none of the hosts.
+    pub fn no_room_reason(&self, footprint: &Resources) -> WaitReason {
+        let may_fit = self.max_undated_free.is_some_and(|free| footprint.fits_in(&free));
+        if may_fit { WaitReason::ListTooOld } else { WaitReason::NoRoom }
+    }
+
+    /// Returns whether all hosts are left out because their capacities are too old.
+    pub fn are_all_undated(&self) -> bool {
+        self.all.is_empty() && self.max_undated_free.is_some()
+    }
+
     /// Counts a host that gets runs in isolation.
     pub fn add_isolated(&mut self, index: usize, isolation: Isolation) {
         if isolation.is_isolated() {
@@ -155,10 +171,19 @@
 }
 
 impl Engine {
-    /// Returns the hosts that accept new work.
+    /// Returns the hosts that accept new work and whose capacity is known.
     pub(super) fn host_views(&self) -> HostViews {
-        let now_ms = self.now.monotonic_ms;
-        let usable = self.hosts.values().filter(|host| host.is_usable(now_ms));
+        let (now_ms, max_age_ms) = (self.now.monotonic_ms, self.timing.capacity_max_age_ms);
+        let mut max_undated_free: Option<Resources> = None;
+        let is_dated = |host: &&Host| {
+            let is_dated = host.has_current_capacity(now_ms, max_age_ms);
+            if !is_dated {
+                let most = max_undated_free.unwrap_or_default();
+                max_undated_free = Some(most.max_per_dimension(&host.free()));
+            }
+            is_dated
+        };
+        let usable = self.hosts.values().filter(|host| host.is_usable(now_ms)).filter(is_dated);
         let view = |host: &Host| HostView {
             host: host.entry.id.clone(),
             number: host.number,
@@ -173,6 +198,7 @@
             free: host.free(),
         };
         let mut views = HostViews::new(usable.map(view).collect());
+        views.max_undated_free = max_undated_free;
         (views.isolated_hosts, views.prime_hosts) = self.isolated_hosts();
         views.limits = self.isolation_limits();
         views
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -95,11 +95,14 @@
             Ok(demand) => demand,
             Err(reason) => return Some(reason),
         };
+        if views.are_all_undated() {
+            return Some(WaitReason::ListTooOld);
+        }
         if !views.has_isolated_host_left(demand.isolation) {
             return Some(WaitReason::IsolatedHostsBusy);
         }
         if !demand.is_gang && !views.may_fit(&demand.footprint) {
-            return Some(WaitReason::NoRoom);
+            return Some(views.no_room_reason(&demand.footprint));
         }
         if let Some(reason) = self.advice_wait_reason(&demand) {
             if demand.is_gang {
@@ -140,9 +143,6 @@
         } else {
             waiting
         };
-        if !self.is_list_current() {
-            return Some(Err(WaitReason::ListTooOld));
-        }
         let within_limit = self.tasks_within_limit(&job.team, &spec.size);
         if within_limit == 0 || (spec.is_gang && within_limit < waiting) {
             return Some(Err(WaitReason::TeamLimit));
@@ -195,7 +195,7 @@
             step if step.waiting.is_empty() => None,
             _ if !is_durable => Some(WaitReason::NotDurable),
             step if step.advice.calls_in_flight > 0 => Some(WaitReason::AdvicePending),
-            _ => Some(WaitReason::NoRoom),
+            _ => Some(views.no_room_reason(&demand.footprint)),
         }
     }
 
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -12,7 +12,7 @@
 
 use super::Engine;
 use crate::host::{Host, LogState, Speed};
-use crate::{HostEntry, LossCause, Record};
+use crate::{HostEntry, LossCause, Reading, Record};
 
 impl Engine {
     pub(super) fn update_host_list(&mut self, entries: Vec<HostEntry>) {
@@ -59,18 +59,19 @@
         }
     }
 
-    /// Records that the list was read `age_ms` milliseconds ago and is still the one that is known.
-    pub(super) fn record_list_read(&mut self, age_ms: u64) {
-        let was_current = self.is_list_current();
-        let read_ms = self.now.monotonic_ms.saturating_sub(age_ms);
-        self.list_read_ms = self.list_read_ms.max(Some(read_ms));
-        self.needs_dispatch |= !was_current;
-    }
-
-    /// Returns whether the capacities in the list may still be used for placement.
-    pub(super) fn is_list_current(&self) -> bool {
-        let max_age_ms = self.timing.list_max_age_ms;
-        self.list_read_ms.is_some_and(|read_ms| self.now.monotonic_ms <= read_ms + max_age_ms)
+    /// Records when hosts wrote the entries that are known. An older date changes nothing, nor does
+    /// one of another incarnation.
+    pub(super) fn date_capacities(&mut self, readings: Vec<Reading>) {
+        let (now_ms, max_age_ms) = (self.now.monotonic_ms, self.timing.capacity_max_age_ms);
+        for reading in readings {
+            let host = self.hosts.get_mut(&reading.host);
+            let Some(host) = host.filter(|host| host.entry.incarnation == reading.incarnation)
+            else {
+                continue;
+            };
+            self.needs_dispatch |= !host.has_current_capacity(now_ms, max_age_ms);
+            host.capacity_written_ms = host.capacity_written_ms.max(Some(reading.written_ms));
+        }
     }
 
     fn update_host(&mut self, entry: HostEntry) {
@@ -104,6 +105,7 @@
         if let Some(host) = self.hosts.get_mut(name) {
             host.entry.incarnation = incarnation;
             host.is_listed = false;
+            host.capacity_written_ms = None;
             host.speed = Speed::default();
             host.lost_suspects.clear();
             host.logged_capacity = Resources::default();
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -96,8 +96,6 @@
     queues: BTreeMap<Name, Queue>,
     jobs: FxHashMap<job::Id, Job>,
     hosts: BTreeMap<Name, Host>,
-    /// Time at which the list of hosts was last known to be current, in milliseconds.
-    list_read_ms: Option<u64>,
     /// Upper bound of the host numbers given so far.
     last_host_number: u32,
     /// Resources used by the runs of each team.
@@ -150,7 +148,7 @@
             Event::Tick => self.tick(),
             Event::Configured(catalog) => self.configure(catalog),
             Event::Listed(entries) => self.update_host_list(entries),
-            Event::ListRead { age_ms } => self.record_list_read(age_ms),
+            Event::Dated(readings) => self.date_capacities(readings),
             Event::Submit { token, job, queue, team, spec } => {
                 self.submit(token, job, queue, team, spec);
             }
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -212,7 +212,6 @@
             catalog,
             jobs: recovered.jobs,
             hosts,
-            list_read_ms: None,
             last_host_number,
             team_usage: FxHashMap::default(),
             backlog: Backlog::default(),
--- a/crates/graph/src/event.rs
+++ b/crates/graph/src/event.rs
@@ -45,6 +45,18 @@
     pub is_draining: bool,
 }
 
+/// A lower bound of the time at which a host last wrote its entry.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Reading {
+    /// Name of the host.
+    pub host: Name,
+    /// Incarnation that the entry names.
+    pub incarnation: u64,
+    /// The entry was not written before this time of [`Moment::monotonic_ms`], in milliseconds.
+    /// A time and not an age, because the event may wait before it is handled.
+    pub written_ms: u64,
+}
+
 /// A host's reply to a poll.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
@@ -90,11 +102,9 @@
     Configured(Catalog),
     /// The platform's list of hosts was read.
     Listed(Vec<HostEntry>),
-    /// The platform's list of hosts was read and is that of the last [`Event::Listed`].
-    ListRead {
-        /// Time since the read began, in milliseconds.
-        age_ms: u64,
-    },
+    /// Hosts have written their entries again. The entries are those of the last
+    /// [`Event::Listed`].
+    Dated(Vec<Reading>),
     /// A caller submits a job.
     Submit {
         /// Token that the reply repeats.
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -41,6 +41,9 @@
     pub number: u32,
     /// The platform's list contains the host.
     pub is_listed: bool,
+    /// Lower bound of the time at which this incarnation last wrote its entry, in milliseconds.
+    /// `None` if unknown.
+    pub capacity_written_ms: Option<u64>,
     /// The host has replied to a poll with this owner's fencing token and has not been
     /// lost since.
     pub has_reported: bool,
@@ -100,6 +103,7 @@
             entry,
             number,
             is_listed: true,
+            capacity_written_ms: None,
             has_reported: false,
             log: LogState::Unused,
             logged_capacity: Resources::default(),
@@ -125,7 +129,12 @@
         }
     }
 
-    /// Returns whether the host may get new tasks.
+    /// Returns whether the listed capacity may still be used for placement.
+    pub fn has_current_capacity(&self, now_ms: u64, max_age_ms: u64) -> bool {
+        self.capacity_written_ms.is_some_and(|written_ms| now_ms <= written_ms + max_age_ms)
+    }
+
+    /// Returns whether the host may get new tasks once its capacity is known.
     pub fn is_usable(&self, now_ms: u64) -> bool {
         self.is_listed
             && self.has_reported
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -28,7 +28,7 @@
 pub use call_class::CallClass;
 pub use decision::{Decision, Grounds, Verdict};
 pub use engine::{Engine, Rank, Recovered};
-pub use event::{Event, HostEntry, Moment, Report, StartOutcome};
+pub use event::{Event, HostEntry, Moment, Reading, Report, StartOutcome};
 pub use host::RunEnd;
 pub use loss::{HostLoss, LossCause};
 pub use record::{Closed, Ended, Record, Snapshot};
--- a/crates/graph/src/timing.rs
+++ b/crates/graph/src/timing.rs
@@ -27,11 +27,12 @@
     /// Pause after a failed poll of a host, in milliseconds. Grows with the number of
     /// consecutive failures, up to eight times this value.
     pub poll_retry_ms: u64,
-    /// Age from which the list of hosts is no longer used to place tasks, in milliseconds.
+    /// Time after the last write of a host's entry for which its capacity is used to place tasks,
+    /// in milliseconds.
     ///
-    /// A host may shrink at any time. The platform documents for how long its former capacity may
-    /// still be used.
-    pub list_max_age_ms: u64,
+    /// A host may shrink right after the write. The platform documents for how long its former
+    /// capacity may still be used, from which the time of an order in flight is taken off.
+    pub capacity_max_age_ms: u64,
     /// Time for which a closed job stays known to callers, in milliseconds. Setting of the
     /// platform.
     pub status_retention_ms: u64,
@@ -49,7 +50,7 @@
             poll_wait_ms: 1_000,
             unacked_pause_ms: 300,
             poll_retry_ms: 100,
-            list_max_age_ms: 2_500,
+            capacity_max_age_ms: 4_000,
             status_retention_ms: 150_000,
             ticket_margin_ms: 60,
         }
--- a/crates/graph/src/waiting.rs
+++ b/crates/graph/src/waiting.rs
@@ -17,7 +17,8 @@
     /// A gang can't start again while runs of its last attempt are left.
     #[displaydoc("runs of the gang's last attempt have not all ended")]
     GangEnding,
-    /// The list of hosts was read so long ago that their capacities may have shrunk since.
+    /// Hosts that may have room wrote their entries so long ago that their capacities may have
+    /// shrunk since.
     #[displaydoc("the list of workers is too old")]
     ListTooOld,
     /// Another run of the job is isolated, and tasks of the job may be like it.
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -11,8 +11,8 @@
 use sycamore_graph::catalog::Catalog;
 use sycamore_graph::job::{Id, Spec, State};
 use sycamore_graph::{
-    Action, Advise, Answer, Ended, Engine, Event, HostEntry, Moment, Poll, Record, Recovered,
-    Report, RunEnd, Start, StartOutcome, TaskId, Timing,
+    Action, Advise, Answer, Ended, Engine, Event, HostEntry, Moment, Poll, Reading, Record,
+    Recovered, Report, RunEnd, Start, StartOutcome, TaskId, Timing,
 };
 use sycamore_types::Name;
 
@@ -29,8 +29,8 @@
 /// Time for which a crashed worker is down, in milliseconds.
 const RESTART_MS: u64 = 3_000;
 
-/// Interval at which the list of workers is read, in milliseconds.
-const LIST_INTERVAL_MS: u64 = 500;
+/// Interval at which a worker writes its entry, in milliseconds: the platform's default.
+const HEARTBEAT_MS: u64 = 1_500;
 
 /// Time after which a write to a store that is away is tried again, in milliseconds.
 const STORE_RETRY_MS: u64 = 100;
@@ -38,6 +38,10 @@
 /// Wall clock at the start of the simulation, in milliseconds since 1970.
 const START_UNIX_MS: u64 = 1_000_000;
 
+fn reading(entry: &HostEntry, written_ms: u64) -> Reading {
+    Reading { host: entry.id.clone(), incarnation: entry.incarnation, written_ms }
+}
+
 /// A message or log write in flight.
 #[derive(Clone, Debug)]
 enum Delivery {
@@ -74,6 +78,8 @@
     pub gang_timeouts: u64,
     pub answers: BTreeMap<u64, Answer>,
     pub timing: Timing,
+    /// Entries of the last list that the engine received.
+    listed: BTreeMap<Name, HostEntry>,
     engine: Engine,
     log: Vec<Record>,
     durable_records: usize,
@@ -119,6 +125,7 @@
             gang_timeouts: 0,
             answers: BTreeMap::new(),
             timing,
+            listed: BTreeMap::new(),
             engine,
             log: Vec::new(),
             durable_records: 0,
@@ -158,8 +165,28 @@
         };
         let listed = self.workers.iter().filter(is_listed);
         let entries: Vec<HostEntry> = listed.map(|worker| worker.entry.clone()).collect();
-        self.handle(Event::Listed(entries));
-        self.handle(Event::ListRead { age_ms: 0 });
+        self.handle(Event::Listed(entries.clone()));
+        self.listed = entries.iter().map(|entry| (entry.id.clone(), entry.clone())).collect();
+        self.handle(Event::Dated(
+            entries.iter().map(|entry| reading(entry, self.now_ms)).collect(),
+        ));
+    }
+
+    /// Passes to the engine which workers have written the listed entries again at this time. An
+    /// entry that has changed since is not dated, as the engine has the former one.
+    fn write_entries(&mut self) {
+        let is_due = |at: usize| (self.now_ms + at as u64 * TIME_STEP_MS) % HEARTBEAT_MS == 0;
+        let is_current = |worker: &Worker| {
+            let is_up = worker.is_alive && !worker.is_unreachable;
+            is_up && self.listed.get(&worker.entry.id) == Some(&worker.entry)
+        };
+        let written = self.workers.iter().enumerate();
+        let written = written.filter(|(at, worker)| is_due(*at) && is_current(worker));
+        let readings: Vec<Reading> =
+            written.map(|(_, worker)| reading(&worker.entry, self.now_ms)).collect();
+        if !readings.is_empty() {
+            self.handle(Event::Dated(readings));
+        }
     }
 
     pub fn submit(&mut self, job: Id, spec: Spec) -> u64 {
@@ -251,8 +278,8 @@
                     self.deliver(delivery);
                 }
             }
-            if self.now_ms.is_multiple_of(LIST_INTERVAL_MS) && !self.is_store_away {
-                self.handle(Event::ListRead { age_ms: 0 });
+            if !self.is_store_away {
+                self.write_entries();
             }
             if self.now_ms.is_multiple_of(50) {
                 self.handle(Event::Tick);
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -15,6 +15,11 @@
         Clock { origin: Instant::now() }
     }
 
+    /// Returns a time as [`Moment::monotonic_ms`], rounded down.
+    pub fn monotonic_ms(&self, at: Instant) -> u64 {
+        millis(at.saturating_duration_since(self.origin))
+    }
+
     pub fn now(&self) -> Moment {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
         Moment { monotonic_ms: millis(self.origin.elapsed()), unix_ms: millis(unix) }
--- a/crates/node/src/config/from_store.rs
+++ b/crates/node/src/config/from_store.rs
@@ -49,6 +49,7 @@
         let mut after = match store.get(key::CONFIG, STORE_TIMEOUT).await {
             Ok(Some(item)) => {
                 self.record_store_reply();
+                self.revisions.record(*started, item.as_of);
                 self.record_transfer("store", *started, None);
                 self.apply_if_newer(item.value, "store");
                 // The store may have compacted its history past the key's last change.
@@ -63,6 +64,7 @@
             match store.watch(key::CONFIG, after, CONFIG_WATCH_WAIT, max_bytes).await {
                 Ok(watched) => {
                     self.record_store_reply();
+                    self.revisions.record(*started, watched.as_of);
                     backoff.reset();
                     after = watched.as_of.max(after);
                     for change in watched.events {
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -20,6 +20,7 @@
 use crate::clock::millis;
 use crate::metrics::Meters;
 use crate::peer::Reply;
+use crate::revision::History;
 use crate::timing::{BUSY_LINK_TIME, CONFIG_WATCH_WAIT, STORE_STEADY_TIME};
 
 /// A configuration, and the reply to processes that ask for it.
@@ -47,14 +48,16 @@
     /// When data of the store last arrived.
     store_activity: Activity,
     fetches: Arc<Mutex<FetchPolicy>>,
+    /// Responses of the store to all tasks of this process.
+    pub revisions: History,
     meters: Meters,
 }
 
 impl Configs {
     pub fn new(meters: Meters) -> Configs {
         let sender = Arc::new(watch::Sender::new(None));
-        let (store_replies, store_activity, fetches) = Default::default();
-        Configs { sender, store_replies, store_activity, fetches, meters }
+        let (store_replies, store_activity, fetches, revisions) = Default::default();
+        Configs { sender, store_replies, store_activity, fetches, revisions, meters }
     }
 
     pub fn current(&self) -> Option<Arc<LoadedConfig>> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod owner;
 mod ownership;
 mod peer;
+mod revision;
 mod run;
 mod timing;
 
--- a/crates/node/src/owner/listing.rs
+++ b/crates/node/src/owner/listing.rs
@@ -1,20 +1,25 @@
-//! Reads the platform's list of workers at an interval, and keeps their addresses.
+//! Reads the platform's list of workers at an interval, dates their entries, and keeps their
+//! addresses.
+//!
+//! The age of a read says nothing about the age of the entries: workers can't write while the store
+//! is away. Each entry is dated by its revision (see [`crate::revision`]).
 //!
 //! Addresses outlive their entry in the list, so that workers that left can still be polled
 //! until their runs have ended.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
 use rustc_hash::FxHashMap;
-use sycamore_graph::{Event, HostEntry};
-use sycamore_platform::site::{Store, StoreError, key, parse_worker_entry};
+use sycamore_graph::{Event, HostEntry, Reading};
+use sycamore_platform::site::{StoreError, key, parse_worker_entry};
 use sycamore_types::Name;
 
 use super::Handle;
 use crate::backoff::Backoff;
-use crate::clock::millis;
+use crate::clock::Clock;
 use crate::node::Node;
 use crate::timing::{STORE_RETRY_MAX, STORE_TIMEOUT, WORKER_LIST_INTERVAL};
 
@@ -36,24 +41,42 @@
     }
 }
 
-/// Reads the list at an interval, and sends it to the engine whenever it has changed. Never
-/// returns.
+/// The newest known entry of a worker.
+#[derive(Clone, Debug)]
+struct Known {
+    entry: HostEntry,
+    /// Revision at which it was written.
+    rev: u64,
+    /// Lower bound of the time at which it was written.
+    written: Option<Instant>,
+}
+
+/// Reads the list at an interval, and sends it to the engine whenever it has changed, and the dates
+/// of the entries that were written again. Never returns.
 pub(super) async fn run(node: Arc<Node>, handle: Handle) {
-    let mut last = Vec::new();
+    let mut known = BTreeMap::new();
     let mut backoff = Backoff::new(WORKER_LIST_INTERVAL, STORE_RETRY_MAX);
     loop {
-        let started = Instant::now();
-        match read(&node.store, &handle.addresses).await {
-            Ok(entries) => {
+        match read(&node, &handle.addresses, &known).await {
+            Ok(listed) => {
                 backoff.reset();
-                if last.is_empty() {
-                    log::info!(target: "worker", workers = entries.len(); "first worker list read");
+                if known.is_empty() {
+                    let undated = listed.values().filter(|known| known.written.is_none()).count();
+                    log::info!(
+                        target: "worker", workers = listed.len(), undated;
+                        "first worker list read"
+                    );
+                }
+                // The entries come before their dates, so that no date reaches an older entry.
+                if !listed.values().map(|now| &now.entry).eq(known.values().map(|was| &was.entry)) {
+                    let entries = listed.values().map(|known| known.entry.clone());
+                    handle.send(Event::Listed(entries.collect()));
                 }
-                if entries != last {
-                    last = entries.clone();
-                    handle.send(Event::Listed(entries));
+                let readings = new_readings(&listed, &known, node.clock);
+                if !readings.is_empty() {
+                    handle.send(Event::Dated(readings));
                 }
-                handle.send(Event::ListRead { age_ms: millis(started.elapsed()) });
+                known = listed;
             }
             Err(error) => {
                 log::debug!("worker list not read: {error}");
@@ -65,23 +88,55 @@
     }
 }
 
-/// Reads the whole list, and stores the addresses.
-async fn read(store: &Store, addresses: &Addresses) -> Result<Vec<HostEntry>, StoreError> {
-    let mut entries = Vec::new();
+/// Returns the dates that have changed since the last read.
+fn new_readings(
+    listed: &BTreeMap<Name, Known>,
+    last: &BTreeMap<Name, Known>,
+    clock: Clock,
+) -> Vec<Reading> {
+    let reading = |(name, now): (&Name, &Known)| {
+        let written = now.written?;
+        let was = last.get(name).filter(|was| was.entry.incarnation == now.entry.incarnation);
+        (was.and_then(|was| was.written) != Some(written)).then(|| Reading {
+            host: name.clone(),
+            incarnation: now.entry.incarnation,
+            written_ms: clock.monotonic_ms(written),
+        })
+    };
+    listed.iter().filter_map(reading).collect()
+}
+
+/// Reads the whole list, dates the entries, and stores the addresses. An entry that is older than
+/// the known one of the same worker does not replace it.
+async fn read(
+    node: &Node,
+    addresses: &Addresses,
+    known: &BTreeMap<Name, Known>,
+) -> Result<BTreeMap<Name, Known>, StoreError> {
+    let mut listed = BTreeMap::new();
     let mut after = String::new();
     loop {
-        let page = store.range(key::WORKER_PREFIX, &after, STORE_TIMEOUT).await?;
+        let sent = Instant::now();
+        let page = node.store.range(key::WORKER_PREFIX, &after, STORE_TIMEOUT).await?;
+        node.configs.revisions.record(sent, page.as_of);
         for item in &page.items {
             let id = item.key.strip_prefix(key::WORKER_PREFIX).unwrap_or(&item.key);
             // Skips malformed entries, and workers that are neither ready nor draining.
-            if let Some((entry, address)) = parse_worker_entry(id, &item.value) {
-                addresses.set(entry.id.clone(), address);
-                entries.push(entry);
-            }
+            let Some((entry, address)) = parse_worker_entry(id, &item.value) else { continue };
+            let name = entry.id.clone();
+            let current = match known.get(&name) {
+                Some(was) if was.rev > item.rev => was.clone(),
+                Some(was) if was.rev == item.rev => Known { entry, ..was.clone() },
+                _ => Known { entry, rev: item.rev, written: None },
+            };
+            // A later response may bound the time of the same write more closely.
+            let written = current.written.max(node.configs.revisions.written_after(current.rev));
+            addresses.set(name.clone(), address);
+            listed.insert(name, Known { written, ..current });
         }
         match page.items.last() {
             Some(last) if page.more_pages => after = last.key.clone(),
-            _ => return Ok(entries),
+            _ => return Ok(listed),
         }
     }
 }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -26,7 +26,7 @@
 
 use sycamore_graph::catalog::Catalog;
 use sycamore_graph::{Engine, Event, Recovered, Timing};
-use sycamore_platform::site::{Store, StoreError};
+use sycamore_platform::site::{Settings, Store, StoreError};
 use tokio::sync::mpsc;
 
 pub(crate) use handle::Handle;
@@ -34,9 +34,7 @@
 use crate::clock::millis;
 use crate::node::Node;
 use crate::ownership::{CurrentOwner, OwnerRecord};
-use crate::timing::{
-    START_STOP_TIMEOUT, STORE_RETRY, STORE_TIMEOUT, UNCONFIRMED_RECOVERY_TIME, WORKER_LIST_INTERVAL,
-};
+use crate::timing::{START_STOP_TIMEOUT, STORE_RETRY, STORE_TIMEOUT, UNCONFIRMED_RECOVERY_TIME};
 
 /// Added to the platform's retention time for the state of a finished job, in
 /// milliseconds: clocks of hosts differ, and callers start counting at different moments.
@@ -95,7 +93,7 @@
     );
     let timing = Timing {
         lease_ms: node.settings.lease_ms,
-        list_max_age_ms: list_max_age_ms(node.settings.stability_ms),
+        capacity_max_age_ms: capacity_max_age_ms(&node.settings),
         status_retention_ms: node.settings.status_ms + STATUS_MARGIN_MS,
         ..Timing::default()
     };
@@ -150,12 +148,12 @@
     }
 }
 
-/// Returns the age up to which the list of workers may be used to place tasks: a worker that has
-/// shrunk may be used at its former capacity for `stability_ms`, and an order may be under way for
-/// some of it. Without two reads of the list within that time, no task would start.
-fn list_max_age_ms(stability_ms: u64) -> u64 {
-    let max_age_ms = stability_ms.saturating_sub(millis(START_STOP_TIMEOUT));
-    max_age_ms.max(2 * millis(WORKER_LIST_INTERVAL))
+/// Returns the time after the last write of a worker's entry for which its capacity is used to place
+/// tasks: a worker that shrinks right after the write may be used at its former capacity for
+/// `stability_ms` and one interval of its writes, and an order may be under way for some of it.
+fn capacity_max_age_ms(settings: &Settings) -> u64 {
+    let usable_ms = settings.stability_ms + settings.heartbeat_ms;
+    usable_ms.saturating_sub(millis(START_STOP_TIMEOUT))
 }
 
 /// Returns the catalog in force, for which it waits up to [`STORE_TIMEOUT`].
--- a/crates/platform/src/site/settings.rs
+++ b/crates/platform/src/site/settings.rs
@@ -41,6 +41,8 @@
     /// Time for which a worker that has shrunk may still be used at its former capacity, counted
     /// from its next report, in milliseconds.
     pub stability_ms: u64,
+    /// Interval at which a worker writes its entry, in milliseconds.
+    pub heartbeat_ms: u64,
     /// Time from SIGTERM to SIGKILL, in milliseconds.
     pub grace_ms: u64,
 }
@@ -74,6 +76,8 @@
     /// Address of the advice service; empty if there is none.
     #[serde(default)]
     hint: String,
+    #[serde(default = "default_heartbeat_ms")]
+    heartbeat_ms: u64,
     listen: ListenSection,
     #[serde(default)]
     limits: LimitsSection,
@@ -126,6 +130,9 @@
 fn default_stability_ms() -> u64 {
     3_000
 }
+fn default_heartbeat_ms() -> u64 {
+    1_500
+}
 fn default_grace_s() -> f64 {
     6.0
 }
@@ -177,6 +184,7 @@
             lease_ms: file.bounds.hold_max_ms,
             status_ms: (file.bounds.status_s * 1_000.0) as u64,
             stability_ms: file.bounds.stability_ms,
+            heartbeat_ms: file.heartbeat_ms,
             grace_ms: (file.bounds.grace_s * 1_000.0) as u64,
         })
     }
--- a/crates/platform/tests/site/settings.rs
+++ b/crates/platform/tests/site/settings.rs
@@ -11,6 +11,7 @@
 internal-ports = [7420, 7435]
 seeds = ["10.1.0.17:8180", "10.2.0.15:8180"]
 hint = "10.200.1.9:8182"
+heartbeat-ms = 1200
 a-new-field = { of = "another kind" }
 [listen]
 front = "10.1.0.17:8183"
@@ -35,10 +36,19 @@
     assert_eq!(settings.seeds[1].to_string(), "10.2.0.15:7420");
     assert_eq!(settings.lease_ms, 6_000);
     assert_eq!(settings.stability_ms, 4_000);
+    assert_eq!(settings.heartbeat_ms, 1_200);
     assert_eq!(settings.grace_ms, 6_000);
     assert_eq!(settings.max_value_bytes, 1 << 20);
 }
 
+/// Without its default, a platform that leaves the interval out would let no process start.
+#[test]
+fn a_missing_heartbeat_interval_has_the_documented_default() {
+    let settings = Settings::parse(&FILE.replace("heartbeat-ms = 1200", "")).unwrap();
+
+    assert_eq!(settings.heartbeat_ms, 1_500);
+}
+
 #[test]
 fn treats_an_empty_hint_as_no_advice_service() {
     let settings = Settings::parse(&FILE.replace("10.200.1.9:8182", "")).unwrap();
--- a/crates/standin/src/fenced/kv.rs
+++ b/crates/standin/src/fenced/kv.rs
@@ -29,6 +29,13 @@
         self.items.insert(key.to_string(), (value, self.rev));
     }
 
+    /// Writes the value of a key again.
+    pub fn touch(&mut self, key: &str) {
+        if let Some((value, _)) = self.items.get(key).cloned() {
+            self.put(key, &value);
+        }
+    }
+
     pub fn remove(&mut self, key: &str) {
         self.record(key, None);
         self.items.remove(key);
--- a/crates/standin/src/fenced/store.rs
+++ b/crates/standin/src/fenced/store.rs
@@ -3,7 +3,8 @@
 //! A waiting watch checks the contents every few milliseconds, so it reports a change with that
 //! delay.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
 use base64::Engine as _;
@@ -37,9 +38,14 @@
     Slow(Duration),
 }
 
+/// Interval at which each worker writes its entry, the default of the platform.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+
 #[derive(Debug)]
 struct State {
     kv: Kv,
+    /// Keys of the workers whose entries are written again at an interval.
+    workers: BTreeSet<String>,
     mode: Mode,
     /// Number of calls so far.
     calls: u64,
@@ -60,11 +66,14 @@
     ///
     /// Returns an error if the listener can't be bound.
     pub async fn start() -> std::io::Result<Store> {
-        let state = State { kv: Kv::default(), mode: Mode::Normal, calls: 0 };
+        let state =
+            State { kv: Kv::default(), workers: BTreeSet::new(), mode: Mode::Normal, calls: 0 };
         let state = Arc::new(Mutex::new(state));
         let shared = state.clone();
         let server = Server::start(Arc::default(), move |request| handle(shared.clone(), request));
-        Ok(Store { server: server.await?, state })
+        let server = server.await?;
+        tokio::spawn(write_worker_entries(Arc::downgrade(&state)));
+        Ok(Store { server, state })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -76,14 +85,20 @@
         self.put("op/config", config);
     }
 
-    /// Writes the entry of a worker, see [`Worker::entry`](super::Worker::entry).
+    /// Writes the entry of a worker, see [`Worker::entry`](super::Worker::entry). From then on it is
+    /// written again at an interval, except while the store is unavailable.
     pub fn add_worker(&self, id: &str, entry: &Value) {
-        self.put(&format!("servers/{id}"), entry);
+        let key = format!("servers/{id}");
+        self.put(&key, entry);
+        self.state().workers.insert(key);
     }
 
     /// Removes the entry of a worker.
     pub fn remove_worker(&self, id: &str) {
-        self.state().kv.remove(&format!("servers/{id}"));
+        let key = format!("servers/{id}");
+        let mut state = self.state();
+        state.kv.remove(&key);
+        state.workers.remove(&key);
     }
 
     /// Overwrites the value of a key, as a faulty writer would.
@@ -101,6 +116,19 @@
     }
 }
 
+/// Writes the entries of all workers at an interval, as these do, until the store is dropped.
+async fn write_worker_entries(state: Weak<Mutex<State>>) {
+    loop {
+        tokio::time::sleep(HEARTBEAT).await;
+        let Some(state) = state.upgrade() else { return };
+        let mut state = lock(&state);
+        if state.mode != Mode::Unavailable {
+            let State { kv, workers, .. } = &mut *state;
+            workers.iter().for_each(|key| kv.touch(key));
+        }
+    }
+}
+
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
