Don't hold an isolated run responsible beside a younger one

Cause: a crash was attributed to the isolated run although a run that is not isolated had started after it, or at the same time, so that an innocent job was failed. Change: such a loss is uncertain. From the second loss on, nothing else starts beside an isolated run, and that starts on a host on which nothing has started for 50 ms, so that the next crash settles it and the bound on starts of a deadly task holds.

--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -16,7 +16,7 @@
 use crate::WaitReason;
 use crate::host::Host;
 use crate::job;
-use crate::progress::StepProgress;
+use crate::progress::{Job, StepProgress};
 
 /// A host that accepts new work, as seen by one dispatch pass.
 #[derive(Clone, Debug)]
@@ -30,6 +30,8 @@
     is_slow: bool,
     /// Whether the host has runs that may crash it.
     pub has_isolated_run: bool,
+    /// Whether no other run may start beside these.
+    pub is_sealed: bool,
     /// Whether the host runs a task with a latency objective.
     has_latency_task: bool,
     /// Whether the host runs a best-effort task.
@@ -184,6 +186,8 @@
             is_dated
         };
         let usable = self.hosts.values().filter(|host| host.is_usable(now_ms)).filter(is_dated);
+        let needs_sealed_host =
+            |id: &job::Id| self.jobs.get(id).is_some_and(Job::needs_sealed_host);
         let view = |host: &Host| HostView {
             host: host.entry.id.clone(),
             number: host.number,
@@ -193,6 +197,7 @@
             capacity: host.entry.capacity,
             is_slow: host.speed.is_slow(),
             has_isolated_run: !host.isolated_runs.is_empty(),
+            is_sealed: host.isolated_runs.keys().any(needs_sealed_host),
             has_latency_task: host.latency_runs > 0,
             has_best_effort_task: host.best_effort_runs > 0,
             free: host.free(),
@@ -305,7 +310,7 @@
 
     fn candidate(&self, index: usize) -> Option<Candidate> {
         let (step, view) = (self.step, &self.views[index]);
-        if self.is_isolated && view.has_isolated_run {
+        if view.is_sealed || self.is_isolated && view.has_isolated_run {
             return None;
         }
         // Best-effort tasks slow down latency-sensitive ones by an unpredictable amount.
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -208,6 +208,10 @@
         ready: Vec<Candidate>,
         views: &mut HostViews,
     ) -> bool {
+        let job = self.jobs.get(&demand.step_id.job);
+        let is_sealed =
+            demand.isolation.is_for_suspects() && job.is_some_and(Job::needs_sealed_host);
+        let ready = if is_sealed { self.quiet_hosts(ready, demand, views) } else { ready };
         let plan = if demand.isolation.is_isolated() {
             plan_isolated(ready, demand, views, |name| self.work_at_stake(name))
         } else {
@@ -223,6 +227,7 @@
         let gang_attempt = step.tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
         for (at, tasks) in plan {
             views.add_isolated(at, demand.isolation);
+            views[at].is_sealed |= is_sealed;
             let host = views[at].host.clone();
             for _ in 0..tasks {
                 let Some((index, last)) = self.take_task_for(demand.step_id, &mut waiting, &host)
--- a/crates/graph/src/engine/isolation.rs
+++ b/crates/graph/src/engine/isolation.rs
@@ -9,7 +9,10 @@
 use sycamore_types::resources::Resources;
 
 use super::Engine;
-use crate::host::Host;
+use super::candidates::{Candidate, HostViews};
+use super::demand::Demand;
+use super::losses::SUSPECT_WINDOW_MS;
+use crate::host::{Host, Run};
 use crate::job;
 use crate::progress::{Job, StepProgress};
 use crate::{StepId, TaskId, WaitReason};
@@ -167,6 +170,32 @@
         })
     }
 
+    /// Returns the candidates on which nothing has started just now that may crash the host instead
+    /// of a suspect. If there is none, nothing more starts on the first one in this pass, so that
+    /// it is quiet for one of the next.
+    pub(super) fn quiet_hosts(
+        &self,
+        mut ready: Vec<Candidate>,
+        demand: &Demand,
+        views: &mut HostViews,
+    ) -> Vec<Candidate> {
+        let now_ms = self.now.monotonic_ms;
+        let is_recent = |run: &Run| now_ms <= run.requested_ms + SUSPECT_WINDOW_MS;
+        let is_quiet = |candidate: &Candidate| {
+            let host = self.hosts.get(&views[candidate.index].host);
+            host.is_some_and(|host| !host.runs.values().any(is_recent))
+        };
+        let next = ready.iter().find(|candidate| candidate.fits_now > 0).copied();
+        ready.retain(is_quiet);
+        if ready.is_empty()
+            && !demand.is_gang
+            && let Some(next) = next
+        {
+            views[next.index].is_sealed = true;
+        }
+        ready
+    }
+
     /// Returns the CPU time that a crash of a host would waste, in thousandths of a core times
     /// milliseconds.
     pub(super) fn work_at_stake(&self, name: &Name) -> u64 {
--- a/crates/graph/src/engine/losses.rs
+++ b/crates/graph/src/engine/losses.rs
@@ -17,15 +17,12 @@
 use super::bulkhead::PROMPT_MS;
 use crate::host::{Phase, Run, RunEnd};
 use crate::job::{Id, State};
-use crate::progress::Job;
+use crate::progress::{ISOLATE_AFTER, Job};
 use crate::{Action, HostLoss, LossCause, TaskId, Verdict};
 
 /// Time between the starts of the youngest run of a host and of another one up to which both are
 /// isolated after a crash, in milliseconds.
-const SUSPECT_WINDOW_MS: u64 = 50;
-
-/// Losses of hosts under a task from which all its runs are isolated, however old they were.
-const ISOLATE_AFTER: u32 = 2;
+pub(super) const SUSPECT_WINDOW_MS: u64 = 50;
 
 /// Crashes under a task from which its job is given up if nothing else explains the last one.
 const GIVE_UP_AFTER_EXPLAINED: usize = 2;
@@ -116,10 +113,19 @@
             let likely = all.iter().filter(|run| self.is_of_restricted_queue(run));
             suspects.extend(likely.map(|run| run.task.step.job));
         }
+        let unisolated = all.iter().filter(|run| run.was_there && !run.is_isolated);
+        let youngest_unisolated_ms = unisolated.map(|run| run.age_ms).min();
+        let crash = Crash {
+            cause,
+            suspects: &suspects,
+            youngest_age_ms: youngest.age_ms,
+            youngest_unisolated_ms,
+            is_mass_loss,
+        };
         let mut isolated = 0;
         let mut given_up = Vec::new();
         for run in &runs {
-            let blame = blame(run, cause, &suspects, youngest.age_ms, is_mass_loss);
+            let blame = crash.blame(run);
             isolated += usize::from(blame.is_isolated());
             if let Some(crashes) = self.count_loss(run, blame) {
                 given_up.push((run.task, crashes));
@@ -230,27 +236,45 @@
     }
 }
 
-fn blame(
-    run: &LostRun,
+/// What is known of the loss of a host as a whole.
+struct Crash<'a> {
     cause: LossCause,
-    suspects: &BTreeSet<Id>,
+    /// Jobs that are likely to have crashed the host.
+    suspects: &'a BTreeSet<Id>,
     youngest_age_ms: u64,
+    /// Age of the youngest run that was not isolated. `None` if there was none.
+    youngest_unisolated_ms: Option<u64>,
     is_mass_loss: bool,
-) -> Blame {
-    let is_young = run.age_ms <= youngest_age_ms.saturating_add(SUSPECT_WINDOW_MS);
-    match cause {
-        _ if !run.was_there => Blame::None,
-        LossCause::Drained => Blame::None,
-        LossCause::LeaseExpired => Blame::Uncertain { is_isolated: false },
-        LossCause::Crashed if suspects.is_empty() => {
-            Blame::of_crash(run, is_young && !is_mass_loss, false)
-        }
-        LossCause::Crashed if suspects.contains(&run.task.step.job) => {
-            let is_prime = run.is_isolated && suspects.len() == 1 && !is_mass_loss;
-            Blame::of_crash(run, true, is_prime)
+}
+
+impl Crash<'_> {
+    /// Returns whether the loss counts against one of the runs.
+    fn blame(&self, run: &LostRun) -> Blame {
+        let is_young = run.age_ms <= self.youngest_age_ms.saturating_add(SUSPECT_WINDOW_MS);
+        match self.cause {
+            _ if !run.was_there => Blame::None,
+            LossCause::Drained => Blame::None,
+            LossCause::LeaseExpired => Blame::Uncertain { is_isolated: false },
+            LossCause::Crashed if self.suspects.is_empty() => {
+                Blame::of_crash(run, is_young && !self.is_mass_loss, false)
+            }
+            // A run that started later or at about the same time may be at fault instead. Its next
+            // run is isolated as well.
+            LossCause::Crashed if self.is_shadowed(run) => Blame::Uncertain { is_isolated: true },
+            LossCause::Crashed if self.suspects.contains(&run.task.step.job) => {
+                let is_prime = run.is_isolated && self.suspects.len() == 1 && !self.is_mass_loss;
+                Blame::of_crash(run, true, is_prime)
+            }
+            // The likely culprit may be innocent, too.
+            LossCause::Crashed if is_young => Blame::Uncertain { is_isolated: false },
+            LossCause::Crashed => Blame::Collateral,
         }
-        // The likely culprit may be innocent, too.
-        LossCause::Crashed if is_young => Blame::Uncertain { is_isolated: false },
-        LossCause::Crashed => Blame::Collateral,
+    }
+
+    /// Returns whether a run that was not isolated started after an isolated one, or so shortly
+    /// before it that it may have crashed the host.
+    fn is_shadowed(&self, run: &LostRun) -> bool {
+        let latest_ms = run.age_ms.saturating_add(SUSPECT_WINDOW_MS);
+        run.is_isolated && self.youngest_unisolated_ms.is_some_and(|age_ms| age_ms <= latest_ms)
     }
 }
--- a/crates/graph/src/progress/job.rs
+++ b/crates/graph/src/progress/job.rs
@@ -8,7 +8,7 @@
 
 use sycamore_types::Name;
 
-use super::{StepProgress, Suspicion};
+use super::{ISOLATE_AFTER, StepProgress, Suspicion};
 use crate::host::RunEnd;
 use crate::job::{Id, Spec, State};
 use crate::{Ended, Record, Snapshot, StepId, TaskId};
@@ -134,6 +134,13 @@
         self.suspicions.values().any(|suspicion| suspicion.needs_isolation)
     }
 
+    /// Returns whether no other run may start on the hosts of the job's isolated runs. After two
+    /// losses the next crash has to show whether a task of the job is at fault: one that another
+    /// run may have caused says nothing about an innocent task and lets a deadly one start again.
+    pub fn needs_sealed_host(&self) -> bool {
+        self.suspicions.values().any(|suspicion| suspicion.losses() >= ISOLATE_AFTER)
+    }
+
     /// Returns whether a host has crashed that had no other suspect than this job.
     pub fn is_prime_suspect(&self) -> bool {
         self.suspicions.values().any(|suspicion| suspicion.is_prime)
--- a/crates/graph/src/progress/mod.rs
+++ b/crates/graph/src/progress/mod.rs
@@ -6,4 +6,4 @@
 
 pub(crate) use job::Job;
 pub(crate) use step::{StepProgress, TaskProgress, Ticket};
-pub(crate) use suspicion::Suspicion;
+pub(crate) use suspicion::{ISOLATE_AFTER, Suspicion};
--- a/crates/graph/src/progress/suspicion.rs
+++ b/crates/graph/src/progress/suspicion.rs
@@ -2,6 +2,10 @@
 
 use std::collections::BTreeSet;
 
+/// Losses of hosts under a task from which all its runs are isolated, however old they were, and
+/// nothing else starts beside them.
+pub(crate) const ISOLATE_AFTER: u32 = 2;
+
 /// Crashes of hosts under a task since a run of it last survived its isolation.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Suspicion {
--- a/crates/graph/tests/engine/crashes.rs
+++ b/crates/graph/tests/engine/crashes.rs
@@ -325,6 +325,33 @@
     }
 }
 
+/// An isolated run is not held responsible if a younger one beside it may be at fault. A deadly task
+/// that always has younger runs beside it must not start without a bound because of that (BUDGET),
+/// and none of those may be failed.
+#[test]
+fn a_deadly_task_beside_younger_innocent_ones_is_given_up() {
+    for (workers, crash_after_ms) in [(1, 10), (1, 60), (1, 150), (1, 400), (2, 60), (2, 400)] {
+        let mut world = world_with_deadly_task(workers);
+        world.work_ms = 600;
+        world.crash_after_ms = crash_after_ms;
+        world.submit(id(1), job(vec![step(1, 500)]));
+
+        for number in 2..1_000 {
+            world.submit(id(number), job(vec![step(1, 100)]));
+            world.run(20);
+        }
+        world.run(60_000);
+
+        let crashes = world.oracle.crashes_under(task(id(1), 0));
+        assert!(crashes <= 6, "{workers} workers, {crash_after_ms} ms: {crashes} crashes");
+        assert_eq!(world.state(id(1)), Some(State::Failed));
+        for number in 2..1_000 {
+            let state = world.state(id(number));
+            assert_eq!(state, Some(State::Complete), "{workers}, {crash_after_ms}, {number}");
+        }
+    }
+}
+
 /// A start that never reached its worker, since that had just crashed under another task, counted
 /// as a crash under the task. Its job was given up after one real crash. The benchmark reported
 /// LOST (Mwakilema, gate-check, share 0.3, seed 1).
