Pass the time at which advice tickets were issued, not their age

Cause: the age was taken off when the event was handled, so that a ticket whose event had waited for the control thread counted as younger than it was. Change: Event::Advised has a time of the engine's clock.

--- a/crates/bench/src/site/simulation.rs
+++ b/crates/bench/src/site/simulation.rs
@@ -303,10 +303,11 @@
                     };
                     let allowed = asked.iter().filter(is_allowed);
                     let allowed = allowed.map(|host| (host.clone(), Name::from("t"))).collect();
-                    let event =
-                        Event::Advised { step, class, asked, allowed: Some(allowed), age_ms: 0 };
                     self.outcome.advice_ms += advise.cost_ms;
                     let after_us = (advise.cost_ms * 1_000.0) as u64 + 4 * LINK_US;
+                    let issued_ms = (self.now_us + after_us) / 1_000;
+                    let event =
+                        Event::Advised { step, class, asked, allowed: Some(allowed), issued_ms };
                     self.schedule(after_us, Item::Event(event));
                 }
                 Action::RecordDecision(decision) => self.note(decision.verdict),
--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -195,7 +195,7 @@
         class: CallClass,
         asked: Vec<Name>,
         allowed: Option<Vec<(Name, Name)>>,
-        age_ms: u64,
+        issued_ms: u64,
     ) {
         let now_ms = self.now.monotonic_ms;
         self.needs_dispatch = true;
@@ -210,7 +210,7 @@
             step.advice.not_before_ms = now_ms + ADVICE_RETRY_MS;
             return;
         };
-        let expires_ms = (now_ms + valid_ms.unwrap_or(0)).saturating_sub(age_ms);
+        let expires_ms = issued_ms + valid_ms.unwrap_or(0);
         let rate = self.allow_rate.entry(queue).or_insert(INITIAL_ALLOW_RATE);
         for name in &asked {
             let Some(number) = self.hosts.get(name).map(|host| host.number) else { continue };
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -170,8 +170,8 @@
                 self.advice_limits = limits;
                 self.needs_dispatch = true;
             }
-            Event::Advised { step, class, asked, allowed, age_ms } => {
-                self.handle_advice(step, class, asked, allowed, age_ms);
+            Event::Advised { step, class, asked, allowed, issued_ms } => {
+                self.handle_advice(step, class, asked, allowed, issued_ms);
             }
         }
         std::mem::take(&mut self.actions)
--- a/crates/graph/src/event.rs
+++ b/crates/graph/src/event.rs
@@ -199,7 +199,8 @@
         asked: Vec<Name>,
         /// Hosts that may run the step, each with its ticket. `None` if the call failed.
         allowed: Option<Vec<(Name, Name)>>,
-        /// Upper bound of the time since the tickets were issued, in milliseconds.
-        age_ms: u64,
+        /// The tickets were not issued before this time of [`Moment::monotonic_ms`], in
+        /// milliseconds.
+        issued_ms: u64,
     },
 }
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -175,7 +175,8 @@
     /// Passes to the engine which workers have written the listed entries again at this time. An
     /// entry that has changed since is not dated, as the engine has the former one.
     fn write_entries(&mut self) {
-        let is_due = |at: usize| (self.now_ms + at as u64 * TIME_STEP_MS) % HEARTBEAT_MS == 0;
+        let is_due =
+            |at: usize| (self.now_ms + at as u64 * TIME_STEP_MS).is_multiple_of(HEARTBEAT_MS);
         let is_current = |worker: &Worker| {
             let is_up = worker.is_alive && !worker.is_unreachable;
             is_up && self.listed.get(&worker.entry.id) == Some(&worker.entry)
@@ -511,7 +512,8 @@
             }
         }
         let Advise { step, class, hosts: asked, cost_ms } = advise;
-        let event = Event::Advised { step, class, asked, allowed: Some(allowed), age_ms: 0 };
+        let issued_ms = self.now_ms + cost_ms as u64;
+        let event = Event::Advised { step, class, asked, allowed: Some(allowed), issued_ms };
         self.schedule(cost_ms as u64, Delivery::Event { epoch: self.epoch, event });
     }
 
--- a/crates/node/src/owner/advice.rs
+++ b/crates/node/src/owner/advice.rs
@@ -158,10 +158,11 @@
                 expected_ms = advise.cost_ms as u64, spent_ms; "advice"
             );
             // The service issues tickets no earlier than at the end of the call's expected
-            // time, so that they are at most this old.
+            // time, so that they are at most this old. The event may wait before it is handled.
             let age_ms = spent_ms.saturating_sub(advise.cost_ms as u64);
+            let issued_ms = node.clock.now().monotonic_ms.saturating_sub(age_ms);
             let Advise { step, class, hosts: asked, .. } = advise;
-            handle.send(Event::Advised { step, class, asked, allowed, age_ms });
+            handle.send(Event::Advised { step, class, asked, allowed, issued_ms });
             // Without a receiver the owner has ended.
             let _ = ended_calls.send(host);
         });
