Leave evacuated failure domains out of placement in the engine

Cause: operators can evacuate a failure domain of the platform, and the engine knew neither the domains of its hosts nor that one is evacuated.

Change: HostEntry has the failure domain, Event::Evacuating the complete set of evacuated ones. Their hosts are left out of a pass (single tasks, gangs, reservations, advice requests) and of the capacity that shares and isolation limits are computed from. Like a draining host they are logged as leaving and their end is not a crash. Work that would fit there waits as Evacuated.

--- a/crates/bench/src/site/simulation.rs
+++ b/crates/bench/src/site/simulation.rs
@@ -132,6 +132,7 @@
             capacity: Resources { cpu_millis: 64_000, memory_mib: 262_144, ..Resources::default() },
             labels: Arc::from([]),
             rack: Name::from(format!("rack-{}", number / 12)),
+            failure_domain: Name::from(""),
             is_draining: false,
         });
         let entries = entries.collect();
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -56,7 +56,7 @@
 }
 
 impl HostViews {
-    fn new(all: Vec<HostView>) -> HostViews {
+    pub fn new(all: Vec<HostView>) -> HostViews {
         let max_free =
             all.iter().fold(Resources::default(), |most, view| most.max_per_dimension(&view.free));
         let mut by_free_cpu: Vec<(u32, usize)> =
@@ -76,6 +76,10 @@
         }
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
     /// Returns whether a task may fit on some host. A cheap check: only `false` is certain.
     pub fn may_fit(&self, footprint: &Resources) -> bool {
         footprint.fits_in(&self.max_free)
@@ -143,6 +147,22 @@
 }
 
 impl HostView {
+    pub fn new(host: &Host) -> HostView {
+        HostView {
+            host: host.entry.id.clone(),
+            number: host.number,
+            rack: host.entry.rack.clone(),
+            service: host.entry.service.clone(),
+            labels: host.entry.labels.clone(),
+            capacity: host.entry.capacity,
+            is_slow: host.speed.is_slow(),
+            has_isolated_run: !host.isolated_runs.is_empty(),
+            has_latency_task: host.latency_runs > 0,
+            has_best_effort_task: host.best_effort_runs > 0,
+            free: host.free(),
+        }
+    }
+
     /// Updates the kinds of tasks on the host after one was placed there.
     pub fn add_task(&mut self, demand: &Demand) {
         self.has_latency_task |= demand.has_objective;
@@ -159,20 +179,7 @@
     pub(super) fn host_views(&self) -> HostViews {
         let now_ms = self.now.monotonic_ms;
         let usable = self.hosts.values().filter(|host| host.is_usable(now_ms));
-        let view = |host: &Host| HostView {
-            host: host.entry.id.clone(),
-            number: host.number,
-            rack: host.entry.rack.clone(),
-            service: host.entry.service.clone(),
-            labels: host.entry.labels.clone(),
-            capacity: host.entry.capacity,
-            is_slow: host.speed.is_slow(),
-            has_isolated_run: !host.isolated_runs.is_empty(),
-            has_latency_task: host.latency_runs > 0,
-            has_best_effort_task: host.best_effort_runs > 0,
-            free: host.free(),
-        };
-        let mut views = HostViews::new(usable.map(view).collect());
+        let mut views = HostViews::new(usable.map(HostView::new).collect());
         (views.isolated_hosts, views.prime_hosts) = self.isolated_hosts();
         views.limits = self.isolation_limits();
         views
@@ -267,6 +274,17 @@
         indices.filter_map(|index| self.candidate(index)).collect()
     }
 
+    /// Returns whether a task of the step fits on some host now, leaving out those that advice
+    /// has denied.
+    pub fn has_room(&self) -> bool {
+        let denied = &self.progress.advice.denied;
+        let mut hosts = self.views.most_cpu_first(self.footprint.cpu_millis);
+        hosts.any(|index| {
+            !denied.contains(&self.views[index].number)
+                && self.candidate(index).is_some_and(|found| found.fits_now > 0)
+        })
+    }
+
     /// Returns the name of a candidate's host.
     pub fn host(&self, index: usize) -> Name {
         self.views[index].host.clone()
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -59,6 +59,7 @@
         let now_unix_ms = self.now.unix_ms;
         self.backlog.expire(now_unix_ms);
         let mut views = self.host_views();
+        let evacuated = self.evacuated_views();
         let capacity = self.listed_capacity();
         let over_share = self.teams_over_share(&capacity);
         let mut order = self.backlog.ranked(now_unix_ms, &over_share);
@@ -68,6 +69,10 @@
         for (at, (rank, step_id)) in order.into_iter().enumerate() {
             let position = PassPosition { rank, place: at as u32 + 1, waiting, capacity };
             let reason = self.start_step(step_id, &position, &mut views, &mut failed_searches);
+            let reason = match reason {
+                Some(WaitReason::NoRoom) => Some(self.room_wait_reason(step_id, &evacuated)),
+                other => other,
+            };
             if let Some(step) =
                 self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id))
             {
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -27,6 +27,7 @@
             let known = [0, host.entry.incarnation];
             host.is_listed =
                 listed.get(name).is_some_and(|incarnation| known.contains(incarnation));
+            host.is_evacuated = self.evacuated_domains.contains(&host.entry.failure_domain);
         }
         self.remove_departed_hosts();
         self.record_leaving_hosts();
@@ -141,7 +142,7 @@
     fn record_leaving_hosts(&mut self) {
         let mut records = Vec::new();
         for host in self.hosts.values_mut() {
-            let is_leaving = host.entry.is_draining || !host.is_listed || host.missed_polls > 0;
+            let is_leaving = host.is_withdrawn() || !host.is_listed || host.missed_polls > 0;
             if !is_leaving || !host.has_reported {
                 continue;
             }
--- a/crates/graph/src/engine/isolation.rs
+++ b/crates/graph/src/engine/isolation.rs
@@ -125,7 +125,8 @@
 
     /// Returns how many hosts may have isolated runs now.
     pub(super) fn isolation_limits(&self) -> IsolationLimits {
-        let listed = || self.hosts.values().filter(|host| host.is_listed);
+        let is_counted = |host: &&Host| host.is_listed && !host.is_evacuated;
+        let listed = || self.hosts.values().filter(is_counted);
         let used = listed().fold(Resources::default(), |sum, host| sum.plus(&host.used));
         let idle = 1.0 - used.dominant_share(&self.listed_capacity()).min(1.0);
         let share = f64::max(MIN_ISOLATED_SHARE, IDLE_SHARE * idle);
--- a/crates/graph/src/engine/losses.rs
+++ b/crates/graph/src/engine/losses.rs
@@ -15,7 +15,7 @@
 
 use super::Engine;
 use super::bulkhead::PROMPT_MS;
-use crate::host::{Phase, Run, RunEnd};
+use crate::host::{Host, Phase, Run, RunEnd};
 use crate::job::{Id, State};
 use crate::progress::Job;
 use crate::{Action, HostLoss, LossCause, TaskId, Verdict};
@@ -93,8 +93,8 @@
 
     /// Returns why a host is lost whose incarnation has ended.
     pub(super) fn cause_of_end(&self, name: &Name) -> LossCause {
-        let is_draining = self.hosts.get(name).is_some_and(|host| host.entry.is_draining);
-        if is_draining { LossCause::Drained } else { LossCause::Crashed }
+        let is_withdrawn = self.hosts.get(name).is_some_and(Host::is_withdrawn);
+        if is_withdrawn { LossCause::Drained } else { LossCause::Crashed }
     }
 
     /// Ends runs of a lost host.
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -28,6 +28,7 @@
 mod close;
 mod demand;
 mod dispatch;
+mod evacuation;
 mod health;
 mod hosts;
 mod isolation;
@@ -58,6 +59,7 @@
 use backlog::Backlog;
 use broken_gangs::GangEnds;
 use bulkhead::Bulkheads;
+pub use evacuation::DomainLoad;
 pub use rank::Rank;
 pub use recover::Recovered;
 
@@ -96,6 +98,8 @@
     queues: BTreeMap<Name, Queue>,
     jobs: FxHashMap<job::Id, Job>,
     hosts: BTreeMap<Name, Host>,
+    /// Failure domains on whose hosts no task may start.
+    evacuated_domains: BTreeSet<Name>,
     /// Time at which the list of hosts was last known to be current, in milliseconds.
     list_read_ms: Option<u64>,
     /// Upper bound of the host numbers given so far.
@@ -151,6 +155,7 @@
             Event::Configured(catalog) => self.configure(catalog),
             Event::Listed(entries) => self.update_host_list(entries),
             Event::ListRead { age_ms } => self.record_list_read(age_ms),
+            Event::Evacuating(domains) => self.evacuate_domains(domains),
             Event::Submit { token, job, queue, team, spec } => {
                 self.submit(token, job, queue, team, spec);
             }
--- a/crates/graph/src/engine/polls.rs
+++ b/crates/graph/src/engine/polls.rs
@@ -98,7 +98,7 @@
     /// when it has grown.
     fn record_use(&mut self, name: &Name) {
         let Some(host) = self.hosts.get_mut(name) else { return };
-        let accepts_work = host.is_listed && !host.entry.is_draining;
+        let accepts_work = host.is_listed && !host.is_withdrawn();
         let is_logged = matches!(host.log, LogState::UsePending | LogState::Used)
             && host.entry.capacity.fits_in(&host.logged_capacity);
         if !accepts_work || is_logged {
--- a/crates/graph/src/engine/rank.rs
+++ b/crates/graph/src/engine/rank.rs
@@ -55,8 +55,9 @@
         })
     }
 
+    /// Returns the total capacity of the listed hosts outside evacuated failure domains.
     pub(super) fn listed_capacity(&self) -> Resources {
-        let listed = self.hosts.values().filter(|host| host.is_listed);
+        let listed = self.hosts.values().filter(|host| host.is_listed && !host.is_evacuated);
         listed.fold(Resources::default(), |sum, host| sum.plus(&host.entry.capacity))
     }
 
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -212,6 +212,7 @@
             catalog,
             jobs: recovered.jobs,
             hosts,
+            evacuated_domains: BTreeSet::new(),
             list_read_ms: None,
             last_host_number,
             team_usage: FxHashMap::default(),
@@ -295,6 +296,7 @@
         capacity,
         labels: Arc::default(),
         rack: Name::from(""),
+        failure_domain: Name::from(""),
         is_draining: false,
     }
 }
--- a/crates/graph/src/engine/run_ends.rs
+++ b/crates/graph/src/engine/run_ends.rs
@@ -250,7 +250,7 @@
             self.handle_lost_incarnation(name);
         } else {
             host.missed_polls += 1;
-            if host.missed_polls == 1 && host.has_reported && !host.entry.is_draining {
+            if host.missed_polls == 1 && host.has_reported && !host.is_withdrawn() {
                 self.note_unreachable(name);
             }
         }
--- a/crates/graph/src/event.rs
+++ b/crates/graph/src/event.rs
@@ -3,6 +3,7 @@
 //! A reply may arrive late, twice or not at all. Polls carry a number and run ends a
 //! sequence number, so that the engine recognises outdated and repeated ones.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -41,6 +42,8 @@
     pub labels: Arc<[Name]>,
     /// Rack of the host.
     pub rack: Name,
+    /// Failure domain of the host, empty if unknown.
+    pub failure_domain: Name,
     /// The host takes no new tasks.
     pub is_draining: bool,
 }
@@ -95,6 +98,9 @@
         /// Time since the read began, in milliseconds.
         age_ms: u64,
     },
+    /// The complete set of failure domains that are evacuated now: no task may start on their
+    /// hosts. Without this event, none is.
+    Evacuating(BTreeSet<Name>),
     /// A caller submits a job.
     Submit {
         /// Token that the reply repeats.
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -29,7 +29,7 @@
     /// The host may have any run.
     Used,
     /// The host may have only the runs that it had when it stopped taking new tasks, because
-    /// it drains, is no longer listed or is silent.
+    /// it drains or is evacuated, is no longer listed or is silent.
     Leaving,
 }
 
@@ -41,6 +41,8 @@
     pub number: u32,
     /// The platform's list contains the host.
     pub is_listed: bool,
+    /// The failure domain of the host is evacuated.
+    pub is_evacuated: bool,
     /// The host has replied to a poll with this owner's fencing token and has not been
     /// lost since.
     pub has_reported: bool,
@@ -100,6 +102,7 @@
             entry,
             number,
             is_listed: true,
+            is_evacuated: false,
             has_reported: false,
             log: LogState::Unused,
             logged_capacity: Resources::default(),
@@ -127,14 +130,24 @@
 
     /// Returns whether the host may get new tasks.
     pub fn is_usable(&self, now_ms: u64) -> bool {
+        self.log == LogState::Used && !self.is_evacuated && self.would_be_usable(now_ms)
+    }
+
+    /// Returns whether the host may get new tasks except for an evacuation and its log record.
+    pub fn would_be_usable(&self, now_ms: u64) -> bool {
         self.is_listed
             && self.has_reported
-            && self.log == LogState::Used
             && !self.entry.is_draining
             && self.missed_polls == 0
             && now_ms >= self.quarantined_until_ms
     }
 
+    /// Returns whether operators keep new tasks off the host, by draining it or by evacuating its
+    /// failure domain. Its end is no sign of a fault then.
+    pub fn is_withdrawn(&self) -> bool {
+        self.entry.is_draining || self.is_evacuated
+    }
+
     /// Returns the record that the host gets no new tasks and which runs it has left.
     pub fn leaving_record(&self) -> Record {
         let runs = self.runs.keys().copied().collect();
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -27,7 +27,7 @@
 pub use action::{Action, Advise, Answer, Poll, Start, Stop};
 pub use call_class::CallClass;
 pub use decision::{Decision, Grounds, Verdict};
-pub use engine::{Engine, Rank, Recovered};
+pub use engine::{DomainLoad, Engine, Rank, Recovered};
 pub use event::{Event, HostEntry, Moment, Report, StartOutcome};
 pub use host::RunEnd;
 pub use loss::{HostLoss, LossCause};
--- a/crates/graph/src/waiting.rs
+++ b/crates/graph/src/waiting.rs
@@ -35,6 +35,10 @@
     /// No host that may run the tasks has enough free capacity.
     #[displaydoc("no worker with room may run it")]
     NoRoom,
+    /// Hosts of an evacuated failure domain have free capacity for the tasks, and no other host
+    /// that may run them has.
+    #[displaydoc("the workers with room for it are in a failure domain that is evacuated")]
+    Evacuated,
     /// A call for advice is in flight, or the pause after a failed call is not over.
     #[displaydoc("advice is under way")]
     AdvicePending,
--- a/crates/graph/tests/engine/fixture.rs
+++ b/crates/graph/tests/engine/fixture.rs
@@ -71,6 +71,7 @@
         capacity: size(4_000, 4_000),
         labels: Arc::from([Name::from("a"), Name::from(format!("rack-{}", number / 2))]),
         rack: Name::from(format!("rack-{}", number / 2)),
+        failure_domain: Name::from(format!("domain-{}", number % 2)),
         is_draining: false,
     }
 }
--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod capacity;
 mod crashes;
+mod evacuation;
 mod fixture;
 mod fuzz;
 mod gangs;
--- a/crates/graph/tests/engine/worker.rs
+++ b/crates/graph/tests/engine/worker.rs
@@ -38,6 +38,8 @@
 pub struct Worker {
     pub entry: HostEntry,
     pub fence: u64,
+    /// Number of runs that were started here.
+    pub starts: u64,
     pub runs: BTreeMap<(TaskId, u32), Run>,
     pub ends: Vec<(u64, TaskId, u32, RunEnd, Name)>,
     pub last_end: u64,
@@ -71,6 +73,7 @@
         Worker {
             entry,
             fence: 0,
+            starts: 0,
             runs: BTreeMap::new(),
             ends: Vec::new(),
             last_end: 0,
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -4,15 +4,15 @@
 //! takes the same course each time.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use sycamore_graph::catalog::Catalog;
 use sycamore_graph::job::{Id, Spec, State};
 use sycamore_graph::{
-    Action, Advise, Answer, Ended, Engine, Event, HostEntry, Moment, Poll, Record, Recovered,
-    Report, RunEnd, Start, StartOutcome, TaskId, Timing,
+    Action, Advise, Answer, DomainLoad, Ended, Engine, Event, HostEntry, HostLoss, Moment, Poll,
+    Record, Recovered, Report, RunEnd, Start, StartOutcome, TaskId, Timing, WaitReason,
 };
 use sycamore_types::Name;
 
@@ -74,6 +74,10 @@
     pub gang_timeouts: u64,
     pub answers: BTreeMap<u64, Answer>,
     pub timing: Timing,
+    /// Failure domains that are evacuated, which a new owner reads before it places tasks.
+    evacuated: BTreeSet<Name>,
+    /// Losses of workers that the engine has reported.
+    pub losses: Vec<HostLoss>,
     engine: Engine,
     log: Vec<Record>,
     durable_records: usize,
@@ -119,6 +123,8 @@
             gang_timeouts: 0,
             answers: BTreeMap::new(),
             timing,
+            evacuated: BTreeSet::new(),
+            losses: Vec::new(),
             engine,
             log: Vec::new(),
             durable_records: 0,
@@ -213,6 +219,15 @@
         self.log.iter().cloned().for_each(|record| recovered.apply(record));
         let timing = self.timing.clone();
         self.engine = Engine::new(self.moment(), timing, self.catalog.clone(), recovered);
+        if !self.evacuated.is_empty() {
+            self.handle(Event::Evacuating(self.evacuated.clone()));
+        }
+    }
+
+    /// Evacuates these failure domains and no others.
+    pub fn evacuate(&mut self, domains: &[&str]) {
+        self.evacuated = domains.iter().copied().map(Name::from).collect();
+        self.handle(Event::Evacuating(self.evacuated.clone()));
     }
 
     /// Adds the end of a run to the log, as an owner does that is lost right afterwards. Makes all
@@ -439,10 +454,8 @@
                     let host = poll.host.clone();
                     self.send(&host, action, 0.0);
                 }
-                Action::RecordDecision(_)
-                | Action::ReportLoss(_)
-                | Action::ReportRestriction(_)
-                | Action::Deposed => {}
+                Action::ReportLoss(loss) => self.losses.push(loss),
+                Action::RecordDecision(_) | Action::ReportRestriction(_) | Action::Deposed => {}
             }
         }
     }
@@ -583,6 +596,7 @@
             StartOutcome::BadTicket
         };
         if outcome == StartOutcome::Started && !was_there {
+            self.workers[at].starts += 1;
             self.oracle.check_start(self.now_ms, task, at, &self.workers);
         }
         Event::Started { host, task, attempt, outcome, clock_ms: self.now_ms }
@@ -672,6 +686,16 @@
 }
 
 impl World {
+    /// Returns why steps wait, in no particular order.
+    pub fn wait_reasons(&self) -> Vec<WaitReason> {
+        self.engine.long_waits(0).iter().map(|wait| wait.reason).collect()
+    }
+
+    /// Returns what the engine knows of the workers in a failure domain.
+    pub fn domain_load(&self, domain: &str) -> DomainLoad {
+        self.engine.domain_load(domain)
+    }
+
     /// Describes why steps wait, for assertion messages.
     pub fn describe_waits(&self) -> String {
         format!("{:?}", self.engine.long_waits(0))
--- a/crates/platform/src/site/entry.rs
+++ b/crates/platform/src/site/entry.rs
@@ -17,6 +17,9 @@
     addr: SocketAddr,
     /// `ready` or `draining`; a worker in any other state is not used.
     state: Name,
+    /// Failure domain.
+    #[serde(default)]
+    zone: Name,
     capacity: CapacityBody,
     labels: Vec<Name>,
     /// Start of the incarnation, in milliseconds since 1970.
@@ -60,6 +63,7 @@
         },
         labels: entry.labels.into(),
         rack,
+        failure_domain: entry.zone,
         is_draining,
     };
     Some((host, entry.addr))
--- a/crates/platform/tests/site/worker.rs
+++ b/crates/platform/tests/site/worker.rs
@@ -11,6 +11,7 @@
 
     assert_eq!(&*entry.id, "i-7f");
     assert_eq!((entry.incarnation, &*entry.rack, entry.is_draining), (17, "r1-3", false));
+    assert_eq!(&*entry.failure_domain, "a");
     assert_eq!((entry.capacity.cpu_millis, entry.capacity.accelerators), (16_000, 1));
     assert_eq!(address.to_string(), "10.128.0.9:8080");
     assert_eq!(entry.address, Some(address));
