Read failure domain, evac-ms and revisions of changes from the platform

Cause: the node needs to know which workers an evacuation concerns, whether a deployment uses evacuations, and how old a change of a watch is.

Change: workers' entries have the failure domain (zone), the settings an optional evac-ms, changes of a watch their revision; keys below op/ have names. The stand-in store evacuates, forgets its history and pages its ranges on request; its workers state a zone.

--- a/crates/node/tests/path/process.rs
+++ b/crates/node/tests/path/process.rs
@@ -40,12 +40,14 @@
     pub link_mbps: f64,
     /// Address at which the process reaches the store.
     pub store: SocketAddr,
+    /// Time after which no task starts in an evacuated failure domain, in milliseconds.
+    pub evacuation_ms: Option<u64>,
 }
 
 impl Host<'_> {
     /// A host that may own at once.
     pub fn strong(name: &str, store: SocketAddr) -> Host<'_> {
-        Host { name, cores: 1.0, link_mbps: 1_000.0, store }
+        Host { name, cores: 1.0, link_mbps: 1_000.0, store, evacuation_ms: None }
     }
 }
 
@@ -68,6 +70,7 @@
             grace_s: 6,
             cores: host.cores,
             link_mbps: host.link_mbps,
+            evacuation_ms: host.evacuation_ms,
         });
         let settings =
             std::env::temp_dir().join(format!("sycamore-{}-{callers}.toml", std::process::id()));
--- a/crates/platform/src/site/mod.rs
+++ b/crates/platform/src/site/mod.rs
@@ -38,6 +38,11 @@
 pub mod key {
     /// Key of the newest configuration.
     pub const CONFIG: &str = "op/config";
+    /// Prefix of all keys that operators write.
+    pub const OPERATOR_PREFIX: &str = "op/";
+    /// Prefix of the evacuated failure domains; the rest of the key is the domain. The key is
+    /// removed when the evacuation ends.
+    pub const EVACUATION_PREFIX: &str = "op/evacuate/";
     /// Prefix of the workers' entries; the rest of the key is the worker's id.
     pub const WORKER_PREFIX: &str = "servers/";
 }
--- a/crates/platform/src/site/settings.rs
+++ b/crates/platform/src/site/settings.rs
@@ -41,6 +41,9 @@
     /// Time for which a worker that has shrunk may still be used at its former capacity, counted
     /// from its next report, in milliseconds.
     pub stability_ms: u64,
+    /// Time after the store has acknowledged the evacuation of a failure domain from which no task
+    /// may start there, in milliseconds. `None` where evacuations are not in use.
+    pub evacuation_ms: Option<u64>,
     /// Time from SIGTERM to SIGKILL, in milliseconds.
     pub grace_ms: u64,
 }
@@ -105,6 +108,8 @@
     hold_max_ms: u64,
     #[serde(rename = "stability-ms", default = "default_stability_ms")]
     stability_ms: u64,
+    #[serde(rename = "evac-ms")]
+    evac_ms: Option<u64>,
     #[serde(rename = "grace-s", default = "default_grace_s")]
     grace_s: f64,
     #[serde(default = "default_status_s")]
@@ -177,6 +182,7 @@
             lease_ms: file.bounds.hold_max_ms,
             status_ms: (file.bounds.status_s * 1_000.0) as u64,
             stability_ms: file.bounds.stability_ms,
+            evacuation_ms: file.bounds.evac_ms,
             grace_ms: (file.bounds.grace_s * 1_000.0) as u64,
         })
     }
--- a/crates/platform/src/site/store.rs
+++ b/crates/platform/src/site/store.rs
@@ -98,6 +98,9 @@
     /// Whether the key was removed.
     #[serde(default)]
     pub removed: bool,
+    /// Revision of the change, zero if the store does not tell it.
+    #[serde(default)]
+    pub rev: u64,
 }
 
 /// A conditional change of several keys, which takes effect as a whole or not at all.
--- a/crates/platform/tests/site/settings.rs
+++ b/crates/platform/tests/site/settings.rs
@@ -39,6 +39,15 @@
     assert_eq!(settings.max_value_bytes, 1 << 20);
 }
 
+/// Failure: evacuations are followed on deployments that don't use them, or not on one that does.
+#[test]
+fn evacuations_are_in_use_only_with_their_bound() {
+    let with_bound = FILE.replace("gang-ms = 3000", "gang-ms = 3000\nevac-ms = 5000");
+
+    assert_eq!(Settings::parse(FILE).unwrap().evacuation_ms, None);
+    assert_eq!(Settings::parse(&with_bound).unwrap().evacuation_ms, Some(5_000));
+}
+
 #[test]
 fn treats_an_empty_hint_as_no_advice_service() {
     let settings = Settings::parse(&FILE.replace("10.200.1.9:8182", "")).unwrap();
--- a/crates/soak/src/round.rs
+++ b/crates/soak/src/round.rs
@@ -125,6 +125,7 @@
             grace_s: STOP_GRACE_S,
             cores: HOST_CORES,
             link_mbps: usual_link.mbps(),
+            evacuation_ms: None,
         };
         let environment = environment.to_vec();
         let mut process =
--- a/crates/standin/src/fenced/documents.rs
+++ b/crates/standin/src/fenced/documents.rs
@@ -73,6 +73,9 @@
     pub cores: f64,
     /// Bandwidth of the host's link, in Mbit/s.
     pub link_mbps: f64,
+    /// Time after which no task starts in an evacuated failure domain, in milliseconds. `None`
+    /// where evacuations are not in use.
+    pub evacuation_ms: Option<u64>,
 }
 
 /// Builds the body with which a job is submitted.
@@ -131,9 +134,10 @@
     // `sycamore-node` uses only the IP address of a seed and the first internal port. The other
     // ports are placeholders.
     let seeds: Vec<String> = process.seeds.iter().map(|seed| format!("\"{seed}:1\"")).collect();
+    let evacuation = process.evacuation_ms.map(|ms| format!("evac-ms = {ms}\n"));
     format!(
         "node = \"{}\"\nip = \"{}\"\nzone = \"a\"\ninternal-ports = [{}, 1]\nseeds = [{}]\n\
-         [listen]\nfront = \"{}\"\n[bounds]\nhold-max-ms = 6000\ngrace-s = {}\n\
+         [listen]\nfront = \"{}\"\n[bounds]\nhold-max-ms = 6000\ngrace-s = {}\n{}\
          [limits]\ncpu-share = {:?}\nlink-mbps = {:?}\n[platform]\naddr = \"{}\"\n",
         process.host,
         process.address,
@@ -141,6 +145,7 @@
         seeds.join(", "),
         process.caller_address,
         process.grace_s,
+        evacuation.unwrap_or_default(),
         process.cores,
         process.link_mbps,
         process.store_address
--- a/crates/standin/src/fenced/kv.rs
+++ b/crates/standin/src/fenced/kv.rs
@@ -14,12 +14,16 @@
 /// Contents of the store.
 #[derive(Debug, Default)]
 pub(super) struct Kv {
+    /// Most items in one page of a range. `None` means no limit.
+    pub max_page_items: Option<usize>,
     /// Revision of the last write to any key.
     rev: u64,
     /// Value in base64 and revision of its last write, by key.
     items: BTreeMap<String, (Arc<str>, u64)>,
     /// Writes and removals with their revisions, the oldest first.
     history: VecDeque<(u64, String, Option<Arc<str>>)>,
+    /// Revision up to which changes are not kept.
+    compacted_rev: u64,
 }
 
 impl Kv {
@@ -37,11 +41,19 @@
     fn record(&mut self, key: &str, value: Option<Arc<str>>) {
         self.rev += 1;
         self.history.push_back((self.rev, key.to_string(), value));
-        if self.history.len() > MAX_HISTORY {
-            self.history.pop_front();
+        if self.history.len() > MAX_HISTORY
+            && let Some((rev, ..)) = self.history.pop_front()
+        {
+            self.compacted_rev = rev;
         }
     }
 
+    /// Drops all changes, so that each watch has to begin anew.
+    pub fn forget_history(&mut self) {
+        self.history.clear();
+        self.compacted_rev = self.rev;
+    }
+
     fn item(&self, key: &str) -> Option<Value> {
         let (value, rev) = self.items.get(key)?;
         Some(json!({ "key": key, "value": &**value, "rev": rev, "as-of": self.rev }))
@@ -54,14 +66,17 @@
     /// Returns the keys with a prefix that sort after `after`.
     pub fn range(&self, prefix: &str, after: &str) -> (u16, Value) {
         let keys = self.items.keys().filter(|key| key.starts_with(prefix) && key.as_str() > after);
-        let items: Vec<Value> = keys.filter_map(|key| self.item(key)).collect();
-        (200, json!({ "items": items, "more-pages": false, "as-of": self.rev }))
+        let mut items = keys.filter_map(|key| self.item(key)).peekable();
+        let max_items = self.max_page_items.unwrap_or(usize::MAX);
+        let page: Vec<Value> = items.by_ref().take(max_items).collect();
+        let has_more = items.peek().is_some();
+        (200, json!({ "items": page, "more-pages": has_more, "as-of": self.rev }))
     }
 
     /// Returns each write and removal of the keys with a prefix after a revision, or 410 if
     /// that history is gone.
     pub fn changes(&self, prefix: &str, after: u64) -> (u16, Value) {
-        if self.history.front().is_some_and(|(oldest, ..)| after + 1 < *oldest) {
+        if after < self.compacted_rev {
             return (410, json!({}));
         }
         let first = self.history.partition_point(|(rev, ..)| *rev <= after);
--- a/crates/standin/src/fenced/store.rs
+++ b/crates/standin/src/fenced/store.rs
@@ -86,6 +86,26 @@
         self.state().kv.remove(&format!("servers/{id}"));
     }
 
+    /// Evacuates a failure domain, as an operator would.
+    pub fn evacuate(&self, domain: &str) {
+        self.put(&format!("op/evacuate/{domain}"), &json!({}));
+    }
+
+    /// Ends the evacuation of a failure domain.
+    pub fn end_evacuation(&self, domain: &str) {
+        self.state().kv.remove(&format!("op/evacuate/{domain}"));
+    }
+
+    /// Sets the most items that one page of a range holds.
+    pub fn set_max_page_items(&self, count: usize) {
+        self.state().kv.max_page_items = Some(count);
+    }
+
+    /// Drops the history of changes. A watch from an earlier revision is refused with status 410.
+    pub fn forget_history(&self) {
+        self.state().kv.forget_history();
+    }
+
     /// Overwrites the value of a key, as a faulty writer would.
     pub fn overwrite(&self, key: &str, value: &[u8]) {
         self.state().kv.put(key, &STANDARD.encode(value));
--- a/crates/standin/src/fenced/worker.rs
+++ b/crates/standin/src/fenced/worker.rs
@@ -155,6 +155,7 @@
     pub fn entry(&self, service: &str, address: SocketAddr) -> Value {
         json!({
             "service": service, "addr": address.to_string(), "state": "ready",
+            "zone": "a",
             "born": lock(&self.state).incarnation, "labels": ["a", "r1"],
             "capacity": {
                 "cpu": self.capacity.cpu_millis, "mem-mb": self.capacity.memory_mib, "gpu": 0,
