Follow evacuations of failure domains in sycamore-node

Change: where the settings have evac-ms, the watch of the configuration covers op/, the evacuated domains are read at its start and after each interruption, and a new owner reads them together with the log. The store's revision decides which reading is newer. The owner passes the set to its engine before the first list of workers, logs the begin and the end of each evacuation, and each process has the gauge evacuated_domains.

--- a/crates/node/src/config/from_store.rs
+++ b/crates/node/src/config/from_store.rs
@@ -1,4 +1,5 @@
-//! Reads the configuration from the store and watches it for changes.
+//! Reads the configuration and the evacuated failure domains from the store and watches them for
+//! changes.
 
 use std::time::Instant;
 
@@ -46,7 +47,10 @@
         backoff: &mut Backoff,
         started: &mut Instant,
     ) -> StoreError {
-        let mut after = match store.get(key::CONFIG, STORE_TIMEOUT).await {
+        // Read first, since a configuration may take seconds over a slow link. What changes meanwhile
+        // is in the first response of the watch, which begins at the revision of this reading.
+        let evacuated = self.evacuations.read(store).await;
+        let after = match store.get(key::CONFIG, STORE_TIMEOUT).await {
             Ok(Some(item)) => {
                 self.record_store_reply();
                 self.record_transfer("store", *started, None);
@@ -57,14 +61,20 @@
             Ok(None) => return StoreError::Refused(404),
             Err(error) => return error,
         };
+        let (prefix, mut after) = match evacuated {
+            Ok(Some(revision)) => (key::OPERATOR_PREFIX, revision),
+            Ok(None) => (key::CONFIG, after),
+            Err(error) => return error,
+        };
         loop {
             *started = Instant::now();
             let max_bytes = self.max_watch_bytes();
-            match store.watch(key::CONFIG, after, CONFIG_WATCH_WAIT, max_bytes).await {
+            match store.watch(prefix, after, CONFIG_WATCH_WAIT, max_bytes).await {
                 Ok(watched) => {
                     self.record_store_reply();
                     backoff.reset();
                     after = watched.as_of.max(after);
+                    self.evacuations.apply_changes(&watched);
                     for change in watched.events {
                         if change.key == key::CONFIG && !change.removed {
                             self.record_transfer("store", *started, None);
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! The configuration in force, read from the store or received from peers. Within one
 //! process its version never decreases.
 
+mod evacuations;
 mod fetch_policy;
 mod from_peer;
 mod from_store;
@@ -11,6 +12,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+pub(crate) use evacuations::{Evacuated, Evacuations};
 use fetch_policy::{FetchPolicy, StoreState};
 use sycamore_platform::http::Activity;
 use sycamore_platform::site::Config;
@@ -47,6 +49,7 @@
     /// When data of the store last arrived.
     store_activity: Activity,
     fetches: Arc<Mutex<FetchPolicy>>,
+    pub evacuations: Evacuations,
     meters: Meters,
 }
 
@@ -54,7 +57,14 @@
     pub fn new(meters: Meters) -> Configs {
         let sender = Arc::new(watch::Sender::new(None));
         let (store_replies, store_activity, fetches) = Default::default();
-        Configs { sender, store_replies, store_activity, fetches, meters }
+        let evacuations = Evacuations::new(meters.clone(), false);
+        Configs { sender, store_replies, store_activity, fetches, evacuations, meters }
+    }
+
+    /// Follows the evacuations of failure domains too.
+    pub fn with_evacuations(self) -> Configs {
+        let evacuations = Evacuations::new(self.meters.clone(), true);
+        Configs { evacuations, ..self }
     }
 
     pub fn current(&self) -> Option<Arc<LoadedConfig>> {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -61,6 +61,8 @@
     pub config_known: IntGauge,
     /// Attempts to receive a configuration, by origin and outcome.
     pub config_transfers: IntCounterVec,
+    /// Evacuated failure domains that this process knows of.
+    pub evacuated_domains: IntGauge,
 }
 
 impl Meters {
@@ -114,6 +116,8 @@
                 "Attempts to receive a configuration.",
                 &["origin", "outcome"],
             ),
+            evacuated_domains: all
+                .gauge("evacuated_domains", "Evacuated failure domains that are known here."),
             all,
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -69,6 +69,7 @@
     pub fn new(settings: Settings, decision_log: LineSender) -> Node {
         let client = Client::with_idle_timeout(IDLE_TIMEOUT);
         let meters = Meters::new();
+        let configs = Configs::new(meters.clone());
         Node {
             clock: Clock::new(),
             nonce: rand::random(),
@@ -79,7 +80,10 @@
                 .map(|address| AdviceClient::new(address, client.clone())),
             client,
             pool: Pool::default(),
-            configs: Configs::new(meters.clone()),
+            configs: match settings.evacuation_ms {
+                Some(_) => configs.with_evacuations(),
+                None => configs,
+            },
             meters,
             ownership: Ownership::default(),
             must_resign: Notify::new(),
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -10,6 +10,7 @@
 use sycamore_graph::{Action, Engine, Event, WaitingStep};
 use tokio::sync::{mpsc, oneshot};
 
+use super::evacuation::EvacuationLog;
 use super::handle::Input;
 use crate::clock::{Clock, millis};
 use crate::peer::{CallerRequest, RequestOutcome};
@@ -57,6 +58,7 @@
     load: Load,
     /// Workers of the previous owner are not all accounted for yet.
     is_recovering: bool,
+    evacuation_log: EvacuationLog,
     #[cfg(debug_assertions)]
     bug: super::injected_bug::InjectedBug,
 }
@@ -83,6 +85,7 @@
             last_load_log,
             load: Load::default(),
             is_recovering,
+            evacuation_log: EvacuationLog::default(),
             #[cfg(debug_assertions)]
             bug: super::injected_bug::InjectedBug::from_environment(),
         };
@@ -119,6 +122,7 @@
                 self.log_load();
             }
             self.log_recovery_end();
+            self.evacuation_log.log_changes(&self.engine);
             self.dispatch_if_due();
         }
     }
@@ -170,7 +174,17 @@
 
     fn handle_input(&mut self, input: Input) {
         match input {
-            Input::Event(event) => self.handle_event(event),
+            Input::Event(event) => {
+                if matches!(event, Event::Listed(_)) {
+                    self.evacuation_log.set_listed();
+                }
+                self.handle_event(event);
+            }
+            Input::Evacuated(evacuated) => {
+                let domains = evacuated.domains.keys().cloned().collect();
+                self.evacuation_log.set_known(evacuated);
+                self.handle_event(Event::Evacuating(domains));
+            }
             Input::Request { request, respond } => {
                 self.last_token += 1;
                 self.callers.insert(self.last_token, respond);
--- a/crates/node/src/owner/handle.rs
+++ b/crates/node/src/owner/handle.rs
@@ -13,6 +13,7 @@
 
 use super::Shared;
 use super::listing::Addresses;
+use crate::config::Evacuated;
 use crate::node::Node;
 use crate::peer::{CallerRequest, RequestOutcome};
 use crate::timing::UNCONFIRMED_DENIAL_TIME;
@@ -21,6 +22,8 @@
 #[derive(Debug)]
 pub(super) enum Input {
     Event(Event),
+    /// The evacuated failure domains have changed.
+    Evacuated(Evacuated),
     /// A caller's request.
     Request {
         request: CallerRequest,
@@ -56,6 +59,11 @@
         let _ = self.control.send(Input::Event(event));
     }
 
+    /// Passes the evacuated failure domains to the engine.
+    pub(super) fn evacuate(&self, evacuated: Evacuated) {
+        let _ = self.control.send(Input::Evacuated(evacuated));
+    }
+
     /// Returns whether log writes have been failing for a while.
     pub fn is_store_unavailable(&self) -> bool {
         self.shared.is_store_unavailable.load(Ordering::Relaxed)
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -7,6 +7,7 @@
 
 mod advice;
 mod control;
+mod evacuation;
 mod execute;
 mod handle;
 #[cfg(debug_assertions)]
@@ -109,12 +110,15 @@
         }
     };
     let handle = Handle::new(record.epoch, control, shared.clone());
+    // Before any list of workers, so that the engine places nothing without it.
+    let evacuations = evacuation::begin(node, &handle);
     node.ownership.set_current(CurrentOwner::Local(handle.clone()));
     let journal = journal::Journal::new(node, handle.clone(), shared, pages);
     let end = tokio::select! {
         end = execute::run(node.clone(), handle.clone(), received, journal) => end,
         _ = listing::run(node.clone(), handle.clone()) => EndReason::Deposed,
         _ = forward_config(node, &handle) => EndReason::Deposed,
+        () = evacuation::forward(evacuations, &handle) => EndReason::Deposed,
         () = node.outranked.notified() => EndReason::Deposed,
         () = node.must_resign.notified() => EndReason::Stopping,
     };
@@ -127,16 +131,17 @@
     }
 }
 
-/// Reads the log. Returns `None` if this process is stopping or another one has replaced the
+/// Reads the log, and the evacuated failure domains so that nothing is placed by an old set of
+/// them. Returns `None` if this process is stopping or another one has replaced the
 /// owner record, which does not make the read fail.
 async fn read_log_as_owner(
     node: &Node,
     shared: &Shared,
 ) -> Option<(Recovered, Vec<journal::Page>)> {
     loop {
-        let found = recover::read_log(&node.store).await;
+        let found = recover::read(node).await;
         if let Err(error) = &found {
-            log::warn!(target: "store", error:%; "log read failed; retrying");
+            log::warn!(target: "store", error:%; "state read failed; retrying");
             tokio::time::sleep(STORE_RETRY).await;
         }
         let is_owner = shared.is_recently_confirmed(UNCONFIRMED_RECOVERY_TIME)
--- a/crates/node/src/owner/recover.rs
+++ b/crates/node/src/owner/recover.rs
@@ -1,4 +1,4 @@
-//! Reads the log when this process becomes the owner.
+//! Reads the log and the evacuated failure domains when this process becomes the owner.
 //!
 //! A page that can't be decoded fails the whole read, since the engine would lack accepted
 //! jobs without its records.
@@ -9,19 +9,31 @@
 
 use super::journal::Page;
 use super::page::{self, PageError};
+use crate::node::Node;
 use crate::timing::STORE_TIMEOUT;
 
-/// Why the log can't be read.
+/// Why the state of the former owner can't be read.
 #[derive(Debug, Display)]
 pub(super) enum ReadError {
     /// {0}
     Store(StoreError),
     /// {0}
     Page(PageError),
+    /// the evacuated failure domains can't be read: {0}
+    Evacuations(StoreError),
+}
+
+/// Reads the evacuated failure domains into [`Configs::evacuations`](crate::config::Configs), and
+/// the log as [`read_log`] does.
+pub(super) async fn read(node: &Node) -> Result<(Recovered, Vec<Page>), ReadError> {
+    let evacuated =
+        async { node.configs.evacuations.read(&node.store).await.map_err(ReadError::Evacuations) };
+    let (log, _) = tokio::try_join!(read_log(&node.store), evacuated)?;
+    Ok(log)
 }
 
 /// Reads the whole log. Returns what its records say, and its pages for the journal.
-pub(super) async fn read_log(store: &Store) -> Result<(Recovered, Vec<Page>), ReadError> {
+async fn read_log(store: &Store) -> Result<(Recovered, Vec<Page>), ReadError> {
     let mut recovered = Recovered::default();
     let mut pages = Vec::new();
     let mut after = String::new();
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -2,6 +2,7 @@
 //! worker.
 
 mod configuration;
+mod evacuation;
 mod explain;
 mod platform;
 mod process;
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use sycamore_standin::fenced::{
@@ -19,6 +19,8 @@
 pub struct DuplicateStarts {
     started_tasks: Arc<Mutex<Vec<String>>>,
     count: Arc<AtomicU32>,
+    /// Time of each start, of new tasks and others.
+    times: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl Observer for DuplicateStarts {
@@ -30,6 +32,7 @@
                     self.count.fetch_add(1, Ordering::Relaxed);
                 }
                 started_tasks.push(task);
+                self.times.lock().unwrap_or_else(PoisonError::into_inner).push(Instant::now());
             }
             // A task that ended in any other way may be started again.
             Observation::Ended { task, how, .. } if how != "done" => {
@@ -102,6 +105,20 @@
         self.store.set_mode(if is_unavailable { Mode::Unavailable } else { Mode::Normal });
     }
 
+    /// Evacuates the failure domain of the worker. The store has acknowledged it on return.
+    pub fn evacuate(&self) {
+        self.store.evacuate("a");
+    }
+
+    pub fn end_evacuation(&self) {
+        self.store.end_evacuation("a");
+    }
+
+    /// Returns the times of all starts on the worker.
+    pub fn start_times(&self) -> Vec<Instant> {
+        self.duplicate_starts.times.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Answers each transaction of the store with 502 after it has been carried out.
     pub fn set_store_responses_hidden(&self, is_hidden: bool) {
         self.store.set_mode(if is_hidden { Mode::HidesResponses } else { Mode::Normal });
