--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -62,7 +62,7 @@
 }
 
 impl HostViews {
-    fn new(all: Vec<HostView>) -> HostViews {
+    pub fn new(all: Vec<HostView>) -> HostViews {
         let max_free =
             all.iter().fold(Resources::default(), |most, view| most.max_per_dimension(&view.free));
         let mut by_free_cpu: Vec<(u32, usize)> =
@@ -83,6 +83,10 @@
         }
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
     /// Returns whether a task may fit on some host. A cheap check: only `false` is certain.
     pub fn may_fit(&self, footprint: &Resources) -> bool {
         footprint.fits_in(&self.max_free)
@@ -161,6 +165,23 @@
 }
 
 impl HostView {
+    pub fn new(host: &Host) -> HostView {
+        HostView {
+            host: host.entry.id.clone(),
+            number: host.number,
+            rack: host.entry.rack.clone(),
+            service: host.entry.service.clone(),
+            labels: host.entry.labels.clone(),
+            capacity: host.entry.capacity,
+            is_slow: host.speed.is_slow(),
+            has_isolated_run: !host.isolated_runs.is_empty(),
+            is_sealed: false,
+            has_latency_task: host.latency_runs > 0,
+            has_best_effort_task: host.best_effort_runs > 0,
+            free: host.free(),
+        }
+    }
+
     /// Updates the kinds of tasks on the host after one was placed there.
     pub fn add_task(&mut self, demand: &Demand) {
         self.has_latency_task |= demand.has_objective;
@@ -189,18 +210,8 @@
         let needs_sealed_host =
             |id: &job::Id| self.jobs.get(id).is_some_and(Job::needs_sealed_host);
         let view = |host: &Host| HostView {
-            host: host.entry.id.clone(),
-            number: host.number,
-            rack: host.entry.rack.clone(),
-            service: host.entry.service.clone(),
-            labels: host.entry.labels.clone(),
-            capacity: host.entry.capacity,
-            is_slow: host.speed.is_slow(),
-            has_isolated_run: !host.isolated_runs.is_empty(),
             is_sealed: host.isolated_runs.keys().any(needs_sealed_host),
-            has_latency_task: host.latency_runs > 0,
-            has_best_effort_task: host.best_effort_runs > 0,
-            free: host.free(),
+            ..HostView::new(host)
         };
         let mut views = HostViews::new(usable.map(view).collect());
         views.max_undated_free = max_undated_free;
@@ -298,6 +309,17 @@
         indices.filter_map(|index| self.candidate(index)).collect()
     }
 
+    /// Returns whether a task of the step fits on some host now, leaving out those that advice
+    /// has denied.
+    pub fn has_room(&self) -> bool {
+        let denied = &self.progress.advice.denied;
+        let mut hosts = self.views.most_cpu_first(self.footprint.cpu_millis);
+        hosts.any(|index| {
+            !denied.contains(&self.views[index].number)
+                && self.candidate(index).is_some_and(|found| found.fits_now > 0)
+        })
+    }
+
     /// Returns the name of a candidate's host.
     pub fn host(&self, index: usize) -> Name {
         self.views[index].host.clone()
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -28,6 +28,7 @@
 mod close;
 mod demand;
 mod dispatch;
+mod evacuation;
 mod health;
 mod hosts;
 mod isolation;
@@ -58,6 +59,7 @@
 use backlog::Backlog;
 use broken_gangs::GangEnds;
 use bulkhead::Bulkheads;
+pub use evacuation::DomainLoad;
 pub use rank::Rank;
 pub use recover::Recovered;
 
@@ -96,6 +98,8 @@
     queues: BTreeMap<Name, Queue>,
     jobs: FxHashMap<job::Id, Job>,
     hosts: BTreeMap<Name, Host>,
+    /// Failure domains on whose hosts no task may start.
+    evacuated_domains: BTreeSet<Name>,
     /// Upper bound of the host numbers given so far.
     last_host_number: u32,
     /// Resources used by the runs of each team.
@@ -149,6 +153,7 @@
             Event::Configured(catalog) => self.configure(catalog),
             Event::Listed(entries) => self.update_host_list(entries),
             Event::Dated(readings) => self.date_capacities(readings),
+            Event::Evacuating(domains) => self.evacuate_domains(domains),
             Event::Submit { token, job, queue, team, spec } => {
                 self.submit(token, job, queue, team, spec);
             }
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -212,6 +212,7 @@
             catalog,
             jobs: recovered.jobs,
             hosts,
+            evacuated_domains: BTreeSet::new(),
             last_host_number,
             team_usage: FxHashMap::default(),
             backlog: Backlog::default(),
@@ -294,6 +295,7 @@
         capacity,
         labels: Arc::default(),
         rack: Name::from(""),
+        failure_domain: Name::from(""),
         is_draining: false,
     }
 }
--- a/crates/graph/src/event.rs
+++ b/crates/graph/src/event.rs
@@ -3,6 +3,7 @@
 //! A reply may arrive late, twice or not at all. Polls carry a number and run ends a
 //! sequence number, so that the engine recognises outdated and repeated ones.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -41,6 +42,8 @@
     pub labels: Arc<[Name]>,
     /// Rack of the host.
     pub rack: Name,
+    /// Failure domain of the host, empty if unknown.
+    pub failure_domain: Name,
     /// The host takes no new tasks.
     pub is_draining: bool,
 }
@@ -105,6 +108,9 @@
     /// Hosts have written their entries again. The entries are those of the last
     /// [`Event::Listed`].
     Dated(Vec<Reading>),
+    /// The complete set of failure domains that are evacuated now: no task may start on their
+    /// hosts. Without this event, none is.
+    Evacuating(BTreeSet<Name>),
     /// A caller submits a job.
     Submit {
         /// Token that the reply repeats.
--- a/crates/platform/src/site/settings.rs
+++ b/crates/platform/src/site/settings.rs
@@ -43,6 +43,9 @@
     pub stability_ms: u64,
     /// Interval at which a worker writes its entry, in milliseconds.
     pub heartbeat_ms: u64,
+    /// Time after the store has acknowledged the evacuation of a failure domain from which no task
+    /// may start there, in milliseconds. `None` where evacuations are not in use.
+    pub evacuation_ms: Option<u64>,
     /// Time from SIGTERM to SIGKILL, in milliseconds.
     pub grace_ms: u64,
 }
@@ -109,6 +112,8 @@
     hold_max_ms: u64,
     #[serde(rename = "stability-ms", default = "default_stability_ms")]
     stability_ms: u64,
+    #[serde(rename = "evac-ms")]
+    evac_ms: Option<u64>,
     #[serde(rename = "grace-s", default = "default_grace_s")]
     grace_s: f64,
     #[serde(default = "default_status_s")]
@@ -185,6 +190,7 @@
             status_ms: (file.bounds.status_s * 1_000.0) as u64,
             stability_ms: file.bounds.stability_ms,
             heartbeat_ms: file.heartbeat_ms,
+            evacuation_ms: file.bounds.evac_ms,
             grace_ms: (file.bounds.grace_s * 1_000.0) as u64,
         })
     }
--- a/crates/platform/tests/site/settings.rs
+++ b/crates/platform/tests/site/settings.rs
@@ -49,6 +49,15 @@
     assert_eq!(settings.heartbeat_ms, 1_500);
 }
 
+/// Failure: evacuations are followed on deployments that don't use them, or not on one that does.
+#[test]
+fn evacuations_are_in_use_only_with_their_bound() {
+    let with_bound = FILE.replace("gang-ms = 3000", "gang-ms = 3000\nevac-ms = 5000");
+
+    assert_eq!(Settings::parse(FILE).unwrap().evacuation_ms, None);
+    assert_eq!(Settings::parse(&with_bound).unwrap().evacuation_ms, Some(5_000));
+}
+
 #[test]
 fn treats_an_empty_hint_as_no_advice_service() {
     let settings = Settings::parse(&FILE.replace("10.200.1.9:8182", "")).unwrap();
