Test what a new owner knows of evacuations before it places tasks

Cause: no test failed when a new owner left out the read of op/evacuate/, because its own watch had usually shown the set before.

Change: recover::read takes the store and the set, so that two tests can call it; the stand-in store can refuse the calls for one prefix.

--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -139,7 +139,7 @@
     shared: &Shared,
 ) -> Option<(Recovered, Vec<journal::Page>)> {
     loop {
-        let found = recover::read(node).await;
+        let found = recover::read(&node.store, &node.configs.evacuations).await;
         if let Err(error) = &found {
             log::warn!(target: "store", error:%; "state read failed; retrying");
             tokio::time::sleep(STORE_RETRY).await;
--- a/crates/node/src/owner/recover.rs
+++ b/crates/node/src/owner/recover.rs
@@ -9,7 +9,7 @@
 
 use super::journal::Page;
 use super::page::{self, PageError};
-use crate::node::Node;
+use crate::config::Evacuations;
 use crate::timing::STORE_TIMEOUT;
 
 /// Why the state of the former owner can't be read.
@@ -23,12 +23,13 @@
     Evacuations(StoreError),
 }
 
-/// Reads the evacuated failure domains into [`Configs::evacuations`](crate::config::Configs), and
-/// the log as [`read_log`] does.
-pub(super) async fn read(node: &Node) -> Result<(Recovered, Vec<Page>), ReadError> {
-    let evacuated =
-        async { node.configs.evacuations.read(&node.store).await.map_err(ReadError::Evacuations) };
-    let (log, _) = tokio::try_join!(read_log(&node.store), evacuated)?;
+/// Reads the evacuated failure domains into `evacuations`, and the log as [`read_log`] does.
+pub(super) async fn read(
+    store: &Store,
+    evacuations: &Evacuations,
+) -> Result<(Recovered, Vec<Page>), ReadError> {
+    let evacuated = async { evacuations.read(store).await.map_err(ReadError::Evacuations) };
+    let (log, _) = tokio::try_join!(read_log(store), evacuated)?;
     Ok(log)
 }
 
--- a/crates/node/src/owner/tests/mod.rs
+++ b/crates/node/src/owner/tests/mod.rs
@@ -1,3 +1,4 @@
-//! Tests of decisions of the owner that need no network.
+//! Tests of single parts of the owner.
 
+mod evacuation;
 mod write_timeout;
--- a/crates/standin/src/fenced/store.rs
+++ b/crates/standin/src/fenced/store.rs
@@ -41,6 +41,8 @@
 struct State {
     kv: Kv,
     mode: Mode,
+    /// Ranges and watches of this prefix are refused with status 503.
+    refused_prefix: Option<String>,
     /// Number of calls so far.
     calls: u64,
 }
@@ -60,7 +62,7 @@
     ///
     /// Returns an error if the listener can't be bound.
     pub async fn start() -> std::io::Result<Store> {
-        let state = State { kv: Kv::default(), mode: Mode::Normal, calls: 0 };
+        let state = State { kv: Kv::default(), mode: Mode::Normal, refused_prefix: None, calls: 0 };
         let state = Arc::new(Mutex::new(state));
         let shared = state.clone();
         let server = Server::start(Arc::default(), move |request| handle(shared.clone(), request));
@@ -115,6 +117,11 @@
         self.state().kv.put(key, &STANDARD.encode(document.to_string()));
     }
 
+    /// Refuses ranges and watches of a prefix with status 503, whatever the mode.
+    pub fn refuse_prefix(&self, prefix: &str) {
+        self.state().refused_prefix = Some(prefix.to_string());
+    }
+
     /// Sets the behaviour for all later calls.
     pub fn set_mode(&self, mode: Mode) {
         self.state().mode = mode;
@@ -131,11 +138,16 @@
     let body = request.into_body().collect().await.ok()?.to_bytes();
     let body: Value = serde_json::from_slice(&body).unwrap_or_default();
     let started = Instant::now();
-    let (mode, calls) = {
+    let prefix = query_parameter(uri.query(), "prefix");
+    let (mode, calls, is_refused) = {
         let mut state = lock(&state);
         state.calls += 1;
-        (state.mode, state.calls)
+        let is_refused = prefix.is_some() && state.refused_prefix.as_deref() == prefix;
+        (state.mode, state.calls, is_refused)
     };
+    if is_refused {
+        return Some(response(StatusCode::SERVICE_UNAVAILABLE, "{}"));
+    }
     match mode {
         Mode::Unavailable => return Some(response(StatusCode::SERVICE_UNAVAILABLE, "{}")),
         Mode::Slow(delay) => tokio::time::sleep(delay).await,
