--- a/crates/standin/src/fenced/store.rs
+++ b/crates/standin/src/fenced/store.rs
@@ -47,6 +47,8 @@
     /// Keys of the workers whose entries are written again at an interval.
     workers: BTreeSet<String>,
     mode: Mode,
+    /// Ranges and watches of this prefix are refused with status 503.
+    refused_prefix: Option<String>,
     /// Number of calls so far.
     calls: u64,
 }
@@ -66,8 +68,13 @@
     ///
     /// Returns an error if the listener can't be bound.
     pub async fn start() -> std::io::Result<Store> {
-        let state =
-            State { kv: Kv::default(), workers: BTreeSet::new(), mode: Mode::Normal, calls: 0 };
+        let state = State {
+            kv: Kv::default(),
+            workers: BTreeSet::new(),
+            mode: Mode::Normal,
+            refused_prefix: None,
+            calls: 0,
+        };
         let state = Arc::new(Mutex::new(state));
         let shared = state.clone();
         let server = Server::start(Arc::default(), move |request| handle(shared.clone(), request));
@@ -130,6 +137,11 @@
         self.state().kv.put(key, &STANDARD.encode(document.to_string()));
     }
 
+    /// Refuses ranges and watches of a prefix with status 503, whatever the mode.
+    pub fn refuse_prefix(&self, prefix: &str) {
+        self.state().refused_prefix = Some(prefix.to_string());
+    }
+
     /// Sets the behaviour for all later calls.
     pub fn set_mode(&self, mode: Mode) {
         self.state().mode = mode;
@@ -159,11 +171,16 @@
     let body = request.into_body().collect().await.ok()?.to_bytes();
     let body: Value = serde_json::from_slice(&body).unwrap_or_default();
     let started = Instant::now();
-    let (mode, calls) = {
+    let prefix = query_parameter(uri.query(), "prefix");
+    let (mode, calls, is_refused) = {
         let mut state = lock(&state);
         state.calls += 1;
-        (state.mode, state.calls)
+        let is_refused = prefix.is_some() && state.refused_prefix.as_deref() == prefix;
+        (state.mode, state.calls, is_refused)
     };
+    if is_refused {
+        return Some(response(StatusCode::SERVICE_UNAVAILABLE, "{}"));
+    }
     match mode {
         Mode::Unavailable => return Some(response(StatusCode::SERVICE_UNAVAILABLE, "{}")),
         Mode::Slow(delay) => tokio::time::sleep(delay).await,
