Take past use of teams into account in the order of waiting work

Cause: shares are kept over seconds only, so that a team that fills the system for hours is served like any other once both wait. Change: the engine decays each team's dominant share with a half-life (--usage-half-life, off by default), lowers the weight of teams that used more than their part to no less than half, logs the numbers each 10 s, names the factor in the records of placements and shows it as gauges.

--- a/crates/audit/src/explain.rs
+++ b/crates/audit/src/explain.rs
@@ -87,6 +87,11 @@
         "; the host had {} thousandths of a core free by a report {} ms old",
         grounds.free_cpu_millis, grounds.report_age_ms
     ));
+    if let Some(factor) = grounds.usage_factor.filter(|factor| *factor < 1.0) {
+        text.push_str(&format!(
+            "; past use lowered its weight to {factor:.2} of what is configured"
+        ));
+    }
     if let Some(left_ms) = grounds.ticket_left_ms {
         text.push_str(&format!("; its ticket was good for {left_ms} ms"));
     }
--- a/crates/audit/tests/tampering.rs
+++ b/crates/audit/tests/tampering.rs
@@ -133,6 +133,7 @@
             free_cpu_millis: 9_600,
             report_age_ms: 20,
             ticket_left_ms: None,
+            usage_factor: Some(sequence as f64 / 4_001.0),
         };
         let verdict = Verdict::Placed { host: "h".into(), attempt: 1, grounds };
         Decision { verdict, ..decision(sequence) }
--- a/crates/graph/src/action.rs
+++ b/crates/graph/src/action.rs
@@ -109,6 +109,9 @@
     RecordDecision(Decision),
     /// Reports the loss of a host with its runs to operators.
     ReportLoss(HostLoss),
+    /// Reports the past use of the teams to operators: team, use in seconds of the whole capacity,
+    /// factor on its weight.
+    ReportTeamUse(Vec<(Name, f64, f64)>),
     /// Reports to operators that a queue is restricted, since its jobs bring hosts down.
     ReportRestriction(Name),
     /// Ends this owner: a host has seen a higher fencing token.
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -267,6 +267,7 @@
             waiting: position.waiting,
             waited_ms: self.now.unix_ms.saturating_sub(due_ms),
             share: usage.dominant_share(&position.capacity),
+            usage_factor: self.past_use.recorded_factor(&team, self.entitlement(&team)),
             free_cpu_millis: free.cpu_millis,
             report_age_ms: now_ms.saturating_sub(host.reported_ms),
             ticket_left_ms: ticket.map(|ticket| ticket.expires_ms.saturating_sub(now_ms)),
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -32,6 +32,7 @@
 mod hosts;
 mod isolation;
 mod losses;
+mod past_use;
 mod placement;
 mod polls;
 mod rank;
@@ -58,6 +59,7 @@
 use backlog::Backlog;
 use broken_gangs::GangEnds;
 use bulkhead::Bulkheads;
+use past_use::PastUse;
 pub use rank::Rank;
 pub use recover::Recovered;
 
@@ -102,6 +104,8 @@
     last_host_number: u32,
     /// Resources used by the runs of each team.
     team_usage: FxHashMap<Name, Resources>,
+    /// Use of the teams in the past.
+    past_use: PastUse,
     /// Steps with tasks that wait to be started.
     backlog: Backlog,
     /// Queues whose jobs bring hosts down.
@@ -203,6 +207,7 @@
         self.check_isolated_runs();
         self.stop_unstarted_gangs();
         self.end_broken_gangs();
+        self.update_past_use();
         self.poll_due_hosts();
         // Tickets expire and quarantines end without an event.
         self.needs_dispatch |= !self.backlog.is_empty();
--- a/crates/graph/src/engine/rank.rs
+++ b/crates/graph/src/engine/rank.rs
@@ -60,11 +60,13 @@
         listed.fold(Resources::default(), |sum, host| sum.plus(&host.entry.capacity))
     }
 
-    /// Returns the teams that use more than their weighted share of `capacity`.
+    /// Returns the teams that use more than their weighted share of `capacity`, which is smaller
+    /// for those that have used more than it in the past.
     pub(super) fn teams_over_share(&self, capacity: &Resources) -> FxHashSet<Name> {
         let total: u64 = self.catalog.teams.values().map(|team| u64::from(team.weight)).sum();
         let is_over = |(name, team): &(&Name, &Team)| {
-            let share = f64::from(team.weight) / total.max(1) as f64;
+            let entitled = f64::from(team.weight) / total.max(1) as f64;
+            let share = entitled * self.past_use.factor(name, entitled);
             let used =
                 self.team_usage.get(*name).map_or(0.0, |usage| usage.dominant_share(capacity));
             used > share * SHARE_TOLERANCE_FACTOR
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -13,11 +13,14 @@
 use super::Engine;
 use super::backlog::Backlog;
 use super::bulkhead::Bulkheads;
+use super::past_use::PastUse;
 use crate::catalog::Catalog;
 use crate::host::{Host, LogState, RunEnd};
 use crate::job::Id;
 use crate::progress::{Job, Suspicion};
-use crate::{CallClass, Ended, HostEntry, Moment, Record, Snapshot, StepId, TaskId, Timing};
+use crate::{
+    CallClass, Ended, HostEntry, Moment, Record, Snapshot, StepId, TaskId, TeamUse, Timing,
+};
 
 /// Attempt numbers skipped per task at a recovery, because the previous owner may have sent
 /// a start request that no record shows.
@@ -40,6 +43,7 @@
 pub struct Recovered {
     jobs: FxHashMap<Id, Job>,
     hosts: BTreeMap<Name, LoggedHost>,
+    team_use: Option<TeamUse>,
 }
 
 impl Recovered {
@@ -73,6 +77,7 @@
                 self.hosts.remove(&host);
             }
             Record::Snapshot(snapshot) => self.restore(snapshot),
+            Record::TeamUse(team_use) => self.team_use = Some(team_use),
         }
     }
 
@@ -204,6 +209,12 @@
             }
         }
         let is_recovering = !hosts.is_empty();
+        let past_use = PastUse::new(
+            now.monotonic_ms,
+            now.unix_ms,
+            timing.usage_half_life_ms,
+            recovered.team_use,
+        );
         let last_host_number = hosts.len() as u32;
         let mut engine = Engine {
             timing,
@@ -215,6 +226,7 @@
             list_read_ms: None,
             last_host_number,
             team_usage: FxHashMap::default(),
+            past_use,
             backlog: Backlog::default(),
             bulkheads: Bulkheads::default(),
             isolated_runs: FxHashMap::default(),
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -31,7 +31,7 @@
 pub use event::{Event, HostEntry, Moment, Report, StartOutcome};
 pub use host::RunEnd;
 pub use loss::{HostLoss, LossCause};
-pub use record::{Closed, Ended, Record, Snapshot};
+pub use record::{Closed, Ended, Record, Snapshot, TeamUse};
 pub use task::{StepId, TaskId};
 pub use timing::Timing;
 pub use waiting::{WaitReason, WaitingStep};
--- a/crates/graph/src/record.rs
+++ b/crates/graph/src/record.rs
@@ -53,6 +53,17 @@
     /// State of a job that is not closed. Replaces all earlier records of the job.
     #[serde(rename = "Image")]
     Snapshot(Snapshot),
+    /// Use of the teams in the past. Replaces all earlier records of it.
+    TeamUse(TeamUse),
+}
+
+/// Decayed use of the teams at one time.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TeamUse {
+    /// Time, in milliseconds since 1970.
+    pub at_unix_ms: u64,
+    /// Use of each team, in seconds of the whole capacity.
+    pub teams: Vec<(Name, f64)>,
 }
 
 /// The end of a run.
--- a/crates/graph/src/timing.rs
+++ b/crates/graph/src/timing.rs
@@ -35,6 +35,9 @@
     /// Time for which a closed job stays known to callers, in milliseconds. Setting of the
     /// platform.
     pub status_retention_ms: u64,
+    /// Time after which the past use of a team counts half, in milliseconds. Zero leaves past use
+    /// out of account.
+    pub usage_half_life_ms: u64,
     /// Remaining lifetime below which a ticket is no longer used, in milliseconds.
     pub ticket_margin_ms: u64,
 }
@@ -51,6 +54,7 @@
             poll_retry_ms: 100,
             list_max_age_ms: 2_500,
             status_retention_ms: 150_000,
+            usage_half_life_ms: 0,
             ticket_margin_ms: 60,
         }
     }
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -442,6 +442,7 @@
                 Action::RecordDecision(_)
                 | Action::ReportLoss(_)
                 | Action::ReportRestriction(_)
+                | Action::ReportTeamUse(_)
                 | Action::Deposed => {}
             }
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,10 +11,12 @@
 mod config;
 mod metrics;
 mod node;
+mod options;
 mod owner;
 mod ownership;
 mod peer;
 mod run;
 mod timing;
 
+pub use options::Options;
 pub use run::{Error, run};
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,25 +1,33 @@
 //! `sycamore-node`: reads the settings and runs the scheduler process of one host.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
-use getopts::Options;
+use sycamore_node::Options;
 use sycamore_platform::site::{SETTINGS_PATH, SETTINGS_VARIABLE, Settings};
 use sycamore_telemetry::logs::{self, LineSender};
 
 fn main() -> ExitCode {
-    let mut options = Options::new();
-    options.optopt("s", "settings", "settings file", "FILE");
-    options.optopt("", "metrics-port", "serve metrics on this port of the host", "PORT");
-    options.optflag("", "print-settings", "check the settings, print them and exit");
-    options.optflag("h", "help", "print this help and exit");
-    let matches = match options.parse(std::env::args().skip(1)) {
+    let mut flags = getopts::Options::new();
+    flags.optopt("s", "settings", "settings file", "FILE");
+    flags.optopt("", "metrics-port", "serve metrics on this port of the host", "PORT");
+    flags.optopt(
+        "",
+        "usage-half-life",
+        "take the past use of teams into account, which counts half after this time \
+         (default: 0, off)",
+        "SECONDS",
+    );
+    flags.optflag("", "print-settings", "check the settings, print them and exit");
+    flags.optflag("h", "help", "print this help and exit");
+    let matches = match flags.parse(std::env::args().skip(1)) {
         Ok(matches) => matches,
         Err(error) => return fail(&error),
     };
     if matches.opt_present("help") {
         let brief = "sycamore-node: takes callers' jobs and owns the workers when it is its turn.\n\
                      Usage: sycamore-node [OPTIONS]";
-        print!("{}", options.usage(brief));
+        print!("{}", flags.usage(brief));
         return ExitCode::SUCCESS;
     }
     let path = matches
@@ -38,18 +46,27 @@
         Ok(port) => port,
         Err(error) => return fail(&format!("--metrics-port: {error}")),
     };
+    let half_life = match matches.opt_get_default("usage-half-life", 0) {
+        Ok(seconds) => Duration::from_secs(seconds),
+        Err(error) => return fail(&format!("--usage-half-life: {error}")),
+    };
+    let options = Options::default().with_metrics_port(metrics_port);
+    let options = match options.with_usage_half_life(half_life) {
+        Ok(options) => options,
+        Err(error) => return fail(&format!("--usage-half-life: {error}")),
+    };
     match logs::start_rate_limited() {
-        Ok(lines) => start(settings, &path, lines, metrics_port),
+        Ok(lines) => start(settings, &path, lines, options),
         Err(error) => fail(&error),
     }
 }
 
-fn start(settings: Settings, path: &str, lines: LineSender, metrics_port: Option<u16>) -> ExitCode {
+fn start(settings: Settings, path: &str, lines: LineSender, options: Options) -> ExitCode {
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => return fail(&error),
     };
-    match runtime.block_on(sycamore_node::run(settings, path, lines, metrics_port)) {
+    match runtime.block_on(sycamore_node::run(settings, path, lines, options)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error),
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -11,7 +11,9 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use sycamore_telemetry::metrics::Metrics;
-use sycamore_telemetry::metrics::prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge};
+use sycamore_telemetry::metrics::prometheus::{
+    GaugeVec, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+};
 use tokio::net::TcpListener;
 
 /// Bounds of the latency buckets in seconds, from the time of one store call to a caller's
@@ -52,6 +54,10 @@
     pub claims: IntCounterVec,
     /// Long polls of workers, by outcome.
     pub polls: IntCounterVec,
+    /// Decayed past use of each team, in seconds of the whole capacity.
+    pub team_past_use_s: GaugeVec,
+    /// Factor on the weight of each team because of its past use.
+    pub team_usage_factor: GaugeVec,
     /// Epoch of the newest owner that this process knows of.
     pub epoch: IntGauge,
     /// Version of the configuration in force.
@@ -103,6 +109,16 @@
             ),
             claims: all.counters("claims_total", "Claims of the workers.", &["why", "outcome"]),
             polls: all.counters("looks_total", "Looks at workers.", &["outcome"]),
+            team_past_use_s: all.gauges(
+                "team_past_use_seconds",
+                "Decayed use of a team, in seconds of the whole capacity.",
+                &["team"],
+            ),
+            team_usage_factor: all.gauges(
+                "team_usage_factor",
+                "Factor on the weight of a team because of its past use.",
+                &["team"],
+            ),
             epoch: all.gauge("owner_epoch", "Epoch of the owner that is known."),
             config: all.gauge("config_version", "Version of the configuration in force."),
             config_known: all.gauge(
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,6 +18,7 @@
 use crate::clock::Clock;
 use crate::config::Configs;
 use crate::metrics::Meters;
+use crate::options::Options;
 use crate::ownership::{CurrentOwner, Ownership, Patience};
 use crate::peer::{CallerRequest, Ping, Pong, RequestOutcome, Role};
 use crate::timing::OWNER_TIMEOUT;
@@ -38,6 +39,7 @@
 #[derive(Debug)]
 pub(crate) struct Node {
     pub settings: Settings,
+    pub options: Options,
     pub clock: Clock,
     /// Random number that identifies this instance of the process in the owner record.
     pub nonce: u64,
@@ -66,7 +68,7 @@
 }
 
 impl Node {
-    pub fn new(settings: Settings, decision_log: LineSender) -> Node {
+    pub fn new(settings: Settings, options: Options, decision_log: LineSender) -> Node {
         let client = Client::with_idle_timeout(IDLE_TIMEOUT);
         let meters = Meters::new();
         Node {
@@ -90,6 +92,7 @@
             seeds: std::sync::Mutex::new(settings.seeds.clone()),
             known_peers: Default::default(),
             settings,
+            options,
         }
     }
 
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -176,11 +176,12 @@
                 self.callers.insert(self.last_token, respond);
                 self.handle_event(to_event(request, self.last_token));
             }
-            Input::Snapshots { jobs, hosts, respond } => {
+            Input::Snapshots { jobs, hosts, with_team_use, respond } => {
                 let job_snapshots = jobs.into_iter().flat_map(|id| self.engine.job_records(id));
                 let host_snapshots =
                     hosts.iter().filter_map(|name| self.engine.host_snapshot(name));
-                let snapshots = job_snapshots.chain(host_snapshots).collect();
+                let team_use = with_team_use.then(|| self.engine.team_use_record()).flatten();
+                let snapshots = job_snapshots.chain(host_snapshots).chain(team_use).collect();
                 // Without a receiver the journal has ended, and the owner ends with it.
                 let _ = respond.send(snapshots);
             }
--- a/crates/node/src/owner/execute.rs
+++ b/crates/node/src/owner/execute.rs
@@ -8,6 +8,7 @@
 
 use sycamore_graph::{Action, Event, HostLoss, LossCause, Poll, Start, Stop};
 use sycamore_platform::site::{CallOutcome, WorkerClient};
+use sycamore_types::Name;
 use tokio::sync::{Notify, mpsc};
 
 use super::advice::AdviceDispatcher;
@@ -67,6 +68,7 @@
                 Some(Action::RecordDecision(decision)) => recorder.record(decision),
                 Some(Action::ReportLoss(loss)) => report_loss(&node, &loss, handle.epoch),
                 Some(Action::ReportRestriction(queue)) => report_restriction(&node, &queue, handle.epoch),
+                Some(Action::ReportTeamUse(rows)) => report_team_use(&node, &rows),
                 Some(Action::Advise(advise)) => advice.enqueue(advise),
                 Some(Action::Start(request)) => start(&node, &handle, &worker, request),
                 Some(Action::Stop(request)) => stop(&handle, &worker, request),
@@ -104,6 +106,13 @@
     );
 }
 
+fn report_team_use(node: &Node, rows: &[(Name, f64, f64)]) {
+    for (team, used_s, factor) in rows {
+        node.meters.team_past_use_s.with_label_values(&[team]).set(*used_s);
+        node.meters.team_usage_factor.with_label_values(&[team]).set(*factor);
+    }
+}
+
 fn start(node: &Node, handle: &Handle, worker: &WorkerClient, start: Start) {
     let (handle, worker) = (handle.clone(), worker.clone());
     let starts = node.meters.starts.clone();
--- a/crates/node/src/owner/handle.rs
+++ b/crates/node/src/owner/handle.rs
@@ -26,10 +26,12 @@
         request: CallerRequest,
         respond: oneshot::Sender<RequestOutcome>,
     },
-    /// Asks for records that replace all earlier log records of some jobs and workers.
+    /// Asks for records that replace all earlier log records of some jobs and workers, and of the
+    /// past use of the teams if that is wanted.
     Snapshots {
         jobs: Vec<job::Id>,
         hosts: Vec<Name>,
+        with_team_use: bool,
         respond: oneshot::Sender<Vec<Record>>,
     },
     /// Ends the thread.
@@ -100,11 +102,17 @@
         answer.await.unwrap_or(RequestOutcome::Unknown)
     }
 
-    /// Returns records that replace all earlier log records of some jobs and workers.
-    /// Empty when the control thread has ended.
-    pub(super) async fn snapshots(&self, jobs: Vec<job::Id>, hosts: Vec<Name>) -> Vec<Record> {
+    /// Returns records that replace all earlier log records of some jobs and workers, and of the
+    /// past use of the teams if that is wanted. Empty when the control thread has ended.
+    pub(super) async fn snapshots(
+        &self,
+        jobs: Vec<job::Id>,
+        hosts: Vec<Name>,
+        with_team_use: bool,
+    ) -> Vec<Record> {
         let (respond, answer) = oneshot::channel();
-        if self.control.send(Input::Snapshots { jobs, hosts, respond }).is_err() {
+        let input = Input::Snapshots { jobs, hosts, with_team_use, respond };
+        if self.control.send(input).is_err() {
             return Vec::new();
         }
         answer.await.unwrap_or_default()
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -57,6 +57,8 @@
     written_at: Instant,
     jobs: Vec<job::Id>,
     hosts: Vec<Name>,
+    /// It has a record of the past use of the teams.
+    has_team_use: bool,
 }
 
 impl Page {
@@ -67,7 +69,8 @@
         let mut hosts: Vec<Name> = records.iter().filter_map(page::host_of).collect();
         hosts.sort_unstable();
         hosts.dedup();
-        Page { number, written_at: Instant::now(), jobs, hosts }
+        let has_team_use = records.iter().any(page::is_team_use);
+        Page { number, written_at: Instant::now(), jobs, hosts, has_team_use }
     }
 }
 
@@ -184,6 +187,7 @@
         let excess = self.pages.len().saturating_sub(MAX_PAGES).min(2);
         let mut jobs = Vec::new();
         let mut hosts = Vec::new();
+        let mut has_team_use = false;
         let mut dropped = Vec::new();
         for page in self.pages.iter().take(excess) {
             if page.written_at.elapsed() < MIN_PAGE_AGE || jobs.len() > CARRY_OVER_JOBS_LIMIT {
@@ -191,12 +195,13 @@
             }
             jobs.extend(page.jobs.iter().copied());
             hosts.extend(page.hosts.iter().cloned());
+            has_team_use |= page.has_team_use;
             dropped.push(page.number);
         }
         if dropped.is_empty() {
             return (Vec::new(), dropped);
         }
-        (self.handle.snapshots(jobs, hosts).await, dropped)
+        (self.handle.snapshots(jobs, hosts, has_team_use).await, dropped)
     }
 }
 
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -96,6 +96,7 @@
     let timing = Timing {
         lease_ms: node.settings.lease_ms,
         list_max_age_ms: list_max_age_ms(node.settings.stability_ms),
+        usage_half_life_ms: node.options.usage_half_life_ms(),
         status_retention_ms: node.settings.status_ms + STATUS_MARGIN_MS,
         ..Timing::default()
     };
--- a/crates/node/src/owner/page.rs
+++ b/crates/node/src/owner/page.rs
@@ -16,6 +16,9 @@
 /// Upper bound for a step with names of usual length, in bytes.
 const STEP_BYTES: usize = 160;
 
+/// Upper bound for a team with a name of usual length and its use, in bytes.
+const TEAM_BYTES: usize = 64;
+
 /// Upper bound for the name of a run, in bytes.
 const RUN_BYTES: usize = 32;
 
@@ -53,7 +56,10 @@
         Record::Ended(ended) => Some(ended.task.step.job),
         Record::Closed(closed) => Some(closed.job),
         Record::Snapshot(snapshot) => Some(snapshot.job),
-        Record::HostUsed { .. } | Record::HostLeaving { .. } | Record::HostReleased { .. } => None,
+        Record::HostUsed { .. }
+        | Record::HostLeaving { .. }
+        | Record::HostReleased { .. }
+        | Record::TeamUse(_) => None,
     }
 }
 
@@ -67,6 +73,11 @@
     }
 }
 
+/// Returns whether a record is about the past use of the teams.
+pub(super) fn is_team_use(record: &Record) -> bool {
+    matches!(record, Record::TeamUse(_))
+}
+
 /// Returns the estimated size of an encoded record, in bytes.
 pub(super) fn size(record: &Record) -> usize {
     match record {
@@ -74,6 +85,7 @@
             RECORD_BYTES + spec.payload.len() + spec.steps.len() * STEP_BYTES
         }
         Record::HostLeaving { runs, .. } => RECORD_BYTES + runs.len() * RUN_BYTES,
+        Record::TeamUse(team_use) => RECORD_BYTES + team_use.teams.len() * TEAM_BYTES,
         _ => RECORD_BYTES,
     }
 }
--- a/crates/node/src/owner/records.rs
+++ b/crates/node/src/owner/records.rs
@@ -187,6 +187,7 @@
         free_cpu_millis: grounds.free_cpu_millis,
         report_age_ms: grounds.report_age_ms,
         ticket_left_ms: grounds.ticket_left_ms,
+        usage_factor: grounds.usage_factor,
     }
 }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::node::Node;
+use crate::options::Options;
 use crate::timing::{DRAIN_DELAY, EXIT_MARGIN, LAST_RESPONSE_MARGIN, SETTINGS_CHECK_INTERVAL};
 use crate::{api, metrics, ownership, peer};
 
@@ -30,8 +31,8 @@
 
 /// Runs the process until a signal stops it.
 ///
-/// `path` is the settings file, which is watched for changes, `lines` receives the decision
-/// records, and the metrics are served on `metrics_port` of the host if it is given.
+/// `path` is the settings file, which is watched for changes, and `lines` receives the decision
+/// records.
 ///
 /// # Errors
 ///
@@ -40,7 +41,7 @@
     settings: Settings,
     path: &str,
     lines: LineSender,
-    metrics_port: Option<u16>,
+    options: Options,
 ) -> Result<(), Error> {
     let mut signals = Signals::listen().map_err(Error::Signals)?;
     let callers = listen(settings.callers).await?;
@@ -53,11 +54,11 @@
         target: "process", host:% = settings.host, domain:% = settings.failure_domain; "start"
     );
     let grace = Duration::from_millis(settings.grace_ms);
-    let metrics = match metrics_port {
+    let metrics = match options.metrics_port() {
         Some(port) => Some(listen(SocketAddr::new(settings.peers.ip(), port)).await?),
         None => None,
     };
-    let node = Arc::new(Node::new(settings, lines));
+    let node = Arc::new(Node::new(settings, options, lines));
     tokio::spawn(node.configs.clone().follow_store(node.store.clone()));
     tokio::spawn(peer::serve(node.clone(), peers));
     let server = Arc::new(api::Server::new(node.clone()));
--- a/crates/telemetry/src/metrics/mod.rs
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -2,8 +2,8 @@
 
 pub use prometheus;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// Metrics of one process.
@@ -60,6 +60,17 @@
         gauge
     }
 
+    /// Registers a family of gauges, one for each combination of label values.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the name is invalid or already registered, which is a programming error.
+    pub fn gauges(&self, name: &str, help: &str, labels: &[&str]) -> GaugeVec {
+        let gauges = GaugeVec::new(Opts::new(name, help), labels).expect("valid name");
+        self.registry.register(Box::new(gauges.clone())).expect("name is free");
+        gauges
+    }
+
     /// Registers a family of histograms, one for each combination of label values.
     ///
     /// `buckets` are the upper bounds, in the unit of the observed value.
