Order only late and over-share work by past use

Cause: as a factor on the share, past use made urgent work of large teams late. Change: the rank has a level of past use before slack, which is zero for steps that can be in time within their team's share.

--- a/crates/audit/src/explain.rs
+++ b/crates/audit/src/explain.rs
@@ -88,9 +88,7 @@
         grounds.free_cpu_millis, grounds.report_age_ms
     ));
     if let Some(factor) = grounds.usage_factor.filter(|factor| *factor < 1.0) {
-        text.push_str(&format!(
-            "; past use lowered its weight to {factor:.2} of what is configured"
-        ));
+        text.push_str(&format!("; it was due {factor:.2} of what it had used in the past"));
     }
     if let Some(left_ms) = grounds.ticket_left_ms {
         text.push_str(&format!("; its ticket was good for {left_ms} ms"));
--- a/crates/core/src/record/grounds.rs
+++ b/crates/core/src/record/grounds.rs
@@ -33,8 +33,8 @@
     pub report_age_ms: u64,
     /// Time until the advice ticket expires, in milliseconds, where the queue needs one.
     pub ticket_left_ms: Option<u64>,
-    /// Factor on the team's weight because of its use in the past, from 0.5 to 1. Absent where past
-    /// use plays no part, and in records of earlier versions.
+    /// What the team was entitled to as a part of what it had used in the past, from 0.5 to 1. Absent
+    /// where past use plays no part, and in records of earlier versions.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub usage_factor: Option<f64>,
 }
--- a/crates/graph/src/action.rs
+++ b/crates/graph/src/action.rs
@@ -110,7 +110,7 @@
     /// Reports the loss of a host with its runs to operators.
     ReportLoss(HostLoss),
     /// Reports the past use of the teams to operators: team, use in seconds of the whole capacity,
-    /// factor on its weight.
+    /// factor.
     ReportTeamUse(Vec<(Name, f64, f64)>),
     /// Reports to operators that a queue is restricted, since its jobs bring hosts down.
     ReportRestriction(Name),
--- a/crates/graph/src/decision.rs
+++ b/crates/graph/src/decision.rs
@@ -71,8 +71,8 @@
     pub waited_ms: u64,
     /// Dominant share of the team before the decision, as a fraction of the capacity.
     pub share: f64,
-    /// Factor on the team's weight because of its use in the past, from 0.5 to 1. `None` where
-    /// past use plays no part.
+    /// What the team is entitled to as a part of what it has used in the past, from 0.5 to 1.
+    /// `None` where past use plays no part.
     pub usage_factor: Option<f64>,
     /// CPU that was free on the host, in thousandths of a core.
     pub free_cpu_millis: u32,
--- a/crates/graph/src/engine/backlog.rs
+++ b/crates/graph/src/engine/backlog.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::{Bound, RangeInclusive};
 
-use rustc_hash::FxHashSet;
+use rustc_hash::{FxHashMap, FxHashSet};
 use sycamore_types::Name;
 
 use super::Rank;
@@ -28,6 +28,16 @@
     pub hopeless_unix_ms: i64,
 }
 
+/// What the rank of a step takes from its team at the moment of a pass.
+#[derive(Debug, Default)]
+pub(super) struct Shares {
+    /// Teams that use more than their weighted share.
+    pub over_share: FxHashSet<Name>,
+    /// How much more a team has used in the past than its weight entitles it to, from 0 to 10.
+    /// Teams that are missing have not.
+    pub past_use: FxHashMap<Name, u8>,
+}
+
 /// Position among the hopeless steps: priority class, latest start, step.
 type Place = (u32, i64, StepId);
 
@@ -47,16 +57,18 @@
 
 impl Urgency {
     /// Returns the rank at `now_unix_ms`.
-    pub fn rank(&self, now_unix_ms: u64, over_share: &FxHashSet<Name>) -> Rank {
+    pub fn rank(&self, now_unix_ms: u64, shares: &Shares) -> Rank {
         let now_ms = now_unix_ms as i64;
         let slack_ms = self.latest_start_unix_ms - now_ms;
-        Rank {
-            is_hopeless: now_ms > self.hopeless_unix_ms,
-            is_over_share: over_share.contains(&self.team),
-            is_late: slack_ms < 0,
-            priority: self.priority,
-            slack_ms,
-        }
+        let is_hopeless = now_ms > self.hopeless_unix_ms;
+        let is_over_share = shares.over_share.contains(&self.team);
+        let is_late = slack_ms < 0;
+        let past_use = if is_hopeless || is_over_share || is_late {
+            shares.past_use.get(&self.team).copied().unwrap_or(0)
+        } else {
+            0
+        };
+        Rank { is_hopeless, is_over_share, is_late, priority: self.priority, past_use, slack_ms }
     }
 }
 
@@ -117,10 +129,9 @@
     }
 
     /// Returns the steps whose start still has value, the most urgent first.
-    pub fn ranked(&self, now_unix_ms: u64, over_share: &FxHashSet<Name>) -> Vec<(Rank, StepId)> {
-        let rank = |(step_id, urgency): (&StepId, &Urgency)| {
-            (urgency.rank(now_unix_ms, over_share), *step_id)
-        };
+    pub fn ranked(&self, now_unix_ms: u64, shares: &Shares) -> Vec<(Rank, StepId)> {
+        let rank =
+            |(step_id, urgency): (&StepId, &Urgency)| (urgency.rank(now_unix_ms, shares), *step_id);
         let mut order: Vec<(Rank, StepId)> = self.live.iter().map(rank).collect();
         order.sort_unstable();
         order
@@ -132,14 +143,14 @@
         &mut self,
         count: usize,
         now_unix_ms: u64,
-        over_share: &FxHashSet<Name>,
+        shares: &Shares,
     ) -> Vec<(Rank, StepId)> {
         let start = self.cursor.map_or(Bound::Unbounded, Bound::Excluded);
         let slice: Vec<(Place, Rank)> = self
             .hopeless
             .range((start, Bound::Unbounded))
             .take(count)
-            .map(|(place, urgency)| (*place, urgency.rank(now_unix_ms, over_share)))
+            .map(|(place, urgency)| (*place, urgency.rank(now_unix_ms, shares)))
             .collect();
         let is_last = slice.len() < count;
         self.cursor = slice.last().map(|(place, _)| *place).filter(|_| !is_last);
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -60,9 +60,9 @@
         self.backlog.expire(now_unix_ms);
         let mut views = self.host_views();
         let capacity = self.listed_capacity();
-        let over_share = self.teams_over_share(&capacity);
-        let mut order = self.backlog.ranked(now_unix_ms, &over_share);
-        order.extend(self.backlog.next_hopeless(HOPELESS_SLICE, now_unix_ms, &over_share));
+        let shares = self.shares(&capacity);
+        let mut order = self.backlog.ranked(now_unix_ms, &shares);
+        order.extend(self.backlog.next_hopeless(HOPELESS_SLICE, now_unix_ms, &shares));
         let waiting = self.backlog.len() as u32;
         let mut failed_searches = 0;
         for (at, (rank, step_id)) in order.into_iter().enumerate() {
--- a/crates/graph/src/engine/past_use.rs
+++ b/crates/graph/src/engine/past_use.rs
@@ -1,10 +1,11 @@
 //! Use of the teams in the past, which shifts the order between them over hours.
 //!
-//! The use of a team is its dominant share, summed over time and decayed with a half-life. A team
-//! that has used more than its weight entitles it to counts as over its share sooner. That is all:
-//! limits, priority classes, objectives and slack are not affected, and while there is room for
-//! everybody nothing changes. A team that has used less gets no credit, so that a team can't save
-//! up idle time and then take everything.
+//! The use of a team is its dominant share, summed over time and decayed with a half-life. Among
+//! steps of one priority class that are late, or whose teams are over their share, those of teams
+//! that have used more than their weight entitles them to come last. Work that can be in time
+//! within its team's share is served by need, and while there is room for everybody nothing
+//! changes. A team that has used less gets no credit, so that a team can't save up idle time and
+//! then take everything.
 
 use std::collections::BTreeMap;
 
@@ -20,14 +21,16 @@
 /// Interval of the records in the log, in milliseconds. A successor loses that much at most.
 const RECORD_INTERVAL_MS: u64 = 10_000;
 
-/// Least factor on a team's weight. With a smaller one, the heaviest user of the past could be
-/// kept from all capacity that others ask for.
+/// Least factor. Teams that have used more than twice what they are entitled to are alike.
 const MIN_FACTOR: f64 = 0.5;
 
 /// Use by weight that is assumed to precede all use, in seconds of the whole capacity. Bursts
 /// shorter than a minute are left to the shares of the moment.
 const PRIOR_USE_S: f64 = 60.0;
 
+/// Difference of the factor that makes a level. Teams closer than that are served by slack.
+const LEVEL: f64 = 0.05;
+
 /// Part of the use of all below which a team that is no longer configured is forgotten.
 const FORGET_BELOW: f64 = 0.01;
 
@@ -91,7 +94,7 @@
         self.teams.values().sum()
     }
 
-    /// Returns the factor on a team's weight, from 0.5 to 1. `entitled` is the team's part of all
+    /// Returns what a team is entitled to as a part of what it has used, from 0.5 to 1. `entitled` is the team's part of all
     /// weights.
     pub fn factor(&self, team: &str, entitled: f64) -> f64 {
         if self.half_life_ms == 0 || entitled <= 0.0 {
@@ -102,6 +105,12 @@
         (entitled / part).clamp(MIN_FACTOR, 1.0)
     }
 
+    /// Returns how much more a team has used than it is entitled to, from 0 to 10: the steps in
+    /// which the factor falls from 1 to 0.5.
+    pub fn level(&self, team: &str, entitled: f64) -> u8 {
+        ((1.0 - self.factor(team, entitled)) / LEVEL).round() as u8
+    }
+
     /// Returns the factor that a decision record names. `None` where past use plays no part.
     pub fn recorded_factor(&self, team: &str, entitled: f64) -> Option<f64> {
         (self.half_life_ms > 0).then(|| self.factor(team, entitled))
--- a/crates/graph/src/engine/rank.rs
+++ b/crates/graph/src/engine/rank.rs
@@ -8,7 +8,7 @@
 use sycamore_types::resources::Resources;
 
 use super::Engine;
-use super::backlog::Urgency;
+use super::backlog::{Shares, Urgency};
 use crate::StepId;
 use crate::catalog::Team;
 
@@ -31,6 +31,10 @@
     pub is_late: bool,
     /// Priority class of the queue; 0 goes first.
     pub priority: u32,
+    /// How much more the team has used in the past than its weight entitles it to, from 0 to 10.
+    /// Zero for steps that can meet their objective within the share of their team: these are
+    /// served by need.
+    pub past_use: u8,
     /// Time left until the step has to start for the job to meet its objective, in
     /// milliseconds. Negative if it is too late.
     pub slack_ms: i64,
@@ -60,13 +64,20 @@
         listed.fold(Resources::default(), |sum, host| sum.plus(&host.entry.capacity))
     }
 
-    /// Returns the teams that use more than their weighted share of `capacity`, which is smaller
-    /// for those that have used more than it in the past.
+    /// Returns what ranks take from the teams now.
+    pub(super) fn shares(&self, capacity: &Resources) -> Shares {
+        let over_share = self.teams_over_share(capacity);
+        let teams = self.catalog.teams.keys();
+        let past_use =
+            teams.map(|team| (team.clone(), self.past_use.level(team, self.entitlement(team))));
+        Shares { over_share, past_use: past_use.filter(|(_, level)| *level > 0).collect() }
+    }
+
+    /// Returns the teams that use more than their weighted share of `capacity`.
     pub(super) fn teams_over_share(&self, capacity: &Resources) -> FxHashSet<Name> {
         let total: u64 = self.catalog.teams.values().map(|team| u64::from(team.weight)).sum();
         let is_over = |(name, team): &(&Name, &Team)| {
-            let entitled = f64::from(team.weight) / total.max(1) as f64;
-            let share = entitled * self.past_use.factor(name, entitled);
+            let share = f64::from(team.weight) / total.max(1) as f64;
             let used =
                 self.team_usage.get(*name).map_or(0.0, |usage| usage.dominant_share(capacity));
             used > share * SHARE_TOLERANCE_FACTOR
--- a/crates/graph/tests/engine/past_use.rs
+++ b/crates/graph/tests/engine/past_use.rs
@@ -28,6 +28,7 @@
     placed: Vec<(Name, Grounds)>,
 }
 
+/// Two teams that are entitled to a quarter each, and an idle one.
 fn two_teams() -> Catalog {
     let mut catalog = catalog(queue());
     for team in [HEAVY, LIGHT] {
@@ -35,6 +36,8 @@
         catalog.teams.insert(team, Team { weight: 1, limit: Resources::default() });
     }
     catalog.teams.remove(crate::fixture::TEAM);
+    let idle = Team { weight: 2, limit: Resources::default() };
+    catalog.teams.insert(Name::from("idle"), idle);
     catalog
 }
 
@@ -160,11 +163,27 @@
 
     assert_eq!(owner.order(), [HEAVY, LIGHT, LIGHT]);
     let (_, grounds) = &owner.placed[0];
-    // One of two equal teams had 2,600 of 2,600 s, beside the 60 s that are assumed by weight.
     let factor = grounds.usage_factor.unwrap_or(1.0);
     assert!((0.5..0.51).contains(&factor), "{factor}");
 }
 
+/// Work that can be in time within its team's share is served by need: past use must not make it
+/// late.
+#[test]
+fn work_within_the_share_is_served_by_slack() {
+    let mut owner = Owner::new(timing(), two_teams(), vec![heavy_hour(START_UNIX_MS)]);
+    owner.submit(1, HEAVY, 500);
+    owner.submit(2, LIGHT, 2_500);
+    owner.run(100);
+
+    owner.submit(3, HEAVY, 1_000);
+    owner.run(50);
+    owner.submit(4, LIGHT, 1_000);
+    owner.run(50);
+
+    assert_eq!(owner.order(), [HEAVY, LIGHT, HEAVY]);
+}
+
 /// Without the option, and without use, the order and the records have to stay as they were.
 #[test]
 fn without_past_use_the_order_is_that_of_slack() {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -56,7 +56,7 @@
     pub polls: IntCounterVec,
     /// Decayed past use of each team, in seconds of the whole capacity.
     pub team_past_use_s: GaugeVec,
-    /// Factor on the weight of each team because of its past use.
+    /// What each team is entitled to as a part of what it has used.
     pub team_usage_factor: GaugeVec,
     /// Epoch of the newest owner that this process knows of.
     pub epoch: IntGauge,
@@ -116,7 +116,7 @@
             ),
             team_usage_factor: all.gauges(
                 "team_usage_factor",
-                "Factor on the weight of a team because of its past use.",
+                "What a team is entitled to as a part of what it has used, 0.5 to 1.",
                 &["team"],
             ),
             epoch: all.gauge("owner_epoch", "Epoch of the owner that is known."),
