--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -61,9 +61,9 @@
         let mut views = self.host_views();
         let evacuated = self.evacuated_views();
         let capacity = self.listed_capacity();
-        let over_share = self.teams_over_share(&capacity);
-        let mut order = self.backlog.ranked(now_unix_ms, &over_share);
-        order.extend(self.backlog.next_hopeless(HOPELESS_SLICE, now_unix_ms, &over_share));
+        let shares = self.shares(&capacity);
+        let mut order = self.backlog.ranked(now_unix_ms, &shares);
+        order.extend(self.backlog.next_hopeless(HOPELESS_SLICE, now_unix_ms, &shares));
         let waiting = self.backlog.len() as u32;
         let mut failed_searches = 0;
         for (at, (rank, step_id)) in order.into_iter().enumerate() {
@@ -277,6 +277,7 @@
             waiting: position.waiting,
             waited_ms: self.now.unix_ms.saturating_sub(due_ms),
             share: usage.dominant_share(&position.capacity),
+            usage_factor: self.past_use.recorded_factor(&team, self.entitlement(&team)),
             free_cpu_millis: free.cpu_millis,
             report_age_ms: now_ms.saturating_sub(host.reported_ms),
             ticket_left_ms: ticket.map(|ticket| ticket.expires_ms.saturating_sub(now_ms)),
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -483,7 +483,10 @@
                     self.send(&host, action, 0.0);
                 }
                 Action::ReportLoss(loss) => self.losses.push(loss),
-                Action::RecordDecision(_) | Action::ReportRestriction(_) | Action::Deposed => {}
+                Action::RecordDecision(_)
+                | Action::ReportRestriction(_)
+                | Action::ReportTeamUse(_)
+                | Action::Deposed => {}
             }
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod config;
 mod metrics;
 mod node;
+mod options;
 mod owner;
 mod ownership;
 mod peer;
@@ -18,4 +19,5 @@
 mod run;
 mod timing;
 
+pub use options::Options;
 pub use run::{Error, run};
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -95,6 +95,7 @@
     let timing = Timing {
         lease_ms: node.settings.lease_ms,
         capacity_max_age_ms: capacity_max_age_ms(&node.settings),
+        usage_half_life_ms: node.options.usage_half_life_ms(),
         status_retention_ms: node.settings.status_ms + STATUS_MARGIN_MS,
         ..Timing::default()
     };
