Stop long tasks that save checkpoints for urgent steps without room

Gangs get room for all members or none. Preemption is on only where the settings file names stop-ms, checkpoint-s and restore-ms.

--- a/crates/audit/src/explain.rs
+++ b/crates/audit/src/explain.rs
@@ -40,6 +40,10 @@
         Verdict::GivenUp { crashes } => {
             format!("given up: {crashes} workers crashed or were lost while they ran it")
         }
+        Verdict::PreemptedFor { host, attempt, beneficiary, cost_core_ms } => format!(
+            "attempt {attempt} stopped on {host} to make room for {beneficiary}, at a cost of \
+             {cost_core_ms} core-milliseconds"
+        ),
         Verdict::Closed { state } => format!("closed: {state}"),
         Verdict::Owned { owner } => format!("{owner} became the owner"),
     };
--- a/crates/bench/src/site/simulation.rs
+++ b/crates/bench/src/site/simulation.rs
@@ -295,6 +295,7 @@
                 | Action::Stop(_)
                 | Action::ReportLoss(_)
                 | Action::ReportRestriction(_)
+                | Action::ReportUnusedReservation { .. }
                 | Action::Deposed => {}
             }
         }
--- a/crates/core/src/record/decision.rs
+++ b/crates/core/src/record/decision.rs
@@ -69,6 +69,18 @@
         /// Number of hosts that crashed or were lost under the task.
         crashes: u32,
     },
+    /// An attempt at a task of such a job was stopped to give room to a step of a more urgent
+    /// queue.
+    PreemptedFor {
+        /// Host that ran it.
+        host: Name,
+        /// Number of the attempt.
+        attempt: u32,
+        /// Step that gets the room.
+        beneficiary: String,
+        /// Work that is lost and time to resume, in core-milliseconds.
+        cost_core_ms: u64,
+    },
 }
 
 /// One decision of the owner of a shard.
--- a/crates/graph/src/action.rs
+++ b/crates/graph/src/action.rs
@@ -111,6 +111,13 @@
     ReportLoss(HostLoss),
     /// Reports to operators that a queue is restricted, since its jobs bring hosts down.
     ReportRestriction(Name),
+    /// Reports that room which runs had given up for a step was not used by it in time.
+    ReportUnusedReservation {
+        /// Step that the room was reserved for.
+        step: StepId,
+        /// Host of the room.
+        host: Name,
+    },
     /// Ends this owner: a host has seen a higher fencing token.
     Deposed,
 }
--- a/crates/graph/src/decision.rs
+++ b/crates/graph/src/decision.rs
@@ -7,7 +7,7 @@
 
 use crate::host::RunEnd;
 use crate::job::{self, State};
-use crate::{Rank, TaskId};
+use crate::{Rank, StepId, TaskId};
 
 /// Decision of the engine, as the audit records keep it.
 #[derive(Clone, Debug, PartialEq)]
@@ -56,6 +56,19 @@
     },
     /// A job reached its final state.
     Closed(job::Id, State),
+    /// A run is stopped to give room to a step of a more urgent queue.
+    Preempted {
+        /// Task of the run.
+        task: TaskId,
+        /// Attempt number of the run.
+        attempt: u32,
+        /// Host of the run.
+        host: Name,
+        /// Step that gets the room.
+        beneficiary: StepId,
+        /// Work that is lost and time to resume, in core-milliseconds.
+        cost_core_ms: u64,
+    },
 }
 
 /// Inputs of the decision to start a task at this moment on this host.
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -81,6 +81,11 @@
         footprint.fits_in(&self.max_free)
     }
 
+    /// Returns the index of a host by its number.
+    pub fn index_of(&self, number: u32) -> Option<usize> {
+        self.by_number.get(&number).copied()
+    }
+
     /// Counts a host that gets runs in isolation.
     pub fn add_isolated(&mut self, index: usize, isolation: Isolation) {
         if isolation.is_isolated() {
@@ -224,6 +229,8 @@
     footprint: Resources,
     /// Hosts with isolated runs are left out.
     is_isolated: bool,
+    /// Hosts without room now are included.
+    includes_full: bool,
     /// Tasks of the step that each host has, if their number is limited.
     placed: FxHashMap<Name, u32>,
 }
@@ -239,7 +246,8 @@
         let placed =
             if step.max_per_host > 0 { runs_per_host(progress) } else { FxHashMap::default() };
         let (footprint, is_isolated) = (step.footprint(), isolation.is_isolated());
-        Search { views, step, progress, service, footprint, is_isolated, placed }
+        let includes_full = step.is_gang;
+        Search { views, step, progress, service, footprint, is_isolated, includes_full, placed }
     }
 
     /// Returns the candidates among all hosts, the most free CPU first.
@@ -248,6 +256,22 @@
         self.views.most_cpu_first(min_cpu).filter_map(|index| self.candidate(index)).collect()
     }
 
+    /// Returns the candidates among all hosts, including those without room now, the most free
+    /// CPU first.
+    pub fn with_full(&self) -> impl Iterator<Item = Candidate> {
+        let search = Search { includes_full: true, placed: self.placed.clone(), ..*self };
+        self.views.most_cpu_first(0).filter_map(move |index| search.candidate(index))
+    }
+
+    /// Returns how many more tasks of the step a candidate's host may get.
+    pub fn tasks_left(&self, candidate: &Candidate) -> u32 {
+        let placed = self.placed.get(&self.views[candidate.index].host).copied().unwrap_or(0);
+        match self.step.max_per_host {
+            0 => candidate.fits_idle,
+            most => candidate.fits_idle.min(most.saturating_sub(placed)),
+        }
+    }
+
     /// Returns the candidates among the hosts that advice allows.
     pub fn allowed(&self) -> Vec<Candidate> {
         let numbers = self.progress.advice.allowed.keys();
@@ -286,7 +310,7 @@
         let is_compatible = !(step.is_best_effort && view.has_latency_task
             || step.latency_objective_ms > 0 && view.has_best_effort_task);
         let mut fits_now = tasks_that_fit(&self.footprint, &view.free);
-        if !is_compatible || fits_now == 0 && !step.is_gang {
+        if !is_compatible || fits_now == 0 && !self.includes_full {
             return None;
         }
         let is_suitable = view.service == *self.service
@@ -300,7 +324,7 @@
             fits_now = fits_now.min(step.max_per_host.saturating_sub(taken));
             fits_idle = fits_idle.min(step.max_per_host);
         }
-        if fits_now == 0 && !step.is_gang {
+        if fits_now == 0 && !self.includes_full {
             return None;
         }
         let is_near =
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -59,6 +59,7 @@
         let now_unix_ms = self.now.unix_ms;
         self.backlog.expire(now_unix_ms);
         let mut views = self.host_views();
+        self.hold_reservations(&mut views);
         let capacity = self.listed_capacity();
         let over_share = self.teams_over_share(&capacity);
         let mut order = self.backlog.ranked(now_unix_ms, &over_share);
@@ -67,7 +68,9 @@
         let mut failed_searches = 0;
         for (at, (rank, step_id)) in order.into_iter().enumerate() {
             let position = PassPosition { rank, place: at as u32 + 1, waiting, capacity };
+            self.reservations.release(step_id, &mut views);
             let reason = self.start_step(step_id, &position, &mut views, &mut failed_searches);
+            self.reservations.settle(step_id, reason.is_some(), &mut views);
             if let Some(step) =
                 self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id))
             {
@@ -99,6 +102,7 @@
             return Some(WaitReason::IsolatedHostsBusy);
         }
         if !demand.is_gang && !views.may_fit(&demand.footprint) {
+            self.take_room(&demand, position.rank, views);
             return Some(WaitReason::NoRoom);
         }
         if let Some(reason) = self.advice_wait_reason(&demand) {
@@ -187,7 +191,10 @@
             }
         };
         let is_placed = is_durable && self.place_tasks(demand, position, ready, views);
-        if demand.is_gang && !is_placed {
+        if is_durable {
+            self.take_room(demand, position.rank, views);
+        }
+        if demand.is_gang && !is_placed && self.reservations.tasks(step_id) == 0 {
             self.reserve_capacity(demand, views);
         }
         let step = self.jobs.get(&step_id.job)?.step(step_id)?;
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -34,9 +34,12 @@
 mod losses;
 mod placement;
 mod polls;
+mod preemption;
 mod rank;
+mod reclaim;
 mod recover;
 mod requests;
+mod reservations;
 mod run_ends;
 mod runs;
 
@@ -60,6 +63,7 @@
 use bulkhead::Bulkheads;
 pub use rank::Rank;
 pub use recover::Recovered;
+use reservations::Reservations;
 
 /// An effect that is deferred until all records appended before it are durable.
 #[derive(Debug)]
@@ -108,6 +112,8 @@
     bulkheads: Bulkheads,
     /// Number of isolated runs, by job.
     isolated_runs: FxHashMap<job::Id, u32>,
+    /// Room that is kept for steps for which runs were stopped.
+    reservations: Reservations,
     /// Gangs of which members have ended, by attempt, until all have.
     gang_ends: BTreeMap<(StepId, u32), GangEnds>,
     /// Jobs with a schedule, by the due time of their next occurrence in milliseconds since
--- a/crates/graph/src/engine/polls.rs
+++ b/crates/graph/src/engine/polls.rs
@@ -159,6 +159,7 @@
         percent: u8,
     ) {
         let now_ms = self.now.monotonic_ms;
+        let is_new_checkpoint = self.is_new_checkpoint(task, checkpoint);
         let Some(host) = self.hosts.get_mut(name) else { return };
         let visible_after_poll = self.last_poll;
         match host.runs.get_mut(&(task, attempt)) {
@@ -167,6 +168,9 @@
                     run.percent = percent;
                     run.last_progress_ms = now_ms;
                 }
+                if is_new_checkpoint {
+                    run.checkpoint_ms = now_ms;
+                }
                 run.is_confirmed = true;
                 if run.phase != Phase::Running {
                     run.phase = Phase::Running;
@@ -186,6 +190,14 @@
         }
         self.save_checkpoint(task, checkpoint);
     }
+
+    /// Returns whether a checkpoint is another one than the last that is known of a task.
+    fn is_new_checkpoint(&self, task: TaskId, checkpoint: &Name) -> bool {
+        let step = self.jobs.get(&task.step.job).and_then(|job| job.step(task.step));
+        let known = step.and_then(|step| step.tasks.get(task.index as usize));
+        !checkpoint.is_empty()
+            && known.is_some_and(|known| known.checkpoint.as_ref() != Some(checkpoint))
+    }
 }
 
 /// Returns whether a run that is missing from a report has ended or never started.
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -13,6 +13,7 @@
 use super::Engine;
 use super::backlog::Backlog;
 use super::bulkhead::Bulkheads;
+use super::reservations::Reservations;
 use crate::catalog::Catalog;
 use crate::host::{Host, LogState, RunEnd};
 use crate::job::Id;
@@ -218,6 +219,7 @@
             backlog: Backlog::default(),
             bulkheads: Bulkheads::default(),
             isolated_runs: FxHashMap::default(),
+            reservations: Reservations::default(),
             gang_ends: BTreeMap::new(),
             next_occurrences: BTreeSet::new(),
             closed_jobs: VecDeque::new(),
--- /dev/null
+++ b/crates/graph/src/engine/reservations.rs
@@ -0,0 +1,182 @@
+//! Room on hosts that is kept for the step for which runs were stopped.
+//!
+//! Without a reservation, small tasks would take each part of the room as soon as one of the
+//! stopped runs has ended. A host has room reserved for one step at a time.
+
+use std::collections::BTreeMap;
+
+use rustc_hash::{FxHashMap, FxHashSet};
+use sycamore_types::Name;
+use sycamore_types::resources::Resources;
+
+use super::candidates::HostViews;
+use crate::{StepId, TaskId};
+
+/// Room on one host.
+#[derive(Clone, Debug)]
+pub(super) struct Reservation {
+    pub host: Name,
+    /// Number of the host.
+    pub number: u32,
+    /// Tasks of the step for which there will be room.
+    pub tasks: u32,
+    /// Resources that each of them takes up.
+    pub footprint: Resources,
+    /// Time at which the reservation ends, in milliseconds.
+    pub until_ms: u64,
+    /// Free capacity that the current pass withholds from other steps.
+    held: Resources,
+}
+
+/// All reservations, and the runs that are being stopped for them.
+#[derive(Debug, Default)]
+pub(super) struct Reservations {
+    by_step: BTreeMap<StepId, Vec<Reservation>>,
+    /// Hosts with a reservation, by number.
+    hosts: FxHashSet<u32>,
+    /// Resources of the runs that are being stopped.
+    yielding: FxHashMap<(TaskId, u32), Resources>,
+    /// Time before which no room is sought for a step again, in milliseconds.
+    pauses: FxHashMap<StepId, u64>,
+    /// Searches for runs to stop that the current pass may still make.
+    pub searches_left: u32,
+}
+
+impl Reservation {
+    pub fn new(host: Name, number: u32, tasks: u32, footprint: Resources, until_ms: u64) -> Self {
+        Reservation { host, number, tasks, footprint, until_ms, held: Resources::default() }
+    }
+
+    /// Returns the resources of all tasks.
+    pub fn total(&self) -> Resources {
+        (0..self.tasks).fold(Resources::default(), |sum, _| sum.plus(&self.footprint))
+    }
+
+    /// Withholds as much of the room as is free.
+    fn hold(&mut self, views: &mut HostViews) {
+        let Some(at) = views.index_of(self.number) else { return };
+        let wanted = self.total();
+        let held = wanted.minus(&wanted.minus(&views[at].free));
+        views[at].free = views[at].free.minus(&held);
+        self.held = held;
+    }
+
+    fn release(&mut self, views: &mut HostViews) {
+        let Some(at) = views.index_of(self.number) else { return };
+        let held = std::mem::take(&mut self.held);
+        views[at].free = views[at].free.plus(&held);
+    }
+}
+
+impl Reservations {
+    /// Begins a pass: withholds the reserved room from all steps.
+    pub fn begin_pass(&mut self, now_ms: u64, searches: u32, views: &mut HostViews) {
+        self.searches_left = searches;
+        self.pauses.retain(|_, until_ms| now_ms < *until_ms);
+        for reservation in self.by_step.values_mut().flatten() {
+            reservation.hold(views);
+        }
+    }
+
+    /// Removes the reservations for which a condition does not hold, and those of a whole gang if
+    /// it does not hold for one. Returns the removed ones that have timed out.
+    pub fn retain(
+        &mut self,
+        now_ms: u64,
+        is_gang: impl Fn(StepId) -> bool,
+        is_valid: impl Fn(StepId, &Reservation) -> bool,
+    ) -> Vec<(StepId, Name)> {
+        let mut expired = Vec::new();
+        self.by_step.retain(|step_id, all| {
+            let is_left = |one: &Reservation| {
+                now_ms < one.until_ms && one.tasks > 0 && is_valid(*step_id, one)
+            };
+            for one in all.iter() {
+                if one.tasks > 0 && now_ms >= one.until_ms && is_valid(*step_id, one) {
+                    expired.push((*step_id, one.host.clone()));
+                }
+            }
+            if is_gang(*step_id) && !all.iter().all(is_left) {
+                all.clear();
+            }
+            all.retain(is_left);
+            !all.is_empty()
+        });
+        self.hosts = self.by_step.values().flatten().map(|one| one.number).collect();
+        expired
+    }
+
+    /// Adds reservations of a step, and withholds their room.
+    pub fn add(&mut self, step_id: StepId, all: Vec<Reservation>, views: &mut HostViews) {
+        let of_step = self.by_step.entry(step_id).or_default();
+        for mut one in all {
+            one.hold(views);
+            self.hosts.insert(one.number);
+            of_step.push(one);
+        }
+    }
+
+    /// Shows a step the room that is reserved for it.
+    pub fn release(&mut self, step_id: StepId, views: &mut HostViews) {
+        for one in self.by_step.get_mut(&step_id).into_iter().flatten() {
+            one.release(views);
+        }
+    }
+
+    /// Withholds the room of a step again that it has not used, if it still waits.
+    pub fn settle(&mut self, step_id: StepId, is_waiting: bool, views: &mut HostViews) {
+        if !is_waiting {
+            self.by_step.remove(&step_id);
+        }
+        for one in self.by_step.get_mut(&step_id).into_iter().flatten() {
+            one.release(views);
+            one.hold(views);
+        }
+    }
+
+    /// Counts a task of a step that starts on a host.
+    pub fn use_for(&mut self, step_id: StepId, host: &Name) {
+        let all = self.by_step.get_mut(&step_id).into_iter().flatten();
+        if let Some(one) = all.into_iter().find(|one| one.host == *host) {
+            one.tasks = one.tasks.saturating_sub(1);
+        }
+    }
+
+    /// Returns whether another step has room reserved on a host.
+    pub fn has_other(&self, step_id: StepId, number: u32) -> bool {
+        let is_own = |all: &Vec<Reservation>| all.iter().any(|one| one.number == number);
+        self.hosts.contains(&number) && !self.by_step.get(&step_id).is_some_and(is_own)
+    }
+
+    /// Returns the number of tasks of a step for which room is reserved.
+    pub fn tasks(&self, step_id: StepId) -> u32 {
+        self.by_step.get(&step_id).into_iter().flatten().map(|one| one.tasks).sum()
+    }
+
+    pub fn steps(&self) -> impl Iterator<Item = (&StepId, &Vec<Reservation>)> {
+        self.by_step.iter()
+    }
+
+    /// Records that a run is being stopped.
+    pub fn add_yielding(&mut self, run: (TaskId, u32), footprint: Resources) {
+        self.yielding.insert(run, footprint);
+    }
+
+    /// Records that a run has ended.
+    pub fn forget_run(&mut self, run: (TaskId, u32)) {
+        self.yielding.remove(&run);
+    }
+
+    /// Returns the resources of all runs that are being stopped.
+    pub fn yielding(&self) -> Resources {
+        self.yielding.values().fold(Resources::default(), |sum, one| sum.plus(one))
+    }
+
+    pub fn is_paused(&self, step_id: StepId) -> bool {
+        self.pauses.contains_key(&step_id)
+    }
+
+    pub fn pause(&mut self, step_id: StepId, until_ms: u64) {
+        self.pauses.insert(step_id, until_ms);
+    }
+}
--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -37,6 +37,7 @@
         let ticket =
             step_progress.advice.allowed.get(&host_number).map(|ticket| ticket.token.clone());
         step_progress.waiting.remove(&task.index);
+        self.reservations.use_for(task.step, name);
         let task_progress = &mut step_progress.tasks[task.index as usize];
         task_progress.attempt = attempt;
         task_progress.runs.push((name.clone(), attempt));
@@ -46,6 +47,7 @@
             phase: Phase::Requested,
             is_confirmed: false,
             requested_ms: now_ms,
+            checkpoint_ms: now_ms,
             is_partial: checkpoint.is_some(),
             footprint: step.footprint(),
             size: step.size,
@@ -93,6 +95,7 @@
     pub(super) fn remove_run(&mut self, name: &Name, task: TaskId, attempt: u32) -> Option<Run> {
         let host = self.hosts.get_mut(name)?;
         let run = host.runs.remove(&(task, attempt))?;
+        self.reservations.forget_run((task, attempt));
         host.used = host.used.minus(&run.footprint);
         host.latency_runs -= u32::from(run.has_objective);
         host.best_effort_runs -= u32::from(run.is_best_effort);
@@ -225,6 +228,7 @@
             phase: Phase::Running,
             is_confirmed: false,
             requested_ms: now_ms,
+            checkpoint_ms: now_ms,
             is_partial: true,
             // Its size is unknown if the job is; the run then takes up the whole host.
             footprint: capacity,
--- a/crates/graph/src/host/run.rs
+++ b/crates/graph/src/host/run.rs
@@ -52,6 +52,9 @@
     pub is_confirmed: bool,
     /// Time of the start request, in milliseconds.
     pub requested_ms: u64,
+    /// Time at which a new checkpoint was last reported, or that of the start request, in
+    /// milliseconds.
+    pub checkpoint_ms: u64,
     /// The time since the request is not that of the whole task: an earlier owner started the
     /// run, or it resumed from a checkpoint.
     pub is_partial: bool,
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -33,5 +33,5 @@
 pub use loss::{HostLoss, LossCause};
 pub use record::{Closed, Ended, Record, Snapshot};
 pub use task::{StepId, TaskId};
-pub use timing::Timing;
+pub use timing::{PreemptionTiming, Timing};
 pub use waiting::{WaitReason, WaitingStep};
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -23,6 +23,10 @@
     pub runs: Vec<(Name, u32)>,
     /// Last saved checkpoint. The first task of a gang keeps that of the whole gang.
     pub checkpoint: Option<Name>,
+    /// Number of times that runs of the task were stopped to give room to others. Not in the log.
+    pub yields: u32,
+    /// Estimate of the work that the runs had saved that were stopped for others, in milliseconds.
+    pub saved_ms: u64,
     /// Host of the last failed run, to be avoided by the next attempt if possible.
     pub avoided_host: Option<Name>,
 }
--- a/crates/graph/src/timing.rs
+++ b/crates/graph/src/timing.rs
@@ -37,6 +37,20 @@
     pub status_retention_ms: u64,
     /// Remaining lifetime below which a ticket is no longer used, in milliseconds.
     pub ticket_margin_ms: u64,
+    /// Cost of stopping tasks that save checkpoints. `None` if no task is stopped to give room to
+    /// others.
+    pub preemption: Option<PreemptionTiming>,
+}
+
+/// How long tasks that save checkpoints take to stop and to resume. Settings of the platform.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PreemptionTiming {
+    /// Longest time from a stop request to the end of the run, in milliseconds.
+    pub stop_ms: u64,
+    /// Time between two checkpoints of a task, in milliseconds.
+    pub checkpoint_ms: u64,
+    /// Time that a task takes to resume from a checkpoint, in milliseconds.
+    pub restore_ms: u64,
 }
 
 impl Default for Timing {
@@ -52,6 +66,7 @@
             list_max_age_ms: 2_500,
             status_retention_ms: 150_000,
             ticket_margin_ms: 60,
+            preemption: None,
         }
     }
 }
--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -9,6 +9,7 @@
 mod jobs;
 mod oracle;
 mod overload;
+mod preemption;
 mod regression;
 mod silence;
 mod takeover;
--- a/crates/graph/tests/engine/oracle.rs
+++ b/crates/graph/tests/engine/oracle.rs
@@ -42,6 +42,8 @@
     failed_runs: BTreeMap<TaskId, BTreeSet<u32>>,
     /// Crashes of workers under each task, and its starts after the third of them.
     crashes: BTreeMap<TaskId, (u32, u32)>,
+    /// Preemptions of each task by one owner.
+    yields: BTreeMap<(u64, TaskId), u32>,
     pub max_attempts: u32,
     pub limit_cpu: u32,
     pub starts: u64,
@@ -123,6 +125,17 @@
         }
     }
 
+    /// Checks that a run may be stopped to give room to others.
+    pub fn check_preemption(&mut self, task: TaskId, epoch: u64) {
+        let step = &self.jobs[&task.step.job].steps[usize::from(task.step.index)];
+        assert!(!step.is_gang, "GANG: member {task:?} is preempted");
+        assert!(step.max_unavailable.is_none(), "AVAIL: {task:?} has a disruption budget");
+        assert!(!step.is_service && !step.is_best_effort, "{task:?} is preempted");
+        let yields = self.yields.entry((epoch, task)).or_default();
+        *yields += 1;
+        assert!(*yields <= 2, "{task:?} is preempted {yields} times");
+    }
+
     /// Records that a worker crashed while it had a run of the task.
     pub fn record_crash(&mut self, task: TaskId) {
         self.crashes.entry(task).or_default().0 += 1;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -36,6 +36,12 @@
     pub given_up: IntCounter,
     /// Queues restricted because their jobs bring workers down.
     pub restrictions: IntCounter,
+    /// Runs stopped to give room to steps of more urgent queues.
+    pub preemptions: IntCounter,
+    /// Work that these preemptions lost, in core-milliseconds.
+    pub preempted_core_ms: IntCounter,
+    /// Room given up by runs that the step it was reserved for has not used in time.
+    pub unused_reservations: IntCounter,
     /// Ended runs, by how they ended.
     pub ends: IntCounterVec,
     /// Closed jobs, by final state.
@@ -85,6 +91,14 @@
                 "queue_restrictions_total",
                 "Queues restricted because their jobs bring workers down.",
             ),
+            preemptions: all
+                .counter("preemptions_total", "Runs stopped to give room to more urgent steps."),
+            preempted_core_ms: all.counter(
+                "preemption_lost_core_milliseconds_total",
+                "Work that preemptions lost, with the time to resume.",
+            ),
+            unused_reservations: all
+                .counter("reservations_unused_total", "Reservations of room that expired unused."),
             ends: all.counters("ends_total", "Ends of runs.", &["how"]),
             jobs_closed: all.counters("jobs_closed_total", "Last states of jobs.", &["state"]),
             start_wait_s: all.histograms(
--- a/crates/node/src/owner/execute.rs
+++ b/crates/node/src/owner/execute.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sycamore_graph::{Action, Event, HostLoss, LossCause, Poll, Start, Stop};
+use sycamore_graph::{Action, Event, HostLoss, LossCause, Poll, Start, StepId, Stop};
 use sycamore_platform::site::{CallOutcome, WorkerClient};
 use tokio::sync::{Notify, mpsc};
 
@@ -67,6 +67,9 @@
                 Some(Action::RecordDecision(decision)) => recorder.record(decision),
                 Some(Action::ReportLoss(loss)) => report_loss(&node, &loss, handle.epoch),
                 Some(Action::ReportRestriction(queue)) => report_restriction(&node, &queue, handle.epoch),
+                Some(Action::ReportUnusedReservation { step, host }) => {
+                    report_unused_reservation(&node, step, &host, handle.epoch);
+                }
                 Some(Action::Advise(advise)) => advice.enqueue(advise),
                 Some(Action::Start(request)) => start(&node, &handle, &worker, request),
                 Some(Action::Stop(request)) => stop(&handle, &worker, request),
@@ -96,6 +99,14 @@
     );
 }
 
+fn report_unused_reservation(node: &Node, step: StepId, host: &str, epoch: u64) {
+    node.meters.unused_reservations.inc();
+    log::info!(
+        target: "preemption", host, epoch, job:% = step.job, occurrence = step.occurrence,
+        step = step.index; "reserved room was not used in time"
+    );
+}
+
 fn report_restriction(node: &Node, queue: &str, epoch: u64) {
     node.meters.restrictions.inc();
     log::warn!(
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -25,8 +25,8 @@
 use std::time::{Duration, Instant};
 
 use sycamore_graph::catalog::Catalog;
-use sycamore_graph::{Engine, Event, Recovered, Timing};
-use sycamore_platform::site::{Store, StoreError};
+use sycamore_graph::{Engine, Event, PreemptionTiming, Recovered, Timing};
+use sycamore_platform::site::{Settings, Store, StoreError};
 use tokio::sync::mpsc;
 
 pub(crate) use handle::Handle;
@@ -96,6 +96,7 @@
     let timing = Timing {
         lease_ms: node.settings.lease_ms,
         list_max_age_ms: list_max_age_ms(node.settings.stability_ms),
+        preemption: preemption_timing(&node.settings),
         status_retention_ms: node.settings.status_ms + STATUS_MARGIN_MS,
         ..Timing::default()
     };
@@ -158,6 +159,16 @@
     max_age_ms.max(2 * millis(WORKER_LIST_INTERVAL))
 }
 
+/// Returns what preemption costs. `None` if the settings don't name all of it: preemption is off
+/// then.
+fn preemption_timing(settings: &Settings) -> Option<PreemptionTiming> {
+    Some(PreemptionTiming {
+        stop_ms: settings.stop_ms?,
+        checkpoint_ms: settings.checkpoint_ms?,
+        restore_ms: settings.restore_ms?,
+    })
+}
+
 /// Returns the catalog in force, for which it waits up to [`STORE_TIMEOUT`].
 ///
 /// Falls back to an empty catalog, with which the engine can decide little.
--- a/crates/node/src/owner/records.rs
+++ b/crates/node/src/owner/records.rs
@@ -95,6 +95,10 @@
                 self.meters.ends.with_label_values(&[end_name(*how)]).inc();
             }
             graph::Verdict::GivenUp { .. } => self.meters.given_up.inc(),
+            graph::Verdict::Preempted { cost_core_ms, .. } => {
+                self.meters.preemptions.inc();
+                self.meters.preempted_core_ms.inc_by(*cost_core_ms);
+            }
             graph::Verdict::Closed(_, state) => {
                 self.meters.jobs_closed.with_label_values(&[state_name(*state)]).inc();
             }
@@ -158,6 +162,13 @@
         graph::Verdict::GivenUp { task, crashes } => {
             (subject(&task), record::Verdict::GivenUp { crashes })
         }
+        graph::Verdict::Preempted { task, attempt, host, beneficiary, cost_core_ms } => {
+            let beneficiary = step_subject(&beneficiary);
+            (
+                subject(&task),
+                record::Verdict::PreemptedFor { host, attempt, beneficiary, cost_core_ms },
+            )
+        }
         graph::Verdict::Placed { task, attempt, host, grounds } => {
             let grounds = to_record_grounds(&grounds);
             (subject(&task), record::Verdict::Placed { host, attempt, grounds })
@@ -170,8 +181,11 @@
 }
 
 fn subject(task: &graph::TaskId) -> String {
-    let step = &task.step;
-    format!("{}.{}.{}.{}", step.job, step.occurrence, step.index, task.index)
+    format!("{}.{}", step_subject(&task.step), task.index)
+}
+
+fn step_subject(step: &graph::StepId) -> String {
+    format!("{}.{}.{}", step.job, step.occurrence, step.index)
 }
 
 fn to_record_grounds(grounds: &graph::Grounds) -> record::Grounds {
--- a/crates/platform/src/site/settings.rs
+++ b/crates/platform/src/site/settings.rs
@@ -41,6 +41,12 @@
     /// Time for which a worker that has shrunk may still be used at its former capacity, counted
     /// from its next report, in milliseconds.
     pub stability_ms: u64,
+    /// Longest time that a worker takes to stop a run, in milliseconds, if the file names it.
+    pub stop_ms: Option<u64>,
+    /// Time between two checkpoints of a task, in milliseconds, if the file names it.
+    pub checkpoint_ms: Option<u64>,
+    /// Time that a task takes to resume from a checkpoint, in milliseconds, if the file names it.
+    pub restore_ms: Option<u64>,
     /// Time from SIGTERM to SIGKILL, in milliseconds.
     pub grace_ms: u64,
 }
@@ -105,6 +111,12 @@
     hold_max_ms: u64,
     #[serde(rename = "stability-ms", default = "default_stability_ms")]
     stability_ms: u64,
+    #[serde(rename = "stop-ms")]
+    stop_ms: Option<u64>,
+    #[serde(rename = "checkpoint-s")]
+    checkpoint_s: Option<f64>,
+    #[serde(rename = "restore-ms")]
+    restore_ms: Option<u64>,
     #[serde(rename = "grace-s", default = "default_grace_s")]
     grace_s: f64,
     #[serde(default = "default_status_s")]
@@ -177,6 +189,9 @@
             lease_ms: file.bounds.hold_max_ms,
             status_ms: (file.bounds.status_s * 1_000.0) as u64,
             stability_ms: file.bounds.stability_ms,
+            stop_ms: file.bounds.stop_ms,
+            checkpoint_ms: file.bounds.checkpoint_s.map(|s| (s * 1_000.0) as u64),
+            restore_ms: file.bounds.restore_ms,
             grace_ms: (file.bounds.grace_s * 1_000.0) as u64,
         })
     }
--- a/crates/scheduler/src/control/thread.rs
+++ b/crates/scheduler/src/control/thread.rs
@@ -205,6 +205,7 @@
         Verdict::Placed { .. } => "placed",
         Verdict::RunEnded { .. } => "run_ended",
         Verdict::GivenUp { .. } => "given_up",
+        Verdict::PreemptedFor { .. } => "preempted_for",
         Verdict::Closed { .. } => "closed",
         Verdict::Owned { .. } => "owned",
     }
