--- a/crates/graph/tests/engine/fuzz.rs
+++ b/crates/graph/tests/engine/fuzz.rs
@@ -2,10 +2,13 @@
 
 use proptest::prelude::*;
 use rand::Rng;
+use sycamore_graph::catalog::Queue;
 use sycamore_graph::job::{State, Step};
-use sycamore_graph::{StepId, TaskId};
+use sycamore_graph::{PreemptionTiming, StepId, TaskId};
 
-use crate::fixture::{advised_queue, catalog, gang, host, id, job, limited, queue, size, step};
+use crate::fixture::{
+    QUEUE, advised_queue, catalog, gang, host, id, job, limited, queue, size, step,
+};
 use crate::world::World;
 
 /// Number of hosts.
@@ -63,24 +66,54 @@
 fn run_case(seed: u64, is_advised: bool) {
     let catalog = catalog(if is_advised { advised_queue() } else { queue() });
     let mut world = World::new(HOSTS, limited(catalog, size(11_000, 0)), seed);
+    play(&mut world, seed, |world| (QUEUE, random_job(world)));
+}
+
+/// The same with a queue whose tasks may have to yield. Returns the number of preemptions.
+fn run_preempting_case(seed: u64, is_advised: bool) -> u64 {
+    let mut catalog = catalog(if is_advised { advised_queue() } else { queue() });
+    catalog.queues.insert("bulk".into(), Queue { priority: 1, ..queue() });
+    let mut world = World::new(HOSTS, limited(catalog, size(15_000, 0)), seed);
+    world.takes_estimate = true;
+    let stop_ms = world.random.random_range(5..300);
+    world.enable_preemption(PreemptionTiming { stop_ms, checkpoint_ms: 100, restore_ms: 50 });
+    play(&mut world, seed, |world| {
+        let steps = random_job(world);
+        if world.random.random_bool(0.5) {
+            return (QUEUE, steps);
+        }
+        let has_budget = world.random.random_bool(0.1);
+        let bulk = |step: Step| Step {
+            is_checkpointing: true,
+            max_unavailable: has_budget.then_some(1),
+            estimate_ms: 1_500,
+            tasks: if step.is_gang { step.tasks } else { 3 * step.tasks },
+            ..step
+        };
+        ("bulk", steps.into_iter().map(bulk).collect())
+    });
+    world.preemptions
+}
+
+fn play(world: &mut World, seed: u64, next: impl Fn(&mut World) -> (&'static str, Vec<Step>)) {
     world.late_start_share = world.random.random_range(0.0..0.2);
     world.failure_share = world.random.random_range(0.0..0.2);
     world.allowed_share = world.random.random_range(0.5..1.0);
     let deadly_share = world.random.random_range(0.0..0.2);
     for round in 0..ROUNDS as u64 {
-        let steps = random_job(&mut world);
+        let (queue, steps) = next(world);
         if world.random.random_bool(deadly_share) {
             let index = world.random.random_range(0..steps[0].tasks);
             let step = StepId { job: id(round), occurrence: 0, index: 0 };
             world.oracle.deadly.insert(TaskId { step, index });
         }
-        world.submit(id(round), job(steps));
+        world.submit_to(queue, id(round), job(steps));
         if world.random.random_bool(0.1) {
             let known = id(world.random.random_range(0..=round));
             world.cancel(known);
         }
         if world.random.random_bool(0.25) {
-            inject_fault(&mut world);
+            inject_fault(world);
         }
         let ms = world.random.random_range(20..600);
         world.run(ms);
@@ -130,4 +163,18 @@
     fn every_rule_holds_under_random_faults(seed in any::<u64>(), is_advised in any::<bool>()) {
         run_case(seed, is_advised);
     }
+
+    /// Stops for preemption cross with losses, late starts and new owners.
+    #[test]
+    fn every_rule_holds_with_preemption(seed in any::<u64>(), is_advised in any::<bool>()) {
+        run_preempting_case(seed, is_advised);
+    }
+}
+
+/// Guards against cases that check nothing, as no run is ever stopped for another.
+#[test]
+fn random_faults_meet_preemptions() {
+    let preemptions: u64 = (0..8).map(|seed| run_preempting_case(seed, false)).sum();
+
+    assert!(preemptions >= 8, "{preemptions} preemptions");
 }
--- a/crates/graph/tests/engine/preemption.rs
+++ b/crates/graph/tests/engine/preemption.rs
@@ -113,6 +113,8 @@
     world.run(20_000);
 
     assert!(world.preemptions > 0);
+    // A tenth of the capacity is being reclaimed at most.
+    assert!(world.most_reclaimed_cpu <= WORKERS as u32 * 1_600);
     let (short, long) = (in_time(&world, &short, 1_750), in_time(&world, &long, 13_600));
     assert!(short >= 0.95, "{short} of the short jobs are in time");
     assert!(long >= 0.9, "{long} of the long jobs are in time");
@@ -309,6 +311,39 @@
     assert!(world.preemptions > 0);
 }
 
+/// Serves gangs of 20 beside long tasks that fill the workers. Returns the fraction of each that is
+/// in time.
+fn serve_gangs(workers: usize, seed: u64) -> (f64, f64) {
+    let mut world = world(workers, seed);
+    let (mut gangs, mut long) = (Vec::new(), Vec::new());
+    for round in 0..40_u64 {
+        // Long jobs take 85% of the capacity, gangs 12% of 1,440 cores.
+        for n in 0..workers as u64 / 20 {
+            let number = id(LONG + round * 100 + n);
+            world.submit_to("long", number, job(vec![long_step()]));
+            long.push((number, world.now_ms));
+        }
+        if round % 4 == 0 && round >= 8 {
+            let number = id(1 + round);
+            world.submit_to("gangs", number, job(vec![wide_gang()]));
+            gangs.push((number, world.now_ms));
+        }
+        world.run(500);
+    }
+    world.run(20_000);
+    assert_eq!(world.gang_timeouts, 0);
+    (in_time(&world, &gangs, 9_800), in_time(&world, &long, 13_600))
+}
+
+/// Deployment 1 on its heaviest day served 0.413 of the gangs in time.
+#[test]
+fn gangs_are_in_time_beside_long_ones_that_stay_in_time() {
+    let (gangs, long) = serve_gangs(90, 4);
+
+    assert!(gangs >= 0.95, "{gangs} of the gangs are in time");
+    assert!(long >= 0.9, "{long} of the long jobs are in time");
+}
+
 /// Room for a part of a gang is of no use, and the long tasks would have been stopped in vain.
 #[test]
 fn no_run_is_stopped_for_a_gang_that_would_not_get_room_for_all() {
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -4,7 +4,7 @@
 //! takes the same course each time.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -76,6 +76,10 @@
     pub gang_timeouts: u64,
     /// Number of runs that were stopped to give room to others.
     pub preemptions: u64,
+    /// The runs that were stopped to give room to others: worker, task and attempt.
+    preempted: BTreeSet<(Name, TaskId, u32)>,
+    /// Most CPU of such runs that had not ended yet, in thousandths of a core.
+    pub most_reclaimed_cpu: u32,
     /// Reservations that expired.
     pub unused_reservations: u64,
     /// Time at which each job was complete, in milliseconds.
@@ -127,6 +131,8 @@
             is_store_away: false,
             gang_timeouts: 0,
             preemptions: 0,
+            preempted: BTreeSet::new(),
+            most_reclaimed_cpu: 0,
             unused_reservations: 0,
             finished_ms: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -468,10 +474,21 @@
         }
     }
 
+    /// Returns the CPU of the runs that were stopped to give room to others and have not ended yet.
+    fn reclaimed_cpu(&self) -> u32 {
+        let cpu = |(host, task, attempt): &(Name, TaskId, u32)| {
+            let worker = self.workers.iter().find(|worker| worker.entry.id == *host)?;
+            worker.runs.get(&(*task, *attempt)).map(|run| run.cpu_millis)
+        };
+        self.preempted.iter().filter_map(cpu).sum()
+    }
+
     fn check_decision(&mut self, verdict: Verdict) {
         match verdict {
-            Verdict::Preempted { task, host, beneficiary, .. } => {
+            Verdict::Preempted { task, attempt, host, beneficiary, .. } => {
                 self.preemptions += 1;
+                self.preempted.insert((host.clone(), task, attempt));
+                self.most_reclaimed_cpu = self.most_reclaimed_cpu.max(self.reclaimed_cpu());
                 let priority = |job: Id| self.catalog.queues[&self.queues[&job]].priority;
                 let (victim, other) = (priority(task.step.job), priority(beneficiary.job));
                 assert!(other < victim, "{beneficiary:?} takes the room of {task:?} on {host}");
