--- a/crates/audit/tests/tampering.rs
+++ b/crates/audit/tests/tampering.rs
@@ -115,6 +115,25 @@
     assert!(explanation[0].contains("given up: 2 workers crashed or were lost"));
 }
 
+/// Guards against a preemption that the audit can't explain.
+#[test]
+fn the_beneficiary_and_the_cost_of_a_preemption_are_explained() {
+    let verdict = Verdict::PreemptedFor {
+        host: "h".into(),
+        attempt: 2,
+        beneficiary: "7.0.0".to_string(),
+        cost_core_ms: 850,
+    };
+    let preempted = Decision { verdict, ..decision(1) };
+    let subject = preempted.subject.clone();
+    let line = serde_json::to_string(&Chain::default().append(preempted, 1_000)).unwrap();
+
+    let explanation = explain([line.as_str()].into_iter(), &subject);
+
+    let expected = "attempt 2 stopped on h to make room for 7.0.0, at a cost of 850";
+    assert!(explanation[0].contains(expected), "{}", explanation[0]);
+}
+
 /// Guards against false findings: when some shares lost precision in JSON, 963 of 16,941
 /// unaltered records of a simulated day were reported as changed.
 #[test]
--- a/crates/graph/tests/engine/preemption.rs
+++ b/crates/graph/tests/engine/preemption.rs
@@ -97,18 +97,19 @@
 #[test]
 fn short_jobs_are_in_time_beside_long_ones_that_stay_in_time() {
     let mut world = world(WORKERS, 2);
+    fill(&mut world, 7);
     let (mut short, mut long) = (Vec::new(), Vec::new());
     for round in 0..40_u64 {
-        // A long job takes 145 core-seconds, a short one 7.5; the workers have 192 cores.
+        // With the seven long jobs before, all workers are full of long tasks, and some wait.
         if round % 2 == 0 {
-            let number = id(LONG + round);
+            let number = id(LONG + 100 + round);
             world.submit_to("long", number, job(vec![long_step()]));
             long.push((number, world.now_ms));
         }
         let number = id(1 + round);
         world.submit(number, job(vec![short_step()]));
         short.push((number, world.now_ms));
-        world.run(500);
+        world.run(450);
     }
     world.run(20_000);
 
@@ -315,22 +316,23 @@
 /// in time.
 fn serve_gangs(workers: usize, seed: u64) -> (f64, f64) {
     let mut world = world(workers, seed);
+    fill(&mut world, workers as u64 / 2);
     let (mut gangs, mut long) = (Vec::new(), Vec::new());
-    for round in 0..40_u64 {
-        // Long jobs take 85% of the capacity, gangs 12% of 1,440 cores.
+    for round in 0..16_u64 {
+        // Long jobs take 0.84 of the capacity, gangs 0.15.
         for n in 0..workers as u64 / 20 {
-            let number = id(LONG + round * 100 + n);
+            let number = id(LONG + 1_000 + round * 100 + n);
             world.submit_to("long", number, job(vec![long_step()]));
             long.push((number, world.now_ms));
         }
-        if round % 4 == 0 && round >= 8 {
+        if round % 4 == 0 {
             let number = id(1 + round);
             world.submit_to("gangs", number, job(vec![wide_gang()]));
             gangs.push((number, world.now_ms));
         }
         world.run(500);
     }
-    world.run(20_000);
+    world.run(14_000);
     assert_eq!(world.gang_timeouts, 0);
     (in_time(&world, &gangs, 9_800), in_time(&world, &long, 13_600))
 }
--- a/crates/platform/tests/site/settings.rs
+++ b/crates/platform/tests/site/settings.rs
@@ -39,6 +39,25 @@
     assert_eq!(settings.max_value_bytes, 1 << 20);
 }
 
+/// Preemption must stay off where the platform does not name its cost.
+#[test]
+fn the_cost_of_a_preemption_has_no_default() {
+    let settings = Settings::parse(FILE).unwrap();
+
+    assert_eq!((settings.stop_ms, settings.checkpoint_ms, settings.restore_ms), (None, None, None));
+}
+
+/// The interval of checkpoints is in seconds, the other times are in milliseconds.
+#[test]
+fn parses_the_cost_of_a_preemption() {
+    let bounds = "[bounds]\nstop-ms = 200\ncheckpoint-s = 0.5\nrestore-ms = 250";
+
+    let settings = Settings::parse(&FILE.replace("[bounds]", bounds)).unwrap();
+
+    let cost = (settings.stop_ms, settings.checkpoint_ms, settings.restore_ms);
+    assert_eq!(cost, (Some(200), Some(500), Some(250)));
+}
+
 #[test]
 fn treats_an_empty_hint_as_no_advice_service() {
     let settings = Settings::parse(&FILE.replace("10.200.1.9:8182", "")).unwrap();
