--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -35,6 +35,8 @@
 mod placement;
 mod polls;
 mod preemption;
+#[cfg(test)]
+mod preemption_tests;
 mod rank;
 mod reclaim;
 mod recover;
