--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -36,9 +36,14 @@
 mod past_use;
 mod placement;
 mod polls;
+mod preemption;
+#[cfg(test)]
+mod preemption_tests;
 mod rank;
+mod reclaim;
 mod recover;
 mod requests;
+mod reservations;
 mod run_ends;
 mod runs;
 
@@ -64,6 +69,7 @@
 use past_use::PastUse;
 pub use rank::Rank;
 pub use recover::Recovered;
+use reservations::Reservations;
 
 /// An effect that is deferred until all records appended before it are durable.
 #[derive(Debug)]
@@ -114,6 +120,8 @@
     bulkheads: Bulkheads,
     /// Number of isolated runs, by job.
     isolated_runs: FxHashMap<job::Id, u32>,
+    /// Room that is kept for steps for which runs were stopped.
+    reservations: Reservations,
     /// Gangs of which members have ended, by attempt, until all have.
     gang_ends: BTreeMap<(StepId, u32), GangEnds>,
     /// Jobs with a schedule, by the due time of their next occurrence in milliseconds since
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -14,6 +14,7 @@
 use super::backlog::Backlog;
 use super::bulkhead::Bulkheads;
 use super::past_use::PastUse;
+use super::reservations::Reservations;
 use crate::catalog::Catalog;
 use crate::host::{Host, LogState, RunEnd};
 use crate::job::Id;
@@ -230,6 +231,7 @@
             backlog: Backlog::default(),
             bulkheads: Bulkheads::default(),
             isolated_runs: FxHashMap::default(),
+            reservations: Reservations::default(),
             gang_ends: BTreeMap::new(),
             next_occurrences: BTreeSet::new(),
             closed_jobs: VecDeque::new(),
--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -11,6 +11,7 @@
 mod oracle;
 mod overload;
 mod past_use;
+mod preemption;
 mod regression;
 mod silence;
 mod takeover;
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -12,7 +12,8 @@
 use sycamore_graph::job::{Id, Spec, State};
 use sycamore_graph::{
     Action, Advise, Answer, DomainLoad, Ended, Engine, Event, HostEntry, HostLoss, Moment, Poll,
-    Reading, Record, Recovered, Report, RunEnd, Start, StartOutcome, TaskId, Timing, WaitReason,
+    PreemptionTiming, Reading, Record, Recovered, Report, RunEnd, Start, StartOutcome, TaskId,
+    Timing, Verdict, WaitReason,
 };
 use sycamore_types::Name;
 
@@ -60,6 +61,8 @@
     pub late_start_share: f64,
     /// Duration of each task, in milliseconds.
     pub work_ms: u64,
+    /// Tasks take as long as they are declared to take.
+    pub takes_estimate: bool,
     /// Fraction of the runs that fail.
     pub failure_share: f64,
     /// Fraction of the workers that the advice service allows.
@@ -76,6 +79,16 @@
     pub is_store_away: bool,
     /// Runs that gave up waiting for the other members of their gang.
     pub gang_timeouts: u64,
+    /// Number of runs that were stopped to give room to others.
+    pub preemptions: u64,
+    /// The runs that were stopped to give room to others: worker, task and attempt.
+    preempted: BTreeSet<(Name, TaskId, u32)>,
+    /// Most CPU of such runs that had not ended yet, in thousandths of a core.
+    pub most_reclaimed_cpu: u32,
+    /// Reservations that expired.
+    pub unused_reservations: u64,
+    /// Time at which each job was complete, in milliseconds.
+    pub finished_ms: BTreeMap<Id, u64>,
     pub answers: BTreeMap<u64, Answer>,
     pub timing: Timing,
     /// Entries of the last list that the engine received.
@@ -117,6 +130,7 @@
             catalog,
             late_start_share: 0.0,
             work_ms: 200,
+            takes_estimate: false,
             failure_share: 0.0,
             allowed_share: 1.0,
             advice_calls: 0,
@@ -127,6 +141,11 @@
             crashes: 0,
             is_store_away: false,
             gang_timeouts: 0,
+            preemptions: 0,
+            preempted: BTreeSet::new(),
+            most_reclaimed_cpu: 0,
+            unused_reservations: 0,
+            finished_ms: BTreeMap::new(),
             answers: BTreeMap::new(),
             timing,
             listed: BTreeMap::new(),
@@ -150,6 +169,14 @@
         world
     }
 
+    /// Turns preemption on, with workers that stop and resume runs within these times.
+    pub fn enable_preemption(&mut self, timing: PreemptionTiming) {
+        self.workers.iter_mut().for_each(|worker| worker.stop_ms = timing.stop_ms);
+        self.timing.preemption = Some(timing);
+        self.take_over();
+        self.run(100);
+    }
+
     /// Adds a worker and lists it.
     pub fn add_worker(&mut self, entry: HostEntry) {
         self.workers.push(Worker::new(entry));
@@ -324,6 +351,8 @@
                 let Some(run) = worker.runs.get(&(task, attempt)).cloned() else { continue };
                 let how = if now_ms > worker.lease_until_ms {
                     RunEnd::LeaseExpired
+                } else if run.stop_ms.is_some_and(|stop_ms| now_ms >= stop_ms) {
+                    RunEnd::Stopped
                 } else if self.is_gang(task) && !self.is_gang_complete(task, attempt) {
                     if now_ms - run.started_ms <= GANG_TIMEOUT_MS {
                         self.wait_for_members(at, task, attempt);
@@ -430,7 +459,7 @@
 
     fn end_run(&mut self, at: usize, task: TaskId, attempt: u32, how: RunEnd) {
         let worker = &mut self.workers[at];
-        worker.end(task, attempt, how);
+        worker.end(self.now_ms, task, attempt, how);
         self.ended_ms.insert((worker.entry.id.clone(), task, attempt), self.now_ms);
     }
 
@@ -483,14 +512,40 @@
                     self.send(&host, action, 0.0);
                 }
                 Action::ReportLoss(loss) => self.losses.push(loss),
-                Action::RecordDecision(_)
-                | Action::ReportRestriction(_)
-                | Action::ReportTeamUse(_)
-                | Action::Deposed => {}
+                Action::RecordDecision(decision) => self.check_decision(decision.verdict),
+                Action::ReportUnusedReservation { .. } => self.unused_reservations += 1,
+                Action::ReportRestriction(_) | Action::ReportTeamUse(_) | Action::Deposed => {}
             }
         }
     }
 
+    /// Returns the CPU of the runs that were stopped to give room to others and have not ended yet.
+    fn reclaimed_cpu(&self) -> u32 {
+        let cpu = |(host, task, attempt): &(Name, TaskId, u32)| {
+            let worker = self.workers.iter().find(|worker| worker.entry.id == *host)?;
+            worker.runs.get(&(*task, *attempt)).map(|run| run.cpu_millis)
+        };
+        self.preempted.iter().filter_map(cpu).sum()
+    }
+
+    fn check_decision(&mut self, verdict: Verdict) {
+        match verdict {
+            Verdict::Preempted { task, attempt, host, beneficiary, .. } => {
+                self.preemptions += 1;
+                self.preempted.insert((host.clone(), task, attempt));
+                self.most_reclaimed_cpu = self.most_reclaimed_cpu.max(self.reclaimed_cpu());
+                let priority = |job: Id| self.catalog.queues[&self.queues[&job]].priority;
+                let (victim, other) = (priority(task.step.job), priority(beneficiary.job));
+                assert!(other < victim, "{beneficiary:?} takes the room of {task:?} on {host}");
+                self.oracle.check_preemption(task, self.epoch);
+            }
+            Verdict::Closed(job, State::Complete) => {
+                self.finished_ms.entry(job).or_insert(self.now_ms);
+            }
+            _ => {}
+        }
+    }
+
     fn send(&mut self, host: &Name, action: Action, late_start_share: f64) {
         let had_name =
             |worker: &Worker| worker.entry.id == *host || worker.former_names.contains(host);
@@ -571,9 +626,14 @@
         let reply = match &action {
             Action::Start(start) => self.start(at, epoch, start),
             Action::Stop(stop) => {
-                let is_accepted = self.workers[at].stop(epoch, stop);
+                let now_ms = self.now_ms;
+                let is_accepted = self.workers[at].stop(now_ms, epoch, stop);
                 let name = self.workers[at].entry.id.clone();
                 self.ended_ms.entry((name, stop.task, stop.attempt)).or_insert(self.now_ms);
+                if self.workers[at].loses_stop_replies {
+                    self.report_no_reply(&action, 500);
+                    return;
+                }
                 let (host, task, attempt) = (stop.host.clone(), stop.task, stop.attempt);
                 Event::Stopped { host, task, attempt, is_accepted }
             }
@@ -614,8 +674,14 @@
         let (host, task, attempt) = (start.host.clone(), start.task, start.attempt);
         let spec = self.oracle.jobs[&task.step.job].steps[usize::from(task.step.index)].clone();
         let will_fail = self.random.random_bool(self.failure_share);
-        let work =
-            Work { cpu_millis: spec.footprint().cpu_millis, work_ms: self.work_ms, will_fail };
+        let preemption = self.timing.preemption.as_ref().filter(|_| spec.is_checkpointing);
+        let work = Work {
+            cpu_millis: spec.footprint().cpu_millis,
+            work_ms: if self.takes_estimate { spec.estimate_ms } else { self.work_ms },
+            will_fail,
+            restore_ms: preemption.map_or(0, |timing| timing.restore_ms),
+            checkpoint_ms: preemption.map_or(0, |timing| timing.checkpoint_ms),
+        };
         let has_ticket =
             !self.is_advised(task.step.job)
                 || start.ticket.as_ref().and_then(|ticket| self.tickets.get(ticket)).is_some_and(
--- a/crates/platform/src/site/settings.rs
+++ b/crates/platform/src/site/settings.rs
@@ -46,6 +46,12 @@
     /// Time after the store has acknowledged the evacuation of a failure domain from which no task
     /// may start there, in milliseconds. `None` where evacuations are not in use.
     pub evacuation_ms: Option<u64>,
+    /// Longest time that a worker takes to stop a run, in milliseconds, if the file names it.
+    pub stop_ms: Option<u64>,
+    /// Time between two checkpoints of a task, in milliseconds, if the file names it.
+    pub checkpoint_ms: Option<u64>,
+    /// Time that a task takes to resume from a checkpoint, in milliseconds, if the file names it.
+    pub restore_ms: Option<u64>,
     /// Time from SIGTERM to SIGKILL, in milliseconds.
     pub grace_ms: u64,
 }
@@ -114,6 +120,12 @@
     stability_ms: u64,
     #[serde(rename = "evac-ms")]
     evac_ms: Option<u64>,
+    #[serde(rename = "stop-ms")]
+    stop_ms: Option<u64>,
+    #[serde(rename = "checkpoint-s")]
+    checkpoint_s: Option<f64>,
+    #[serde(rename = "restore-ms")]
+    restore_ms: Option<u64>,
     #[serde(rename = "grace-s", default = "default_grace_s")]
     grace_s: f64,
     #[serde(default = "default_status_s")]
@@ -191,6 +203,9 @@
             stability_ms: file.bounds.stability_ms,
             heartbeat_ms: file.heartbeat_ms,
             evacuation_ms: file.bounds.evac_ms,
+            stop_ms: file.bounds.stop_ms,
+            checkpoint_ms: file.bounds.checkpoint_s.map(|s| (s * 1_000.0) as u64),
+            restore_ms: file.bounds.restore_ms,
             grace_ms: (file.bounds.grace_s * 1_000.0) as u64,
         })
     }
