Let peers call workers for an owner of many workers

Cause: one owner with 3,000 workers used all of its half core, 204 MB and 6,026 connections. Change: from 800 listed workers on, peers hold the connections to the workers. The owner sends its orders in batches over one stream to each peer and gets results in batches; workers are assigned by weighted rendezvous hashing. A peer that is late gets less work, and one that fails none: its starts and stops are unknown, and its polls are made directly at once, so that no lease ends because of it. A peer that knows of a newer owner refuses the batch. Calls to workers have a module of their own.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -52,6 +52,14 @@
     pub claims: IntCounterVec,
     /// Long polls of workers, by outcome.
     pub polls: IntCounterVec,
+    /// Orders that were given to executors, by what became of them.
+    pub executor_orders: IntCounterVec,
+    /// Batches of orders, by what became of them.
+    pub executor_batches: IntCounterVec,
+    /// Peers that carry out the owner's calls to workers.
+    pub executors: IntGauge,
+    /// Time from a batch of orders to its receipt.
+    pub executor_lag_s: HistogramVec,
     /// Epoch of the newest owner that this process knows of.
     pub epoch: IntGauge,
     /// Version of the configuration in force.
@@ -103,6 +111,23 @@
             ),
             claims: all.counters("claims_total", "Claims of the workers.", &["why", "outcome"]),
             polls: all.counters("looks_total", "Looks at workers.", &["outcome"]),
+            executor_orders: all.counters(
+                "executor_orders_total",
+                "Orders given to peers that call workers for the owner.",
+                &["outcome"],
+            ),
+            executor_batches: all.counters(
+                "executor_batches_total",
+                "Batches of orders between the owner and its executors.",
+                &["outcome"],
+            ),
+            executors: all.gauge("executors", "Peers that call workers for the owner."),
+            executor_lag_s: all.histograms(
+                "executor_lag_seconds",
+                "Time from a batch of orders to its receipt.",
+                &[],
+                &BUCKETS,
+            ),
             epoch: all.gauge("owner_epoch", "Epoch of the owner that is known."),
             config: all.gauge("config_version", "Version of the configuration in force."),
             config_known: all.gauge(
--- a/crates/node/src/owner/listing.rs
+++ b/crates/node/src/owner/listing.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Instant;
 
 use rustc_hash::FxHashMap;
@@ -22,6 +23,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Addresses {
     known: std::sync::Mutex<FxHashMap<Name, SocketAddr>>,
+    /// Number of workers in the last list.
+    listed: AtomicUsize,
 }
 
 impl Addresses {
@@ -29,7 +32,16 @@
         self.known.lock().ok()?.get(name).copied()
     }
 
-    fn set(&self, name: Name, address: SocketAddr) {
+    /// Returns the number of workers in the last list.
+    pub fn listed(&self) -> usize {
+        self.listed.load(Ordering::Relaxed)
+    }
+
+    pub fn set_listed(&self, workers: usize) {
+        self.listed.store(workers, Ordering::Relaxed);
+    }
+
+    pub fn set(&self, name: Name, address: SocketAddr) {
         if let Ok(mut known) = self.known.lock() {
             known.insert(name, address);
         }
@@ -46,6 +58,7 @@
         match read(&node.store, &handle.addresses).await {
             Ok(entries) => {
                 backoff.reset();
+                handle.addresses.set_listed(entries.len());
                 if last.is_empty() {
                     log::info!(target: "worker", workers = entries.len(); "first worker list read");
                 }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -6,8 +6,10 @@
 //! engine from the log. Every request carries the owner's epoch as a fencing token.
 
 mod advice;
+mod calls;
 mod control;
 mod execute;
+mod executors;
 mod handle;
 #[cfg(debug_assertions)]
 mod injected_bug;
--- a/crates/node/src/peer/message.rs
+++ b/crates/node/src/peer/message.rs
@@ -28,6 +28,8 @@
     /// Asks which owner the receiver has heard from recently.
     #[serde(rename = "Heard")]
     QueryOwner,
+    /// Opens a session in which the receiver carries out the owner's calls to workers.
+    Execute,
 }
 
 /// The reply to a [`Command`].
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -1,7 +1,13 @@
 //! The protocol between processes: its messages, and the server that replies to them.
 
+mod executor;
 mod message;
+mod order;
 mod serve;
 
 pub(crate) use message::{CallerRequest, Command, Owner, Ping, Pong, Reply, RequestOutcome, Role};
+pub(crate) use order::{
+    GATHER_TIME, MAX_BATCH_LEN, MAX_ORDERS_IN_FLIGHT, Order, OrderBatch, OrderResult, ResultBatch,
+    WorkerCall, WorkerOutcome,
+};
 pub(crate) use serve::serve;
--- a/crates/node/src/peer/serve.rs
+++ b/crates/node/src/peer/serve.rs
@@ -10,7 +10,7 @@
 use sycamore_wire::{Incoming, encode_frame};
 use tokio::net::TcpListener;
 
-use super::{Command, Reply};
+use super::{Command, Reply, executor};
 use crate::node::Node;
 
 /// Delay after a failed accept, so that a lack of file descriptors causes no busy loop.
@@ -41,6 +41,13 @@
 }
 
 async fn handle(node: Arc<Node>, incoming: Incoming<Command>) {
+    if matches!(incoming.command, Command::Execute) {
+        match incoming.respond() {
+            Ok((reader, writer)) => executor::execute(node, reader, writer).await,
+            Err(error) => log::debug!("can't open a session with the owner: {error}"),
+        }
+        return;
+    }
     let reply = match encoded_reply(&node, &incoming.command).await {
         Ok(reply) => reply,
         Err(error) => return log::debug!("can't encode a reply to a peer: {error}"),
@@ -54,6 +61,7 @@
     }
 }
 
+/// Returns the reply to a command other than [`Command::Execute`], which has no single reply.
 async fn encoded_reply(node: &Arc<Node>, command: &Command) -> Result<Bytes, sycamore_wire::Error> {
     let reply = match command {
         Command::Ping(ping) => Reply::Pong(node.handle_ping(ping)),
@@ -67,7 +75,9 @@
             Some(current) => return Ok(current.reply.clone()),
             None => Reply::Config(None),
         },
-        Command::QueryOwner => Reply::Owner(node.ownership.recently_heard_owner()),
+        Command::QueryOwner | Command::Execute => {
+            Reply::Owner(node.ownership.recently_heard_owner())
+        }
     };
     encode_frame(&reply)
 }
