Test executors with real processes that die, pause and take over

Change: four tests start an owner and a peer beside one worker: jobs through the peer, a peer that is killed or paused with 9 s runs going on, and an owner that dies. The platform counts runs whose lease ended.

--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -2,6 +2,7 @@
 //! worker.
 
 mod configuration;
+mod executors;
 mod explain;
 mod platform;
 mod process;
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -14,11 +14,12 @@
 use crate::process::call_with_headers;
 use crate::{GUEST_KEY, KEY};
 
-/// Counts starts of tasks that are already running or done.
+/// Counts starts of tasks that are already running or done, and runs whose lease ended.
 #[derive(Clone, Debug, Default)]
 pub struct DuplicateStarts {
     started_tasks: Arc<Mutex<Vec<String>>>,
     count: Arc<AtomicU32>,
+    lapsed: Arc<AtomicU32>,
 }
 
 impl Observer for DuplicateStarts {
@@ -33,6 +34,9 @@
             }
             // A task that ended in any other way may be started again.
             Observation::Ended { task, how, .. } if how != "done" => {
+                if how == "lapsed" {
+                    self.lapsed.fetch_add(1, Ordering::Relaxed);
+                }
                 started_tasks.retain(|t| *t != task)
             }
             Observation::Ended { .. } | Observation::Noted { .. } => {}
@@ -136,6 +140,11 @@
         self.store.set_mode(if is_stalled { stalled } else { Mode::Normal });
     }
 
+    /// Returns the number of runs that ended with the worker's lease.
+    pub fn lapsed_runs(&self) -> u32 {
+        self.duplicate_starts.lapsed.load(Ordering::Relaxed)
+    }
+
     pub fn duplicate_starts(&self) -> u32 {
         self.duplicate_starts.count.load(Ordering::Relaxed)
     }
--- a/crates/node/tests/path/process.rs
+++ b/crates/node/tests/path/process.rs
@@ -26,9 +26,10 @@
 pub struct Process {
     child: Child,
     callers: SocketAddr,
+    metrics: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
-    _ports: [Port; 2],
+    _ports: [Port; 3],
 }
 
 /// The host of a process.
@@ -55,9 +56,16 @@
     }
 
     pub async fn start_on(host: &Host<'_>) -> Process {
+        Process::start_with(host, &[]).await
+    }
+
+    /// Starts a process with environment variables, which debug builds read.
+    pub async fn start_with(host: &Host<'_>, variables: &[(&str, &str)]) -> Process {
         let caller_port = Port::reserve().expect("a port for callers");
         let peer_port = Port::reserve().expect("a port for peers");
+        let metrics_port = Port::reserve().expect("a port for metrics");
         let callers = caller_port.on(Ipv4Addr::LOCALHOST);
+        let metrics = metrics_port.on(Ipv4Addr::LOCALHOST);
         let text = fenced::settings(&ProcessSettings {
             host: host.name.to_string(),
             address: "127.0.0.1".to_string(),
@@ -77,12 +85,16 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_sycamore-node"))
             .arg("--settings")
             .arg(&settings)
+            .arg("--metrics-port")
+            .arg(metrics_port.number().to_string())
+            .envs(variables.iter().copied())
             .stdout(Stdio::from(output))
             .kill_on_drop(true)
             .spawn()
             .expect("the process starts");
         wait_until_listening(&mut child, callers).await;
-        Process { child, callers, settings, log, _ports: [caller_port, peer_port] }
+        let ports = [caller_port, peer_port, metrics_port];
+        Process { child, callers, metrics, settings, log, _ports: ports }
     }
 
     /// Returns the log lines so far that contain all of the texts.
@@ -100,6 +112,17 @@
         format!("http://{}{path}", self.callers)
     }
 
+    pub fn metrics_url(&self) -> String {
+        format!("http://{}/metrics", self.metrics)
+    }
+
+    /// Sends a signal, by the name that `kill` knows.
+    pub async fn signal(&self, name: &str) {
+        let id = self.child.id().expect("the process runs").to_string();
+        let sent = Command::new("kill").arg(format!("-{name}")).arg(id).status().await;
+        assert!(sent.is_ok_and(|status| status.success()));
+    }
+
     pub async fn kill(mut self) {
         self.child.kill().await.expect("the process is killed");
         self.remove_files();
@@ -107,9 +130,7 @@
 
     /// Sends SIGTERM. Returns whether the process exits successfully within the timeout.
     pub async fn terminate(mut self, timeout: Duration) -> bool {
-        let id = self.child.id().expect("the process runs").to_string();
-        let sent = Command::new("kill").arg("-TERM").arg(id).status().await;
-        assert!(sent.is_ok_and(|status| status.success()));
+        self.signal("TERM").await;
         let ended = tokio::time::timeout(timeout, self.child.wait()).await;
         self.remove_files();
         ended.is_ok_and(|status| status.is_ok_and(|status| status.success()))
