Send the list of peers only when it may be new to the receiver

Cause: each pong carried the list of all processes. With 300 of them, 9 KB in 1,500 replies a second are 13 MB/s at the owner, by the size of the entries. Change: peer/directory.rs keeps which version of the list each process was sent last. The encoding stays the same.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,10 +3,9 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
-use rustc_hash::FxHashMap;
 use sycamore_graph::StepId;
 use sycamore_platform::http::Client;
 use sycamore_platform::site::{AdviceClient, Settings, Store};
@@ -19,7 +18,7 @@
 use crate::config::Configs;
 use crate::metrics::Meters;
 use crate::ownership::{CurrentOwner, Ownership, Patience};
-use crate::peer::{CallerRequest, Ping, Pong, RequestOutcome, Role};
+use crate::peer::{CallerRequest, Directory, Ping, Pong, RequestOutcome, Role};
 use crate::timing::OWNER_TIMEOUT;
 
 /// Time for which idle connections are kept open, as each new connection is billed.
@@ -31,9 +30,6 @@
 /// Interval at which a stopping process checks whether it has resigned.
 const RESIGN_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Time since its last ping after which a peer gets no more advice calls.
-const PEER_TIMEOUT: Duration = Duration::from_millis(900);
-
 /// State shared by all tasks of the process.
 #[derive(Debug)]
 pub(crate) struct Node {
@@ -61,8 +57,8 @@
     advice_lock: Mutex<()>,
     /// Addresses of some other processes, from the newest settings.
     seeds: std::sync::Mutex<Vec<SocketAddr>>,
-    /// Address and time of the last ping of each process that pinged this one.
-    known_peers: std::sync::Mutex<FxHashMap<Name, (SocketAddr, Instant)>>,
+    /// Processes that ping this one.
+    directory: std::sync::Mutex<Directory>,
 }
 
 impl Node {
@@ -88,7 +84,7 @@
             is_stopping: AtomicBool::new(false),
             advice_lock: Mutex::new(()),
             seeds: std::sync::Mutex::new(settings.seeds.clone()),
-            known_peers: Default::default(),
+            directory: Default::default(),
             settings,
         }
     }
@@ -148,9 +144,7 @@
 
     /// Records what a ping says about its sender and the newest owner, and replies to it.
     pub fn handle_ping(self: &Arc<Node>, ping: &Ping) -> Pong {
-        if let Ok(mut known_peers) = self.known_peers.lock() {
-            known_peers.insert(ping.host.clone(), (ping.address, Instant::now()));
-        }
+        let peers = self.lock_directory().on_ping(&ping.host, ping.address, Instant::now());
         self.configs.on_peer_version(&self.pool, ping.address, ping.config_version);
         if let Some(owner) = &ping.owner {
             self.ownership.record_owner(owner);
@@ -181,7 +175,7 @@
             config_version: self.configs.version(),
             is_store_reachable,
             is_leaving: self.is_stopping(),
-            peers: self.live_peers(),
+            peers,
         }
     }
 
@@ -189,14 +183,13 @@
         self.ownership.newest_owner().is_some_and(|owner| owner.epoch > epoch)
     }
 
-    /// Returns the processes that pinged within [`PEER_TIMEOUT`], sorted by name.
+    /// Returns the processes that pinged recently, sorted by name.
     pub fn live_peers(&self) -> Vec<(Name, SocketAddr)> {
-        let Ok(mut known_peers) = self.known_peers.lock() else { return Vec::new() };
-        known_peers.retain(|_, (_, at)| at.elapsed() < PEER_TIMEOUT);
-        let mut list: Vec<_> =
-            known_peers.iter().map(|(name, (address, _))| (name.clone(), *address)).collect();
-        list.sort();
-        list
+        self.lock_directory().live(Instant::now())
+    }
+
+    fn lock_directory(&self) -> std::sync::MutexGuard<'_, Directory> {
+        self.directory.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Answers a caller's request if this process is the owner.
--- a/crates/node/src/peer/message.rs
+++ b/crates/node/src/peer/message.rs
@@ -77,7 +77,8 @@
     pub is_store_reachable: bool,
     /// The sender is stopping; as the owner it keeps working until another takes over.
     pub is_leaving: bool,
-    /// Processes that pinged the sender recently.
+    /// Processes that pinged the sender recently. Empty if the receiver has been sent the same
+    /// list before.
     pub peers: Vec<(Name, SocketAddr)>,
 }
 
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -1,10 +1,14 @@
 //! The protocol between processes: its messages, and the server that replies to them.
 
+mod directory;
 mod executor;
 mod message;
 mod order;
 mod serve;
+#[cfg(test)]
+mod tests;
 
+pub(crate) use directory::Directory;
 pub(crate) use message::{CallerRequest, Command, Owner, Ping, Pong, Reply, RequestOutcome, Role};
 pub(crate) use order::{
     GATHER_TIME, MAX_BATCH_LEN, MAX_ORDERS_IN_FLIGHT, Order, OrderBatch, OrderResult, ResultBatch,
--- /dev/null
+++ b/crates/node/src/peer/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the protocol between processes that need no network.
+
+mod directory;
--- a/crates/node/tests/path/executors.rs
+++ b/crates/node/tests/path/executors.rs
@@ -40,7 +40,8 @@
 
 /// Submits a job with one task that outlasts a lease.
 async fn submit_long(process: &Process, id: &str) -> bool {
-    let step = Step { tasks: 3, cpu_millis: 500, memory_mib: 10, estimate_ms: 9_000, after: vec![] };
+    let step =
+        Step { tasks: 3, cpu_millis: 500, memory_mib: 10, estimate_ms: 9_000, after: vec![] };
     let body = fenced::job(&format!("{{\"ms\":{LONG_RUN_MS}}}"), &[step]).to_string();
     call("POST", &process.url(id), KEY, &body).await.is_some_and(|(status, _)| status == 200)
 }
