Call a worker directly after its executor did not reach it

Cause: a peer may reach the owner and be cut off from a worker that the owner reaches. Its polls went through that peer again and again. Change: a poll that fails at the executor sends the worker's next orders directly for 60 s, as an overdue result does.

--- a/crates/node/examples/executor_cost.rs
+++ b/crates/node/examples/executor_cost.rs
@@ -17,9 +17,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use sycamore_standin::fenced::{
-    self, Capacity, ProcessSettings, Queue, Step, Store, Team, Worker,
-};
+use sycamore_standin::fenced::{self, Capacity, ProcessSettings, Queue, Step, Store, Team, Worker};
 use sycamore_standin::ports::Port;
 
 const KEY: &str = "key-of-clerks";
--- a/crates/node/src/owner/executors/mod.rs
+++ b/crates/node/src/owner/executors/mod.rs
@@ -31,8 +31,10 @@
 #[cfg(debug_assertions)]
 const MIN_WORKERS_VARIABLE: &str = "SYCAMORE_EXECUTOR_MIN_WORKERS";
 
-/// Time for which a worker is called directly after an executor has lost one of its orders.
-const DETOUR_TIME: Duration = Duration::from_secs(10);
+/// Time for which a worker is called directly after its executor did not reach it. Each attempt
+/// through an executor that is cut off from the worker costs a poll, and direct calls to some
+/// workers cost little.
+const DETOUR_TIME: Duration = Duration::from_secs(60);
 
 /// Interval at which live peers and the number of workers are looked up.
 pub(super) const UPDATE_INTERVAL: Duration = Duration::from_millis(200);
@@ -186,7 +188,7 @@
                     );
                 }
             }
-            NoticeEvent::OrderLost(worker) => {
+            NoticeEvent::Unreached(worker) => {
                 self.detours.insert(worker, now + DETOUR_TIME);
             }
         }
--- a/crates/node/src/owner/executors/session.rs
+++ b/crates/node/src/owner/executors/session.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use futures::future::BoxFuture;
+use sycamore_platform::site::CallOutcome;
 use sycamore_types::Name;
 use sycamore_wire::{ConnectionKind, Error, Reader, Writer};
 use tokio::sync::mpsc;
@@ -43,8 +44,8 @@
     /// The session takes orders.
     Opened,
     Observed(Observation),
-    /// An order of this worker got no result from the executor.
-    OrderLost(Name),
+    /// The executor did not reach this worker, or its result was overdue.
+    Unreached(Name),
 }
 
 /// A session with one executor.
@@ -229,7 +230,7 @@
         let now = Instant::now();
         for resolution in self.pending.take_overdue(now) {
             let (Resolution::Unknown(request) | Resolution::Call(request)) = &resolution;
-            self.session.notify(NoticeEvent::OrderLost(request.host().clone()));
+            self.session.notify(NoticeEvent::Unreached(request.host().clone()));
             self.session.resolve(resolution);
         }
         if self.receipts.is_overdue(now) {
@@ -275,6 +276,10 @@
             // The result of an order that was overdue comes too late.
             let Some(request) = self.pending.take(id) else { continue };
             self.session.count_order("carried out");
+            if matches!(outcome, WorkerOutcome::PollFailed(CallOutcome::Unknown)) {
+                // The executor may be cut off from a worker that others reach.
+                self.session.notify(NoticeEvent::Unreached(request.host().clone()));
+            }
             self.complete(request, outcome);
         }
         None
--- a/crates/node/src/owner/executors/tests/session.rs
+++ b/crates/node/src/owner/executors/tests/session.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use sycamore_graph::{Event, StartOutcome};
-use sycamore_platform::site::Settings;
+use sycamore_platform::site::{CallOutcome, Settings};
 use sycamore_standin::fenced::{self, Capacity, Observation, Observer, ProcessSettings, Worker};
 use sycamore_standin::link::{LinkState, Proxy};
 use sycamore_telemetry::logs::{self, LineSender};
@@ -24,7 +24,9 @@
 use crate::owner::calls::{Calls, Request};
 use crate::owner::handle::Input;
 use crate::owner::{Handle, Shared};
-use crate::peer::{self, Command, OrderBatch, Owner, Ping, ResultBatch};
+use crate::peer::{
+    self, Command, Order, OrderBatch, OrderResult, Owner, Ping, ResultBatch, WorkerOutcome,
+};
 
 const EPOCH: u64 = 5;
 
@@ -56,6 +58,8 @@
     Dies,
     /// Confirms batches and sends no results.
     LosesResults,
+    /// Reaches no worker.
+    IsCutOff,
 }
 
 /// An owner with one worker.
@@ -167,9 +171,16 @@
         match fake {
             Fake::Dies if !batch.orders.is_empty() => return,
             Fake::Dies => {}
-            Fake::LosesResults => {
+            Fake::LosesResults | Fake::IsCutOff => {
                 let receipt = batch.wants_receipt.then_some(batch.number);
-                let results = ResultBatch { receipt, ..ResultBatch::default() };
+                let unreached = |order: Order| OrderResult {
+                    id: order.id,
+                    outcome: WorkerOutcome::PollFailed(CallOutcome::Unknown),
+                };
+                let is_cut_off = matches!(fake, Fake::IsCutOff);
+                let results = batch.orders.into_iter().filter(|_| is_cut_off).map(unreached);
+                let results =
+                    ResultBatch { receipt, results: results.collect(), ..ResultBatch::default() };
                 if writer.write_frame(&results, false).await.is_err() {
                     return;
                 }
@@ -254,7 +265,7 @@
     let mut lost = Vec::new();
     while lost.len() < 2 {
         match notices.recv().await.expect("the session runs").event {
-            NoticeEvent::OrderLost(worker) => lost.push(worker),
+            NoticeEvent::Unreached(worker) => lost.push(worker),
             NoticeEvent::Observed(health::Observation::Receipt(_)) => {}
             other => panic!("unexpected {other:?}"),
         }
@@ -302,6 +313,52 @@
     }
 }
 
+/// A peer that lives and reaches the owner may be cut off from a worker. The engine must hear of the
+/// failed poll, and the next one must take another way.
+#[tokio::test]
+async fn a_worker_that_the_executor_does_not_reach_is_noticed() {
+    let owner = Fixture::start().await;
+    let (requests, mut notices) = owner.open(fake_peer(Fake::IsCutOff).await).await;
+
+    send(&requests, &[poll(1_000)]).await;
+
+    assert!(matches!(owner.event().await, Event::PollFailed { is_gone: false, .. }));
+    loop {
+        match notices.recv().await.expect("the session runs").event {
+            NoticeEvent::Unreached(worker) => break assert_eq!(worker, Name::from("worker")),
+            NoticeEvent::Observed(health::Observation::Receipt(_)) => {}
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+}
+
+/// After a peer has not reached a worker, the worker's next orders must not go through it.
+#[tokio::test]
+async fn an_unreached_worker_is_called_directly() {
+    let owner = Fixture::start().await;
+    owner.node.handle_ping(&Ping {
+        host: Name::from("peer"),
+        address: fake_peer(Fake::IsCutOff).await,
+        config_version: 0,
+        owner: None,
+    });
+    let (mut executors, mut notices) = Executors::new(owner.calls.clone(), 1);
+    executors.update();
+    executors.on_notice(notices.recv().await.expect("a notice"));
+
+    executors.send(poll(1_000));
+    let failed = owner.event().await;
+    // The receipt, and that the worker was not reached.
+    for _ in 0..2 {
+        executors.on_notice(notices.recv().await.expect("a notice"));
+    }
+    executors.send(poll(0));
+    let direct = owner.event().await;
+
+    assert!(matches!(failed, Event::PollFailed { .. }), "{failed:?}");
+    assert!(matches!(direct, Event::Polled { .. }), "{direct:?}");
+}
+
 /// A live peer carries the orders from the threshold on; when it fails, they go directly at once.
 #[tokio::test]
 async fn a_failed_executor_is_replaced_by_direct_calls() {
