Test the size and the encoding of orders and results

Cause: the engine's types are encoded field by field, and nothing noticed a variant that was moved. Change: each outcome is encoded and decoded; a poll takes at most 48 bytes and a report with four runs and an end at most 160. The example executor_cost also times one read of the list of workers.

--- a/crates/node/examples/executor_cost.rs
+++ b/crates/node/examples/executor_cost.rs
@@ -29,6 +29,11 @@
 /// Time until the owner has polled all workers and its executors have opened their sessions.
 const WARM_UP: Duration = Duration::from_secs(8);
 
+/// Reads of the list of workers that are measured.
+const LIST_READS: usize = 20;
+
+const LIST_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Length of a tick of `/proc/PID/stat` on Linux.
 const TICK_MS: u64 = 10;
 
@@ -131,6 +136,38 @@
     fenced::job(&format!("{{\"ms\":{TASK_MS}}}"), &[step]).to_string()
 }
 
+/// Prints the time of one read of the list of workers, which an owner does twice a second. It
+/// includes the time of the simulated store.
+async fn print_list_cost(store: SocketAddr) {
+    let store = site::Store::new(store, sycamore_platform::http::Client::new());
+    let (mut entries, mut pages, mut bytes) = (0, 0, 0);
+    let started = Instant::now();
+    for _ in 0..LIST_READS {
+        let mut after = String::new();
+        loop {
+            let page = store.range(site::key::WORKER_PREFIX, &after, LIST_TIMEOUT).await;
+            let page = page.expect("a page of the list");
+            pages += 1;
+            for item in &page.items {
+                bytes += item.key.len() + item.value.len();
+                let parsed = site::parse_worker_entry(&item.key, &item.value);
+                entries += usize::from(parsed.is_some());
+            }
+            match page.items.last() {
+                Some(last) if page.more_pages => after = last.key.clone(),
+                _ => break,
+            }
+        }
+    }
+    println!(
+        "one read of the list: {} entries, {} pages, {} KiB of keys and values, {:.1} ms",
+        entries / LIST_READS,
+        pages / LIST_READS,
+        bytes / LIST_READS / 1_024,
+        started.elapsed().as_secs_f64() * 1_000.0 / LIST_READS as f64,
+    );
+}
+
 #[tokio::main]
 async fn main() {
     let numbers: Vec<u64> = std::env::args().skip(1).filter_map(|arg| arg.parse().ok()).collect();
@@ -150,6 +187,7 @@
         store.add_worker(&id, &worker.entry("desk", worker.address()));
         running.push(worker);
     }
+    print_list_cost(store.server.address).await;
     let owner = Process::start("owner", store.server.address);
     tokio::time::sleep(Duration::from_secs(2)).await;
     let _peers: Vec<Process> = (0..peers)
--- a/crates/node/src/peer/tests/mod.rs
+++ b/crates/node/src/peer/tests/mod.rs
@@ -1,3 +1,4 @@
 //! Tests of the protocol between processes that need no network.
 
 mod directory;
+mod order;
