Use one executor for a hundred workers

Change: a pure module selects peers, one for 100 workers; a lost one is replaced when there is less than one for 150, so that a loss moves only the workers of the lost peer until then.

--- a/crates/node/src/owner/executors/assignment.rs
+++ b/crates/node/src/owner/executors/assignment.rs
@@ -85,7 +85,8 @@
     }
 }
 
-fn hash(name: &Name) -> u64 {
+/// Returns a hash that is the same in all processes.
+pub(super) fn hash(name: &Name) -> u64 {
     // Has fixed keys, unlike the hashers of maps.
     let mut hasher = DefaultHasher::new();
     name.hash(&mut hasher);
--- a/crates/node/src/owner/executors/mod.rs
+++ b/crates/node/src/owner/executors/mod.rs
@@ -9,10 +9,12 @@
 mod health;
 mod pending;
 mod receipts;
+mod selection;
 mod session;
 #[cfg(test)]
 mod tests;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -23,6 +25,7 @@
 use self::activation::Activation;
 use self::assignment::Assignment;
 use self::health::{Health, Observation};
+use self::selection::Selection;
 use self::session::{Notice, NoticeEvent, Session};
 use super::calls::{Calls, Request};
 use crate::peer::MAX_ORDERS_IN_FLIGHT;
@@ -44,6 +47,7 @@
 pub(super) struct Executors {
     calls: Calls,
     activation: Activation,
+    selection: Selection,
     assignment: Assignment,
     peers: FxHashMap<Name, Peer>,
     /// Workers that are called directly, and until when.
@@ -76,6 +80,7 @@
         let executors = Executors {
             calls,
             activation: Activation::new(min_workers),
+            selection: Selection::default(),
             assignment: Assignment::default(),
             peers: FxHashMap::default(),
             detours: FxHashMap::default(),
@@ -136,22 +141,27 @@
             is_active && !live.contains_key(name) && peer.health.is_excluded(now)
         });
         for (name, address) in live {
-            let peer = self.peers.entry(name.clone()).or_insert_with(|| Peer::new(address, now));
-            if peer.session.is_none() && !peer.health.is_excluded(now) {
+            self.peers.entry(name).or_insert_with(|| Peer::new(address, now));
+        }
+        let usable = self.peers.iter().filter(|(_, peer)| !peer.health.is_excluded(now));
+        let usable: BTreeSet<Name> = usable.map(|(name, _)| name.clone()).collect();
+        self.selection.update(workers, &usable);
+        for (name, peer) in &mut self.peers {
+            if peer.session.is_none() && self.selection.contains(name) {
                 self.last_session += 1;
                 let (requests, received) = mpsc::channel(MAX_ORDERS_IN_FLIGHT);
                 let number = self.last_session;
                 peer.session = Some(OpenSession { number, requests, is_open: false });
                 let session = Session {
                     executor: name.clone(),
-                    address,
+                    address: peer.address,
                     number,
                     calls: self.calls.clone(),
                     notices: self.notices.clone(),
                 };
                 tokio::spawn(session.run(received));
             }
-            self.assignment.set_weight(&name, peer.weight(now));
+            self.assignment.set_weight(name, peer.weight(now));
         }
         self.calls.node.meters.executors.set(self.assignment.len() as i64);
     }
--- a/crates/node/src/owner/executors/tests/mod.rs
+++ b/crates/node/src/owner/executors/tests/mod.rs
@@ -7,6 +7,7 @@
 mod health;
 mod pending;
 mod receipts;
+mod selection;
 mod session;
 
 use std::sync::Arc;
