--- a/crates/node/src/owner/executors/selection.rs
+++ b/crates/node/src/owner/executors/selection.rs
@@ -10,12 +10,12 @@
 use super::assignment::hash;
 
 /// Workers for each executor when executors are added. A peer with 0.12 of a core has room for
-/// these beside its callers: 1,000 workers were measured to cost 0.2 of a core.
-const WORKERS_PER_EXECUTOR: usize = 100;
+/// these beside its callers: 1,000 workers were measured to cost an owner 0.2 of a core.
+const WORKERS_PER_EXECUTOR: usize = 200;
 
 /// Workers for each executor from which executors are added. In between, a lost executor is not
 /// replaced, so that its loss moves only its own workers.
-const MAX_WORKERS_PER_EXECUTOR: usize = 150;
+const MAX_WORKERS_PER_EXECUTOR: usize = 300;
 
 /// Peers that are executors.
 #[derive(Debug, Default)]
