--- a/crates/node/src/owner/listing.rs
+++ b/crates/node/src/owner/listing.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Instant;
 
 use rustc_hash::FxHashMap;
@@ -27,6 +28,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Addresses {
     known: std::sync::Mutex<FxHashMap<Name, SocketAddr>>,
+    /// Number of workers in the last list.
+    listed: AtomicUsize,
 }
 
 impl Addresses {
@@ -34,7 +37,16 @@
         self.known.lock().ok()?.get(name).copied()
     }
 
-    fn set(&self, name: Name, address: SocketAddr) {
+    /// Returns the number of workers in the last list.
+    pub fn listed(&self) -> usize {
+        self.listed.load(Ordering::Relaxed)
+    }
+
+    pub fn set_listed(&self, workers: usize) {
+        self.listed.store(workers, Ordering::Relaxed);
+    }
+
+    pub fn set(&self, name: Name, address: SocketAddr) {
         if let Ok(mut known) = self.known.lock() {
             known.insert(name, address);
         }
@@ -60,6 +72,7 @@
         match read(&node, &handle.addresses, &known).await {
             Ok(listed) => {
                 backoff.reset();
+                handle.addresses.set_listed(listed.len());
                 if known.is_empty() {
                     let undated = listed.values().filter(|known| known.written.is_none()).count();
                     log::info!(
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -3,6 +3,7 @@
 
 mod configuration;
 mod evacuation;
+mod executors;
 mod explain;
 mod platform;
 mod process;
