Poll only the hosts that have changed or whose time has come

After each report the engine looked at all hosts for polls that are due, and each list of hosts and each tick modified all of them. With 3,000 hosts and several thousand reports a second, this took most of the time of the events.

A map of the hosts now notes which may have changed, since all modifications go through its get_mut. Polls look at these hosts and at those with an expired timer. An unchanged entry of the list no longer touches its host. The polls and their order stay the same: the simulated world of the tests compares the notes with a visit of all hosts at each event.

--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -22,11 +22,17 @@
         for entry in entries {
             self.update_host(entry);
         }
-        for (name, host) in &mut self.hosts {
+        let is_listed = |host: &Host| {
             // The capacity in an entry of another incarnation says nothing about this one.
             let known = [0, host.entry.incarnation];
-            host.is_listed =
-                listed.get(name).is_some_and(|incarnation| known.contains(incarnation));
+            listed.get(&host.entry.id).is_some_and(|incarnation| known.contains(incarnation))
+        };
+        let moved = self.hosts.values().filter(|host| is_listed(host) != host.is_listed);
+        let moved: Vec<Name> = moved.map(|host| host.entry.id.clone()).collect();
+        for name in moved {
+            if let Some(host) = self.hosts.get_mut(&name) {
+                host.is_listed = !host.is_listed;
+            }
         }
         self.remove_departed_hosts();
         self.record_leaving_hosts();
@@ -75,19 +81,25 @@
 
     fn update_host(&mut self, entry: HostEntry) {
         let now_ms = self.now.monotonic_ms;
-        let Some(host) = self.hosts.get_mut(&entry.id) else {
+        let Some(known) = self.hosts.get(&entry.id) else {
             self.last_host_number += 1;
             let host = Host::new(entry, self.last_host_number, now_ms, &self.timing);
-            self.hosts.insert(host.entry.id.clone(), host);
+            self.hosts.insert(host);
             return;
         };
-        if host.entry.incarnation == 0 {
+        // Nearly all entries of a list are as before, and their hosts are not to be looked at.
+        if known.entry == entry {
+            return;
+        }
+        if known.entry.incarnation == 0 {
             // Known only from the log until now. The first poll shows which runs it still
             // has.
-            host.entry = entry;
+            if let Some(host) = self.hosts.get_mut(&entry.id) {
+                host.entry = entry;
+            }
             return;
         }
-        if entry.incarnation > host.entry.incarnation {
+        if entry.incarnation > known.entry.incarnation {
             let name = entry.id.clone();
             self.start_incarnation(&name, entry.incarnation);
         }
@@ -139,13 +151,17 @@
     /// runs the log allows for, the fewer unreachable hosts a new owner has to wait for. A
     /// silent host gets no new work either.
     fn record_leaving_hosts(&mut self) {
+        let is_leaving = |host: &&Host| {
+            let is_used = matches!(host.log, LogState::Used | LogState::Leaving);
+            let gets_no_work = host.entry.is_draining || !host.is_listed || host.missed_polls > 0;
+            is_used && gets_no_work && host.has_reported
+        };
+        let leaving: Vec<Name> =
+            self.hosts.values().filter(is_leaving).map(|host| host.entry.id.clone()).collect();
         let mut records = Vec::new();
-        for host in self.hosts.values_mut() {
-            let is_leaving = host.entry.is_draining || !host.is_listed || host.missed_polls > 0;
-            if !is_leaving || !host.has_reported {
-                continue;
-            }
-            if host.runs.is_empty() && matches!(host.log, LogState::Used | LogState::Leaving) {
+        for name in leaving {
+            let Some(host) = self.hosts.get_mut(&name) else { continue };
+            if host.runs.is_empty() {
                 host.log = LogState::Unused;
                 records.push(Record::HostReleased { host: host.entry.id.clone() });
             } else if host.log == LogState::Used {
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -29,6 +29,7 @@
 mod demand;
 mod dispatch;
 mod health;
+mod host_map;
 mod hosts;
 mod isolation;
 mod losses;
@@ -47,7 +48,7 @@
 use sycamore_types::resources::Resources;
 
 use crate::catalog::{Catalog, Queue};
-use crate::host::{Host, LogState};
+use crate::host::LogState;
 use crate::job;
 use crate::progress::Job;
 use crate::{
@@ -58,6 +59,7 @@
 use backlog::Backlog;
 use broken_gangs::GangEnds;
 use bulkhead::Bulkheads;
+use host_map::HostMap;
 pub use rank::Rank;
 pub use recover::Recovered;
 
@@ -95,7 +97,9 @@
     /// queue.
     queues: BTreeMap<Name, Queue>,
     jobs: FxHashMap<job::Id, Job>,
-    hosts: BTreeMap<Name, Host>,
+    hosts: HostMap,
+    /// Hosts that become due for a poll without an event, by time in milliseconds and slot.
+    poll_timers: BTreeSet<(u64, usize)>,
     /// Time at which the list of hosts was last known to be current, in milliseconds.
     list_read_ms: Option<u64>,
     /// Upper bound of the host numbers given so far.
@@ -294,6 +298,14 @@
         self.appended_records
     }
 
+    /// Compares the results that are kept between events with their computation from all
+    /// hosts, and describes the differences. For tests: it visits all hosts.
+    #[doc(hidden)]
+    pub fn stale_results(&self) -> Vec<String> {
+        let overlooked = self.overlooked_polls();
+        overlooked.map(|host| format!("{} is due for a poll", host.entry.id)).collect()
+    }
+
     /// Returns the number of runs that exist or may exist on all hosts.
     pub fn running_tasks(&self) -> usize {
         self.hosts.values().map(|host| host.runs.len()).sum()
--- a/crates/graph/src/engine/polls.rs
+++ b/crates/graph/src/engine/polls.rs
@@ -10,27 +10,30 @@
 use crate::{Action, Poll, Record, Report, TaskId};
 
 impl Engine {
-    /// Polls all hosts that are due.
+    /// Polls all hosts that are due. Only those that have changed or whose time has come are
+    /// looked at, because this happens after each report of each host.
     pub(super) fn poll_due_hosts(&mut self) {
         let now_ms = self.now.monotonic_ms;
-        let unacked_pause_ms = self.timing.unacked_pause_ms;
-        let is_due = |host: &&Host| {
-            // A host replies at once while it has unacknowledged run ends. Polling it again
-            // before they can be acknowledged would only spin.
-            let is_acked = host.last_seen_end <= host.last_durable_end
-                || now_ms >= host.reported_ms + unacked_pause_ms;
-            // A host that is known only from the log has no address.
-            host.entry.incarnation != 0
-                && host.poll_in_flight.is_none()
-                && is_acked
-                && now_ms >= host.poll_not_before_ms
-                && (host.is_listed
-                    || host.has_reported
-                    || !host.runs.is_empty()
-                    || host.log != LogState::Unused)
-        };
-        let due: Vec<Name> =
-            self.hosts.values().filter(is_due).map(|host| host.entry.id.clone()).collect();
+        let mut due: Vec<Name> = Vec::new();
+        let mut slots = self.hosts.take_changed_for_polls();
+        while let Some((at_ms, slot)) = self.poll_timers.first().copied()
+            && at_ms <= now_ms
+        {
+            self.poll_timers.pop_first();
+            slots.push(slot);
+        }
+        for slot in slots {
+            let Some(host) = self.hosts.at(slot) else { continue };
+            match self.poll_due_ms(host) {
+                Some(due_ms) if due_ms <= now_ms => due.push(host.entry.id.clone()),
+                Some(due_ms) => {
+                    self.poll_timers.insert((due_ms, slot));
+                }
+                None => {}
+            }
+        }
+        due.sort_unstable();
+        due.dedup();
         for name in due {
             let poll = self.poll(&name, self.timing.poll_wait_ms);
             if let Some(host) = self.hosts.get_mut(&name) {
@@ -39,6 +42,37 @@
         }
     }
 
+    /// Returns the time from which a host is due for a poll, in milliseconds. `None` if only an
+    /// event can make it due.
+    fn poll_due_ms(&self, host: &Host) -> Option<u64> {
+        // A host that is known only from the log has no address.
+        let may_poll = host.entry.incarnation != 0
+            && host.poll_in_flight.is_none()
+            && (host.is_listed
+                || host.has_reported
+                || !host.runs.is_empty()
+                || host.log != LogState::Unused);
+        // A host replies at once while it has unacknowledged run ends. Polling it again
+        // before they can be acknowledged would only spin.
+        let is_acked = host.last_seen_end <= host.last_durable_end;
+        let acked_ms = if is_acked { 0 } else { host.reported_ms + self.timing.unacked_pause_ms };
+        may_poll.then(|| acked_ms.max(host.poll_not_before_ms))
+    }
+
+    /// Returns the hosts that are due for a poll but would not be looked at.
+    pub(super) fn overlooked_polls(&self) -> impl Iterator<Item = &Host> {
+        let now_ms = self.now.monotonic_ms;
+        let is_noted = move |slot: usize| {
+            let timer = self.poll_timers.range(..=(now_ms, usize::MAX)).any(|(_, at)| *at == slot);
+            timer || self.hosts.is_changed_for_polls(slot)
+        };
+        let due = self
+            .hosts
+            .slots()
+            .filter(move |(_, host)| self.poll_due_ms(host).is_some_and(|due_ms| due_ms <= now_ms));
+        due.filter(move |(slot, _)| !is_noted(*slot)).map(|(_, host)| host)
+    }
+
     /// Sends one poll and returns its number. The host replies once a run ends, or after
     /// `wait_ms` milliseconds; one that has not reported yet replies without waiting.
     pub(super) fn poll(&mut self, name: &Name, wait_ms: u64) -> u64 {
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -13,6 +13,7 @@
 use super::Engine;
 use super::backlog::Backlog;
 use super::bulkhead::Bulkheads;
+use super::host_map::HostMap;
 use crate::catalog::Catalog;
 use crate::host::{Host, LogState, RunEnd};
 use crate::job::Id;
@@ -186,7 +187,7 @@
 impl Engine {
     /// Creates the engine of a new owner from the state recovered from the log.
     pub fn new(now: Moment, timing: Timing, catalog: Catalog, recovered: Recovered) -> Engine {
-        let mut hosts = BTreeMap::new();
+        let mut hosts = HostMap::default();
         let mut logged_runs = Vec::new();
         for ((name, logged), number) in recovered.hosts.into_iter().zip(0..) {
             let (capacity, log) = match &logged {
@@ -198,7 +199,7 @@
             host.is_listed = false;
             host.log = log;
             host.logged_capacity = capacity;
-            hosts.insert(name.clone(), host);
+            hosts.insert(host);
             if let LoggedHost::Leaving(runs) = logged {
                 logged_runs.extend(runs.into_iter().map(|(task, n)| (name.clone(), task, n)));
             }
@@ -212,6 +213,7 @@
             catalog,
             jobs: recovered.jobs,
             hosts,
+            poll_timers: BTreeSet::new(),
             list_read_ms: None,
             last_host_number,
             team_usage: FxHashMap::default(),
--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -203,10 +203,10 @@
 
     pub(super) fn resend_stops(&mut self) {
         let mut unsent = Vec::new();
-        for (name, host) in &self.hosts {
+        for host in self.hosts.values() {
             for ((task, attempt), run) in &host.runs {
                 if run.is_stopping && !run.is_stop_sent && run.stop_accepted_at_poll.is_none() {
-                    unsent.push((name.clone(), *task, *attempt));
+                    unsent.push((host.entry.id.clone(), *task, *attempt));
                 }
             }
         }
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -258,6 +258,7 @@
                 self.handle(Event::Tick);
             }
             let actions = self.engine.dispatch(self.moment());
+            self.assert_no_stale_result();
             self.execute(actions);
         }
     }
@@ -406,10 +407,18 @@
 
     pub fn handle(&mut self, event: Event) {
         let mut actions = self.engine.handle(self.moment(), event);
+        self.assert_no_stale_result();
         actions.extend(self.engine.dispatch(self.moment()));
+        self.assert_no_stale_result();
         self.execute(actions);
     }
 
+    /// Guards against a result that the engine keeps and doesn't update after a change.
+    fn assert_no_stale_result(&self) {
+        let stale = self.engine.stale_results();
+        assert!(stale.is_empty(), "STALE at {} ms: {}", self.now_ms, stale.join(", "));
+    }
+
     fn execute(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
