End a search for hosts to ask about once the choice is certain

A step that needs advice searched all hosts with enough free CPU and sorted them, to choose a few. With 3,000 hosts this took most of a pass.

The hosts are visited by free CPU, so that the visited ones bound how many tasks fit on the others. The search ends once the choice can't change any more. The choice stays the same: debug builds compare it with that among all hosts.

--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -9,7 +9,7 @@
 use sycamore_types::Name;
 
 use super::Engine;
-use super::candidates::{Candidate, Search};
+use super::candidates::{Candidate, Room, Search};
 use super::demand::Demand;
 use super::placement::has_capacity_for;
 use crate::catalog::AdviceCost;
@@ -37,6 +37,9 @@
 /// need.
 const GANG_CAPACITY_FACTOR: u32 = 3;
 
+/// Factor by which a sum in one order has to exceed a limit so that the sum in any order does.
+const ROUNDING_FACTOR: f64 = 1.000_001;
+
 /// Calls in flight that steps whose start has no value any more leave to others that may come.
 const RESERVED_CALLS: u32 = 2;
 
@@ -275,21 +278,23 @@
                 // once.
                 let extra = (wanted * GANG_CAPACITY_FACTOR).saturating_sub(idle_capacity);
                 if extra > 0 {
-                    let chosen = choose_unknown(&search.unknown(0), extra, rate, true).0;
+                    let wish = Wish { missing: extra, rate, counts_full_hosts: true };
+                    let chosen = wish.choose(search, 0).0;
                     if !chosen.is_empty() {
                         return chosen;
                     }
                 }
                 // The allowed hosts may stay full while other hosts are idle.
                 let missing = wanted - capacity;
-                let unknown = search.unknown(demand.footprint.cpu_millis);
-                let (chosen, expected) = choose_unknown(&unknown, missing, rate, false);
+                let wish = Wish { missing, rate, counts_full_hosts: false };
+                let (chosen, expected) = wish.choose(search, demand.footprint.cpu_millis);
                 if expected >= f64::from(missing) { chosen } else { Vec::new() }
             }
             (false, true) => self.renewals(wanted, min_expiry_ms),
             (false, false) => {
-                let unknown = search.unknown(demand.footprint.cpu_millis);
-                let chosen = choose_unknown(&unknown, wanted - capacity, rate, false).0;
+                let missing = wanted - capacity;
+                let wish = Wish { missing, rate, counts_full_hosts: false };
+                let chosen = wish.choose(search, demand.footprint.cpu_millis).0;
                 if chosen.is_empty() { self.renewals(wanted, min_expiry_ms) } else { chosen }
             }
         }
@@ -326,37 +331,71 @@
     }
 }
 
-/// Returns hosts never asked about, enough to expect capacity for the `missing` tasks, and the
-/// capacity expected of them in tasks. Hosts that are full now are counted by their idle
-/// capacity if `counts_full_hosts` is set.
-fn choose_unknown(
-    unknown: &[Candidate],
+/// Capacity wanted of hosts that advice was never asked about.
+#[derive(Clone, Copy, Debug)]
+struct Wish {
+    /// Tasks that the known hosts have no room for.
     missing: u32,
+    /// Fraction of the hosts that is expected to be allowed.
     rate: f64,
+    /// Whether hosts that are full now are counted, by their idle capacity.
     counts_full_hosts: bool,
-) -> (Vec<usize>, f64) {
-    let fitting_tasks = |candidate: &Candidate| {
-        if counts_full_hosts { candidate.fits_idle } else { candidate.fits_now }
-    };
-    let mut order: Vec<&Candidate> =
-        unknown.iter().filter(|candidate| fitting_tasks(candidate) > 0).collect();
-    order.sort_by_key(|candidate| {
-        (
-            candidate.is_slow,
-            !candidate.is_near,
-            Reverse(candidate.fits_now),
-            Reverse(candidate.free_cpu),
-        )
-    });
-    let needed = f64::from(missing) * CAPACITY_MARGIN_FACTOR;
-    let mut expected = 0.0;
-    let mut chosen = Vec::new();
-    for candidate in order {
-        if expected >= needed || chosen.len() >= MAX_HOSTS_PER_CALL {
-            break;
+}
+
+impl Wish {
+    /// Returns the hosts to ask about, enough to expect capacity for the missing tasks, and the
+    /// capacity expected of them in tasks. Hosts with the most room come first, so that the
+    /// search ends once no further host can be among them.
+    fn choose(&self, search: &Search<'_>, min_cpu: u32) -> (Vec<usize>, f64) {
+        let found = search.unknown(min_cpu, |found, bound| self.is_settled(found, bound));
+        let choice = self.choose_among(&found);
+        debug_assert_eq!(choice, self.choose_among(&search.unknown(min_cpu, |_, _| false)));
+        choice
+    }
+
+    fn choose_among(&self, unknown: &[Candidate]) -> (Vec<usize>, f64) {
+        let mut order: Vec<&Candidate> =
+            unknown.iter().filter(|candidate| self.fitting_tasks(candidate) > 0).collect();
+        order.sort_by_key(|candidate| {
+            (candidate.is_slow, !candidate.is_near, Reverse(candidate.room()))
+        });
+        let mut expected = 0.0;
+        let mut chosen = Vec::new();
+        for candidate in order {
+            if expected >= self.needed() || chosen.len() >= MAX_HOSTS_PER_CALL {
+                break;
+            }
+            expected += self.expected(candidate);
+            chosen.push(candidate.index);
         }
-        expected += rate * f64::from(fitting_tasks(candidate).min(missing));
-        chosen.push(candidate.index);
+        (chosen, expected)
+    }
+
+    /// Returns whether the candidates found are enough without any further one that has at most
+    /// the room of `bound`. Only those that come before all such hosts count.
+    fn is_settled(&self, found: &[Candidate], bound: Room) -> bool {
+        let is_first = |candidate: &&Candidate| {
+            !candidate.is_slow
+                && candidate.is_near
+                && candidate.room() >= bound
+                && self.fitting_tasks(candidate) > 0
+        };
+        let first = found.iter().filter(is_first);
+        let (hosts, expected) = first.fold((0, 0.0), |(hosts, expected), candidate| {
+            (hosts + 1, expected + self.expected(candidate))
+        });
+        hosts >= MAX_HOSTS_PER_CALL || expected > self.needed() * ROUNDING_FACTOR
+    }
+
+    fn needed(&self) -> f64 {
+        f64::from(self.missing) * CAPACITY_MARGIN_FACTOR
+    }
+
+    fn expected(&self, candidate: &Candidate) -> f64 {
+        self.rate * f64::from(self.fitting_tasks(candidate).min(self.missing))
+    }
+
+    fn fitting_tasks(&self, candidate: &Candidate) -> u32 {
+        if self.counts_full_hosts { candidate.fits_idle } else { candidate.fits_now }
     }
-    (chosen, expected)
 }
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -17,6 +17,9 @@
 use crate::job;
 use crate::progress::StepProgress;
 
+/// Hosts that a search visits before it first checks whether it has found enough.
+const MIN_VISITED: usize = 8;
+
 /// A host that accepts new work, as seen by one dispatch pass.
 #[derive(Clone, Debug)]
 pub(super) struct HostView {
@@ -104,10 +107,9 @@
     }
 
     /// Returns the hosts that may have at least `min_cpu` free CPU, in thousandths of a
-    /// core, with their indices.
-    fn most_cpu_first(&self, min_cpu: u32) -> impl Iterator<Item = usize> {
-        let by_free_cpu = self.by_free_cpu.iter().take_while(move |(cpu, _)| *cpu >= min_cpu);
-        by_free_cpu.map(|(_, at)| *at)
+    /// core: their free CPU at the start of the pass and their indices.
+    fn most_cpu_first(&self, min_cpu: u32) -> impl Iterator<Item = (u32, usize)> {
+        self.by_free_cpu.iter().copied().take_while(move |(cpu, _)| *cpu >= min_cpu)
     }
 }
 
@@ -142,6 +144,20 @@
     pub is_near: bool,
 }
 
+/// Room that a host has now: how many tasks of a step fit, and its free CPU in thousandths of a
+/// core.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Room {
+    pub fits_now: u32,
+    pub free_cpu: u32,
+}
+
+impl Candidate {
+    pub fn room(&self) -> Room {
+        Room { fits_now: self.fits_now, free_cpu: self.free_cpu }
+    }
+}
+
 impl HostView {
     /// Updates the kinds of tasks on the host after one was placed there.
     pub fn add_task(&mut self, demand: &Demand) {
@@ -245,7 +261,8 @@
     /// Returns the candidates among all hosts, the most free CPU first.
     pub fn all(&self) -> Vec<Candidate> {
         let min_cpu = if self.step.is_gang { 0 } else { self.footprint.cpu_millis };
-        self.views.most_cpu_first(min_cpu).filter_map(|index| self.candidate(index)).collect()
+        let hosts = self.views.most_cpu_first(min_cpu);
+        hosts.filter_map(|(_, index)| self.candidate(index)).collect()
     }
 
     /// Returns the candidates among the hosts that advice allows.
@@ -257,14 +274,29 @@
 
     /// Returns the candidates among the hosts that advice was never asked about and that may
     /// have at least `min_cpu` free CPU, in thousandths of a core, the most free CPU first.
-    pub fn unknown(&self, min_cpu: u32) -> Vec<Candidate> {
+    ///
+    /// Ends early once `is_enough` holds for the candidates found so far and the [`Room`] that no
+    /// further one exceeds. It is called a logarithmic number of times.
+    pub fn unknown(
+        &self,
+        min_cpu: u32,
+        is_enough: impl Fn(&[Candidate], Room) -> bool,
+    ) -> Vec<Candidate> {
         let advice = &self.progress.advice;
-        let is_unknown = |index: &usize| {
-            let number = self.views[*index].number;
-            !advice.allowed.contains_key(&number) && !advice.denied.contains(&number)
-        };
-        let indices = self.views.most_cpu_first(min_cpu).filter(is_unknown);
-        indices.filter_map(|index| self.candidate(index)).collect()
+        let mut found = Vec::new();
+        for (visited, (free_cpu, index)) in self.views.most_cpu_first(min_cpu).enumerate() {
+            if visited >= MIN_VISITED && visited.is_power_of_two() {
+                let fits_now = tasks_that_fit_cpu(&self.footprint, free_cpu);
+                if is_enough(&found, Room { fits_now, free_cpu }) {
+                    break;
+                }
+            }
+            let number = self.views[index].number;
+            if !advice.allowed.contains_key(&number) && !advice.denied.contains(&number) {
+                found.extend(self.candidate(index));
+            }
+        }
+        found
     }
 
     /// Returns the name of a candidate's host.
@@ -318,6 +350,13 @@
     placed
 }
 
+/// Returns how many tasks of a size fit into an amount of CPU, in thousandths of a core, whatever
+/// else they need.
+fn tasks_that_fit_cpu(size: &Resources, cpu_millis: u32) -> u32 {
+    let size = Resources { cpu_millis: size.cpu_millis, ..Resources::default() };
+    tasks_that_fit(&size, &Resources { cpu_millis, ..Resources::default() })
+}
+
 /// Returns how many tasks of a size fit into a capacity, at most [`job::MAX_TASKS`].
 fn tasks_that_fit(size: &Resources, capacity: &Resources) -> u32 {
     let pairs = [
