Keep the views of the hosts between dispatch passes

Each pass copied all hosts, sorted them by free CPU and indexed them anew. Searches also went through all hosts with enough CPU where memory was short, because the bound at which they end counted CPU only.

The views are kept now. A pass updates those of the hosts that have changed, those that the last pass has modified, and those whose quarantine has ended. The same index holds, for each place in the order by free CPU, the most free capacity of any kind from there on, which bounds a search by memory, too. The views that are kept are compared with views made anew at each event of the simulated world of the tests.

--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -374,6 +374,9 @@
     /// Returns whether the candidates found are enough without any further one that has at most
     /// the room of `bound`. Only those that come before all such hosts count.
     fn is_settled(&self, found: &[Candidate], bound: Room) -> bool {
+        if bound.fits_now == 0 && !self.counts_full_hosts {
+            return true;
+        }
         let is_first = |candidate: &&Candidate| {
             !candidate.is_slow
                 && candidate.is_near
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -1,8 +1,10 @@
 //! Finds the hosts on which a step's tasks fit, and how many fit on each.
 //!
-//! It works on a copy of the hosts that is made once per pass, so that capacity that the
-//! pass has allocated or reserved is not offered again.
+//! It works on a copy of the hosts that is brought up to date once per pass, so that capacity that
+//! the pass has allocated or reserved is not offered again.
 
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::ops::{Index, IndexMut};
 use std::sync::Arc;
 
@@ -12,6 +14,7 @@
 
 use super::Engine;
 use super::demand::Demand;
+use super::host_map::HostMap;
 use super::isolation::{Isolation, IsolationLimits};
 use crate::host::Host;
 use crate::job;
@@ -20,9 +23,11 @@
 /// Hosts that a search visits before it first checks whether it has found enough.
 const MIN_VISITED: usize = 8;
 
-/// A host that accepts new work, as seen by one dispatch pass.
-#[derive(Clone, Debug)]
+/// A host as seen by one dispatch pass.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct HostView {
+    /// Whether the host accepts new work.
+    is_usable: bool,
     pub host: Name,
     pub number: u32,
     pub rack: Name,
@@ -40,17 +45,32 @@
     pub free: Resources,
 }
 
-/// The hosts of one dispatch pass.
-#[derive(Debug)]
+/// The hosts of one dispatch pass. They are kept from pass to pass, and at the start of each the
+/// hosts that have changed are updated.
+#[derive(Debug, Default)]
 pub(super) struct HostViews {
+    /// All hosts in the order of their names.
     all: Vec<HostView>,
-    /// Free CPU at the start of the pass and index into `all`, the most free CPU first.
-    /// Free capacity only shrinks within a pass.
+    /// Slots of the hosts in the map of hosts, by index into `all`, and the reverse.
+    slots: Vec<usize>,
+    by_slot: Vec<usize>,
+    /// Free CPU at the start of the pass and index into `all` of each usable host, the most free
+    /// CPU first. Free capacity only shrinks within a pass.
     by_free_cpu: Vec<(u32, usize)>,
+    /// Free capacity of each host at the start of the pass, `None` if it is not usable.
+    free_at_start: Vec<Option<Resources>>,
     /// Index into `all` by number of the host.
     by_number: FxHashMap<u32, usize>,
-    /// Upper bound of the free capacity of any single host, by kind of resource.
-    max_free: Resources,
+    /// For each place in `by_free_cpu`, an upper bound of the free capacity of any single host
+    /// from there on, by kind of resource.
+    max_free: Vec<Resources>,
+    /// Indices of hosts that a pass has modified and that the next one has to restore.
+    modified: Vec<usize>,
+    /// Times in milliseconds at which the usability of hosts may change without an event, with
+    /// the index of the host.
+    timers: BTreeSet<(u64, usize)>,
+    /// Value of [`HostMap::memberships`] when `all` was made.
+    memberships: u64,
     /// Hosts with isolated runs, and those with isolated runs of prime suspects.
     pub isolated_hosts: u32,
     pub prime_hosts: u32,
@@ -59,35 +79,131 @@
 }
 
 impl HostViews {
-    fn new(all: Vec<HostView>) -> HostViews {
-        let max_free =
-            all.iter().fold(Resources::default(), |most, view| most.max_per_dimension(&view.free));
-        let mut by_free_cpu: Vec<(u32, usize)> =
-            all.iter().enumerate().map(|(at, view)| (view.free.cpu_millis, at)).collect();
-        by_free_cpu.sort_unstable_by(|(one, first), (other, second)| {
+    /// Returns the views of all hosts, made anew.
+    fn new(hosts: &HostMap, now_ms: u64) -> HostViews {
+        let mut views = HostViews { memberships: hosts.memberships(), ..HostViews::default() };
+        for (index, (slot, host)) in hosts.slots().enumerate() {
+            if slot >= views.by_slot.len() {
+                views.by_slot.resize(slot + 1, usize::MAX);
+            }
+            views.by_slot[slot] = index;
+            views.slots.push(slot);
+            views.all.push(HostView::new(host, now_ms));
+            views.free_at_start.push(None);
+            views.by_number.insert(host.number, index);
+        }
+        views.update(hosts, now_ms, (0..views.all.len()).collect());
+        views
+    }
+
+    /// Updates the views of the hosts that have changed, that the last pass has modified, or
+    /// whose usability may have changed with time.
+    fn refresh(&mut self, hosts: &mut HostMap, now_ms: u64) {
+        let changed = hosts.take_changed_for_views();
+        if self.memberships != hosts.memberships() {
+            *self = HostViews::new(hosts, now_ms);
+            return;
+        }
+        let mut indices = std::mem::take(&mut self.modified);
+        indices.extend(changed.into_iter().map(|slot| self.by_slot[slot]));
+        while let Some((at_ms, index)) = self.timers.first().copied()
+            && at_ms <= now_ms
+        {
+            self.timers.pop_first();
+            indices.push(index);
+        }
+        indices.sort_unstable();
+        indices.dedup();
+        self.update(hosts, now_ms, indices);
+    }
+
+    /// Updates the views of some hosts, each given once.
+    fn update(&mut self, hosts: &HostMap, now_ms: u64, indices: Vec<usize>) {
+        let mut moved = Vec::new();
+        let mut has_new_free = false;
+        for index in indices {
+            let Some(host) = hosts.at(self.slots[index]) else { continue };
+            let view = HostView::new(host, now_ms);
+            let free = view.is_usable.then_some(view.free);
+            self.timers.extend(host.usability_changes_ms(now_ms).map(|at_ms| (at_ms, index)));
+            self.all[index] = view;
+            let last_free = std::mem::replace(&mut self.free_at_start[index], free);
+            has_new_free |= last_free != free;
+            let free_cpu = free.map(|free| free.cpu_millis);
+            if last_free.map(|free| free.cpu_millis) != free_cpu {
+                moved.extend(free_cpu.map(|free_cpu| (free_cpu, index)));
+            }
+        }
+        if !has_new_free {
+            return;
+        }
+        let free = &self.free_at_start;
+        let is_unmoved = |(cpu, at): &(u32, usize)| free[*at].is_some_and(|f| f.cpu_millis == *cpu);
+        self.by_free_cpu.retain(is_unmoved);
+        let most_cpu_first = |(one, first): &(u32, usize), (other, second): &(u32, usize)| {
             other.cmp(one).then(first.cmp(second))
-        });
-        let by_number = all.iter().enumerate().map(|(at, view)| (view.number, at)).collect();
-        HostViews {
-            all,
-            by_free_cpu,
-            by_number,
-            max_free,
-            isolated_hosts: 0,
-            prime_hosts: 0,
-            limits: IsolationLimits::default(),
+        };
+        moved.sort_unstable_by(most_cpu_first);
+        self.by_free_cpu.append(&mut moved);
+        // Merges the two sorted runs.
+        self.by_free_cpu.sort_by(most_cpu_first);
+        self.max_free.clear();
+        self.max_free.resize(self.by_free_cpu.len(), Resources::default());
+        let mut most = Resources::default();
+        for (max_free, (_, at)) in self.max_free.iter_mut().zip(&self.by_free_cpu).rev() {
+            most = most.max_per_dimension(&free[*at].unwrap_or_default());
+            *max_free = most;
         }
     }
 
+    /// Returns the hosts whose view has to be updated at the start of the next pass, or that
+    /// differ from one made anew although it has not to be.
+    fn stale_hosts(&self, hosts: &HostMap, now_ms: u64) -> Vec<Name> {
+        if self.memberships != hosts.memberships() {
+            return Vec::new();
+        }
+        let is_noted = |index: usize| {
+            hosts.is_changed_for_views(self.slots[index])
+                || self.modified.contains(&index)
+                || self.timers.range(..=(now_ms, usize::MAX)).any(|(_, at)| *at == index)
+        };
+        let anew = HostViews::new(hosts, now_ms);
+        let is_stale = |index: &usize| {
+            !is_noted(*index)
+                && (self.all[*index] != anew.all[*index]
+                    || self.free_at_start[*index] != anew.free_at_start[*index])
+        };
+        let stale = (0..anew.all.len()).filter(is_stale);
+        let mut stale: Vec<Name> = stale.map(|index| anew.all[index].host.clone()).collect();
+        // The index and the bound agree with the views that they were made of.
+        let mut by_free_cpu: Vec<(Reverse<u32>, usize)> = self
+            .free_at_start
+            .iter()
+            .enumerate()
+            .filter_map(|(at, free)| Some((Reverse(free.as_ref()?.cpu_millis), at)))
+            .collect();
+        by_free_cpu.sort_unstable();
+        let is_sorted = by_free_cpu.into_iter().map(|(Reverse(cpu), at)| (cpu, at));
+        let free_from = |at: usize| {
+            let free = self.by_free_cpu[at..].iter().filter_map(|(_, at)| self.free_at_start[*at]);
+            free.fold(Resources::default(), |most, free| most.max_per_dimension(&free))
+        };
+        let is_bound = (0..self.by_free_cpu.len()).map(free_from).eq(self.max_free.iter().copied());
+        if !is_sorted.eq(self.by_free_cpu.iter().copied()) || !is_bound {
+            stale.push(Name::from("the index by free CPU"));
+        }
+        stale
+    }
+
     /// Returns whether a task may fit on some host. A cheap check: only `false` is certain.
     pub fn may_fit(&self, footprint: &Resources) -> bool {
-        footprint.fits_in(&self.max_free)
+        footprint.fits_in(&self.max_free.first().copied().unwrap_or_default())
     }
 
     /// Counts a host that gets runs in isolation.
     pub fn add_isolated(&mut self, index: usize, isolation: Isolation) {
         if isolation.is_isolated() {
-            self.all[index].has_isolated_run = true;
+            self[index].has_isolated_run = true;
             self.isolated_hosts += 1;
             self.prime_hosts += u32::from(isolation == Isolation::Prime);
         }
@@ -107,9 +223,10 @@
     }
 
     /// Returns the hosts that may have at least `min_cpu` free CPU, in thousandths of a
-    /// core: their free CPU at the start of the pass and their indices.
-    fn most_cpu_first(&self, min_cpu: u32) -> impl Iterator<Item = (u32, usize)> {
-        self.by_free_cpu.iter().copied().take_while(move |(cpu, _)| *cpu >= min_cpu)
+    /// core, with an upper bound of the free capacity of each host from there on.
+    fn most_cpu_first(&self, min_cpu: u32) -> impl Iterator<Item = (&Resources, usize)> {
+        let by_free_cpu = self.by_free_cpu.iter().take_while(move |(cpu, _)| *cpu >= min_cpu);
+        self.max_free.iter().zip(by_free_cpu).map(|(max_free, (_, at))| (max_free, *at))
     }
 }
 
@@ -123,6 +240,7 @@
 
 impl IndexMut<usize> for HostViews {
     fn index_mut(&mut self, at: usize) -> &mut HostView {
+        self.modified.push(at);
         &mut self.all[at]
     }
 }
@@ -159,6 +277,23 @@
 }
 
 impl HostView {
+    fn new(host: &Host, now_ms: u64) -> HostView {
+        HostView {
+            is_usable: host.is_usable(now_ms),
+            host: host.entry.id.clone(),
+            number: host.number,
+            rack: host.entry.rack.clone(),
+            service: host.entry.service.clone(),
+            labels: host.entry.labels.clone(),
+            capacity: host.entry.capacity,
+            is_slow: host.speed.is_slow(),
+            has_isolated_run: !host.isolated_runs.is_empty(),
+            has_latency_task: host.latency_runs > 0,
+            has_best_effort_task: host.best_effort_runs > 0,
+            free: host.free(),
+        }
+    }
+
     /// Updates the kinds of tasks on the host after one was placed there.
     pub fn add_task(&mut self, demand: &Demand) {
         self.has_latency_task |= demand.has_objective;
@@ -171,29 +306,25 @@
 }
 
 impl Engine {
-    /// Returns the hosts that accept new work.
-    pub(super) fn host_views(&self) -> HostViews {
-        let now_ms = self.now.monotonic_ms;
-        let usable = self.hosts.values().filter(|host| host.is_usable(now_ms));
-        let view = |host: &Host| HostView {
-            host: host.entry.id.clone(),
-            number: host.number,
-            rack: host.entry.rack.clone(),
-            service: host.entry.service.clone(),
-            labels: host.entry.labels.clone(),
-            capacity: host.entry.capacity,
-            is_slow: host.speed.is_slow(),
-            has_isolated_run: !host.isolated_runs.is_empty(),
-            has_latency_task: host.latency_runs > 0,
-            has_best_effort_task: host.best_effort_runs > 0,
-            free: host.free(),
-        };
-        let mut views = HostViews::new(usable.map(view).collect());
+    /// Returns the hosts for a pass. It gives them back in [`Engine::keep_host_views`].
+    pub(super) fn host_views(&mut self) -> HostViews {
+        let mut views = std::mem::take(&mut self.views);
+        views.refresh(&mut self.hosts, self.now.monotonic_ms);
         (views.isolated_hosts, views.prime_hosts) = self.isolated_hosts();
         views.limits = self.isolation_limits();
         views
     }
 
+    /// Keeps the hosts of a pass for the next one.
+    pub(super) fn keep_host_views(&mut self, views: HostViews) {
+        self.views = views;
+    }
+
+    /// Returns the hosts whose kept view is wrong and would not be updated by the next pass.
+    pub(super) fn stale_views(&self) -> Vec<Name> {
+        self.views.stale_hosts(&self.hosts, self.now.monotonic_ms)
+    }
+
     /// Returns how many tasks of a size still fit into the team's limit.
     pub(super) fn tasks_within_limit(&self, team: &str, size: &Resources) -> u32 {
         let Some(catalog_team) = self.catalog.teams.get(team) else { return u32::MAX };
@@ -284,10 +415,10 @@
     ) -> Vec<Candidate> {
         let advice = &self.progress.advice;
         let mut found = Vec::new();
-        for (visited, (free_cpu, index)) in self.views.most_cpu_first(min_cpu).enumerate() {
+        for (visited, (max_free, index)) in self.views.most_cpu_first(min_cpu).enumerate() {
             if visited >= MIN_VISITED && visited.is_power_of_two() {
-                let fits_now = tasks_that_fit_cpu(&self.footprint, free_cpu);
-                if is_enough(&found, Room { fits_now, free_cpu }) {
+                let fits_now = tasks_that_fit(&self.footprint, max_free);
+                if is_enough(&found, Room { fits_now, free_cpu: max_free.cpu_millis }) {
                     break;
                 }
             }
@@ -311,7 +442,7 @@
 
     fn candidate(&self, index: usize) -> Option<Candidate> {
         let (step, view) = (self.step, &self.views[index]);
-        if self.is_isolated && view.has_isolated_run {
+        if !view.is_usable || self.is_isolated && view.has_isolated_run {
             return None;
         }
         // Best-effort tasks slow down latency-sensitive ones by an unpredictable amount.
@@ -350,13 +481,6 @@
     placed
 }
 
-/// Returns how many tasks of a size fit into an amount of CPU, in thousandths of a core, whatever
-/// else they need.
-fn tasks_that_fit_cpu(size: &Resources, cpu_millis: u32) -> u32 {
-    let size = Resources { cpu_millis: size.cpu_millis, ..Resources::default() };
-    tasks_that_fit(&size, &Resources { cpu_millis, ..Resources::default() })
-}
-
 /// Returns how many tasks of a size fit into a capacity, at most [`job::MAX_TASKS`].
 fn tasks_that_fit(size: &Resources, capacity: &Resources) -> u32 {
     let pairs = [
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -77,6 +77,7 @@
                 break;
             }
         }
+        self.keep_host_views(views);
     }
 
     /// Starts as many tasks of a step as possible. Returns why the others wait.
--- a/crates/graph/src/engine/host_map.rs
+++ b/crates/graph/src/engine/host_map.rs
@@ -43,7 +43,10 @@
     by_name: FxHashMap<Name, usize>,
     /// Slots in the order of the names, the order in which hosts are visited.
     in_order: BTreeMap<Name, usize>,
+    /// Number of insertions and removals.
+    memberships: u64,
     for_polls: Changes,
+    for_views: Changes,
 }
 
 impl HostMap {
@@ -82,6 +85,7 @@
             self.slots.push(None);
         }
         self.slots[slot] = Some(host);
+        self.memberships += 1;
         self.by_name.insert(name.clone(), slot);
         self.in_order.insert(name, slot);
         self.note(slot);
@@ -90,6 +94,7 @@
     pub fn remove(&mut self, name: &str) -> Option<Host> {
         let slot = self.by_name.remove(name)?;
         self.in_order.remove(name);
+        self.memberships += 1;
         self.free_slots.push(slot);
         self.note(slot);
         self.slots[slot].take()
@@ -100,7 +105,8 @@
         self.in_order.values().filter_map(|slot| self.at(*slot))
     }
 
-    /// Returns the slots that may have changed since the last call, in no particular order.
+    /// Returns the slots that may have changed since the last call, in no particular order, among
+    /// them those of hosts that were removed.
     pub fn take_changed_for_polls(&mut self) -> Vec<usize> {
         self.for_polls.take()
     }
@@ -110,6 +116,20 @@
         self.for_polls.is_noted.get(slot).is_some_and(|is_noted| *is_noted)
     }
 
+    pub fn take_changed_for_views(&mut self) -> Vec<usize> {
+        self.for_views.take()
+    }
+
+    /// Returns whether a host may have changed since [`HostMap::take_changed_for_views`].
+    pub fn is_changed_for_views(&self, slot: usize) -> bool {
+        self.for_views.is_noted.get(slot).is_some_and(|is_noted| *is_noted)
+    }
+
+    /// Returns a number that changes when a host is added or removed.
+    pub fn memberships(&self) -> u64 {
+        self.memberships
+    }
+
     /// Returns the occupied slots in the order of the hosts' names.
     pub fn slots(&self) -> impl Iterator<Item = (usize, &Host)> {
         self.in_order.values().filter_map(|slot| Some((*slot, self.at(*slot)?)))
@@ -117,5 +137,6 @@
 
     fn note(&mut self, slot: usize) {
         self.for_polls.note(slot);
+        self.for_views.note(slot);
     }
 }
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -59,6 +59,7 @@
 use backlog::Backlog;
 use broken_gangs::GangEnds;
 use bulkhead::Bulkheads;
+use candidates::HostViews;
 use host_map::HostMap;
 pub use rank::Rank;
 pub use recover::Recovered;
@@ -102,6 +103,8 @@
     poll_timers: BTreeSet<(u64, usize)>,
     /// Time at which the list of hosts was last known to be current, in milliseconds.
     list_read_ms: Option<u64>,
+    /// The hosts as the last dispatch pass has left them.
+    views: HostViews,
     /// Upper bound of the host numbers given so far.
     last_host_number: u32,
     /// Resources used by the runs of each team.
@@ -302,8 +305,10 @@
     /// hosts, and describes the differences. For tests: it visits all hosts.
     #[doc(hidden)]
     pub fn stale_results(&self) -> Vec<String> {
-        let overlooked = self.overlooked_polls();
-        overlooked.map(|host| format!("{} is due for a poll", host.entry.id)).collect()
+        let polls = self.overlooked_polls();
+        let polls = polls.map(|host| format!("{} is due for a poll", host.entry.id));
+        let views = self.stale_views().into_iter().map(|name| format!("the view of {name}"));
+        polls.chain(views).collect()
     }
 
     /// Returns the number of runs that exist or may exist on all hosts.
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -13,6 +13,7 @@
 use super::Engine;
 use super::backlog::Backlog;
 use super::bulkhead::Bulkheads;
+use super::candidates::HostViews;
 use super::host_map::HostMap;
 use crate::catalog::Catalog;
 use crate::host::{Host, LogState, RunEnd};
@@ -214,6 +215,7 @@
             jobs: recovered.jobs,
             hosts,
             poll_timers: BTreeSet::new(),
+            views: HostViews::default(),
             list_read_ms: None,
             last_host_number,
             team_usage: FxHashMap::default(),
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -135,6 +135,12 @@
             && now_ms >= self.quarantined_until_ms
     }
 
+    /// Returns the time at which [`Host::is_usable`] may change without an event, in
+    /// milliseconds. `None` if it doesn't.
+    pub fn usability_changes_ms(&self, now_ms: u64) -> Option<u64> {
+        (now_ms < self.quarantined_until_ms).then_some(self.quarantined_until_ms)
+    }
+
     /// Returns the record that the host gets no new tasks and which runs it has left.
     pub fn leaving_record(&self) -> Record {
         let runs = self.runs.keys().copied().collect();
