Keep the sums over the hosts between events

Each pass summed the capacity and the use of all hosts several times.

The sums are updated for the hosts that have changed, after each event and pass. The simulated world of the tests compares them with sums made anew at each event.

--- a/crates/graph/src/engine/host_map.rs
+++ b/crates/graph/src/engine/host_map.rs
@@ -47,6 +47,7 @@
     memberships: u64,
     for_polls: Changes,
     for_views: Changes,
+    for_totals: Changes,
 }
 
 impl HostMap {
@@ -116,6 +117,10 @@
         self.for_polls.is_noted.get(slot).is_some_and(|is_noted| *is_noted)
     }
 
+    pub fn take_changed_for_totals(&mut self) -> Vec<usize> {
+        self.for_totals.take()
+    }
+
     pub fn take_changed_for_views(&mut self) -> Vec<usize> {
         self.for_views.take()
     }
@@ -138,5 +143,6 @@
     fn note(&mut self, slot: usize) {
         self.for_polls.note(slot);
         self.for_views.note(slot);
+        self.for_totals.note(slot);
     }
 }
--- a/crates/graph/src/engine/isolation.rs
+++ b/crates/graph/src/engine/isolation.rs
@@ -6,7 +6,6 @@
 //! age at which its host crashed before is cleared.
 
 use sycamore_types::Name;
-use sycamore_types::resources::Resources;
 
 use super::Engine;
 use crate::host::Host;
@@ -125,12 +124,10 @@
 
     /// Returns how many hosts may have isolated runs now.
     pub(super) fn isolation_limits(&self) -> IsolationLimits {
-        let listed = || self.hosts.values().filter(|host| host.is_listed);
-        let used = listed().fold(Resources::default(), |sum, host| sum.plus(&host.used));
-        let idle = 1.0 - used.dominant_share(&self.listed_capacity()).min(1.0);
+        let idle = 1.0 - self.totals.used().dominant_share(&self.listed_capacity()).min(1.0);
         let share = f64::max(MIN_ISOLATED_SHARE, IDLE_SHARE * idle);
         let prime_share = f64::max(MIN_PRIME_SHARE, share - MIN_ISOLATED_SHARE);
-        let hosts = listed().count() as f64;
+        let hosts = f64::from(self.totals.listed());
         let limit = |share: f64| ((hosts * share) as u32).max(1);
         IsolationLimits {
             all: limit(share),
@@ -161,7 +158,7 @@
             return (0, 0);
         }
         let is_prime = |id: &job::Id| self.jobs.get(id).is_some_and(Job::is_prime_suspect);
-        let isolated = self.hosts.values().filter(|host| !host.isolated_runs.is_empty());
+        let isolated = self.totals.isolated().filter_map(|slot| self.hosts.at(slot));
         isolated.fold((0, 0), |(all, prime), host| {
             (all + 1, prime + u32::from(host.isolated_runs.keys().any(is_prime)))
         })
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -30,6 +30,7 @@
 mod dispatch;
 mod health;
 mod host_map;
+mod host_totals;
 mod hosts;
 mod isolation;
 mod losses;
@@ -61,6 +62,7 @@
 use bulkhead::Bulkheads;
 use candidates::HostViews;
 use host_map::HostMap;
+use host_totals::HostTotals;
 pub use rank::Rank;
 pub use recover::Recovered;
 
@@ -105,6 +107,8 @@
     list_read_ms: Option<u64>,
     /// The hosts as the last dispatch pass has left them.
     views: HostViews,
+    /// Sums over the hosts as the last event or pass has left them.
+    totals: HostTotals,
     /// Upper bound of the host numbers given so far.
     last_host_number: u32,
     /// Resources used by the runs of each team.
@@ -183,6 +187,7 @@
                 self.handle_advice(step, class, asked, allowed, age_ms);
             }
         }
+        self.totals.update(&mut self.hosts);
         std::mem::take(&mut self.actions)
     }
 
@@ -197,6 +202,7 @@
         self.now = now;
         if std::mem::take(&mut self.needs_dispatch) {
             self.start_waiting_tasks();
+            self.totals.update(&mut self.hosts);
         }
         std::mem::take(&mut self.actions)
     }
@@ -308,7 +314,9 @@
         let polls = self.overlooked_polls();
         let polls = polls.map(|host| format!("{} is due for a poll", host.entry.id));
         let views = self.stale_views().into_iter().map(|name| format!("the view of {name}"));
-        polls.chain(views).collect()
+        let totals =
+            (!self.totals.are_exact(&self.hosts)).then(|| String::from("the sums over the hosts"));
+        polls.chain(views).chain(totals).collect()
     }
 
     /// Returns the number of runs that exist or may exist on all hosts.
--- a/crates/graph/src/engine/rank.rs
+++ b/crates/graph/src/engine/rank.rs
@@ -55,9 +55,9 @@
         })
     }
 
+    /// Returns the capacity of the listed hosts, as the last event or pass has left them.
     pub(super) fn listed_capacity(&self) -> Resources {
-        let listed = self.hosts.values().filter(|host| host.is_listed);
-        listed.fold(Resources::default(), |sum, host| sum.plus(&host.entry.capacity))
+        self.totals.capacity()
     }
 
     /// Returns the teams that use more than their weighted share of `capacity`.
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -15,6 +15,7 @@
 use super::bulkhead::Bulkheads;
 use super::candidates::HostViews;
 use super::host_map::HostMap;
+use super::host_totals::HostTotals;
 use crate::catalog::Catalog;
 use crate::host::{Host, LogState, RunEnd};
 use crate::job::Id;
@@ -216,6 +217,7 @@
             hosts,
             poll_timers: BTreeSet::new(),
             views: HostViews::default(),
+            totals: HostTotals::default(),
             list_read_ms: None,
             last_host_number,
             team_usage: FxHashMap::default(),
@@ -243,6 +245,7 @@
             engine.adopt_logged_run(&host, task, attempt);
         }
         engine.close_exhausted_jobs();
+        engine.totals.update(&mut engine.hosts);
         engine
     }
 
