Ask about a sample of the hosts first on a large site

Steps choose the hosts with the most room to ask about, and an answer takes 20 ms and more. On 3,000 hosts many calls are in flight at once, nearly all about the same hosts, so that steps took these from each other and asked again: twice the advice per worker of a site of 540.

From 1,024 hosts on, a step looks at one of several equal parts of the hosts, chosen by its identity, and at all hosts only if that part has too little room. Up to 1,023 hosts nothing changes.

--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -9,7 +9,7 @@
 use sycamore_types::Name;
 
 use super::Engine;
-use super::candidates::{Candidate, Room, Search};
+use super::candidates::{Candidate, Room, Sample, Search};
 use super::demand::Demand;
 use super::placement::has_capacity_for;
 use crate::catalog::AdviceCost;
@@ -279,7 +279,7 @@
                 let extra = (wanted * GANG_CAPACITY_FACTOR).saturating_sub(idle_capacity);
                 if extra > 0 {
                     let wish = Wish { missing: extra, rate, counts_full_hosts: true };
-                    let chosen = wish.choose(search, 0).0;
+                    let chosen = wish.choose(search, demand.step_id, 0).0;
                     if !chosen.is_empty() {
                         return chosen;
                     }
@@ -287,14 +287,15 @@
                 // The allowed hosts may stay full while other hosts are idle.
                 let missing = wanted - capacity;
                 let wish = Wish { missing, rate, counts_full_hosts: false };
-                let (chosen, expected) = wish.choose(search, demand.footprint.cpu_millis);
+                let (chosen, expected) =
+                    wish.choose(search, demand.step_id, demand.footprint.cpu_millis);
                 if expected >= f64::from(missing) { chosen } else { Vec::new() }
             }
             (false, true) => self.renewals(wanted, min_expiry_ms),
             (false, false) => {
                 let missing = wanted - capacity;
                 let wish = Wish { missing, rate, counts_full_hosts: false };
-                let chosen = wish.choose(search, demand.footprint.cpu_millis).0;
+                let chosen = wish.choose(search, demand.step_id, demand.footprint.cpu_millis).0;
                 if chosen.is_empty() { self.renewals(wanted, min_expiry_ms) } else { chosen }
             }
         }
@@ -346,10 +347,22 @@
     /// Returns the hosts to ask about, enough to expect capacity for the missing tasks, and the
     /// capacity expected of them in tasks. Hosts with the most room come first, so that the
     /// search ends once no further host can be among them.
-    fn choose(&self, search: &Search<'_>, min_cpu: u32) -> (Vec<usize>, f64) {
-        let found = search.unknown(min_cpu, |found, bound| self.is_settled(found, bound));
+    ///
+    /// On a large site, a sample of the hosts comes before all of them. Otherwise all steps would
+    /// ask about the same hosts at the same time and take them from each other.
+    fn choose(&self, search: &Search<'_>, step_id: StepId, min_cpu: u32) -> (Vec<usize>, f64) {
+        let sample = search.sample(step_id);
+        let (chosen, expected) = self.choose_in(search, sample, min_cpu);
+        if sample.is_all() || self.is_met(chosen.len(), expected) {
+            return (chosen, expected);
+        }
+        self.choose_in(search, Sample::ALL, min_cpu)
+    }
+
+    fn choose_in(&self, search: &Search<'_>, sample: Sample, min_cpu: u32) -> (Vec<usize>, f64) {
+        let found = search.unknown(min_cpu, sample, |found, bound| self.is_settled(found, bound));
         let choice = self.choose_among(&found);
-        debug_assert_eq!(choice, self.choose_among(&search.unknown(min_cpu, |_, _| false)));
+        debug_assert_eq!(choice, self.choose_among(&search.unknown(min_cpu, sample, |_, _| false)));
         choice
     }
 
@@ -362,7 +375,7 @@
         let mut expected = 0.0;
         let mut chosen = Vec::new();
         for candidate in order {
-            if expected >= self.needed() || chosen.len() >= MAX_HOSTS_PER_CALL {
+            if self.is_met(chosen.len(), expected) {
                 break;
             }
             expected += self.expected(candidate);
@@ -390,6 +403,11 @@
         hosts >= MAX_HOSTS_PER_CALL || expected > self.needed() * ROUNDING_FACTOR
     }
 
+    /// Returns whether a choice of hosts needs no more of them.
+    fn is_met(&self, hosts: usize, expected: f64) -> bool {
+        expected >= self.needed() || hosts >= MAX_HOSTS_PER_CALL
+    }
+
     fn needed(&self) -> f64 {
         f64::from(self.missing) * CAPACITY_MARGIN_FACTOR
     }
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -5,10 +5,11 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
+use std::hash::BuildHasher;
 use std::ops::{Index, IndexMut};
 use std::sync::Arc;
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxBuildHasher, FxHashMap};
 use sycamore_types::Name;
 use sycamore_types::resources::Resources;
 
@@ -16,10 +17,15 @@
 use super::demand::Demand;
 use super::host_map::HostMap;
 use super::isolation::{Isolation, IsolationLimits};
+use crate::StepId;
 use crate::host::Host;
 use crate::job;
 use crate::progress::StepProgress;
 
+/// Hosts of a sample. Up to twice as many, steps that ask about the same hosts at the same time
+/// are too few to take them from each other often: with 540 hosts, 2 or 3 calls are in flight.
+const SAMPLE_HOSTS: usize = 512;
+
 /// Hosts that a search visits before it first checks whether it has found enough.
 const MIN_VISITED: usize = 8;
 
@@ -262,6 +268,26 @@
     pub is_near: bool,
 }
 
+/// A part of the hosts, by their number.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sample {
+    /// Number of parts.
+    count: u32,
+    number: u32,
+}
+
+impl Sample {
+    pub const ALL: Sample = Sample { count: 1, number: 0 };
+
+    pub fn is_all(self) -> bool {
+        self.count == 1
+    }
+
+    fn contains(self, host_number: u32) -> bool {
+        host_number % self.count == self.number
+    }
+}
+
 /// Room that a host has now: how many tasks of a step fit, and its free CPU in thousandths of a
 /// core.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -411,11 +437,14 @@
     pub fn unknown(
         &self,
         min_cpu: u32,
+        sample: Sample,
         is_enough: impl Fn(&[Candidate], Room) -> bool,
     ) -> Vec<Candidate> {
         let advice = &self.progress.advice;
         let mut found = Vec::new();
-        for (visited, (max_free, index)) in self.views.most_cpu_first(min_cpu).enumerate() {
+        let hosts = self.views.most_cpu_first(min_cpu);
+        let hosts = hosts.filter(|(_, index)| sample.contains(self.views[*index].number));
+        for (visited, (max_free, index)) in hosts.enumerate() {
             if visited >= MIN_VISITED && visited.is_power_of_two() {
                 let fits_now = tasks_that_fit(&self.footprint, max_free);
                 if is_enough(&found, Room { fits_now, free_cpu: max_free.cpu_millis }) {
@@ -430,6 +459,13 @@
         found
     }
 
+    /// Returns the sample of the hosts for a step, all of them on a small site.
+    pub fn sample(&self, step_id: StepId) -> Sample {
+        let count = (self.views.all.len() / SAMPLE_HOSTS).max(1) as u32;
+        let hash = FxBuildHasher.hash_one(step_id);
+        Sample { count, number: (hash % u64::from(count)) as u32 }
+    }
+
     /// Returns the name of a candidate's host.
     pub fn host(&self, index: usize) -> Name {
         self.views[index].host.clone()
--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -7,6 +7,7 @@
 mod fuzz;
 mod gangs;
 mod jobs;
+mod large_site;
 mod oracle;
 mod overload;
 mod regression;
