--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -1,26 +1,41 @@
 //! Finds the hosts on which a step's tasks fit, and how many fit on each.
 //!
-//! It works on a copy of the hosts that is made once per pass, so that capacity that the
-//! pass has allocated or reserved is not offered again.
+//! It works on a copy of the hosts that is brought up to date once per pass, so that capacity that
+//! the pass has allocated or reserved is not offered again.
 
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::hash::BuildHasher;
 use std::ops::{Index, IndexMut};
 use std::sync::Arc;
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxBuildHasher, FxHashMap};
 use sycamore_types::Name;
 use sycamore_types::resources::Resources;
 
 use super::Engine;
 use super::demand::Demand;
+use super::host_map::HostMap;
 use super::isolation::{Isolation, IsolationLimits};
-use crate::WaitReason;
 use crate::host::Host;
 use crate::job;
 use crate::progress::{Job, StepProgress};
+use crate::{StepId, WaitReason};
 
-/// A host that accepts new work, as seen by one dispatch pass.
-#[derive(Clone, Debug)]
+/// Hosts of a sample. Up to twice as many, steps that ask about the same hosts at the same time
+/// are too few to take them from each other often: with 540 hosts, 2 or 3 calls are in flight.
+const SAMPLE_HOSTS: usize = 512;
+
+/// Hosts that a search visits before it first checks whether it has found enough.
+const MIN_VISITED: usize = 8;
+
+/// A host as seen by one dispatch pass.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct HostView {
+    /// Whether the host accepts new work and its capacity is known.
+    is_usable: bool,
+    /// Whether the host is left out only because its capacity is too old.
+    is_undated: bool,
     pub host: Name,
     pub number: u32,
     pub rack: Name,
@@ -40,20 +55,42 @@
     pub free: Resources,
 }
 
-/// The hosts of one dispatch pass.
-#[derive(Debug)]
+/// When views are made.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ViewTime {
+    pub now_ms: u64,
+    /// Age of a host's entry up to which its capacity is used, in milliseconds.
+    pub max_age_ms: u64,
+}
+
+/// The hosts of one dispatch pass. They are kept from pass to pass, and at the start of each the
+/// hosts that have changed are updated.
+#[derive(Debug, Default)]
 pub(super) struct HostViews {
+    /// All hosts in the order of their names.
     all: Vec<HostView>,
-    /// Free CPU at the start of the pass and index into `all`, the most free CPU first.
-    /// Free capacity only shrinks within a pass.
+    /// Slots of the hosts in the map of hosts, by index into `all`, and the reverse.
+    slots: Vec<usize>,
+    by_slot: Vec<usize>,
+    /// Free CPU at the start of the pass and index into `all` of each usable host, the most free
+    /// CPU first. Free capacity only shrinks within a pass.
     by_free_cpu: Vec<(u32, usize)>,
+    /// Free capacity of each host at the start of the pass, `None` if it is not usable.
+    free_at_start: Vec<Option<Resources>>,
     /// Index into `all` by number of the host.
     by_number: FxHashMap<u32, usize>,
-    /// Upper bound of the free capacity of any single host, by kind of resource.
-    max_free: Resources,
-    /// Upper bound of the free capacity of any single host that is left out because its capacity
-    /// is too old, by kind of resource. `None` if there is no such host.
-    max_undated_free: Option<Resources>,
+    /// For each place in `by_free_cpu`, an upper bound of the free capacity of any single host
+    /// from there on, by kind of resource.
+    max_free: Vec<Resources>,
+    /// Number of hosts that are left out because their capacity is too old.
+    undated: usize,
+    /// Indices of hosts that a pass has modified and that the next one has to restore.
+    modified: Vec<usize>,
+    /// Times in milliseconds at which the usability of hosts may change without an event, with
+    /// the index of the host.
+    timers: BTreeSet<(u64, usize)>,
+    /// Value of [`HostMap::memberships`] when `all` was made.
+    memberships: u64,
     /// Hosts with isolated runs, and those with isolated runs of prime suspects.
     pub isolated_hosts: u32,
     pub prime_hosts: u32,
@@ -62,25 +99,146 @@
 }
 
 impl HostViews {
-    pub fn new(all: Vec<HostView>) -> HostViews {
-        let max_free =
-            all.iter().fold(Resources::default(), |most, view| most.max_per_dimension(&view.free));
-        let mut by_free_cpu: Vec<(u32, usize)> =
-            all.iter().enumerate().map(|(at, view)| (view.free.cpu_millis, at)).collect();
-        by_free_cpu.sort_unstable_by(|(one, first), (other, second)| {
+    /// Returns the views of all hosts, made anew.
+    fn new(hosts: &HostMap, time: ViewTime) -> HostViews {
+        let mut views = HostViews { memberships: hosts.memberships(), ..HostViews::default() };
+        for (index, (slot, host)) in hosts.slots().enumerate() {
+            if slot >= views.by_slot.len() {
+                views.by_slot.resize(slot + 1, usize::MAX);
+            }
+            views.by_slot[slot] = index;
+            views.slots.push(slot);
+            views.all.push(HostView::new(host, time));
+            views.free_at_start.push(None);
+            views.by_number.insert(host.number, index);
+        }
+        views.undated = views.all.iter().filter(|view| view.is_undated).count();
+        views.update(hosts, time, (0..views.all.len()).collect());
+        views
+    }
+
+    /// Updates the views of the hosts that have changed, that the last pass has modified, or
+    /// whose usability may have changed with time.
+    fn refresh(&mut self, hosts: &mut HostMap, time: ViewTime) {
+        let changed = hosts.take_changed_for_views();
+        if self.memberships != hosts.memberships() {
+            *self = HostViews::new(hosts, time);
+            return;
+        }
+        let mut indices = std::mem::take(&mut self.modified);
+        indices.extend(changed.into_iter().map(|slot| self.by_slot[slot]));
+        while let Some((at_ms, index)) = self.timers.first().copied()
+            && at_ms <= time.now_ms
+        {
+            self.timers.pop_first();
+            indices.push(index);
+        }
+        indices.sort_unstable();
+        indices.dedup();
+        self.update(hosts, time, indices);
+    }
+
+    /// Updates the views of some hosts, each given once.
+    fn update(&mut self, hosts: &HostMap, time: ViewTime, indices: Vec<usize>) {
+        let mut moved = Vec::new();
+        let mut has_new_free = false;
+        for index in indices {
+            let Some(host) = hosts.at(self.slots[index]) else { continue };
+            let view = HostView::new(host, time);
+            let was_undated = self.all[index].is_undated;
+            self.undated = self.undated + usize::from(view.is_undated) - usize::from(was_undated);
+            let free = view.is_usable.then_some(view.free);
+            let changes = host.usability_changes_ms(time.now_ms, time.max_age_ms);
+            self.timers.extend(changes.map(|at_ms| (at_ms, index)));
+            self.all[index] = view;
+            let last_free = std::mem::replace(&mut self.free_at_start[index], free);
+            has_new_free |= last_free != free;
+            let free_cpu = free.map(|free| free.cpu_millis);
+            if last_free.map(|free| free.cpu_millis) != free_cpu {
+                moved.extend(free_cpu.map(|free_cpu| (free_cpu, index)));
+            }
+        }
+        if !has_new_free {
+            return;
+        }
+        let free = &self.free_at_start;
+        let is_unmoved = |(cpu, at): &(u32, usize)| free[*at].is_some_and(|f| f.cpu_millis == *cpu);
+        self.by_free_cpu.retain(is_unmoved);
+        let most_cpu_first = |(one, first): &(u32, usize), (other, second): &(u32, usize)| {
+            other.cmp(one).then(first.cmp(second))
+        };
+        moved.sort_unstable_by(most_cpu_first);
+        self.by_free_cpu.append(&mut moved);
+        // Merges the two sorted runs.
+        self.by_free_cpu.sort_by(most_cpu_first);
+        self.bound_free();
+    }
+
+    /// Computes the bounds of the free capacity anew.
+    fn bound_free(&mut self) {
+        let free = &self.free_at_start;
+        self.max_free.clear();
+        self.max_free.resize(self.by_free_cpu.len(), Resources::default());
+        let mut most = Resources::default();
+        for (max_free, (_, at)) in self.max_free.iter_mut().zip(&self.by_free_cpu).rev() {
+            most = most.max_per_dimension(&free[*at].unwrap_or_default());
+            *max_free = most;
+        }
+    }
+
+    /// Returns views of some hosts as if they were usable, for a question about them.
+    pub fn of<'a>(hosts: impl Iterator<Item = &'a Host>, time: ViewTime) -> HostViews {
+        let view = |host| HostView { is_usable: true, ..HostView::new(host, time) };
+        let mut views = HostViews { all: hosts.map(view).collect(), ..HostViews::default() };
+        let numbers = views.all.iter().enumerate().map(|(at, view)| (view.number, at));
+        views.by_number = numbers.collect();
+        views.free_at_start = views.all.iter().map(|view| Some(view.free)).collect();
+        let free_cpu = views.all.iter().enumerate().map(|(at, view)| (view.free.cpu_millis, at));
+        views.by_free_cpu = free_cpu.collect();
+        views.by_free_cpu.sort_unstable_by(|(one, first), (other, second)| {
             other.cmp(one).then(first.cmp(second))
         });
-        let by_number = all.iter().enumerate().map(|(at, view)| (view.number, at)).collect();
-        HostViews {
-            all,
-            by_free_cpu,
-            by_number,
-            max_free,
-            max_undated_free: None,
-            isolated_hosts: 0,
-            prime_hosts: 0,
-            limits: IsolationLimits::default(),
+        views.bound_free();
+        views
+    }
+
+    /// Returns the hosts whose view has to be updated at the start of the next pass, or that
+    /// differ from one made anew although it has not to be.
+    fn stale_hosts(&self, hosts: &HostMap, time: ViewTime) -> Vec<Name> {
+        if self.memberships != hosts.memberships() {
+            return Vec::new();
         }
+        let is_noted = |index: usize| {
+            hosts.is_changed_for_views(self.slots[index])
+                || self.modified.contains(&index)
+                || self.timers.range(..=(time.now_ms, usize::MAX)).any(|(_, at)| *at == index)
+        };
+        let anew = HostViews::new(hosts, time);
+        let is_stale = |index: &usize| {
+            !is_noted(*index)
+                && (self.all[*index] != anew.all[*index]
+                    || self.free_at_start[*index] != anew.free_at_start[*index])
+        };
+        let stale = (0..anew.all.len()).filter(is_stale);
+        let mut stale: Vec<Name> = stale.map(|index| anew.all[index].host.clone()).collect();
+        // The index and the bound agree with the views that they were made of.
+        let mut by_free_cpu: Vec<(Reverse<u32>, usize)> = self
+            .free_at_start
+            .iter()
+            .enumerate()
+            .filter_map(|(at, free)| Some((Reverse(free.as_ref()?.cpu_millis), at)))
+            .collect();
+        by_free_cpu.sort_unstable();
+        let is_sorted = by_free_cpu.into_iter().map(|(Reverse(cpu), at)| (cpu, at));
+        let free_from = |at: usize| {
+            let free = self.by_free_cpu[at..].iter().filter_map(|(_, at)| self.free_at_start[*at]);
+            free.fold(Resources::default(), |most, free| most.max_per_dimension(&free))
+        };
+        let is_bound = (0..self.by_free_cpu.len()).map(free_from).eq(self.max_free.iter().copied());
+        if !is_sorted.eq(self.by_free_cpu.iter().copied()) || !is_bound {
+            stale.push(Name::from("the index by free CPU"));
+        }
+        stale
     }
 
     pub fn is_empty(&self) -> bool {
@@ -89,29 +247,30 @@
 
     /// Returns whether a task may fit on some host. A cheap check: only `false` is certain.
     pub fn may_fit(&self, footprint: &Resources) -> bool {
-        footprint.fits_in(&self.max_free)
+        footprint.fits_in(&self.max_free.first().copied().unwrap_or_default())
     }
 
     /// Returns why a task waits that fits on none of the hosts.
     pub fn no_room_reason(&self, footprint: &Resources) -> WaitReason {
-        let may_fit = self.max_undated_free.is_some_and(|free| footprint.fits_in(&free));
+        let mut undated = self.all.iter().filter(|view| view.is_undated);
+        let may_fit = self.undated > 0 && undated.any(|view| footprint.fits_in(&view.free));
         if may_fit { WaitReason::ListTooOld } else { WaitReason::NoRoom }
     }
 
     /// Returns whether all hosts are left out because their capacities are too old.
     pub fn are_all_undated(&self) -> bool {
-        self.all.is_empty() && self.max_undated_free.is_some()
+        self.by_free_cpu.is_empty() && self.undated > 0
     }
 
-    /// Returns the index of a host by its number.
+    /// Returns the index of a usable host by its number.
     pub fn index_of(&self, number: u32) -> Option<usize> {
-        self.by_number.get(&number).copied()
+        self.by_number.get(&number).copied().filter(|at| self.all[*at].is_usable)
     }
 
     /// Counts a host that gets runs in isolation.
     pub fn add_isolated(&mut self, index: usize, isolation: Isolation) {
         if isolation.is_isolated() {
-            self.all[index].has_isolated_run = true;
+            self[index].has_isolated_run = true;
             self.isolated_hosts += 1;
             self.prime_hosts += u32::from(isolation == Isolation::Prime);
         }
@@ -131,10 +290,10 @@
     }
 
     /// Returns the hosts that may have at least `min_cpu` free CPU, in thousandths of a
-    /// core, with their indices.
-    fn most_cpu_first(&self, min_cpu: u32) -> impl Iterator<Item = usize> {
+    /// core, with an upper bound of the free capacity of each host from there on.
+    fn most_cpu_first(&self, min_cpu: u32) -> impl Iterator<Item = (&Resources, usize)> {
         let by_free_cpu = self.by_free_cpu.iter().take_while(move |(cpu, _)| *cpu >= min_cpu);
-        by_free_cpu.map(|(_, at)| *at)
+        self.max_free.iter().zip(by_free_cpu).map(|(max_free, (_, at))| (max_free, *at))
     }
 }
 
@@ -148,6 +307,7 @@
 
 impl IndexMut<usize> for HostViews {
     fn index_mut(&mut self, at: usize) -> &mut HostView {
+        self.modified.push(at);
         &mut self.all[at]
     }
 }
@@ -169,9 +329,47 @@
     pub is_near: bool,
 }
 
+/// A part of the hosts, by their number.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sample {
+    /// Number of parts.
+    count: u32,
+    number: u32,
+}
+
+impl Sample {
+    pub const ALL: Sample = Sample { count: 1, number: 0 };
+
+    pub fn is_all(self) -> bool {
+        self.count == 1
+    }
+
+    fn contains(self, host_number: u32) -> bool {
+        host_number % self.count == self.number
+    }
+}
+
+/// Room that a host has now: how many tasks of a step fit, and its free CPU in thousandths of a
+/// core.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Room {
+    pub fits_now: u32,
+    pub free_cpu: u32,
+}
+
+impl Candidate {
+    pub fn room(&self) -> Room {
+        Room { fits_now: self.fits_now, free_cpu: self.free_cpu }
+    }
+}
+
 impl HostView {
-    pub fn new(host: &Host) -> HostView {
+    pub fn new(host: &Host, time: ViewTime) -> HostView {
+        let is_usable = host.is_usable(time.now_ms);
+        let is_dated = host.has_current_capacity(time.now_ms, time.max_age_ms);
         HostView {
+            is_usable: is_usable && is_dated,
+            is_undated: is_usable && !is_dated,
             host: host.entry.id.clone(),
             number: host.number,
             rack: host.entry.rack.clone(),
@@ -199,32 +397,48 @@
 }
 
 impl Engine {
-    /// Returns the hosts that accept new work and whose capacity is known.
-    pub(super) fn host_views(&self) -> HostViews {
-        let (now_ms, max_age_ms) = (self.now.monotonic_ms, self.timing.capacity_max_age_ms);
-        let mut max_undated_free: Option<Resources> = None;
-        let is_dated = |host: &&Host| {
-            let is_dated = host.has_current_capacity(now_ms, max_age_ms);
-            if !is_dated {
-                let most = max_undated_free.unwrap_or_default();
-                max_undated_free = Some(most.max_per_dimension(&host.free()));
-            }
-            is_dated
-        };
-        let usable = self.hosts.values().filter(|host| host.is_usable(now_ms)).filter(is_dated);
-        let needs_sealed_host =
-            |id: &job::Id| self.jobs.get(id).is_some_and(Job::needs_sealed_host);
-        let view = |host: &Host| HostView {
-            is_sealed: host.isolated_runs.keys().any(needs_sealed_host),
-            ..HostView::new(host)
-        };
-        let mut views = HostViews::new(usable.map(view).collect());
-        views.max_undated_free = max_undated_free;
+    /// Returns the hosts for a pass. It gives them back in [`Engine::keep_host_views`].
+    pub(super) fn host_views(&mut self) -> HostViews {
+        let mut views = std::mem::take(&mut self.views);
+        let time = self.view_time();
+        views.refresh(&mut self.hosts, time);
+        self.seal_hosts(&mut views);
         (views.isolated_hosts, views.prime_hosts) = self.isolated_hosts();
         views.limits = self.isolation_limits();
         views
     }
 
+    pub(super) fn view_time(&self) -> ViewTime {
+        ViewTime { now_ms: self.now.monotonic_ms, max_age_ms: self.timing.capacity_max_age_ms }
+    }
+
+    /// Closes the hosts on which nothing may start beside the isolated runs. That depends on the
+    /// jobs, so that it is no part of the views that are kept.
+    fn seal_hosts(&self, views: &mut HostViews) {
+        if self.isolated_runs.is_empty() {
+            return;
+        }
+        let needs_sealed_host =
+            |id: &job::Id| self.jobs.get(id).is_some_and(Job::needs_sealed_host);
+        for host in self.totals.isolated().filter_map(|slot| self.hosts.at(slot)) {
+            if host.isolated_runs.keys().any(needs_sealed_host)
+                && let Some(at) = views.index_of(host.number)
+            {
+                views[at].is_sealed = true;
+            }
+        }
+    }
+
+    /// Keeps the hosts of a pass for the next one.
+    pub(super) fn keep_host_views(&mut self, views: HostViews) {
+        self.views = views;
+    }
+
+    /// Returns the hosts whose kept view is wrong and would not be updated by the next pass.
+    pub(super) fn stale_views(&self) -> Vec<Name> {
+        self.views.stale_hosts(&self.hosts, self.view_time())
+    }
+
     /// Returns how many tasks of a size still fit into the team's limit.
     pub(super) fn tasks_within_limit(&self, team: &str, size: &Resources) -> u32 {
         let Some(catalog_team) = self.catalog.teams.get(team) else { return u32::MAX };
@@ -295,14 +509,15 @@
     /// Returns the candidates among all hosts, the most free CPU first.
     pub fn all(&self) -> Vec<Candidate> {
         let min_cpu = if self.step.is_gang { 0 } else { self.footprint.cpu_millis };
-        self.views.most_cpu_first(min_cpu).filter_map(|index| self.candidate(index)).collect()
+        let hosts = self.views.most_cpu_first(min_cpu);
+        hosts.filter_map(|(_, index)| self.candidate(index)).collect()
     }
 
     /// Returns the candidates among all hosts, including those without room now, the most free
     /// CPU first.
     pub fn with_full(&self) -> impl Iterator<Item = Candidate> {
         let search = Search { includes_full: true, placed: self.placed.clone(), ..*self };
-        self.views.most_cpu_first(0).filter_map(move |index| search.candidate(index))
+        self.views.most_cpu_first(0).filter_map(move |(_, index)| search.candidate(index))
     }
 
     /// Returns how many more tasks of the step a candidate's host may get.
@@ -323,14 +538,39 @@
 
     /// Returns the candidates among the hosts that advice was never asked about and that may
     /// have at least `min_cpu` free CPU, in thousandths of a core, the most free CPU first.
-    pub fn unknown(&self, min_cpu: u32) -> Vec<Candidate> {
+    ///
+    /// Ends early once `is_enough` holds for the candidates found so far and the [`Room`] that no
+    /// further one exceeds. It is called a logarithmic number of times.
+    pub fn unknown(
+        &self,
+        min_cpu: u32,
+        sample: Sample,
+        is_enough: impl Fn(&[Candidate], Room) -> bool,
+    ) -> Vec<Candidate> {
         let advice = &self.progress.advice;
-        let is_unknown = |index: &usize| {
-            let number = self.views[*index].number;
-            !advice.allowed.contains_key(&number) && !advice.denied.contains(&number)
-        };
-        let indices = self.views.most_cpu_first(min_cpu).filter(is_unknown);
-        indices.filter_map(|index| self.candidate(index)).collect()
+        let mut found = Vec::new();
+        let hosts = self.views.most_cpu_first(min_cpu);
+        let hosts = hosts.filter(|(_, index)| sample.contains(self.views[*index].number));
+        for (visited, (max_free, index)) in hosts.enumerate() {
+            if visited >= MIN_VISITED && visited.is_power_of_two() {
+                let fits_now = tasks_that_fit(&self.footprint, max_free);
+                if is_enough(&found, Room { fits_now, free_cpu: max_free.cpu_millis }) {
+                    break;
+                }
+            }
+            let number = self.views[index].number;
+            if !advice.allowed.contains_key(&number) && !advice.denied.contains(&number) {
+                found.extend(self.candidate(index));
+            }
+        }
+        found
+    }
+
+    /// Returns the sample of the hosts for a step, all of them on a small site.
+    pub fn sample(&self, step_id: StepId) -> Sample {
+        let count = (self.views.all.len() / SAMPLE_HOSTS).max(1) as u32;
+        let hash = FxBuildHasher.hash_one(step_id);
+        Sample { count, number: (hash % u64::from(count)) as u32 }
     }
 
     /// Returns whether a task of the step fits on some host now, leaving out those that advice
@@ -338,7 +578,7 @@
     pub fn has_room(&self) -> bool {
         let denied = &self.progress.advice.denied;
         let mut hosts = self.views.most_cpu_first(self.footprint.cpu_millis);
-        hosts.any(|index| {
+        hosts.any(|(_, index)| {
             !denied.contains(&self.views[index].number)
                 && self.candidate(index).is_some_and(|found| found.fits_now > 0)
         })
@@ -356,7 +596,7 @@
 
     fn candidate(&self, index: usize) -> Option<Candidate> {
         let (step, view) = (self.step, &self.views[index]);
-        if view.is_sealed || self.is_isolated && view.has_isolated_run {
+        if !view.is_usable || view.is_sealed || self.is_isolated && view.has_isolated_run {
             return None;
         }
         // Best-effort tasks slow down latency-sensitive ones by an unpredictable amount.
--- a/crates/graph/src/engine/evacuation.rs
+++ b/crates/graph/src/engine/evacuation.rs
@@ -5,7 +5,7 @@
 use sycamore_types::Name;
 
 use super::Engine;
-use super::candidates::{HostView, HostViews, Search};
+use super::candidates::{HostViews, Search};
 use super::isolation::Isolation;
 use crate::host::Host;
 use crate::{StepId, WaitReason};
@@ -22,9 +22,15 @@
 impl Engine {
     /// Replaces the set of evacuated failure domains.
     pub(super) fn evacuate_domains(&mut self, domains: BTreeSet<Name>) {
+        let is_moved =
+            |host: &&Host| domains.contains(&host.entry.failure_domain) != host.is_evacuated;
+        let moved: Vec<Name> =
+            self.hosts.values().filter(is_moved).map(|host| host.entry.id.clone()).collect();
         self.evacuated_domains = domains;
-        for host in self.hosts.values_mut() {
-            host.is_evacuated = self.evacuated_domains.contains(&host.entry.failure_domain);
+        for name in moved {
+            if let Some(host) = self.hosts.get_mut(&name) {
+                host.is_evacuated = !host.is_evacuated;
+            }
         }
         self.needs_dispatch = true;
     }
@@ -44,11 +50,11 @@
     /// Returns the hosts that would get tasks if their failure domain were not evacuated.
     pub(super) fn evacuated_views(&self) -> HostViews {
         if self.evacuated_domains.is_empty() {
-            return HostViews::new(Vec::new());
+            return HostViews::default();
         }
         let now_ms = self.now.monotonic_ms;
         let is_held_back = |host: &&Host| host.is_evacuated && host.would_be_usable(now_ms);
-        HostViews::new(self.hosts.values().filter(is_held_back).map(HostView::new).collect())
+        HostViews::of(self.hosts.values().filter(is_held_back), self.view_time())
     }
 
     /// Returns why a step waits for room: because of an evacuation if a task of it would fit on one
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -22,12 +22,21 @@
         for entry in entries {
             self.update_host(entry);
         }
-        for (name, host) in &mut self.hosts {
+        let state = |host: &Host| {
             // The capacity in an entry of another incarnation says nothing about this one.
             let known = [0, host.entry.incarnation];
-            host.is_listed =
-                listed.get(name).is_some_and(|incarnation| known.contains(incarnation));
-            host.is_evacuated = self.evacuated_domains.contains(&host.entry.failure_domain);
+            let is_listed =
+                listed.get(&host.entry.id).is_some_and(|incarnation| known.contains(incarnation));
+            (is_listed, self.evacuated_domains.contains(&host.entry.failure_domain))
+        };
+        let is_moved = |host: &&Host| state(host) != (host.is_listed, host.is_evacuated);
+        let moved: Vec<Name> =
+            self.hosts.values().filter(is_moved).map(|host| host.entry.id.clone()).collect();
+        for name in moved {
+            let Some(new_state) = self.hosts.get(&name).map(state) else { continue };
+            if let Some(host) = self.hosts.get_mut(&name) {
+                (host.is_listed, host.is_evacuated) = new_state;
+            }
         }
         self.remove_departed_hosts();
         self.record_leaving_hosts();
@@ -77,19 +86,25 @@
 
     fn update_host(&mut self, entry: HostEntry) {
         let now_ms = self.now.monotonic_ms;
-        let Some(host) = self.hosts.get_mut(&entry.id) else {
+        let Some(known) = self.hosts.get(&entry.id) else {
             self.last_host_number += 1;
             let host = Host::new(entry, self.last_host_number, now_ms, &self.timing);
-            self.hosts.insert(host.entry.id.clone(), host);
+            self.hosts.insert(host);
             return;
         };
-        if host.entry.incarnation == 0 {
+        // Nearly all entries of a list are as before, and their hosts are not to be looked at.
+        if known.entry == entry {
+            return;
+        }
+        if known.entry.incarnation == 0 {
             // Known only from the log until now. The first poll shows which runs it still
             // has.
-            host.entry = entry;
+            if let Some(host) = self.hosts.get_mut(&entry.id) {
+                host.entry = entry;
+            }
             return;
         }
-        if entry.incarnation > host.entry.incarnation {
+        if entry.incarnation > known.entry.incarnation {
             let name = entry.id.clone();
             self.start_incarnation(&name, entry.incarnation);
         }
@@ -142,13 +157,17 @@
     /// runs the log allows for, the fewer unreachable hosts a new owner has to wait for. A
     /// silent host gets no new work either.
     fn record_leaving_hosts(&mut self) {
+        let is_leaving = |host: &&Host| {
+            let is_used = matches!(host.log, LogState::Used | LogState::Leaving);
+            let gets_no_work = host.is_withdrawn() || !host.is_listed || host.missed_polls > 0;
+            is_used && gets_no_work && host.has_reported
+        };
+        let leaving: Vec<Name> =
+            self.hosts.values().filter(is_leaving).map(|host| host.entry.id.clone()).collect();
         let mut records = Vec::new();
-        for host in self.hosts.values_mut() {
-            let is_leaving = host.is_withdrawn() || !host.is_listed || host.missed_polls > 0;
-            if !is_leaving || !host.has_reported {
-                continue;
-            }
-            if host.runs.is_empty() && matches!(host.log, LogState::Used | LogState::Leaving) {
+        for name in leaving {
+            let Some(host) = self.hosts.get_mut(&name) else { continue };
+            if host.runs.is_empty() {
                 host.log = LogState::Unused;
                 records.push(Record::HostReleased { host: host.entry.id.clone() });
             } else if host.log == LogState::Used {
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -30,6 +30,8 @@
 mod dispatch;
 mod evacuation;
 mod health;
+mod host_map;
+mod host_totals;
 mod hosts;
 mod isolation;
 mod losses;
@@ -54,7 +56,7 @@
 use sycamore_types::resources::Resources;
 
 use crate::catalog::{Catalog, Queue};
-use crate::host::{Host, LogState};
+use crate::host::LogState;
 use crate::job;
 use crate::progress::Job;
 use crate::{
@@ -65,7 +67,10 @@
 use backlog::Backlog;
 use broken_gangs::GangEnds;
 use bulkhead::Bulkheads;
+use candidates::HostViews;
 pub use evacuation::DomainLoad;
+use host_map::HostMap;
+use host_totals::HostTotals;
 use past_use::PastUse;
 pub use rank::Rank;
 pub use recover::Recovered;
@@ -105,9 +110,15 @@
     /// queue.
     queues: BTreeMap<Name, Queue>,
     jobs: FxHashMap<job::Id, Job>,
-    hosts: BTreeMap<Name, Host>,
+    hosts: HostMap,
     /// Failure domains on whose hosts no task may start.
     evacuated_domains: BTreeSet<Name>,
+    /// Hosts that become due for a poll without an event, by time in milliseconds and slot.
+    poll_timers: BTreeSet<(u64, usize)>,
+    /// The hosts as the last dispatch pass has left them.
+    views: HostViews,
+    /// Sums over the hosts as the last event or pass has left them.
+    totals: HostTotals,
     /// Upper bound of the host numbers given so far.
     last_host_number: u32,
     /// Resources used by the runs of each team.
@@ -191,6 +202,7 @@
                 self.handle_advice(step, class, asked, allowed, issued_ms);
             }
         }
+        self.totals.update(&mut self.hosts);
         std::mem::take(&mut self.actions)
     }
 
@@ -205,6 +217,7 @@
         self.now = now;
         if std::mem::take(&mut self.needs_dispatch) {
             self.start_waiting_tasks();
+            self.totals.update(&mut self.hosts);
         }
         std::mem::take(&mut self.actions)
     }
@@ -310,6 +323,18 @@
         self.appended_records
     }
 
+    /// Compares the results that are kept between events with their computation from all
+    /// hosts, and describes the differences. For tests: it visits all hosts.
+    #[doc(hidden)]
+    pub fn stale_results(&self) -> Vec<String> {
+        let polls = self.overlooked_polls();
+        let polls = polls.map(|host| format!("{} is due for a poll", host.entry.id));
+        let views = self.stale_views().into_iter().map(|name| format!("the view of {name}"));
+        let totals =
+            (!self.totals.are_exact(&self.hosts)).then(|| String::from("the sums over the hosts"));
+        polls.chain(views).chain(totals).collect()
+    }
+
     /// Returns the number of runs that exist or may exist on all hosts.
     pub fn running_tasks(&self) -> usize {
         self.hosts.values().map(|host| host.runs.len()).sum()
--- a/crates/graph/src/engine/rank.rs
+++ b/crates/graph/src/engine/rank.rs
@@ -59,10 +59,10 @@
         })
     }
 
-    /// Returns the total capacity of the listed hosts outside evacuated failure domains.
+    /// Returns the total capacity of the listed hosts outside evacuated failure domains, as the last
+    /// event or pass has left them.
     pub(super) fn listed_capacity(&self) -> Resources {
-        let listed = self.hosts.values().filter(|host| host.is_listed && !host.is_evacuated);
-        listed.fold(Resources::default(), |sum, host| sum.plus(&host.entry.capacity))
+        self.totals.capacity()
     }
 
     /// Returns what ranks take from the teams now.
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -13,6 +13,9 @@
 use super::Engine;
 use super::backlog::Backlog;
 use super::bulkhead::Bulkheads;
+use super::candidates::HostViews;
+use super::host_map::HostMap;
+use super::host_totals::HostTotals;
 use super::past_use::PastUse;
 use super::reservations::Reservations;
 use crate::catalog::Catalog;
@@ -192,7 +195,7 @@
 impl Engine {
     /// Creates the engine of a new owner from the state recovered from the log.
     pub fn new(now: Moment, timing: Timing, catalog: Catalog, recovered: Recovered) -> Engine {
-        let mut hosts = BTreeMap::new();
+        let mut hosts = HostMap::default();
         let mut logged_runs = Vec::new();
         for ((name, logged), number) in recovered.hosts.into_iter().zip(0..) {
             let (capacity, log) = match &logged {
@@ -204,7 +207,7 @@
             host.is_listed = false;
             host.log = log;
             host.logged_capacity = capacity;
-            hosts.insert(name.clone(), host);
+            hosts.insert(host);
             if let LoggedHost::Leaving(runs) = logged {
                 logged_runs.extend(runs.into_iter().map(|(task, n)| (name.clone(), task, n)));
             }
@@ -225,6 +228,9 @@
             jobs: recovered.jobs,
             hosts,
             evacuated_domains: BTreeSet::new(),
+            poll_timers: BTreeSet::new(),
+            views: HostViews::default(),
+            totals: HostTotals::default(),
             last_host_number,
             team_usage: FxHashMap::default(),
             past_use,
@@ -253,6 +259,7 @@
             engine.adopt_logged_run(&host, task, attempt);
         }
         engine.close_exhausted_jobs();
+        engine.totals.update(&mut engine.hosts);
         engine
     }
 
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -157,6 +157,14 @@
         self.entry.is_draining || self.is_evacuated
     }
 
+    /// Returns the times at which [`Host::is_usable`] and [`Host::has_current_capacity`] may change
+    /// without an event, in milliseconds.
+    pub fn usability_changes_ms(&self, now_ms: u64, max_age_ms: u64) -> impl Iterator<Item = u64> {
+        let too_old_ms = self.capacity_written_ms.map(|written_ms| written_ms + max_age_ms + 1);
+        let times = [Some(self.quarantined_until_ms), too_old_ms];
+        times.into_iter().flatten().filter(move |at_ms| now_ms < *at_ms)
+    }
+
     /// Returns the record that the host gets no new tasks and which runs it has left.
     pub fn leaving_record(&self) -> Record {
         let runs = self.runs.keys().copied().collect();
--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -8,6 +8,7 @@
 mod fuzz;
 mod gangs;
 mod jobs;
+mod large_site;
 mod oracle;
 mod overload;
 mod past_use;
