Compare the kept bounds of free capacity in linear time

Cause: the comparison in the engine tests took quadratic time in the hosts, at each event. Change: one scan gives the expected bounds.

--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -230,11 +230,13 @@
             .collect();
         by_free_cpu.sort_unstable();
         let is_sorted = by_free_cpu.into_iter().map(|(Reverse(cpu), at)| (cpu, at));
-        let free_from = |at: usize| {
-            let free = self.by_free_cpu[at..].iter().filter_map(|(_, at)| self.free_at_start[*at]);
-            free.fold(Resources::default(), |most, free| most.max_per_dimension(&free))
-        };
-        let is_bound = (0..self.by_free_cpu.len()).map(free_from).eq(self.max_free.iter().copied());
+        let mut bounds = vec![Resources::default(); self.by_free_cpu.len()];
+        let mut most = Resources::default();
+        for (bound, (_, at)) in bounds.iter_mut().zip(&self.by_free_cpu).rev() {
+            most = most.max_per_dimension(&self.free_at_start[*at].unwrap_or_default());
+            *bound = most;
+        }
+        let is_bound = bounds == self.max_free;
         if !is_sorted.eq(self.by_free_cpu.iter().copied()) || !is_bound {
             stale.push(Name::from("the index by free CPU"));
         }
