Log failed calls to workers with their causes

The log showed `start not confirmed` with the outcomes Rejected and Unknown, and nothing told whether the worker was silent, refused connections or reset them. Change: one line a failed call (kind `call`), with the worker and the error's causes; bounded like all kinds.

--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -3,6 +3,7 @@
 //! It pools connections and reports whether a failed request may have been processed, so that
 //! the caller knows what is safe to retry.
 
+use std::error::Error as _;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -145,12 +146,24 @@
 /// been sent, so it becomes [`Error::Unknown`].
 pub fn classify(error: legacy::Error) -> Error {
     if error.is_connect() {
-        Error::NotSent(error.to_string())
+        Error::NotSent(with_causes(&error))
     } else {
-        Error::Unknown(error.to_string())
+        Error::Unknown(with_causes(&error))
     }
 }
 
+/// Returns the text of an error with those of its causes, which tell a refused connection from one
+/// that was reset.
+fn with_causes(error: &legacy::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text.push_str(&format!(": {error}"));
+        cause = error.source();
+    }
+    text
+}
+
 async fn read_body(
     response: Response<Incoming>,
     progress: &Progress,
--- a/crates/platform/src/site/worker.rs
+++ b/crates/platform/src/site/worker.rs
@@ -144,7 +144,12 @@
             .header(EXPECT_INSTANCE, host)
             .body(Full::new(bytes::Bytes::from(body)))
             .map_err(|error| Error::NotSent(error.to_string()))?;
-        let response = self.client.call(request, timeout).await?;
+        let response = self.client.call(request, timeout).await.inspect_err(|error| {
+            log::info!(
+                target: "call", host, call = name, epoch = self.fence, error:%;
+                "call to a worker failed"
+            );
+        })?;
         Ok((response.status(), response.into_body()))
     }
 }
