Add failing tests of starts that never reach a worker

The worker was at its limit of 64 connections: 31, 11 and 21 of them were of three owners that had lost power.

--- a/crates/graph/tests/engine/regression.rs
+++ b/crates/graph/tests/engine/regression.rs
@@ -2,9 +2,10 @@
 //! words are the names of the violations, as in the oracle.
 
 use sycamore_graph::Event;
+use sycamore_graph::catalog::Queue;
 use sycamore_graph::job::{State, Step};
 
-use crate::fixture::{catalog, gang, id, job, queue, step};
+use crate::fixture::{advised_queue, catalog, gang, id, job, queue, step};
 use crate::world::World;
 
 /// A failed attempt that only the next owner saw was not counted, so that a task got more
@@ -176,3 +177,51 @@
         assert_eq!(world.state(id(2)), Some(State::Complete), "back after {back_ms} ms");
     }
 }
+
+/// A worker whose connections were used up replied to polls on an old one and reset all new ones,
+/// over which starts went. Each retry of a job went to that worker again, as its reports were fine.
+/// The benchmark reported LOST.
+#[yare::parameterized(
+    task = { queue(), step(1, 1_000) },
+    advised_task = { advised_queue(), step(1, 1_000) },
+    tasks = { queue(), step(3, 1_000) },
+    advised_tasks = { advised_queue(), step(3, 1_000) },
+    whole_gang = { queue(), gang(3, 1_000) },
+    advised_whole_gang = { advised_queue(), gang(3, 1_000) },
+)]
+fn a_job_leaves_a_worker_that_takes_no_starts(queue: Queue, step: Step) {
+    let mut world = World::new(12, catalog(queue), 1);
+    world.allowed_share = 0.5;
+    world.submit(id(0), job(vec![step.clone()]));
+    world.run(500);
+    // The worker that is chosen first when all are idle.
+    let first = world.workers.iter().position(|worker| worker.starts > 0).expect("a start");
+    world.workers[first].resets_connections = true;
+
+    for number in 1..=8 {
+        world.submit(id(number), job(vec![step.clone()]));
+        // The platform expects a task to run 3 s after its turn has come and there is room.
+        world.run(3_000 + world.work_ms);
+
+        let state = world.state(id(number));
+        assert_eq!(state, Some(State::Complete), "job {number}, {}", world.describe_waits());
+    }
+}
+
+/// Avoiding a worker that took no starts must not leave its room unused: neither while no other
+/// worker has room, nor once starts arrive there again.
+#[test]
+fn a_worker_that_took_no_starts_is_used_where_no_other_has_room() {
+    let mut world = World::new(2, catalog(queue()), 1);
+    world.run(500);
+    world.workers.iter_mut().for_each(|worker| worker.resets_connections = true);
+    world.submit(id(1), job(vec![step(8, 1_000)]));
+    world.run(5_000);
+    assert_eq!(world.workers[0].starts + world.workers[1].starts, 0);
+
+    world.workers.iter_mut().for_each(|worker| worker.resets_connections = false);
+    world.run(3_000);
+
+    assert_eq!(world.workers[0].starts + world.workers[1].starts, 8);
+    assert_eq!(world.state(id(1)), Some(State::Complete));
+}
--- a/crates/graph/tests/engine/worker.rs
+++ b/crates/graph/tests/engine/worker.rs
@@ -88,6 +88,9 @@
     /// Polls that may wait get lost, as on a connection that has gone silent. Other requests
     /// arrive.
     pub loses_long_polls: bool,
+    /// New connections to the worker are reset. Polls go over one that was open before, starts and
+    /// stops don't arrive.
+    pub resets_connections: bool,
     /// Time that runs take to stop, in milliseconds.
     pub stop_ms: u64,
     /// Stop requests arrive, and their replies are lost.
@@ -115,6 +118,7 @@
             back_ms: None,
             former_capacity: None,
             loses_long_polls: false,
+            resets_connections: false,
             stop_ms: 0,
             loses_stop_replies: false,
         }
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -619,11 +619,12 @@
     fn deliver_request(&mut self, at: usize, epoch: u64, action: Action, is_lost: bool) {
         let worker = &self.workers[at];
         let is_long_poll = matches!(&action, Action::Poll(poll) if poll.wait_ms > 0);
-        let is_dropped = worker.loses_long_polls && is_long_poll;
+        let is_reset = worker.resets_connections && !matches!(&action, Action::Poll(_));
+        let is_dropped = worker.loses_long_polls && is_long_poll || is_reset;
         if !worker.is_alive || worker.is_unreachable || is_dropped {
             if !is_lost && epoch == self.epoch {
                 // A process that is gone refuses connections; a cut swallows them.
-                let after_ms = if worker.back_ms.is_some() { 1 } else { 500 };
+                let after_ms = if worker.back_ms.is_some() || is_reset { 1 } else { 500 };
                 self.report_no_reply(&action, after_ms);
             }
             return;
