Limit the starts and stops in flight to each worker

Cause: each start at the same time had a connection of its own, up to 60 to one worker, which stayed open for 30 s. Connections of a host that loses power are never closed at the worker. After three such losses one worker was at its limit of 64 and reset all new connections. Change: at most three starts and stops are in flight to one worker in a process, those of an executor included. Polls don't wait, a worker has one or two of them. An order waits for half of its time limit; then it is certain that it was not sent. So eight lost owners leave room for the ninth. Ruled out: a shorter idle time alone. The connections that are open when the power goes stay open for good.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,7 +8,7 @@
 
 use sycamore_graph::StepId;
 use sycamore_platform::http::Client;
-use sycamore_platform::site::{AdviceClient, Settings, Store};
+use sycamore_platform::site::{AdviceClient, Settings, Store, WorkerConnections};
 use sycamore_telemetry::logs::LineSender;
 use sycamore_types::Name;
 use sycamore_wire::Pool;
@@ -43,7 +43,7 @@
     /// Output stream of the decision records.
     pub decision_log: LineSender,
     pub meters: Meters,
-    pub client: Client,
+    pub workers: WorkerConnections,
     pub pool: Pool,
     pub configs: Configs,
     pub ownership: Ownership,
@@ -76,7 +76,7 @@
             advice_client: settings
                 .advice
                 .map(|address| AdviceClient::new(address, client.clone())),
-            client,
+            workers: WorkerConnections::new(client),
             pool: Pool::default(),
             configs: match settings.evacuation_ms {
                 Some(_) => configs.with_evacuations(),
--- a/crates/node/src/owner/calls.rs
+++ b/crates/node/src/owner/calls.rs
@@ -59,7 +59,7 @@
 
 impl Calls {
     pub fn new(node: Arc<Node>, handle: Handle, fenced: Arc<Notify>) -> Calls {
-        let worker = WorkerClient::new(node.client.clone(), handle.epoch);
+        let worker = WorkerClient::new(node.workers.clone(), handle.epoch);
         Calls { node, handle, worker, fenced }
     }
 
--- a/crates/node/src/peer/executor.rs
+++ b/crates/node/src/peer/executor.rs
@@ -71,7 +71,7 @@
         if batch.wants_receipt {
             let _ = messages.send(Message::Receipt(batch.number)).await;
         }
-        let worker = WorkerClient::new(node.client.clone(), batch.epoch);
+        let worker = WorkerClient::new(node.workers.clone(), batch.epoch);
         for order in batch.orders {
             // Without a permit the session reads no further, which the owner sees as a late receipt.
             let Ok(permit) = permits.clone().acquire_owned().await else { return Ok(()) };
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -2,10 +2,12 @@
 //! unknown.
 
 mod activity;
+mod call_limit;
 mod client;
 mod error;
 mod progress;
 
 pub use activity::Activity;
+pub use call_limit::CallLimit;
 pub use client::{Client, IDLE_TIMEOUT, classify, connector};
 pub use error::Error;
--- a/crates/platform/src/site/mod.rs
+++ b/crates/platform/src/site/mod.rs
@@ -20,7 +20,7 @@
 pub use job::{JobError, parse_job, render_count, render_state};
 pub use settings::{Settings, SettingsError};
 pub use store::{Item, Page, Store, StoreError, Transaction, WatchResponse};
-pub use worker::{CallOutcome, WorkerClient};
+pub use worker::{CallOutcome, WorkerClient, WorkerConnections};
 pub use worker_wire::parse_report;
 
 /// HTTP headers of the platform.
--- a/crates/platform/src/site/worker.rs
+++ b/crates/platform/src/site/worker.rs
@@ -4,7 +4,7 @@
 //! owner, and the id of the worker incarnation that it is meant for.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -14,7 +14,11 @@
 use super::header::EXPECT_INSTANCE;
 use super::task::task_name;
 use super::worker_wire::{PollBody, StartBody, StartResponse, StopBody, parse_report};
-use crate::http::{Client, Error};
+use crate::http::{CallLimit, Client, Error};
+
+/// Most starts and stops in flight to one worker. Their connections stay open at the worker if this
+/// process loses power, and a worker of the documented sites takes 64 in all.
+const MAX_ORDERS_PER_WORKER: usize = 3;
 
 /// Reason of a refusal because of a higher fencing token.
 const FENCED: &str = "fence";
@@ -34,17 +38,34 @@
     Unknown,
 }
 
+/// Connections to all workers, shared by the clients of one process.
+///
+/// Starts and stops wait for one of a few connections to their worker. Polls don't wait: a worker
+/// has one or two of them at a time.
+#[derive(Clone, Debug)]
+pub struct WorkerConnections {
+    client: Client,
+    orders: CallLimit,
+}
+
+impl WorkerConnections {
+    /// Limits the connections of a client to each worker.
+    pub fn new(client: Client) -> WorkerConnections {
+        WorkerConnections { client, orders: CallLimit::new(MAX_ORDERS_PER_WORKER) }
+    }
+}
+
 /// A client of all workers.
 #[derive(Clone, Debug)]
 pub struct WorkerClient {
-    client: Client,
+    connections: WorkerConnections,
     fence: u64,
 }
 
 impl WorkerClient {
     /// Builds a client whose calls carry the fencing token of the owner.
-    pub fn new(client: Client, fence: u64) -> WorkerClient {
-        WorkerClient { client, fence }
+    pub fn new(connections: WorkerConnections, fence: u64) -> WorkerClient {
+        WorkerClient { connections, fence }
     }
 
     /// Starts a run of a task.
@@ -65,7 +86,7 @@
             checkpoint: (!start.checkpoint.is_empty()).then_some(&*start.checkpoint),
             token: start.ticket.as_deref(),
         };
-        let result = self.call(address, "run-start", &start.host, &body, timeout).await;
+        let result = self.order(address, "run-start", &start.host, &body, timeout).await;
         let (status, bytes) = match result {
             Ok(response) => response,
             Err(Error::NotSent(_)) => return (StartOutcome::Rejected, 0),
@@ -93,7 +114,7 @@
     pub async fn stop(&self, address: SocketAddr, stop: &Stop, timeout: Duration) -> CallOutcome {
         let body =
             StopBody { task: task_name(&stop.task), attempt: stop.attempt, fence: self.fence };
-        match self.call(address, "run-stop", &stop.host, &body, timeout).await {
+        match self.order(address, "run-stop", &stop.host, &body, timeout).await {
             Ok((StatusCode::OK, _)) => CallOutcome::Taken,
             Ok((StatusCode::MISDIRECTED_REQUEST, _)) => CallOutcome::Gone,
             Ok(_) => CallOutcome::Refused,
@@ -130,6 +151,24 @@
         }
     }
 
+    /// Makes a call that waits for a free connection, for half of its time at most.
+    async fn order<B: Serialize>(
+        &self,
+        address: SocketAddr,
+        name: &str,
+        host: &str,
+        body: &B,
+        timeout: Duration,
+    ) -> Result<(StatusCode, bytes::Bytes), Error> {
+        let started = Instant::now();
+        let Some(_permit) = self.connections.orders.acquire(address, timeout / 2).await else {
+            let error = Error::NotSent("all connections to the worker are in use".to_string());
+            log_failure(name, host, self.fence, &error);
+            return Err(error);
+        };
+        self.call(address, name, host, body, timeout.saturating_sub(started.elapsed())).await
+    }
+
     async fn call<B: Serialize>(
         &self,
         address: SocketAddr,
@@ -144,16 +183,16 @@
             .header(EXPECT_INSTANCE, host)
             .body(Full::new(bytes::Bytes::from(body)))
             .map_err(|error| Error::NotSent(error.to_string()))?;
-        let response = self.client.call(request, timeout).await.inspect_err(|error| {
-            log::info!(
-                target: "call", host, call = name, epoch = self.fence, error:%;
-                "call to a worker failed"
-            );
-        })?;
+        let response = self.connections.client.call(request, timeout).await;
+        let response = response.inspect_err(|error| log_failure(name, host, self.fence, error))?;
         Ok((response.status(), response.into_body()))
     }
 }
 
+fn log_failure(call: &str, host: &str, epoch: u64, error: &Error) {
+    log::info!(target: "call", host, call, epoch, error:%; "call to a worker failed");
+}
+
 /// Returns whether a refusal says that the worker has seen a higher fencing token.
 fn is_fenced(bytes: &[u8]) -> bool {
     serde_json::from_slice::<StartResponse>(bytes).is_ok_and(|response| response.reason == FENCED)
--- a/crates/platform/tests/site/connections.rs
+++ b/crates/platform/tests/site/connections.rs
@@ -9,7 +9,7 @@
 use sycamore_graph::job::Id;
 use sycamore_graph::{Poll, Start, StartOutcome, StepId, TaskId};
 use sycamore_platform::http::Client;
-use sycamore_platform::site::WorkerClient;
+use sycamore_platform::site::{WorkerClient, WorkerConnections};
 use sycamore_types::Name;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -93,7 +93,8 @@
 #[tokio::test]
 async fn a_burst_of_starts_leaves_room_for_the_connections_of_lost_owners() {
     let worker = Worker::start().await;
-    let client = WorkerClient::new(Client::with_idle_timeout(Duration::from_secs(30)), 1);
+    let connections = WorkerConnections::new(Client::with_idle_timeout(Duration::from_secs(30)));
+    let client = WorkerClient::new(connections, 1);
     let poll = Poll { host: "i-1".into(), number: 1, ack: 0, deadline_ms: None, wait_ms: 200 };
 
     let starts: Vec<Start> = (0..60).map(start_of).collect();
@@ -113,7 +114,7 @@
 async fn a_start_that_gets_no_connection_in_time_is_rejected() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
-    let client = WorkerClient::new(Client::new(), 1);
+    let client = WorkerClient::new(WorkerConnections::new(Client::new()), 1);
 
     let starts: Vec<Start> = (0..60).map(start_of).collect();
     let started = std::time::Instant::now();
