Prefer other workers after a start without a confirmation

Cause: a worker that was at its limit of connections replied to polls over an old connection and reset all starts. The owner took the replies as a sign that the worker is sound, and a step with advice has capacity as long as an allowed worker has room, so that it never asked about another one. 14 starts of one job went to the same worker, two seconds apart. Change: a start of unknown outcome, or one that was not sent or refused, makes its worker the last choice for 3 s, up to 24 s if it goes on, until a start is confirmed there. Allowed workers of this kind don't count as capacity while others can be asked about. A count of such workers is in the `load` line. Ruled out: no new work on such a worker at all. Where half of the orders go unanswered that would close the site.

--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -137,18 +137,23 @@
     ) -> (Vec<Candidate>, Option<Vec<Name>>) {
         let min_expiry_ms = self.min_ticket_expiry_ms();
         let groups = AdviceGroups::new(search, min_expiry_ms);
+        let preferred = groups.without_avoided();
         let advice = &search.progress.advice;
-        let is_pending = advice.calls_in_flight > 0 || self.now.monotonic_ms < advice.not_before_ms;
-        if is_pending
-            || has_capacity_for(&groups.ready, demand.wanted())
-            || !self.may_call(demand, cost)
-        {
+        if advice.calls_in_flight > 0 || has_capacity_for(&preferred.ready, demand.wanted()) {
+            return (preferred.ready, None);
+        }
+        if self.now.monotonic_ms < advice.not_before_ms || !self.may_call(demand, cost) {
             return (groups.ready, None);
         }
         let rate = self.allow_rate(demand.step_id);
-        let asked = groups.hosts_to_ask(demand, rate, cost, search, min_expiry_ms);
+        let mut asked = preferred.hosts_to_ask(demand, rate, cost, search, min_expiry_ms);
+        let mut ready = preferred.ready;
+        if asked.is_empty() {
+            asked = groups.hosts_to_ask(demand, rate, cost, search, min_expiry_ms);
+            ready = groups.ready;
+        }
         let hosts = asked.into_iter().map(|index| search.host(index)).collect();
-        (groups.ready, Some(hosts))
+        (ready, Some(hosts))
     }
 
     /// Returns the estimated fraction of hosts that advice allows for a step.
@@ -258,6 +263,13 @@
         groups
     }
 
+    /// Returns the groups without the hosts that are used only if no other has room.
+    fn without_avoided(&self) -> AdviceGroups {
+        let ready = self.ready.iter().filter(|candidate| !candidate.is_avoided);
+        let allowed = self.allowed.iter().filter(|(candidate, _)| !candidate.is_avoided);
+        AdviceGroups { ready: ready.copied().collect(), allowed: allowed.copied().collect() }
+    }
+
     /// Returns the hosts to ask about, or none if asking does not help now.
     fn hosts_to_ask(
         &self,
@@ -370,7 +382,8 @@
         let mut order: Vec<&Candidate> =
             unknown.iter().filter(|candidate| self.fitting_tasks(candidate) > 0).collect();
         order.sort_by_key(|candidate| {
-            (candidate.is_slow, !candidate.is_near, Reverse(candidate.room()))
+            let room = Reverse(candidate.room());
+            (candidate.is_avoided, candidate.is_slow, !candidate.is_near, room)
         });
         let mut expected = 0.0;
         let mut chosen = Vec::new();
@@ -391,7 +404,8 @@
             return true;
         }
         let is_first = |candidate: &&Candidate| {
-            !candidate.is_slow
+            !candidate.is_avoided
+                && !candidate.is_slow
                 && candidate.is_near
                 && candidate.room() >= bound
                 && self.fitting_tasks(candidate) > 0
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -43,6 +43,8 @@
     labels: Arc<[Name]>,
     capacity: Resources,
     is_slow: bool,
+    /// Whether other hosts are preferred, because starts have not arrived here.
+    is_avoided: bool,
     /// Whether the host has runs that may crash it.
     pub has_isolated_run: bool,
     /// Whether no other run may start beside these.
@@ -325,6 +327,8 @@
     pub fits_idle: u32,
     /// Free CPU, in thousandths of a core.
     pub free_cpu: u32,
+    /// Whether the host is used only if no other has room, because starts have not arrived there.
+    pub is_avoided: bool,
     /// Whether the host takes far longer than others for the same work.
     pub is_slow: bool,
     /// Whether the host is near the step's data. True if the step has no data location.
@@ -379,6 +383,7 @@
             labels: host.entry.labels.clone(),
             capacity: host.entry.capacity,
             is_slow: host.speed.is_slow(),
+            is_avoided: host.is_avoided(time.now_ms),
             has_isolated_run: !host.isolated_runs.is_empty(),
             is_sealed: false,
             has_latency_task: host.latency_runs > 0,
@@ -624,8 +629,8 @@
         }
         let is_near =
             step.data_rack.as_ref().is_none_or(|rack| *rack == view.rack || view.has_label(rack));
-        let (free_cpu, is_slow) = (view.free.cpu_millis, view.is_slow);
-        Some(Candidate { index, fits_now, fits_idle, free_cpu, is_slow, is_near })
+        let (free_cpu, is_slow, is_avoided) = (view.free.cpu_millis, view.is_slow, view.is_avoided);
+        Some(Candidate { index, fits_now, fits_idle, free_cpu, is_avoided, is_slow, is_near })
     }
 }
 
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -131,6 +131,7 @@
             host.poll_in_flight = None;
             host.consecutive_failures = 0;
             host.quarantined_until_ms = 0;
+            host.clear_start_failures();
         }
     }
 
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -345,6 +345,13 @@
         self.isolated_runs.values().sum()
     }
 
+    /// Returns the number of hosts that get tasks only if no other has room, because starts have not
+    /// arrived there.
+    pub fn avoided_hosts(&self) -> usize {
+        let now_ms = self.now.monotonic_ms;
+        self.hosts.values().filter(|host| host.is_avoided(now_ms)).count()
+    }
+
     /// Returns the number of steps with tasks that wait to be started.
     pub fn waiting_steps(&self) -> usize {
         self.backlog.len()
--- a/crates/graph/src/engine/placement.rs
+++ b/crates/graph/src/engine/placement.rs
@@ -22,12 +22,14 @@
     if demand.is_best_effort {
         return spread(ready, wanted);
     }
+    // Hosts where starts have not arrived come after all others.
     // Slow hosts last and near the data first, then best fit: the host with the least free CPU
     // that still fits, so that large gaps stay available for large tasks.
     // Hosts that a suspect may crash come after all others.
     ready.sort_by_key(|candidate| {
         let may_crash = views[candidate.index].has_isolated_run;
-        (may_crash, candidate.is_slow, !candidate.is_near, candidate.free_cpu)
+        let is_avoided = candidate.is_avoided;
+        (is_avoided, may_crash, candidate.is_slow, !candidate.is_near, candidate.free_cpu)
     });
     fill(ready, wanted)
 }
@@ -42,7 +44,8 @@
 ) -> Vec<(usize, u32)> {
     retain_fitting(&mut ready, demand, views);
     ready.sort_by_cached_key(|candidate| {
-        (candidate.is_slow, work_at_stake(&views[candidate.index].host), !candidate.is_near)
+        let work_at_stake = work_at_stake(&views[candidate.index].host);
+        (candidate.is_avoided, candidate.is_slow, work_at_stake, !candidate.is_near)
     });
     if !demand.is_gang {
         ready.truncate(1);
@@ -79,7 +82,9 @@
 /// Spreads best-effort tasks evenly, starting with the hosts with the most free CPU. Their
 /// footprint includes no CPU, so that all of them would fit on one host.
 fn spread(mut ready: Vec<Candidate>, wanted: u32) -> Vec<(usize, u32)> {
-    ready.sort_by_key(|candidate| (!candidate.is_near, Reverse(candidate.free_cpu)));
+    ready.sort_by_key(|candidate| {
+        (candidate.is_avoided, !candidate.is_near, Reverse(candidate.free_cpu))
+    });
     let each = wanted.div_ceil(ready.len().max(1) as u32);
     let mut remaining = wanted;
     let mut plan = Vec::new();
--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -121,6 +121,11 @@
         if clock_ms > 0 && outcome != StartOutcome::Gone && host.has_reported {
             host.clock_offset_ms = clock_ms as i64 - now_ms as i64;
         }
+        match outcome {
+            StartOutcome::Started => host.clear_start_failures(),
+            StartOutcome::Unknown | StartOutcome::Rejected => host.record_start_failure(now_ms),
+            _ => {}
+        }
         let Some(run) = host.runs.get_mut(&(task, attempt)) else { return };
         match outcome {
             StartOutcome::Started => {
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -19,6 +19,14 @@
 /// Time without new tasks after too many consecutive failures, in milliseconds.
 const QUARANTINE_MS: u64 = 4_000;
 
+/// Time for which other hosts are preferred after a start that the host did not confirm, in
+/// milliseconds. It exceeds the time until the outcome of such a start is known, so that its task
+/// goes elsewhere.
+const START_FAILURE_MS: u64 = 3_000;
+
+/// Most times that this time is doubled if the host confirms no start after it either.
+const MAX_START_FAILURE_DOUBLINGS: u32 = 3;
+
 /// What the log says about a host, and so what a successor has to expect there.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum LogState {
@@ -96,6 +104,10 @@
     pub consecutive_failures: u32,
     /// Time until which the host gets no new tasks, in milliseconds.
     pub quarantined_until_ms: u64,
+    /// Periods for which other hosts were preferred since the last confirmed start.
+    start_failures: u32,
+    /// Time until which other hosts are preferred, as starts do not arrive here, in milliseconds.
+    avoided_until_ms: u64,
 }
 
 impl Host {
@@ -129,6 +141,8 @@
             missed_polls: 0,
             consecutive_failures: 0,
             quarantined_until_ms: 0,
+            start_failures: 0,
+            avoided_until_ms: 0,
         }
     }
 
@@ -157,11 +171,11 @@
         self.entry.is_draining || self.is_evacuated
     }
 
-    /// Returns the times at which [`Host::is_usable`] and [`Host::has_current_capacity`] may change
-    /// without an event, in milliseconds.
+    /// Returns the times at which [`Host::is_usable`], [`Host::is_avoided`] and
+    /// [`Host::has_current_capacity`] may change without an event, in milliseconds.
     pub fn usability_changes_ms(&self, now_ms: u64, max_age_ms: u64) -> impl Iterator<Item = u64> {
         let too_old_ms = self.capacity_written_ms.map(|written_ms| written_ms + max_age_ms + 1);
-        let times = [Some(self.quarantined_until_ms), too_old_ms];
+        let times = [Some(self.quarantined_until_ms), Some(self.avoided_until_ms), too_old_ms];
         times.into_iter().flatten().filter(move |at_ms| now_ms < *at_ms)
     }
 
@@ -205,6 +219,29 @@
         u64::try_from(now_ms as i64 + self.clock_offset_ms).unwrap_or(0)
     }
 
+    /// Ends the preference for other hosts, since a start has reached this one or a new incarnation
+    /// begins.
+    pub fn clear_start_failures(&mut self) {
+        self.start_failures = 0;
+        self.avoided_until_ms = 0;
+    }
+
+    /// Records a start that may not have reached the host, or that the host can't carry out now.
+    /// Reports don't make up for it: they may come over a connection that was open before.
+    pub fn record_start_failure(&mut self, now_ms: u64) {
+        // Starts that failed together count once.
+        if now_ms >= self.avoided_until_ms {
+            self.start_failures += 1;
+        }
+        let doublings = self.start_failures.saturating_sub(1).min(MAX_START_FAILURE_DOUBLINGS);
+        self.avoided_until_ms = now_ms + (START_FAILURE_MS << doublings);
+    }
+
+    /// Returns whether other hosts are preferred, because starts have not arrived here.
+    pub fn is_avoided(&self, now_ms: u64) -> bool {
+        now_ms < self.avoided_until_ms
+    }
+
     /// Counts the outcome of a run, and quarantines the host after too many failures.
     pub fn record_outcome(&mut self, is_failure: bool, now_ms: u64) {
         if !is_failure {
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -138,7 +138,8 @@
             target: "load", running = self.engine.running_tasks(),
             waiting_steps = self.engine.waiting_steps(),
             hopeless_steps = self.engine.hopeless_steps(),
-            isolated_runs = self.engine.isolated_runs(), events = load.events,
+            isolated_runs = self.engine.isolated_runs(),
+            avoided_workers = self.engine.avoided_hosts(), events = load.events,
             events_ms = millis(load.event_time), passes = load.passes,
             passes_ms = millis(load.pass_time), longest_pass_ms = millis(load.longest_pass);
             "load of the control thread"
