Avoid a worker for all steps only after two failed starts

Where some orders go unanswered, several sound workers were avoided at a time, and each other worker costs a call for advice. Change: after one such start only its step avoids the worker; after two in a row all steps do.

--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -327,7 +327,8 @@
     pub fits_idle: u32,
     /// Free CPU, in thousandths of a core.
     pub free_cpu: u32,
-    /// Whether the host is used only if no other has room, because starts have not arrived there.
+    /// Whether the host is used only if no other has room, because starts have not arrived there, or
+    /// one of the step has not.
     pub is_avoided: bool,
     /// Whether the host takes far longer than others for the same work.
     pub is_slow: bool,
@@ -629,7 +630,8 @@
         }
         let is_near =
             step.data_rack.as_ref().is_none_or(|rack| *rack == view.rack || view.has_label(rack));
-        let (free_cpu, is_slow, is_avoided) = (view.free.cpu_millis, view.is_slow, view.is_avoided);
+        let is_avoided = view.is_avoided || self.progress.avoided_hosts.contains(&view.number);
+        let (free_cpu, is_slow) = (view.free.cpu_millis, view.is_slow);
         Some(Candidate { index, fits_now, fits_idle, free_cpu, is_avoided, is_slow, is_near })
     }
 }
--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -123,7 +123,14 @@
         }
         match outcome {
             StartOutcome::Started => host.clear_start_failures(),
-            StartOutcome::Unknown | StartOutcome::Rejected => host.record_start_failure(now_ms),
+            StartOutcome::Unknown | StartOutcome::Rejected => {
+                host.record_start_failure(now_ms);
+                let step =
+                    self.jobs.get_mut(&task.step.job).and_then(|job| job.step_mut(task.step));
+                if let Some(step) = step {
+                    step.avoided_hosts.insert(host.number);
+                }
+            }
             _ => {}
         }
         let Some(run) = host.runs.get_mut(&(task, attempt)) else { return };
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -19,13 +19,20 @@
 /// Time without new tasks after too many consecutive failures, in milliseconds.
 const QUARANTINE_MS: u64 = 4_000;
 
-/// Time for which other hosts are preferred after a start that the host did not confirm, in
-/// milliseconds. It exceeds the time until the outcome of such a start is known, so that its task
-/// goes elsewhere.
-const START_FAILURE_MS: u64 = 3_000;
+/// Consecutive starts without a confirmation from which other hosts are preferred. Single orders get
+/// lost on sound hosts, too.
+const MAX_START_FAILURES: u32 = 2;
+
+/// Time within which starts without a confirmation count once, in milliseconds: some of those that
+/// were sent together are refused at once, others time out.
+const START_FAILURE_WINDOW_MS: u64 = 600;
+
+/// Time for which other hosts are preferred then, in milliseconds. It exceeds the time until the
+/// outcome of such a start is known.
+const AVOIDANCE_MS: u64 = 3_000;
 
 /// Most times that this time is doubled if the host confirms no start after it either.
-const MAX_START_FAILURE_DOUBLINGS: u32 = 3;
+const MAX_AVOIDANCE_DOUBLINGS: u32 = 3;
 
 /// What the log says about a host, and so what a successor has to expect there.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -104,8 +111,11 @@
     pub consecutive_failures: u32,
     /// Time until which the host gets no new tasks, in milliseconds.
     pub quarantined_until_ms: u64,
-    /// Periods for which other hosts were preferred since the last confirmed start.
+    /// Starts without a confirmation since the last confirmed one. Those within
+    /// [`START_FAILURE_WINDOW_MS`] count once.
     start_failures: u32,
+    /// Time of the first start that the last one of them counts with, in milliseconds.
+    start_failed_ms: u64,
     /// Time until which other hosts are preferred, as starts do not arrive here, in milliseconds.
     avoided_until_ms: u64,
 }
@@ -142,6 +152,7 @@
             consecutive_failures: 0,
             quarantined_until_ms: 0,
             start_failures: 0,
+            start_failed_ms: 0,
             avoided_until_ms: 0,
         }
     }
@@ -229,12 +240,14 @@
     /// Records a start that may not have reached the host, or that the host can't carry out now.
     /// Reports don't make up for it: they may come over a connection that was open before.
     pub fn record_start_failure(&mut self, now_ms: u64) {
-        // Starts that failed together count once.
-        if now_ms >= self.avoided_until_ms {
+        if self.start_failures == 0 || now_ms >= self.start_failed_ms + START_FAILURE_WINDOW_MS {
             self.start_failures += 1;
+            self.start_failed_ms = now_ms;
+        }
+        if let Some(further) = self.start_failures.checked_sub(MAX_START_FAILURES) {
+            let doublings = further.min(MAX_AVOIDANCE_DOUBLINGS);
+            self.avoided_until_ms = now_ms + (AVOIDANCE_MS << doublings);
         }
-        let doublings = self.start_failures.saturating_sub(1).min(MAX_START_FAILURE_DOUBLINGS);
-        self.avoided_until_ms = now_ms + (START_FAILURE_MS << doublings);
     }
 
     /// Returns whether other hosts are preferred, because starts have not arrived here.
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -63,6 +63,9 @@
     /// Durations of completed tasks: host and time in milliseconds. Compares the hosts once the
     /// step is done.
     pub durations: Vec<(Name, u32)>,
+    /// Numbers of the hosts that did not confirm a start of the step. They get its tasks only if no
+    /// other host has room.
+    pub avoided_hosts: FxHashSet<u32>,
     /// A run of the step has survived its isolation or has ended.
     pub has_survivor: bool,
     /// Why tasks of the step waited in the last dispatch pass that reached it.
@@ -88,6 +91,7 @@
             done: 0,
             advice: StepAdvice::default(),
             durations: Vec::new(),
+            avoided_hosts: FxHashSet::default(),
             has_survivor: false,
             wait_reason: None,
             waiting: (0..tasks).collect(),
