Read the rows of the store's responses one by one

Cause: a page of a range, or the response to a watch, was parsed as a whole. One row that can't be read (a revision too large, a value that is no text or no base64, bytes that are not UTF-8, deep nesting) made all others unreadable, so that nobody followed the list of workers any more. Besides, the key after which the next page begins went into the URL as it was: a key with a blank, a control character or a letter beyond ASCII ended the reading of the list at that page, and one with an ampersand began the next page elsewhere.

Change: a response that can't be parsed at once is parsed row by row, and the rows that can't be read are returned beside the others. `Page::next` is the last key that can be read and that the store accepts; a page without one is an error, as the end of the list would make workers look gone. Keys are percent-encoded (percent-encoding, new), usual ones stay as they are. The log of an owner must be whole: a row of it that can't be read still fails the recovery. A change that can't be read is followed by a new reading. The stand-in's store decodes its queries.

--- a/crates/node/examples/executor_cost.rs
+++ b/crates/node/examples/executor_cost.rs
@@ -171,9 +171,9 @@
                 let parsed = site::parse_worker_entry(&item.key, &item.value);
                 entries += usize::from(parsed.is_some());
             }
-            match page.items.last() {
-                Some(last) if page.more_pages => after = last.key.clone(),
-                _ => break,
+            match page.next {
+                Some(next) => after = next,
+                None => break,
             }
         }
     }
--- a/crates/node/src/config/evacuations.rs
+++ b/crates/node/src/config/evacuations.rs
@@ -66,9 +66,14 @@
             let found =
                 page.items.iter().filter_map(|item| Some((domain_of(&item.key)?, item.rev)));
             domains.extend(found);
-            match page.items.last() {
-                Some(last) if page.more_pages => after = last.key.clone(),
-                _ => {
+            // The key alone evacuates the domain, whatever else can't be read.
+            for row in &page.malformed {
+                log::warn!(target: "config", key:? = row.key, reason = row.reason; "row skipped");
+                domains.extend(row.key.as_deref().and_then(domain_of).map(|name| (name, revision)));
+            }
+            match page.next {
+                Some(next) => after = next,
+                None => {
                     self.apply_read(revision, domains);
                     return Ok(Some(revision));
                 }
--- a/crates/node/src/config/from_store.rs
+++ b/crates/node/src/config/from_store.rs
@@ -77,12 +77,17 @@
                     backoff.reset();
                     after = watched.as_of.max(after);
                     self.evacuations.apply_changes(&watched);
+                    let malformed = watched.malformed.into_iter().next();
                     for change in watched.events {
                         if change.key == key::CONFIG && !change.removed {
                             self.record_transfer("store", *started, None);
                             self.apply_if_newer(change.value, "store");
                         }
                     }
+                    // What has changed is unknown, so that all is read again.
+                    if let Some(row) = malformed {
+                        return StoreError::Unknown(format!("a change can't be read: {row:?}"));
+                    }
                 }
                 Err(error) => return error,
             }
--- a/crates/node/src/config/tests/evacuations.rs
+++ b/crates/node/src/config/tests/evacuations.rs
@@ -30,7 +30,7 @@
     };
     let events: Vec<String> = changes.iter().map(event).collect();
     let text = format!(r#"{{"events":[{}],"as-of":{as_of}}}"#, events.join(","));
-    serde_json::from_str(&text).expect("a response")
+    WatchResponse::parse(text.as_bytes()).expect("a response")
 }
 
 fn known(evacuations: &Evacuations) -> Vec<String> {
--- a/crates/node/src/owner/listing.rs
+++ b/crates/node/src/owner/listing.rs
@@ -147,9 +147,9 @@
             addresses.set(name.clone(), address);
             listed.insert(name, Known { written, ..current });
         }
-        match page.items.last() {
-            Some(last) if page.more_pages => after = last.key.clone(),
-            _ => return Ok(listed),
+        match page.next {
+            Some(next) => after = next,
+            None => return Ok(listed),
         }
     }
 }
--- a/crates/node/src/owner/recover.rs
+++ b/crates/node/src/owner/recover.rs
@@ -5,7 +5,7 @@
 
 use displaydoc::Display;
 use sycamore_graph::Recovered;
-use sycamore_platform::site::{Store, StoreError};
+use sycamore_platform::site::{MalformedRow, Store, StoreError};
 
 use super::journal::Page;
 use super::page::{self, PageError};
@@ -19,6 +19,8 @@
     Store(StoreError),
     /// {0}
     Page(PageError),
+    /// a row of the log can't be read: {0:?}
+    Row(MalformedRow),
     /// the evacuated failure domains can't be read: {0}
     Evacuations(StoreError),
 }
@@ -41,15 +43,18 @@
     loop {
         let found =
             store.range(page::PREFIX, &after, 3 * STORE_TIMEOUT).await.map_err(ReadError::Store)?;
+        if let Some(row) = found.malformed.into_iter().next() {
+            return Err(ReadError::Row(row));
+        }
         for item in &found.items {
             let Some(number) = page::number(&item.key) else { continue };
             let records = page::decode(&item.value).map_err(ReadError::Page)?;
             pages.push(Page::of(number, &records));
             records.into_iter().for_each(|record| recovered.apply(record));
         }
-        match found.items.last() {
-            Some(last) if found.more_pages => after = last.key.clone(),
-            _ => return Ok((recovered, pages)),
+        match found.next {
+            Some(next) => after = next,
+            None => return Ok((recovered, pages)),
         }
     }
 }
--- a/crates/platform/src/site/store.rs
+++ b/crates/platform/src/site/store.rs
@@ -12,10 +12,17 @@
 use displaydoc::Display;
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
+use super::row::{MalformedRow, Object, is_key, read_rows};
 use crate::http::{Activity, Client, Error};
 
+/// Characters of a key that are encoded in a query. The others are those of usual keys.
+const ENCODED: &AsciiSet =
+    &NON_ALPHANUMERIC.remove(b'/').remove(b'-').remove(b'.').remove(b'_').remove(b'~').remove(b':');
+
 /// Time allowed for the response on top of the wait of a watch.
 const WATCH_MARGIN: Duration = Duration::from_millis(800);
 
@@ -65,28 +72,71 @@
 }
 
 /// One page of the keys with a prefix.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Clone, Debug)]
 pub struct Page {
     /// Items, ordered by key.
     pub items: Vec<Item>,
-    /// Whether another page follows.
-    #[serde(default)]
-    pub more_pages: bool,
+    /// Rows that can't be read.
+    pub malformed: Vec<MalformedRow>,
+    /// Key after which the next page begins. `None` if this page is the last one.
+    pub next: Option<String>,
     /// Revision of the store when the page was read.
     pub as_of: u64,
 }
 
+impl Page {
+    /// Parses the body of the response to a range.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body can't be read as a whole, or if another page follows and no
+    /// key says where it begins.
+    pub fn parse(body: &[u8]) -> Result<Page, StoreError> {
+        // The rows are read one by one only if that fails, since it costs a second pass over them.
+        if let Ok(page) = decode::<PageBody<Object<Item>>>(body) {
+            let items: Vec<Item> = page.items.into_iter().map(|Object(item)| item).collect();
+            let last_key = items.iter().rev().map(|item| &item.key).find(|key| is_key(key));
+            let next = next_page(page.more_pages, last_key.cloned())?;
+            return Ok(Page { items, malformed: Vec::new(), next, as_of: page.as_of });
+        }
+        // Bytes that are not UTF-8 would make the other rows unreadable too.
+        let text = String::from_utf8_lossy(body);
+        let page = decode::<PageBody<&RawValue>>(text.as_bytes())?;
+        let (items, malformed, last_key) = read_rows(&page.items, |item: &Item| &item.key);
+        let next = next_page(page.more_pages, last_key)?;
+        Ok(Page { items, malformed, next, as_of: page.as_of })
+    }
+}
+
 /// The response to a watch.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Clone, Debug)]
 pub struct WatchResponse {
     /// Changes, in the order in which they were made.
     pub events: Vec<Change>,
+    /// Changes that can't be read.
+    pub malformed: Vec<MalformedRow>,
     /// Revision from which the next watch continues.
     pub as_of: u64,
 }
 
+impl WatchResponse {
+    /// Parses the body of the response to a watch.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body can't be read as a whole.
+    pub fn parse(body: &[u8]) -> Result<WatchResponse, StoreError> {
+        if let Ok(watch) = decode::<WatchBody<Object<Change>>>(body) {
+            let events = watch.events.into_iter().map(|Object(change)| change).collect();
+            return Ok(WatchResponse { events, malformed: Vec::new(), as_of: watch.as_of });
+        }
+        let text = String::from_utf8_lossy(body);
+        let watch = decode::<WatchBody<&RawValue>>(text.as_bytes())?;
+        let (events, malformed, _) = read_rows(&watch.events, |change: &Change| &change.key);
+        Ok(WatchResponse { events, malformed, as_of: watch.as_of })
+    }
+}
+
 /// A change of one key.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Change {
@@ -164,6 +214,24 @@
     rev: u64,
 }
 
+/// A page whose rows are items, or unread.
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct PageBody<R> {
+    items: Vec<R>,
+    #[serde(default)]
+    more_pages: bool,
+    as_of: u64,
+}
+
+/// A response to a watch whose rows are changes, or unread.
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WatchBody<R> {
+    events: Vec<R>,
+    as_of: u64,
+}
+
 /// A client of the platform's store.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -188,7 +256,7 @@
     ///
     /// Returns an error if the store rejects the request or does not respond in time.
     pub async fn get(&self, key: &str, timeout: Duration) -> Result<Option<Item>, StoreError> {
-        let path = format!("/sycamorechute/kv-key?key={key}");
+        let path = format!("/sycamorechute/kv-key?key={}", encoded(key));
         let (status, body) = self.call(Method::GET, &path, Bytes::new(), timeout).await?;
         match status {
             StatusCode::OK => decode(&body).map(Some),
@@ -203,21 +271,22 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the store rejects the request or does not respond in time.
+    /// Returns an error if the store rejects the request or does not respond in time, or if
+    /// another page follows and no key says where it begins.
     pub async fn range(
         &self,
         prefix: &str,
         after: &str,
         timeout: Duration,
     ) -> Result<Page, StoreError> {
-        let mut path = format!("/sycamorechute/kv-range?prefix={prefix}");
+        let mut path = format!("/sycamorechute/kv-range?prefix={}", encoded(prefix));
         if !after.is_empty() {
             path.push_str("&after=");
-            path.push_str(after);
+            path.extend(utf8_percent_encode(after, ENCODED));
         }
         let (status, body) = self.call(Method::GET, &path, Bytes::new(), timeout).await?;
         match status {
-            StatusCode::OK => decode(&body),
+            StatusCode::OK => Page::parse(&body),
             other => Err(StoreError::Refused(other.as_u16())),
         }
     }
@@ -240,13 +309,14 @@
         max_bytes: u64,
     ) -> Result<WatchResponse, StoreError> {
         let wait_ms = wait.as_millis();
+        let prefix = encoded(prefix);
         let path =
             format!("/sycamorechute/kv-watch?prefix={prefix}&after={after}&wait-ms={wait_ms}");
         let request = self.request(Method::GET, &path, Bytes::new())?;
         let response = self.client.call_limited(request, wait + WATCH_MARGIN, max_bytes).await?;
         let (status, body) = (response.status(), response.into_body());
         match status {
-            StatusCode::OK => decode(&body),
+            StatusCode::OK => WatchResponse::parse(&body),
             StatusCode::GONE => Err(StoreError::Compacted),
             other => Err(StoreError::Refused(other.as_u16())),
         }
@@ -305,10 +375,23 @@
     }
 }
 
-fn decode<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+fn encoded(key: &str) -> impl std::fmt::Display {
+    utf8_percent_encode(key, ENCODED)
+}
+
+fn decode<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, StoreError> {
     serde_json::from_slice(body).map_err(|error| StoreError::Unknown(error.to_string()))
 }
 
+/// Returns the key after which the next page begins, if there is another page.
+fn next_page(has_more: bool, last_key: Option<String>) -> Result<Option<String>, StoreError> {
+    match last_key {
+        _ if !has_more => Ok(None),
+        None => Err(StoreError::Unknown("no key of the page can be read".to_string())),
+        last_key => Ok(last_key),
+    }
+}
+
 fn from_base64<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
     let text = std::borrow::Cow::<str>::deserialize(deserializer)?;
     STANDARD.decode(text.as_bytes()).map_err(serde::de::Error::custom)
--- a/crates/platform/tests/site/main.rs
+++ b/crates/platform/tests/site/main.rs
@@ -2,5 +2,7 @@
 
 mod config;
 mod job;
+mod responder;
 mod settings;
+mod store;
 mod worker;
--- a/crates/standin/src/fenced/store.rs
+++ b/crates/standin/src/fenced/store.rs
@@ -175,7 +175,7 @@
     let (mode, calls, is_refused) = {
         let mut state = lock(&state);
         state.calls += 1;
-        let is_refused = prefix.is_some() && state.refused_prefix.as_deref() == prefix;
+        let is_refused = prefix.is_some() && state.refused_prefix.as_deref() == prefix.as_deref();
         (state.mode, state.calls, is_refused)
     };
     if is_refused {
@@ -212,11 +212,11 @@
     let parameter = |name| query_parameter(query_string, name).unwrap_or_default();
     let number = |name| parameter(name).parse::<u64>().unwrap_or(0);
     Some(match call {
-        "kv-key" => kv.get(parameter("key")),
-        "kv-range" => kv.range(parameter("prefix"), parameter("after")),
+        "kv-key" => kv.get(&parameter("key")),
+        "kv-range" => kv.range(&parameter("prefix"), &parameter("after")),
         "kv-txn" => kv.commit(body),
         "kv-watch" => {
-            let (status, reply) = kv.changes(parameter("prefix"), number("after"));
+            let (status, reply) = kv.changes(&parameter("prefix"), number("after"));
             let is_empty = reply["events"].as_array().is_some_and(Vec::is_empty);
             if is_empty && waited < Duration::from_millis(number("wait-ms")) {
                 return None;
--- a/crates/standin/src/http/server.rs
+++ b/crates/standin/src/http/server.rs
@@ -1,6 +1,7 @@
 //! HTTP/1 server whose handlers can close a connection instead of responding, as a failing
 //! system does.
 
+use std::borrow::Cow;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,6 +14,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use percent_encoding::percent_decode_str;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
@@ -109,11 +111,14 @@
     response
 }
 
-/// Returns the value of a parameter in a query string, without percent-decoding.
-pub(crate) fn query_parameter<'a>(query_string: Option<&'a str>, name: &str) -> Option<&'a str> {
+/// Returns the value of a parameter in a query string.
+pub(crate) fn query_parameter<'a>(
+    query_string: Option<&'a str>,
+    name: &str,
+) -> Option<Cow<'a, str>> {
     query_string?
         .split('&')
         .filter_map(|pair| pair.split_once('='))
         .find(|(key, _)| *key == name)
-        .map(|(_, value)| value)
+        .map(|(_, value)| percent_decode_str(value).decode_utf8_lossy())
 }
