Read a row of a worker's report alone if it is malformed

Cause: a row that might be malformed was buffered to be read in another way. That fails for nesting of more than 128 levels, for a number like 1e400 and for a lone surrogate, and bytes that are not UTF-8 failed everything: one such row dropped the whole report, the worker counted as silent and its lease ran out. A clock over 63 bits overflowed the difference to the owner's clock.

Change: the text of such a row is kept and read alone. Clocks and starts of more than 53 bits make the report unusable.

Deep nesting overflowed no stack before either: serde_json skips values without recursion and gives up at 128 levels elsewhere.

--- a/crates/platform/src/site/row.rs
+++ b/crates/platform/src/site/row.rs
@@ -4,13 +4,16 @@
 use std::marker::PhantomData;
 
 use serde::de::value::MapAccessDeserializer;
-use serde::de::{MapAccess, Visitor};
+use serde::de::{Error, MapAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 
 /// Longest key of the store, in bytes.
 const MAX_KEY_BYTES: usize = 200;
 
+/// Largest whole number that every JSON parser reads exactly. A larger one is a writer's mistake.
+const MAX_NUMBER: u64 = (1 << 53) - 1;
+
 /// A row of a response that can't be read.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct MalformedRow {
@@ -45,6 +48,13 @@
     }
 }
 
+/// Reads a whole number that is not too large for calculations with times.
+pub(super) fn whole_number<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    let number = u64::deserialize(deserializer)?;
+    let is_exact = number <= MAX_NUMBER;
+    is_exact.then_some(number).ok_or_else(|| D::Error::custom("the number is too large"))
+}
+
 /// The key of a row whose other fields can't be read.
 #[derive(Deserialize)]
 struct Keyed {
--- a/crates/platform/src/site/worker_wire.rs
+++ b/crates/platform/src/site/worker_wire.rs
@@ -4,12 +4,15 @@
 //! report is still used.
 
 use std::fmt;
+use std::marker::PhantomData;
 
 use serde::de::{self, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::value::RawValue;
 use sycamore_graph::{Report, RunEnd, TaskId};
 use sycamore_types::Name;
 
+use super::row::whole_number;
 use super::task::parse_task;
 
 /// Largest number of finished runs in one response, according to the platform's documentation.
@@ -64,19 +67,21 @@
 #[serde(default, rename_all = "kebab-case")]
 pub(super) struct StartResponse {
     /// The worker's clock.
+    #[serde(deserialize_with = "whole_number")]
     pub clock_ms: u64,
     /// Why the start was refused.
     pub reason: String,
 }
 
-/// The response to a poll. A row is a [`RunningRow`] or [`FinishedRow`], or `Option`al if it may
-/// be malformed.
+/// The response to a poll. A row is a [`RunningRow`] or [`FinishedRow`], or a [`Row`] that may be
+/// neither.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct PollResponse<R, F> {
+    #[serde(deserialize_with = "whole_number")]
     clock_ms: u64,
     /// Start of the incarnation that responded, in milliseconds since 1970.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "whole_number")]
     born: u64,
     #[serde(default = "Vec::new")]
     running: Vec<R>,
@@ -84,20 +89,15 @@
     finished: Vec<F>,
 }
 
-/// A row that may be malformed.
+/// A row that may be malformed. Its text is kept until it is read alone: a value that is buffered
+/// to be read in another way must not be nested deeply or have a number out of range.
 #[derive(Deserialize)]
-#[serde(untagged)]
-enum Row<T> {
-    Valid(T),
-    Malformed(de::IgnoredAny),
-}
+#[serde(bound = "'de: 'a", transparent)]
+struct Row<'a, T>(&'a RawValue, #[serde(skip)] PhantomData<T>);
 
-impl<T> From<Row<T>> for Option<T> {
-    fn from(row: Row<T>) -> Option<T> {
-        match row {
-            Row::Valid(row) => Some(row),
-            Row::Malformed(_) => None,
-        }
+impl<'a, T: Deserialize<'a>> From<Row<'a, T>> for Option<T> {
+    fn from(row: Row<'a, T>) -> Option<T> {
+        serde_json::from_str(row.0.get()).ok()
     }
 }
 
@@ -148,7 +148,9 @@
     if let Ok(response) = serde_json::from_slice::<PollResponse<RunningRow, FinishedRow>>(bytes) {
         return Some(to_report(response));
     }
-    match serde_json::from_slice::<PollResponse<Row<RunningRow>, Row<FinishedRow>>>(bytes) {
+    // Bytes that are not UTF-8 would make the other rows unreadable too.
+    let text = String::from_utf8_lossy(bytes);
+    match serde_json::from_str::<PollResponse<Row<'_, RunningRow>, Row<'_, FinishedRow>>>(&text) {
         Ok(response) => Some(to_report(response)),
         Err(error) => {
             log::warn!("can't parse the report of a worker: {error}");
