Skip entries of another writer in the worker list, and report them

Cause: an entry with a port of 0, with no host, of a service that no configuration names, under an id that no call can carry, with a start of more than 53 bits, or with `seq`, `slots`, `cold-left-ms`, `remaining-ms`, `clock-ms` or `version` of another type or out of range named a worker. It was polled in vain, and with a later start it counted as the successor of the worker at its address. An array of fields counted as an entry or a capacity. Nothing told operators of a skipped entry.

Change: all documented fields are checked if they are there, objects only. `parse_worker_entry` gives the reason instead of `None`. The configuration's list of services is read. The owner logs an entry when it comes or its reason changes, at most 20 lines a read, and counts it in `worker_entries_skipped_total`. The stand-in's configuration lists its service.

--- a/crates/node/examples/executor_cost.rs
+++ b/crates/node/examples/executor_cost.rs
@@ -169,7 +169,7 @@
             for item in &page.items {
                 bytes += item.key.len() + item.value.len();
                 let parsed = site::parse_worker_entry(&item.key, &item.value);
-                entries += usize::from(parsed.is_some());
+                entries += usize::from(parsed.is_ok());
             }
             match page.next {
                 Some(next) => after = next,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -83,6 +83,8 @@
     pub config_transfers: IntCounterVec,
     /// Evacuated failure domains that this process knows of.
     pub evacuated_domains: IntGauge,
+    /// Entries of the worker list that name no worker to use, by reason.
+    pub skipped_entries: IntCounterVec,
 }
 
 impl Meters {
@@ -173,6 +175,11 @@
             ),
             evacuated_domains: all
                 .gauge("evacuated_domains", "Evacuated failure domains that are known here."),
+            skipped_entries: all.counters(
+                "worker_entries_skipped_total",
+                "Entries that came to the worker list and name no worker to use.",
+                &["reason"],
+            ),
             all,
         }
     }
--- a/crates/node/src/owner/listing.rs
+++ b/crates/node/src/owner/listing.rs
@@ -4,6 +4,8 @@
 //! The age of a read says nothing about the age of the entries: workers can't write while the store
 //! is away. Each entry is dated by its revision (see [`crate::revision`]).
 //!
+//! An entry that names no worker to use is skipped, and the others hold.
+//!
 //! Addresses outlive their entry in the list, so that workers that left can still be polled
 //! until their runs have ended.
 
@@ -15,10 +17,11 @@
 
 use rustc_hash::FxHashMap;
 use sycamore_graph::{Event, HostEntry, Reading};
-use sycamore_platform::site::{StoreError, key, parse_worker_entry};
+use sycamore_platform::site::{EntryError, StoreError, key, parse_worker_entry};
 use sycamore_types::Name;
 
 use super::Handle;
+use super::skipped::Skipped;
 use crate::backoff::Backoff;
 use crate::clock::Clock;
 use crate::node::Node;
@@ -67,9 +70,10 @@
 /// of the entries that were written again. Never returns.
 pub(super) async fn run(node: Arc<Node>, handle: Handle) {
     let mut known = BTreeMap::new();
+    let mut skipped = Skipped::new(node.meters.clone());
     let mut backoff = Backoff::new(WORKER_LIST_INTERVAL, STORE_RETRY_MAX);
     loop {
-        match read(&node, &handle.addresses, &known).await {
+        match read(&node, &handle.addresses, &known, &mut skipped).await {
             Ok(listed) => {
                 backoff.reset();
                 handle.addresses.set_listed(listed.len());
@@ -125,8 +129,11 @@
     node: &Node,
     addresses: &Addresses,
     known: &BTreeMap<Name, Known>,
+    skipped: &mut Skipped,
 ) -> Result<BTreeMap<Name, Known>, StoreError> {
     let mut listed = BTreeMap::new();
+    let config = node.configs.current();
+    skipped.begin();
     let mut after = String::new();
     loop {
         let sent = Instant::now();
@@ -134,9 +141,20 @@
         node.configs.revisions.record(sent, page.as_of);
         for item in &page.items {
             let id = item.key.strip_prefix(key::WORKER_PREFIX).unwrap_or(&item.key);
-            // Skips malformed entries, and workers that are neither ready nor draining.
-            let Some((entry, address)) = parse_worker_entry(id, &item.value) else { continue };
+            let (entry, address) = match parse_worker_entry(id, &item.value) {
+                Ok(parsed) => parsed,
+                Err(error) => {
+                    skipped.add(id, error.reason(), &error);
+                    continue;
+                }
+            };
             let name = entry.id.clone();
+            // The runs of a worker whose service is dropped still need it.
+            let is_named = config.as_ref().is_none_or(|now| now.config.has_service(&entry.service));
+            if !is_named && known.get(&name).is_none_or(|was| was.entry.service != entry.service) {
+                skipped.add(id, "service", &EntryError::Service(entry.service));
+                continue;
+            }
             let current = match known.get(&name) {
                 Some(was) if was.rev > item.rev => was.clone(),
                 Some(was) if was.rev == item.rev => Known { entry, ..was.clone() },
@@ -147,9 +165,14 @@
             addresses.set(name.clone(), address);
             listed.insert(name, Known { written, ..current });
         }
+        for row in &page.malformed {
+            skipped.add(row.key.as_deref().unwrap_or_default(), "row", &row.reason);
+        }
         match page.next {
             Some(next) => after = next,
-            None => return Ok(listed),
+            None => break,
         }
     }
+    skipped.end();
+    Ok(listed)
 }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -19,6 +19,7 @@
 mod page;
 mod records;
 mod recover;
+mod skipped;
 #[cfg(test)]
 mod tests;
 mod write_timeout;
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -2,6 +2,7 @@
 //! worker.
 
 mod configuration;
+mod entries;
 mod evacuation;
 mod executors;
 mod explain;
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -88,6 +88,46 @@
         *self.lock_worker() = worker;
     }
 
+    /// Takes the worker down and starts it again under another id, at the same address.
+    pub async fn replace_worker(&self) {
+        self.lock_worker().crash();
+        self.restart_crashed_worker().await;
+    }
+
+    /// Writes entries to the list of workers as another writer might. Each is the worker's own one
+    /// with one change. Every page of the list then holds a single entry.
+    ///
+    /// Returns their number.
+    pub fn add_foreign_entries(&self) -> usize {
+        self.store.set_max_page_items(1);
+        let entry = self.lock_worker().entry("desk", self.worker_link.address);
+        let change = |field: &str, value: Value| {
+            let mut entry = entry.clone();
+            entry[field] = value;
+            entry
+        };
+        let text = change("seq", json!("?")).to_string();
+        let odd_seq = |seq: &str| text.replace("\"?\"", seq).into_bytes();
+        // It would be the successor of the worker at its address.
+        let mut odd_service = change("service", json!("odd"));
+        odd_service["born"] = json!(entry["born"].as_u64().unwrap_or(0) + 1);
+        let foreign = [
+            ("a&b#c=\u{e9}/ %", change("state", json!("odd")).to_string().into_bytes()),
+            ("control\u{7}", entry.to_string().into_bytes()),
+            ("nested", odd_seq(&("[".repeat(100_000) + &"]".repeat(100_000)))),
+            ("no-text", vec![0xff; 10]),
+            ("port", change("addr", json!("127.0.0.1:70000")).to_string().into_bytes()),
+            ("service", odd_service.to_string().into_bytes()),
+            ("too-large", odd_seq("18446744073709551616")),
+            ("way-too-large", odd_seq("1e400")),
+            ("zero", change("addr", json!("127.0.0.1:0")).to_string().into_bytes()),
+        ];
+        foreign
+            .iter()
+            .for_each(|(id, value)| self.store.overwrite(&format!("servers/{id}"), value));
+        foreign.len()
+    }
+
     fn lock_worker(&self) -> MutexGuard<'_, Worker<DuplicateStarts>> {
         self.worker.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/platform/src/site/config.rs
+++ b/crates/platform/src/site/config.rs
@@ -2,7 +2,7 @@
 //!
 //! Wire types mirror the platform's document and are converted into the scheduler's own types.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use displaydoc::Display;
 use serde::Deserialize;
@@ -19,6 +19,8 @@
     pub routes: Vec<Route>,
     /// Team of each API key.
     pub keys: BTreeMap<Name, Name>,
+    /// Services that workers may belong to. Empty if the configuration doesn't list them.
+    pub services: BTreeSet<Name>,
     /// Limits on requests.
     pub limits: Limits,
 }
@@ -76,6 +78,8 @@
     #[serde(default)]
     routes: Vec<RouteBody>,
     #[serde(default)]
+    services: Vec<ServiceBody>,
+    #[serde(default)]
     limits: Limits,
     #[serde(default)]
     tenants: Vec<TenantBody>,
@@ -118,6 +122,11 @@
     valid_ms: f64,
 }
 
+#[derive(Deserialize)]
+struct ServiceBody {
+    name: Name,
+}
+
 #[derive(Deserialize)]
 struct TenantBody {
     name: Name,
@@ -151,6 +160,13 @@
 }
 
 impl Config {
+    /// Returns whether workers may belong to a service.
+    pub fn has_service(&self, service: &str) -> bool {
+        self.services.is_empty()
+            || self.services.contains(service)
+            || self.catalog.queues.values().any(|queue| &*queue.service == service)
+    }
+
     /// Parses a configuration from JSON.
     ///
     /// # Errors
@@ -160,6 +176,7 @@
         let document: Document = serde_json::from_slice(bytes).map_err(ConfigError)?;
         let mut config = Config { limits: document.limits, ..Config::default() };
         config.catalog.version = document.version;
+        config.services = document.services.into_iter().map(|service| service.name).collect();
         for entry in document.routes {
             config.routes.push(Route {
                 host: entry.host.clone(),
--- a/crates/platform/src/site/entry.rs
+++ b/crates/platform/src/site/entry.rs
@@ -1,15 +1,65 @@
 //! Parses the entries of workers in the store.
 //!
-//! An entry that can't be used yields no worker instead of an error.
+//! An entry may come from another writer. It names no worker then, even if the fields that this
+//! system uses can be read: a call to its address would reach whatever listens there.
 
 use std::net::SocketAddr;
 
-use serde::Deserialize;
+use displaydoc::Display;
+use http::HeaderValue;
+use serde::{Deserialize, Deserializer, de};
 use sycamore_graph::HostEntry;
 use sycamore_types::Name;
 use sycamore_types::resources::Resources;
 
-/// A worker's description of itself.
+use super::row::{MAX_KEY_BYTES, MAX_NUMBER, Object, whole_number};
+
+/// Why an entry names no worker to use.
+#[derive(Debug, Display)]
+#[non_exhaustive]
+pub enum EntryError {
+    /// no call can carry the id
+    Id,
+    /// the entry is malformed: {0}
+    Syntax(serde_json::Error),
+    /// the state {0} is neither ready nor draining
+    State(Name),
+    /// no configuration names the service {0:?}
+    Service(Name),
+    /// nothing can listen on the address {0}
+    Address(SocketAddr),
+}
+
+impl std::error::Error for EntryError {}
+
+impl EntryError {
+    /// Returns the reason in one word, as metrics name it.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            EntryError::Id => "id",
+            EntryError::Syntax(_) => "syntax",
+            EntryError::State(_) => "state",
+            EntryError::Service(_) => "service",
+            EntryError::Address(_) => "address",
+        }
+    }
+}
+
+/// A number that is only checked: neither negative nor too large, whole or not.
+struct Amount;
+
+impl<'de> Deserialize<'de> for Amount {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Amount, D::Error> {
+        let number = f64::deserialize(deserializer)?;
+        if (0.0..=MAX_NUMBER as f64).contains(&number) {
+            Ok(Amount)
+        } else {
+            Err(de::Error::custom(format_args!("the number {number} is out of range")))
+        }
+    }
+}
+
+/// A worker's description of itself. The fields that begin with an underscore are checked only.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct EntryBody {
@@ -20,11 +70,23 @@
     /// Failure domain.
     #[serde(default)]
     zone: Name,
-    capacity: CapacityBody,
+    capacity: Object<CapacityBody>,
     labels: Vec<Name>,
     /// Start of the incarnation, in milliseconds since 1970.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "whole_number")]
     born: u64,
+    #[serde(rename = "version")]
+    _version: Option<Name>,
+    #[serde(rename = "slots")]
+    _slots: Option<Amount>,
+    #[serde(rename = "cold-left-ms")]
+    _cold_left_ms: Option<Amount>,
+    #[serde(rename = "remaining-ms")]
+    _remaining_ms: Option<Amount>,
+    #[serde(rename = "clock-ms")]
+    _clock_ms: Option<Amount>,
+    #[serde(rename = "seq")]
+    _seq: Option<Amount>,
 }
 
 /// Resources of a worker, with CPU in thousandths of a core and memory in MiB.
@@ -39,25 +101,40 @@
 
 /// Parses the entry of the worker `id` into its description and address.
 ///
-/// Returns `None` if the entry is malformed or the worker is neither ready nor draining.
-pub fn parse_worker_entry(id: &str, value: &[u8]) -> Option<(HostEntry, SocketAddr)> {
-    let entry: EntryBody = serde_json::from_slice(value).ok()?;
+/// # Errors
+///
+/// Returns an error if the entry names no worker to use: it is malformed, or the worker is neither
+/// ready nor draining, or can't be called.
+pub fn parse_worker_entry(id: &str, value: &[u8]) -> Result<(HostEntry, SocketAddr), EntryError> {
+    // Each call to the worker names it in a header.
+    if id.is_empty() || id.len() > MAX_KEY_BYTES || HeaderValue::from_str(id).is_err() {
+        return Err(EntryError::Id);
+    }
+    let Object(entry) =
+        serde_json::from_slice::<Object<EntryBody>>(value).map_err(EntryError::Syntax)?;
     let is_draining = match &*entry.state {
         "ready" => false,
         "draining" => true,
-        _ => return None,
+        _ => return Err(EntryError::State(entry.state)),
     };
+    if entry.service.is_empty() {
+        return Err(EntryError::Service(entry.service));
+    }
+    if entry.addr.port() == 0 || entry.addr.ip().is_unspecified() {
+        return Err(EntryError::Address(entry.addr));
+    }
     // The platform puts the worker's kind into the first label and its rack into the second.
     let rack = entry.labels.get(1).cloned().unwrap_or_else(|| Name::from(""));
+    let Object(capacity) = entry.capacity;
     let host = HostEntry {
         id: Name::from(id),
         incarnation: entry.born,
         address: Some(entry.addr),
         service: entry.service,
         capacity: Resources {
-            cpu_millis: entry.capacity.cpu,
-            memory_mib: entry.capacity.mem_mb,
-            accelerators: entry.capacity.gpu,
+            cpu_millis: capacity.cpu,
+            memory_mib: capacity.mem_mb,
+            accelerators: capacity.gpu,
             slots: 0,
             connections: 0,
         },
@@ -66,5 +143,5 @@
         failure_domain: entry.zone,
         is_draining,
     };
-    Some((host, entry.addr))
+    Ok((host, entry.addr))
 }
--- a/crates/platform/src/site/row.rs
+++ b/crates/platform/src/site/row.rs
@@ -8,11 +8,11 @@
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 
-/// Longest key of the store, in bytes.
-const MAX_KEY_BYTES: usize = 200;
+/// Longest key of the store and longest id of a worker, in bytes.
+pub(super) const MAX_KEY_BYTES: usize = 200;
 
 /// Largest whole number that every JSON parser reads exactly. A larger one is a writer's mistake.
-const MAX_NUMBER: u64 = (1 << 53) - 1;
+pub(super) const MAX_NUMBER: u64 = (1 << 53) - 1;
 
 /// A row of a response that can't be read.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/standin/src/fenced/documents.rs
+++ b/crates/standin/src/fenced/documents.rs
@@ -104,6 +104,7 @@
             "service": queue.service, "timeout-ms": 3000, "slo-ms": 1000, "priority": 0,
             "attempts": queue.max_attempts, "slack-factor": 2.0,
         }],
+        "services": [{ "name": queue.service, "admission-control": true, "standby": false }],
         "tenants": teams.iter().map(team).collect::<Vec<Value>>(),
     })
 }
