Draw no conclusion from a start that lies in the future

Cause: an entry whose start is later than that of the worker at its address ends that worker's runs, whatever start it states. One far in the future, of another writer, made the runs of a live worker start a second time.

The bound is wide and drops no entry, so that a wrong clock costs only the early notice of a replaced worker; a poll shows it as well.

--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -14,6 +14,10 @@
 use crate::host::{Host, LogState, Speed};
 use crate::{HostEntry, LossCause, Reading, Record};
 
+/// Most time by which a host's clock may be ahead of this one, in milliseconds. A host that states a
+/// later start hasn't taken another one's address: its entry has another writer.
+const MAX_CLOCK_LEAD_MS: u64 = 24 * 3_600_000;
+
 impl Engine {
     pub(super) fn update_host_list(&mut self, entries: Vec<HostEntry>) {
         let listed: BTreeMap<Name, u64> =
@@ -47,7 +51,9 @@
     /// Ends the runs of hosts whose address belongs to a host that started later. A poll would show
     /// that only while the later one is up.
     fn lose_replaced_hosts(&mut self, entries: &[HostEntry]) {
-        let mut by_start: Vec<&HostEntry> = entries.iter().collect();
+        let latest_ms = self.now.unix_ms.saturating_add(MAX_CLOCK_LEAD_MS);
+        let has_started = |entry: &&HostEntry| entry.incarnation <= latest_ms;
+        let mut by_start: Vec<&HostEntry> = entries.iter().filter(has_started).collect();
         by_start.sort_unstable_by_key(|entry| entry.incarnation);
         let newest: FxHashMap<SocketAddr, &HostEntry> =
             by_start.into_iter().filter_map(|entry| Some((entry.address?, entry))).collect();
--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod evacuation;
 mod fixture;
+mod foreign_entries;
 mod fuzz;
 mod gangs;
 mod jobs;
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -37,7 +37,7 @@
 const STORE_RETRY_MS: u64 = 100;
 
 /// Wall clock at the start of the simulation, in milliseconds since 1970.
-const START_UNIX_MS: u64 = 1_000_000;
+pub const START_UNIX_MS: u64 = 1_000_000;
 
 fn reading(entry: &HostEntry, written_ms: u64) -> Reading {
     Reading { host: entry.id.clone(), incarnation: entry.incarnation, written_ms }
@@ -91,6 +91,8 @@
     pub finished_ms: BTreeMap<Id, u64>,
     pub answers: BTreeMap<u64, Answer>,
     pub timing: Timing,
+    /// Further entries of the list, which another writer has left.
+    pub foreign_entries: Vec<HostEntry>,
     /// Entries of the last list that the engine received.
     listed: BTreeMap<Name, HostEntry>,
     /// Failure domains that are evacuated, which a new owner reads before it places tasks.
@@ -148,6 +150,7 @@
             finished_ms: BTreeMap::new(),
             answers: BTreeMap::new(),
             timing,
+            foreign_entries: Vec::new(),
             listed: BTreeMap::new(),
             evacuated: BTreeSet::new(),
             losses: Vec::new(),
@@ -197,7 +200,8 @@
             (worker.is_alive || worker.back_ms.is_some()) && !worker.is_unreachable
         };
         let listed = self.workers.iter().filter(is_listed);
-        let entries: Vec<HostEntry> = listed.map(|worker| worker.entry.clone()).collect();
+        let mut entries: Vec<HostEntry> = listed.map(|worker| worker.entry.clone()).collect();
+        entries.extend(self.foreign_entries.iter().cloned());
         self.handle(Event::Listed(entries.clone()));
         self.listed = entries.iter().map(|entry| (entry.id.clone(), entry.clone())).collect();
         self.handle(Event::Dated(
