Take an owner record whose epoch no claim has reached for a foreign one

Cause: a record with a very high epoch left the next owner no higher one: the counter overflowed, and workers refuse lower fencing tokens.

Change: an epoch above the record's revision can't be the result of claims, each of which raises both. Such a record counts as vacant at its revision, as one that can't be decoded does.

Measured: `an_epoch_that_no_claim_has_reached_is_not_continued` fails before and passes now; deeply nested records counted as vacant before as well.

--- a/crates/node/src/ownership/owner_record.rs
+++ b/crates/node/src/ownership/owner_record.rs
@@ -37,23 +37,23 @@
 
     /// Reads the record and its revision, which is 0 if there is no record.
     ///
-    /// A record that can't be decoded counts as vacant. Its revision stands in for its epoch:
-    /// each claim raises the store's revision by at least one and the epoch by one, so that no
-    /// earlier owner has a higher fencing token.
+    /// A record that can't be decoded, or has another writer, counts as vacant. Its revision stands
+    /// in for its epoch: each claim raises the store's revision by at least one and the epoch by
+    /// one, so that no earlier owner has a higher fencing token.
     pub async fn read(store: &Store) -> Result<(Option<OwnerRecord>, u64), StoreError> {
         let Some(item) = store.get(OWNER_KEY, OWNER_RECORD_TIMEOUT).await? else {
             return Ok((None, 0));
         };
-        match serde_json::from_slice(&item.value) {
-            Ok(record) => Ok((Some(record), item.rev)),
-            Err(error) => {
-                log::error!(target: "sycamore_node::lead::claim", error:%; "can't decode the owner record");
-                Ok((Some(OwnerRecord::undecodable(item.rev)), item.rev))
-            }
-        }
+        let error = match serde_json::from_slice::<OwnerRecord>(&item.value) {
+            Ok(record) if record.epoch <= item.rev => return Ok((Some(record), item.rev)),
+            Ok(record) => format!("no claim can have reached epoch {}", record.epoch),
+            Err(error) => error.to_string(),
+        };
+        log::error!(target: "sycamore_node::lead::claim", error; "can't use the owner record");
+        Ok((Some(OwnerRecord::unusable(item.rev)), item.rev))
     }
 
-    fn undecodable(rev: u64) -> OwnerRecord {
+    fn unusable(rev: u64) -> OwnerRecord {
         let address = SocketAddr::from(([0, 0, 0, 0], 0));
         let host = Name::from("");
         OwnerRecord { epoch: rev, host, address, nonce: 0, is_vacant: true, is_weak: false }
