Search for a free port without listening on it

Cause: a reservation listened on the port for a moment. A process that another thread was starting just then had a copy of that listener until it ran its program, so that the process that the port was meant for found its address in use.

Change: the probe is bound with SO_REUSEADDR and doesn't listen. It still fails beside a listener (`port_in_use`), and a copy of it is in nobody's way.

--- a/crates/standin/src/ports/mod.rs
+++ b/crates/standin/src/ports/mod.rs
@@ -10,10 +10,12 @@
 //! away; a port that is in use when it is to be reserved is passed over.
 
 use std::io::{Error, ErrorKind, Result};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
 use std::ops::Range;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use tokio::net::TcpSocket;
+
 /// File in which the kernel states the first and last port that it gives to sockets without
 /// a fixed one.
 const EPHEMERAL_RANGE_FILE: &str = "/proc/sys/net/ipv4/ip_local_port_range";
@@ -55,8 +57,12 @@
 
     fn lock(number: u16) -> Option<Port> {
         let lock = UdpSocket::bind((Ipv4Addr::LOCALHOST, number)).ok()?;
-        // Fails while a process still listens on the port, on any address.
-        TcpListener::bind((Ipv4Addr::UNSPECIFIED, number)).ok()?;
+        // Fails while a process still listens on the port, on any address. The probe doesn't listen:
+        // a process that another thread is starting has a copy of it until it runs its program,
+        // and only a copy that listens keeps the port's process from binding it.
+        let probe = TcpSocket::new_v4().ok()?;
+        probe.set_reuseaddr(true).ok()?;
+        probe.bind((Ipv4Addr::UNSPECIFIED, number).into()).ok()?;
         Some(Port { number, _lock: lock })
     }
 
