Guard the reading of evacuations against odd rows and names

Cause: what another writer or a faulty store leaves under `op/evacuate/` was not covered by a test. Values there are not parsed, so that nesting can't hurt.

Change: tests of odd names, of a deeply nested value and of rows that are not base64, in a reading and in a watch; the stand-in's store can corrupt a row.

--- a/crates/node/src/config/tests/evacuations.rs
+++ b/crates/node/src/config/tests/evacuations.rs
@@ -260,3 +260,33 @@
     assert_eq!(revision, Some(30));
     assert_eq!(known(&evacuations).len(), 30);
 }
+
+/// Failure: a value that can't be read, or a domain whose name a URL can't hold, kept processes
+/// from reading the other evacuations. The key alone evacuates the domain.
+#[tokio::test]
+async fn a_reading_holds_whatever_the_values_and_names_are() {
+    let (store, client) = start_store().await;
+    store.set_max_page_items(1);
+    ["a", "b c&d", "e\u{e9}", "f"].iter().for_each(|domain| store.evacuate(domain));
+    store.overwrite("op/evacuate/g", "[".repeat(100_000).as_bytes());
+    store.corrupt_row("op/evacuate/h");
+    let evacuations = evacuations();
+
+    evacuations.read(&client).await.expect("a reading");
+
+    assert_eq!(known(&evacuations), ["a", "b c&d", "e\u{e9}", "f", "g", "h"]);
+}
+
+/// Failure: a change that can't be read hid that a domain is evacuated, or ended each later watch.
+#[tokio::test]
+async fn a_change_that_cannot_be_read_is_read_again() {
+    let (store, configs) = follow(Configs::new(Meters::new()).with_evacuations()).await;
+
+    store.corrupt_row("op/evacuate/a");
+    expect_known(&configs, &["a"]).await;
+    store.evacuate("b");
+    expect_known(&configs, &["a", "b"]).await;
+    store.end_evacuation("a");
+
+    expect_known(&configs, &["b"]).await;
+}
--- a/crates/standin/src/fenced/store.rs
+++ b/crates/standin/src/fenced/store.rs
@@ -133,6 +133,11 @@
         self.state().kv.put(key, &STANDARD.encode(value));
     }
 
+    /// Makes the row of a key one whose value is not base64, as a faulty store would.
+    pub fn corrupt_row(&self, key: &str) {
+        self.state().kv.put(key, "?");
+    }
+
     fn put(&self, key: &str, document: &Value) {
         self.state().kv.put(key, &STANDARD.encode(document.to_string()));
     }
