--- a/crates/node/examples/executor_cost.rs
+++ b/crates/node/examples/executor_cost.rs
@@ -169,11 +169,11 @@
             for item in &page.items {
                 bytes += item.key.len() + item.value.len();
                 let parsed = site::parse_worker_entry(&item.key, &item.value);
-                entries += usize::from(parsed.is_some());
+                entries += usize::from(parsed.is_ok());
             }
-            match page.items.last() {
-                Some(last) if page.more_pages => after = last.key.clone(),
-                _ => break,
+            match page.next {
+                Some(next) => after = next,
+                None => break,
             }
         }
     }
--- a/crates/node/src/owner/tests/mod.rs
+++ b/crates/node/src/owner/tests/mod.rs
@@ -1,4 +1,5 @@
 //! Tests of single parts of the owner.
 
 mod evacuation;
+mod skipped;
 mod write_timeout;
--- a/crates/platform/src/site/mod.rs
+++ b/crates/platform/src/site/mod.rs
@@ -8,6 +8,7 @@
 mod config;
 mod entry;
 mod job;
+mod row;
 mod settings;
 mod store;
 mod task;
@@ -16,8 +17,9 @@
 
 pub use advice::AdviceClient;
 pub use config::{Config, ConfigError, Limits, Route};
-pub use entry::parse_worker_entry;
+pub use entry::{EntryError, parse_worker_entry};
 pub use job::{JobError, parse_job, render_count, render_state};
+pub use row::MalformedRow;
 pub use settings::{Settings, SettingsError};
 pub use store::{Item, Page, Store, StoreError, Transaction, WatchResponse};
 pub use worker::{CallOutcome, WorkerClient, WorkerConnections};
--- a/crates/platform/tests/site/main.rs
+++ b/crates/platform/tests/site/main.rs
@@ -3,5 +3,7 @@
 mod config;
 mod connections;
 mod job;
+mod responder;
 mod settings;
+mod store;
 mod worker;
--- a/crates/standin/src/fenced/store.rs
+++ b/crates/standin/src/fenced/store.rs
@@ -133,6 +133,11 @@
         self.state().kv.put(key, &STANDARD.encode(value));
     }
 
+    /// Makes the row of a key one whose value is not base64, as a faulty store would.
+    pub fn corrupt_row(&self, key: &str) {
+        self.state().kv.put(key, "?");
+    }
+
     fn put(&self, key: &str, document: &Value) {
         self.state().kv.put(key, &STANDARD.encode(document.to_string()));
     }
@@ -175,7 +180,7 @@
     let (mode, calls, is_refused) = {
         let mut state = lock(&state);
         state.calls += 1;
-        let is_refused = prefix.is_some() && state.refused_prefix.as_deref() == prefix;
+        let is_refused = prefix.is_some() && state.refused_prefix.as_deref() == prefix.as_deref();
         (state.mode, state.calls, is_refused)
     };
     if is_refused {
@@ -212,11 +217,11 @@
     let parameter = |name| query_parameter(query_string, name).unwrap_or_default();
     let number = |name| parameter(name).parse::<u64>().unwrap_or(0);
     Some(match call {
-        "kv-key" => kv.get(parameter("key")),
-        "kv-range" => kv.range(parameter("prefix"), parameter("after")),
+        "kv-key" => kv.get(&parameter("key")),
+        "kv-range" => kv.range(&parameter("prefix"), &parameter("after")),
         "kv-txn" => kv.commit(body),
         "kv-watch" => {
-            let (status, reply) = kv.changes(parameter("prefix"), number("after"));
+            let (status, reply) = kv.changes(&parameter("prefix"), number("after"));
             let is_empty = reply["events"].as_array().is_some_and(Vec::is_empty);
             if is_empty && waited < Duration::from_millis(number("wait-ms")) {
                 return None;
