Test that a host without advice starves no step

Change: a stand-in of the advice service, and tests of three processes of which the first by name is refused by it, cut off, not answered, without it in its settings, or answered about other workers; the last one kills all processes and starts them again.

--- a/crates/node/examples/executor_cost.rs
+++ b/crates/node/examples/executor_cost.rs
@@ -66,6 +66,7 @@
             seeds: Vec::new(),
             caller_address: callers,
             store_address: store,
+            advice_address: None,
             grace_s: 6,
             cores: 1.0,
             link_mbps: 1_000.0,
--- a/crates/node/src/owner/executors/tests/session.rs
+++ b/crates/node/src/owner/executors/tests/session.rs
@@ -84,6 +84,7 @@
         seeds: Vec::new(),
         caller_address: unused,
         store_address: unused,
+        advice_address: None,
         grace_s: 6,
         cores: 1.0,
         link_mbps: 100.0,
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -75,6 +75,13 @@
         }
     }
 
+    /// Makes all queues need advice, whose calls take this many milliseconds.
+    pub fn require_advice(&self, call_ms: u64) {
+        let mut config = fenced::with_advice(config(), call_ms, 0);
+        config["version"] = 2.into();
+        self.store.configure(&config);
+    }
+
     /// Starts the worker again under another id, at the same address, if a task has crashed it.
     pub async fn restart_crashed_worker(&self) {
         if !self.lock_worker().has_crashed() {
@@ -118,6 +125,13 @@
         self.store.end_evacuation("a");
     }
 
+    /// Returns whether a task of a job has started on the worker and has not been cut off.
+    pub fn has_started(&self, job: &str) -> bool {
+        let started = &self.duplicate_starts.started_tasks;
+        let started = started.lock().unwrap_or_else(PoisonError::into_inner);
+        started.iter().any(|task| task.starts_with(job))
+    }
+
     /// Returns the times of all starts on the worker.
     pub fn start_times(&self) -> Vec<Instant> {
         self.duplicate_starts.times.lock().unwrap_or_else(PoisonError::into_inner).clone()
--- a/crates/node/tests/path/process.rs
+++ b/crates/node/tests/path/process.rs
@@ -41,6 +41,8 @@
     pub link_mbps: f64,
     /// Address at which the process reaches the store.
     pub store: SocketAddr,
+    /// Address at which the process reaches the advice service, if it has one.
+    pub advice: Option<SocketAddr>,
     /// Time after which no task starts in an evacuated failure domain, in milliseconds.
     pub evacuation_ms: Option<u64>,
 }
@@ -48,7 +50,7 @@
 impl Host<'_> {
     /// A host that may own at once.
     pub fn strong(name: &str, store: SocketAddr) -> Host<'_> {
-        Host { name, cores: 1.0, link_mbps: 1_000.0, store, evacuation_ms: None }
+        Host { name, cores: 1.0, link_mbps: 1_000.0, store, advice: None, evacuation_ms: None }
     }
 }
 
@@ -75,6 +77,7 @@
             seeds: Vec::new(),
             caller_address: callers,
             store_address: host.store,
+            advice_address: host.advice,
             grace_s: 6,
             cores: host.cores,
             link_mbps: host.link_mbps,
--- a/crates/soak/src/round.rs
+++ b/crates/soak/src/round.rs
@@ -122,6 +122,7 @@
             seeds: others.map(host_address).collect(),
             caller_address: listen_address,
             store_address: link.address,
+            advice_address: None,
             grace_s: STOP_GRACE_S,
             cores: HOST_CORES,
             link_mbps: usual_link.mbps(),
--- a/crates/standin/src/fenced/documents.rs
+++ b/crates/standin/src/fenced/documents.rs
@@ -13,6 +13,9 @@
 /// Header that states how long a caller waits for the response, in milliseconds.
 pub const DEADLINE_HEADER: &str = "sycamorechute-deadline-ms";
 
+/// Lifetime of a ticket of the advice service, in milliseconds.
+const TICKET_MS: u64 = 1_500;
+
 /// Step of a job.
 #[derive(Clone, Debug, Default)]
 pub struct Step {
@@ -67,6 +70,8 @@
     pub caller_address: SocketAddr,
     /// Address of the store.
     pub store_address: SocketAddr,
+    /// Address of the advice service. `None` leaves the host without one.
+    pub advice_address: Option<SocketAddr>,
     /// Time from SIGTERM to SIGKILL, in seconds.
     pub grace_s: u32,
     /// CPU capacity of the host, in cores.
@@ -129,15 +134,27 @@
     config
 }
 
+/// Makes all queues of a configuration need advice, whose calls take `base_ms` and `per_host_ms` more
+/// for each worker named, in milliseconds.
+pub fn with_advice(mut config: Value, base_ms: u64, per_host_ms: u64) -> Value {
+    for queue in config["routes"].as_array_mut().into_iter().flatten() {
+        queue["hint"] = json!({
+            "decide-ms": base_ms, "per-item-ms": per_host_ms, "valid-ms": TICKET_MS,
+        });
+    }
+    config
+}
+
 /// Builds the text of the settings file of a process.
 pub fn settings(process: &ProcessSettings) -> String {
     // `sycamore-node` uses only the IP address of a seed and the first internal port. The other
     // ports are placeholders.
     let seeds: Vec<String> = process.seeds.iter().map(|seed| format!("\"{seed}:1\"")).collect();
     let evacuation = process.evacuation_ms.map(|ms| format!("evac-ms = {ms}\n"));
+    let advice = process.advice_address.map(|address| address.to_string()).unwrap_or_default();
     format!(
         "node = \"{}\"\nip = \"{}\"\nzone = \"a\"\ninternal-ports = [{}, 1]\nseeds = [{}]\n\
-         [listen]\nfront = \"{}\"\n[bounds]\nhold-max-ms = 6000\ngrace-s = {}\n{}\
+         hint = \"{advice}\"\n[listen]\nfront = \"{}\"\n[bounds]\nhold-max-ms = 6000\ngrace-s = {}\n{}\
          [limits]\ncpu-share = {:?}\nlink-mbps = {:?}\n[platform]\naddr = \"{}\"\n",
         process.host,
         process.address,
--- a/crates/standin/src/fenced/mod.rs
+++ b/crates/standin/src/fenced/mod.rs
@@ -1,10 +1,11 @@
-//! Simulated platform of `sycamore-node`: a store with compare-and-swap, and workers that check
-//! fencing tokens and list what they run.
+//! Simulated platform of `sycamore-node`: a store with compare-and-swap, workers that check
+//! fencing tokens and list what they run, and an advice service.
 //!
 //! The servers implement the guarantees that the scheduler relies on and refuse nothing else: a
 //! worker starts every task that a valid request names, even beyond its capacity. An [`Observer`]
 //! receives what the workers do, so that a test can find violations.
 
+mod advice;
 mod documents;
 mod kv;
 mod store;
@@ -12,9 +13,10 @@
 
 use std::fmt::Debug;
 
+pub use advice::{Advice, AdviceMode};
 pub use documents::{
     DEADLINE_HEADER, KEY_HEADER, ProcessSettings, Queue, Step, Team, config, job, settings,
-    with_queues,
+    with_advice, with_queues,
 };
 pub use store::{Mode, Store};
 pub use worker::{Capacity, Worker};
