--- a/crates/node/src/owner/tests/mod.rs
+++ b/crates/node/src/owner/tests/mod.rs
@@ -1,4 +1,5 @@
 //! Tests of single parts of the owner.
 
+mod advice;
 mod evacuation;
 mod write_timeout;
