Pass over hosts whose calls for advice fail

Cause: a failed call was repeated through the first free host by name, for as long as that host failed; at a low load all calls went through it. With three hosts, only the last one makes long calls, so that steps that need these never started beside it if it failed. Change: a host whose call failed is passed over for 0.25 to 4 s, doubling until it answers, if others are left. The length classes are spread over the others meanwhile. Among the hosts of a class the one whose last call is longest ago is next, those that have failed come last. An answer after a failure ends all pauses, so that one host need not make all calls after an outage. Calls that wait are given out when hosts come, too (every 250 ms).

--- a/crates/node/src/backoff.rs
+++ b/crates/node/src/backoff.rs
@@ -23,10 +23,15 @@
         self.next = self.first;
     }
 
+    /// Returns the next delay and doubles the one after it.
+    pub fn next_delay(&mut self) -> Duration {
+        let delay = rand::rng().random_range(self.next / 2..=self.next);
+        self.next = (self.next * 2).min(self.last);
+        delay
+    }
+
     /// Sleeps for the next delay and doubles the one after it.
     pub async fn pause(&mut self) {
-        let pause = rand::rng().random_range(self.next / 2..=self.next);
-        self.next = (self.next * 2).min(self.last);
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(self.next_delay()).await;
     }
 }
--- a/crates/node/src/owner/advice/assigner.rs
+++ b/crates/node/src/owner/advice/assigner.rs
@@ -1,14 +1,28 @@
 //! Decides which host makes which call for advice. It makes no calls itself.
 //!
-//! Short calls must not queue behind long ones. Each host therefore serves one length class first
-//! and otherwise only shorter calls, which end soon.
+//! - Short calls must not queue behind long ones. Each host serves one length class first and
+//!   otherwise only shorter calls, which end soon.
+//! - A host whose call failed is passed over for a time that doubles with each further failure,
+//!   so that the retry of a step goes through another host. The classes are spread over the other
+//!   hosts meanwhile: the only host for long calls may be the one that fails.
+//! - Among hosts of one class, the one whose last call began first is next.
 
 use std::collections::VecDeque;
+use std::time::{Duration, Instant};
 
-use rustc_hash::FxHashSet;
+use rustc_hash::FxHashMap;
 use sycamore_graph::{Advise, CallClass};
 use sycamore_types::Name;
 
+use crate::backoff::Backoff;
+
+/// Time for which a host is passed over after its first failed call, at most. Half of it exceeds
+/// the engine's pause of 100 ms before a retry.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest time for which a host is passed over, at most.
+const LAST_PAUSE: Duration = Duration::from_secs(4);
+
 /// Fraction of the hosts that serve short calls only.
 const SHORT_ONLY_FRACTION: f64 = 0.25;
 
@@ -29,6 +43,30 @@
     }
 }
 
+/// How a host's call ended, as far as it concerns the host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(in crate::owner) enum CallEnd {
+    Answered,
+    /// The call failed, and another host may have more success with it.
+    Failed,
+}
+
+/// What the calls of a host have shown.
+#[derive(Debug, Default)]
+struct Record {
+    is_busy: bool,
+    /// Number of its last call among all calls. 0 before the first.
+    last_call: u64,
+    /// Set from a failed call until an answered one.
+    failure: Option<Failure>,
+}
+
+#[derive(Debug)]
+struct Failure {
+    passed_over_until: Instant,
+    backoff: Backoff,
+}
+
 /// A host that may be given calls.
 #[derive(Clone, Copy, Debug)]
 struct Server<'a> {
@@ -55,13 +93,14 @@
 
 /// Calls that wait for a host, and the hosts that calls were given to.
 ///
-/// `live` are the names of all hosts that can be called, in order.
+/// Times are passed in. `live` are the names of all hosts that can be called, in order.
 #[derive(Debug, Default)]
 pub(in crate::owner) struct Assigner {
     /// Calls that wait for a host, by class.
     waiting: [VecDeque<Advise>; CallClass::COUNT],
-    /// Hosts with a call in flight.
-    busy: FxHashSet<Name>,
+    records: FxHashMap<Name, Record>,
+    /// Number of calls given to hosts so far.
+    calls: u64,
 }
 
 impl Assigner {
@@ -70,21 +109,46 @@
     }
 
     /// Marks a host as free again.
-    pub fn on_call_ended(&mut self, host: &Name) {
-        self.busy.remove(host);
+    pub fn on_call_ended(&mut self, host: &Name, end: CallEnd, now: Instant) {
+        let Some(record) = self.records.get_mut(host) else { return };
+        record.is_busy = false;
+        match end {
+            CallEnd::Answered => {
+                // What ended may have been an outage of the service for all hosts. The first
+                // host that answers would otherwise have to make all calls for a while.
+                if record.failure.take().is_some() {
+                    self.end_pauses(now);
+                }
+            }
+            CallEnd::Failed => {
+                let failure = record.failure.get_or_insert_with(|| Failure {
+                    passed_over_until: now,
+                    backoff: Backoff::new(FIRST_PAUSE, LAST_PAUSE),
+                });
+                failure.passed_over_until = now + failure.backoff.next_delay();
+            }
+        }
     }
 
     /// Takes the calls that can be made now, each with the host that is to make it.
-    pub fn assign(&mut self, live: &[Name]) -> Vec<(Name, Advise)> {
+    pub fn assign(&mut self, live: &[Name], now: Instant) -> Vec<(Name, Advise)> {
+        self.records.retain(|name, record| record.is_busy || live.binary_search(name).is_ok());
+        let mut free = self.servers(live, now);
+        free.retain(|server| !self.records.get(server.name).is_some_and(|record| record.is_busy));
+        free.sort_by_key(|server| {
+            let record = self.records.get(server.name);
+            let has_failed = record.is_some_and(|record| record.failure.is_some());
+            (has_failed, server.longest, record.map_or(0, |record| record.last_call))
+        });
         let mut assigned = Vec::new();
-        for server in servers(live) {
-            if self.busy.contains(server.name) {
-                continue;
-            }
+        for server in free {
             let mut classes = server.classes().iter();
             let next = classes.find_map(|class| self.waiting[*class as usize].pop_front());
             let Some(advise) = next else { continue };
-            self.busy.insert(server.name.clone());
+            self.calls += 1;
+            let record = self.records.entry(server.name.clone()).or_default();
+            record.is_busy = true;
+            record.last_call = self.calls;
             assigned.push((server.name.clone(), advise));
         }
         assigned
@@ -92,20 +156,35 @@
 
     /// Returns how many calls of each class may be in flight: one more than hosts serve. The
     /// extra call waits here, so that a host that becomes free has its next call at once.
-    pub fn concurrency(&self, live: &[Name]) -> [u32; CallClass::COUNT] {
-        let servers = servers(live);
+    pub fn concurrency(&self, live: &[Name], now: Instant) -> [u32; CallClass::COUNT] {
+        let servers = self.servers(live, now);
         CallClass::ALL
             .map(|class| servers.iter().filter(|server| server.serves(class)).count() as u32 + 1)
     }
-}
 
-/// Returns the hosts, each with the longest class that it serves. Fewer hosts than classes serve
-/// all.
-fn servers(live: &[Name]) -> Vec<Server<'_>> {
-    let count = live.len();
-    let longest = |at: usize| {
-        (count >= CallClass::COUNT).then(|| longest_class_at((at as f64 + 0.5) / count as f64))
-    };
-    let names = live.iter().enumerate();
-    names.map(|(at, name)| Server { name, longest: longest(at) }).collect()
+    /// Returns the hosts that are not passed over, or all if there is no other, each with the
+    /// longest class that it serves. Fewer hosts than classes serve all.
+    fn servers<'a>(&self, live: &'a [Name], now: Instant) -> Vec<Server<'a>> {
+        let is_usable = |name: &&Name| !self.is_passed_over(name, now);
+        let mut names: Vec<&Name> = live.iter().filter(is_usable).collect();
+        if names.is_empty() {
+            names.extend(live);
+        }
+        let count = names.len();
+        let longest = |at: usize| {
+            (count >= CallClass::COUNT).then(|| longest_class_at((at as f64 + 0.5) / count as f64))
+        };
+        let names = names.into_iter().enumerate();
+        names.map(|(at, name)| Server { name, longest: longest(at) }).collect()
+    }
+
+    fn end_pauses(&mut self, now: Instant) {
+        let failures = self.records.values_mut().filter_map(|record| record.failure.as_mut());
+        failures.for_each(|failure| failure.passed_over_until = now);
+    }
+
+    fn is_passed_over(&self, host: &Name, now: Instant) -> bool {
+        let failure = self.records.get(host).and_then(|record| record.failure.as_ref());
+        failure.is_some_and(|failure| now < failure.passed_over_until)
+    }
 }
--- a/crates/node/src/owner/advice/mod.rs
+++ b/crates/node/src/owner/advice/mod.rs
@@ -16,7 +16,7 @@
 use sycamore_wire::ConnectionKind;
 use tokio::sync::mpsc;
 
-pub(super) use assigner::Assigner;
+pub(super) use assigner::{Assigner, CallEnd};
 
 use super::Handle;
 use crate::clock::millis;
@@ -24,6 +24,9 @@
 use crate::peer::{Command, Reply};
 use crate::timing::ADVICE_MARGIN;
 
+/// A call that has ended: the host that made it, and how it ended.
+pub(super) type EndedCall = (Name, CallEnd);
+
 /// Queues calls for advice and assigns them to free hosts.
 #[derive(Debug)]
 pub(super) struct AdviceDispatcher {
@@ -32,16 +35,15 @@
     assigner: Assigner,
     /// Concurrent calls last reported to the engine, by class.
     concurrency: [u32; CallClass::COUNT],
-    /// Sends the host of each call that ended.
-    ended_calls: mpsc::UnboundedSender<Name>,
+    ended_calls: mpsc::UnboundedSender<EndedCall>,
 }
 
 impl AdviceDispatcher {
-    /// Also returns the channel of hosts whose call ended, for [`Self::on_call_ended`].
+    /// Also returns the channel of calls that ended, for [`Self::on_call_ended`].
     pub fn new(
         node: Arc<Node>,
         handle: Handle,
-    ) -> (AdviceDispatcher, mpsc::UnboundedReceiver<Name>) {
+    ) -> (AdviceDispatcher, mpsc::UnboundedReceiver<EndedCall>) {
         let (ended_calls, received) = mpsc::unbounded_channel();
         let assigner = Assigner::default();
         let concurrency = [0; CallClass::COUNT];
@@ -54,8 +56,8 @@
     }
 
     /// Marks a host as free again.
-    pub fn on_call_ended(&mut self, host: &Name) {
-        self.assigner.on_call_ended(host);
+    pub fn on_call_ended(&mut self, (host, end): &EndedCall) {
+        self.assigner.on_call_ended(host, *end, Instant::now());
         self.dispatch();
     }
 
@@ -67,18 +69,21 @@
         hosts
     }
 
-    /// Reports to the engine how many calls of each class it may have in flight.
-    pub fn update_concurrency(&mut self) {
-        let concurrency = self.assigner.concurrency(&names(&self.hosts()));
+    /// Reports to the engine how many calls of each class it may have in flight, and makes the
+    /// calls that wait for a host that has come or is no longer passed over.
+    pub fn update(&mut self) {
+        let hosts = self.hosts();
+        let concurrency = self.assigner.concurrency(&names(&hosts), Instant::now());
         if concurrency != self.concurrency {
             self.concurrency = concurrency;
             self.handle.send(Event::AdviceConcurrency(concurrency));
         }
+        self.dispatch();
     }
 
     fn dispatch(&mut self) {
         let hosts = self.hosts();
-        for (name, advise) in self.assigner.assign(&names(&hosts)) {
+        for (name, advise) in self.assigner.assign(&names(&hosts), Instant::now()) {
             if let Some((_, address)) = hosts.iter().find(|(host, _)| *host == name) {
                 self.call(name, *address, advise);
             }
@@ -96,6 +101,7 @@
             } else {
                 ask_peer(&node, address, &advise, timeout).await
             };
+            let end = if allowed.is_some() { CallEnd::Answered } else { CallEnd::Failed };
             let outcome = if allowed.is_some() { "answered" } else { "failed" };
             node.meters.advice.with_label_values(&[outcome]).inc();
             let spent_ms = millis(started.elapsed());
@@ -112,7 +118,7 @@
             let Advise { step, class, hosts: asked, .. } = advise;
             handle.send(Event::Advised { step, class, asked, allowed, issued_ms });
             // Without a receiver the owner has ended.
-            let _ = ended_calls.send(host);
+            let _ = ended_calls.send((host, end));
         });
     }
 }
--- a/crates/node/src/owner/execute.rs
+++ b/crates/node/src/owner/execute.rs
@@ -15,7 +15,7 @@
 use super::records::{DecisionRecorder, HEAD_CHECK_INTERVAL, write_heads};
 use super::{EndReason, Handle};
 use crate::node::Node;
-use crate::timing::ADVICE_CONCURRENCY_INTERVAL;
+use crate::timing::ADVICE_UPDATE_INTERVAL;
 
 /// Carries out the engine's actions until this process is no longer the owner.
 pub(super) async fn run(
@@ -37,11 +37,11 @@
     let calls = Calls::new(node.clone(), handle.clone(), fenced.clone());
     let (mut executors, mut notices) = Executors::new(calls, executors::min_workers());
     let mut executor_update = tokio::time::interval(executors::UPDATE_INTERVAL);
-    let mut concurrency_check = tokio::time::interval(ADVICE_CONCURRENCY_INTERVAL);
+    let mut advice_update = tokio::time::interval(ADVICE_UPDATE_INTERVAL);
     let mut head_check = tokio::time::interval(HEAD_CHECK_INTERVAL);
     loop {
         tokio::select! {
-            _ = concurrency_check.tick() => advice.update_concurrency(),
+            _ = advice_update.tick() => advice.update(),
             _ = executor_update.tick() => executors.update(),
             notice = notices.recv() => {
                 if let Some(notice) = notice {
@@ -55,9 +55,9 @@
             }
             () = &mut journal => return EndReason::Deposed,
             () = fenced.notified() => return EndReason::Fenced,
-            host = ended_calls.recv() => {
-                if let Some(host) = host {
-                    advice.on_call_ended(&host);
+            ended = ended_calls.recv() => {
+                if let Some(ended) = ended {
+                    advice.on_call_ended(&ended);
                 }
             }
             action = actions.recv() => match action {
--- a/crates/node/src/owner/tests/advice.rs
+++ b/crates/node/src/owner/tests/advice.rs
@@ -5,14 +5,7 @@
 use sycamore_graph::{Advise, CallClass, StepId, job};
 use sycamore_types::Name;
 
-use super::super::advice::Assigner;
-
-/// How a call ends. Not used yet.
-#[derive(Clone, Copy)]
-enum CallEnd {
-    Answered,
-    Failed,
-}
+use super::super::advice::{Assigner, CallEnd};
 
 /// The engine's pause before it repeats a failed call, and the wait for its next pass.
 const RETRY: Duration = Duration::from_millis(110);
@@ -38,12 +31,12 @@
 
     /// Assigns the waiting calls. Returns the numbers of their hosts.
     fn assign(&mut self) -> Vec<usize> {
-        let assigned = self.assigner.assign(&self.live);
+        let assigned = self.assigner.assign(&self.live, self.now);
         assigned.iter().map(|(name, _)| number(name)).collect()
     }
 
-    fn end(&mut self, host: usize, _end: CallEnd) {
-        self.assigner.on_call_ended(&self::host(host));
+    fn end(&mut self, host: usize, end: CallEnd) {
+        self.assigner.on_call_ended(&self::host(host), end, self.now);
     }
 
     /// Makes a call, and returns the number of its host, whose call ends like that.
--- a/crates/node/src/timing.rs
+++ b/crates/node/src/timing.rs
@@ -125,8 +125,8 @@
 /// Interval at which the settings file is checked for changes that no signal announced.
 pub(crate) const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Interval at which the owner recomputes how many advice calls can run at once.
-pub(crate) const ADVICE_CONCURRENCY_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which the owner looks which hosts can make calls for advice.
+pub(crate) const ADVICE_UPDATE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time for which the store has to reply to a process before it takes over from an owner that
 /// says that it can't reach the store. After an outage the owner notices the store's return up
