Say why a call for advice failed, and count failures by cause

Cause: a failed call's line told through whom, but not why; the reason stayed on the host that made the call, at debug level. Change: the client and the process that makes a call return a typed failure, and a new reply between processes carries it to the owner, whose advice line has cause and error; the counter advice_failures_total has the cause. An older process can't decode the reply and counts the call as failed, as before. A peer has 100 ms less than the owner waits, so that it can report a time-out. Status 400 is about the call and does not count against the host.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -52,6 +52,8 @@
     pub start_wait_s: HistogramVec,
     /// Calls to the advice service, by outcome.
     pub advice: IntCounterVec,
+    /// Failed calls to the advice service, by cause.
+    pub advice_failures: IntCounterVec,
     /// Log writes, by outcome.
     pub log_writes: IntCounterVec,
     /// Time until a page of the log is durable.
@@ -124,6 +126,11 @@
                 &BUCKETS,
             ),
             advice: all.counters("advice_total", "Calls for advice.", &["outcome"]),
+            advice_failures: all.counters(
+                "advice_failures_total",
+                "Failed calls for advice.",
+                &["cause"],
+            ),
             log_writes: all.counters("log_writes_total", "Writes of the log.", &["outcome"]),
             log_write_s: all.histograms(
                 "log_write_seconds",
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,7 +19,7 @@
 use crate::metrics::Meters;
 use crate::options::Options;
 use crate::ownership::{CurrentOwner, Ownership, Patience};
-use crate::peer::{CallerRequest, Directory, Ping, Pong, RequestOutcome, Role};
+use crate::peer::{AdviceFailure, CallerRequest, Directory, Ping, Pong, RequestOutcome, Role};
 use crate::timing::OWNER_TIMEOUT;
 
 /// Time for which idle connections are kept open, as each new connection is billed.
@@ -208,15 +208,19 @@
     }
 
     /// Asks the advice service which hosts may run a step. Returns the allowed hosts with their
-    /// tickets, or `None` if the service is not configured or does not reply.
+    /// tickets.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there was no answer within `timeout`.
     pub async fn advise(
         &self,
         step: &StepId,
         hosts: &[Name],
         timeout: Duration,
-    ) -> Option<Vec<(Name, Name)>> {
-        let advice_client = self.advice_client.as_ref()?;
+    ) -> Result<Vec<(Name, Name)>, AdviceFailure> {
+        let advice_client = self.advice_client.as_ref().ok_or(AdviceFailure::NotConfigured)?;
         let _guard = self.advice_lock.lock().await;
-        advice_client.query(step, hosts, timeout).await
+        advice_client.query(step, hosts, timeout).await.map_err(AdviceFailure::Service)
     }
 }
--- a/crates/node/src/owner/advice/assigner.rs
+++ b/crates/node/src/owner/advice/assigner.rs
@@ -49,6 +49,8 @@
     Answered,
     /// The call failed, and another host may have more success with it.
     Failed,
+    /// The call itself was rejected, which tells nothing about the host.
+    Rejected,
 }
 
 /// What the calls of a host have shown.
@@ -120,6 +122,7 @@
                     self.end_pauses(now);
                 }
             }
+            CallEnd::Rejected => {}
             CallEnd::Failed => {
                 let failure = record.failure.get_or_insert_with(|| Failure {
                     passed_over_until: now,
--- a/crates/node/src/owner/advice/mod.rs
+++ b/crates/node/src/owner/advice/mod.rs
@@ -13,7 +13,7 @@
 
 use sycamore_graph::{Advise, CallClass, Event};
 use sycamore_types::Name;
-use sycamore_wire::ConnectionKind;
+use sycamore_wire::{ConnectionKind, Error};
 use tokio::sync::mpsc;
 
 pub(super) use assigner::{Assigner, CallEnd};
@@ -21,13 +21,16 @@
 use super::Handle;
 use crate::clock::millis;
 use crate::node::Node;
-use crate::peer::{Command, Reply};
-use crate::timing::ADVICE_MARGIN;
+use crate::peer::{AdviceFailure, Command, Reply};
+use crate::timing::{ADVICE_MARGIN, ADVICE_REPLY_MARGIN};
 
 /// A call that has ended: the host that made it, and how it ended.
 pub(super) type EndedCall = (Name, CallEnd);
 
-/// Queues calls for advice and assigns them to free hosts.
+/// Workers that may run a step, each with a ticket.
+type Allowed = Vec<(Name, Name)>;
+
+/// Queues calls for advice and makes them through free hosts.
 #[derive(Debug)]
 pub(super) struct AdviceDispatcher {
     node: Arc<Node>,
@@ -61,14 +64,6 @@
         self.dispatch();
     }
 
-    /// Returns all hosts in order of their names.
-    fn hosts(&self) -> Vec<(Name, SocketAddr)> {
-        let mut hosts = self.node.live_peers();
-        hosts.push((self.node.settings.host.clone(), self.node.settings.peers));
-        hosts.sort();
-        hosts
-    }
-
     /// Reports to the engine how many calls of each class it may have in flight, and makes the
     /// calls that wait for a host that has come or is no longer passed over.
     pub fn update(&mut self) {
@@ -81,6 +76,15 @@
         self.dispatch();
     }
 
+    /// Returns all hosts in order of their names.
+    fn hosts(&self) -> Vec<(Name, SocketAddr)> {
+        let mut hosts = self.node.live_peers();
+        hosts.push((self.node.settings.host.clone(), self.node.settings.peers));
+        hosts.sort();
+        hosts.dedup_by(|a, b| a.0 == b.0);
+        hosts
+    }
+
     fn dispatch(&mut self) {
         let hosts = self.hosts();
         for (name, advise) in self.assigner.assign(&names(&hosts), Instant::now()) {
@@ -96,27 +100,24 @@
         tokio::spawn(async move {
             let timeout = Duration::from_secs_f64(advise.cost_ms / 1_000.0) + ADVICE_MARGIN;
             let started = Instant::now();
-            let allowed = if host == node.settings.host {
+            let answer = if host == node.settings.host {
                 node.advise(&advise.step, &advise.hosts, timeout).await
             } else {
                 ask_peer(&node, address, &advise, timeout).await
             };
-            let end = if allowed.is_some() { CallEnd::Answered } else { CallEnd::Failed };
-            let outcome = if allowed.is_some() { "answered" } else { "failed" };
-            node.meters.advice.with_label_values(&[outcome]).inc();
             let spent_ms = millis(started.elapsed());
-            let granted = allowed.as_ref().map_or(0, Vec::len);
-            log::info!(
-                target: "advice", job:% = advise.step.job, step = advise.step.index,
-                epoch = handle.epoch, through:% = host, asked = advise.hosts.len(), granted, outcome,
-                expected_ms = advise.cost_ms as u64, spent_ms; "advice"
-            );
+            log_call(&node, &host, &advise, &answer, spent_ms, handle.epoch);
+            let end = match &answer {
+                Ok(_) => CallEnd::Answered,
+                Err(failure) if failure.is_about_call() => CallEnd::Rejected,
+                Err(_) => CallEnd::Failed,
+            };
             // The service issues tickets no earlier than at the end of the call's expected
             // time, so that they are at most this old. The event may wait before it is handled.
             let age_ms = spent_ms.saturating_sub(advise.cost_ms as u64);
             let issued_ms = node.clock.now().monotonic_ms.saturating_sub(age_ms);
             let Advise { step, class, hosts: asked, .. } = advise;
-            handle.send(Event::Advised { step, class, asked, allowed, issued_ms });
+            handle.send(Event::Advised { step, class, asked, allowed: answer.ok(), issued_ms });
             // Without a receiver the owner has ended.
             let _ = ended_calls.send((host, end));
         });
@@ -127,24 +128,49 @@
     hosts.iter().map(|(name, _)| name.clone()).collect()
 }
 
+fn log_call(
+    node: &Node,
+    through: &Name,
+    advise: &Advise,
+    answer: &Result<Allowed, AdviceFailure>,
+    spent_ms: u64,
+    epoch: u64,
+) {
+    let (outcome, granted) = match answer {
+        Ok(allowed) => ("answered", allowed.len()),
+        Err(_) => ("failed", 0),
+    };
+    let failure = answer.as_ref().err();
+    let cause = failure.map(AdviceFailure::cause);
+    node.meters.advice.with_label_values(&[outcome]).inc();
+    if let Some(cause) = cause {
+        node.meters.advice_failures.with_label_values(&[cause]).inc();
+    }
+    let error = failure.map(ToString::to_string);
+    log::info!(
+        target: "advice", job:% = advise.step.job, step = advise.step.index, epoch,
+        through:% = through, asked = advise.hosts.len(), granted, outcome, cause, error,
+        expected_ms = advise.cost_ms as u64, spent_ms; "advice"
+    );
+}
+
 async fn ask_peer(
     node: &Arc<Node>,
     address: SocketAddr,
     advise: &Advise,
     timeout: Duration,
-) -> Option<Vec<(Name, Name)>> {
+) -> Result<Allowed, AdviceFailure> {
     let command = Command::Advise {
         step: advise.step,
         hosts: advise.hosts.clone(),
-        timeout_ms: millis(timeout),
+        timeout_ms: millis(timeout.saturating_sub(ADVICE_REPLY_MARGIN)),
     };
     let kind = ConnectionKind::Traffic;
     match node.pool.call_within::<Reply>(address, kind, &command, timeout).await {
-        Ok(Reply::Advice(allowed)) => allowed,
-        Ok(_) => None,
-        Err(error) => {
-            log::debug!("call for advice through {address} failed: {error}");
-            None
-        }
+        Ok(Reply::Advice(Some(allowed))) => Ok(allowed),
+        Ok(Reply::AdviceFailure(failure)) => Err(failure),
+        Ok(_) => Err(AdviceFailure::Unexplained),
+        Err(Error::Stalled(_)) => Err(AdviceFailure::PeerTimedOut),
+        Err(error) => Err(AdviceFailure::Peer(error.to_string())),
     }
 }
--- a/crates/node/src/owner/executors/tests/session.rs
+++ b/crates/node/src/owner/executors/tests/session.rs
@@ -3,14 +3,13 @@
 
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, TryRecvError};
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use sycamore_graph::{Event, StartOutcome};
-use sycamore_platform::site::{CallOutcome, Settings};
-use sycamore_standin::fenced::{self, Capacity, Observation, Observer, ProcessSettings, Worker};
+use sycamore_platform::site::CallOutcome;
+use sycamore_standin::fenced::{Capacity, Observation, Observer, Worker};
 use sycamore_standin::link::{LinkState, Proxy};
-use sycamore_telemetry::logs::{self, LineSender};
 use sycamore_types::Name;
 use sycamore_wire::Incoming;
 use tokio::net::TcpListener;
@@ -21,9 +20,9 @@
 use super::super::{Executors, UPDATE_INTERVAL};
 use super::{poll, start, stop};
 use crate::node::Node;
-use crate::options::Options;
 use crate::owner::calls::{Calls, Request};
 use crate::owner::handle::Input;
+use crate::owner::tests::fixture::node;
 use crate::owner::{Handle, Shared};
 use crate::peer::{
     self, Command, Order, OrderBatch, OrderResult, Owner, Ping, ResultBatch, WorkerOutcome,
@@ -72,33 +71,12 @@
     _worker: Worker<Starts>,
 }
 
-fn node(name: &str, peers: SocketAddr) -> Arc<Node> {
-    static LINES: OnceLock<LineSender> = OnceLock::new();
-    let lines = LINES.get_or_init(|| logs::start_rate_limited().expect("the only log"));
-    let unused = SocketAddr::from(([127, 0, 0, 1], 9));
-    let text = fenced::settings(&ProcessSettings {
-        evacuation_ms: None,
-        host: name.to_string(),
-        address: peers.ip().to_string(),
-        peer_port: peers.port(),
-        seeds: Vec::new(),
-        caller_address: unused,
-        store_address: unused,
-        advice_address: None,
-        grace_s: 6,
-        cores: 1.0,
-        link_mbps: 100.0,
-    });
-    let settings = Settings::parse(&text).expect("valid settings");
-    Arc::new(Node::new(settings, Options::default(), lines.clone()))
-}
-
 impl Fixture {
     async fn start() -> Fixture {
         let starts = Starts::default();
         let capacity = Capacity { cpu_millis: 8_000, memory_mib: 1_000 };
         let worker = Worker::start("worker", capacity, starts.clone()).await.expect("a free port");
-        let node = node("owner", SocketAddr::from(([127, 0, 0, 1], 9)));
+        let node = node("owner", SocketAddr::from(([127, 0, 0, 1], 9)), None);
         let (control, events) = std::sync::mpsc::channel();
         let handle = Handle::new(EPOCH, control, Arc::new(Shared::new(1)));
         handle.addresses.set(Name::from("worker"), worker.address());
@@ -152,7 +130,7 @@
 async fn real_peer() -> (SocketAddr, Arc<Node>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
-    let node = node("peer", address);
+    let node = node("peer", address, None);
     tokio::spawn(peer::serve(node.clone(), listener));
     (address, node)
 }
--- a/crates/node/src/owner/tests/advice.rs
+++ b/crates/node/src/owner/tests/advice.rs
@@ -181,6 +181,18 @@
     assert_eq!(fixture.assign(), [0, 1]);
 }
 
+/// Failure: calls that the service rejects, such as for a worker that it does not know, make all
+/// hosts count as failing.
+#[test]
+fn a_rejected_call_does_not_speak_against_the_host() {
+    let mut fixture = Fixture::new(3);
+    let before = fixture.assigner.concurrency(&fixture.live, fixture.now);
+
+    fixture.call(CallClass::Short, |_| CallEnd::Rejected);
+
+    assert_eq!(fixture.assigner.concurrency(&fixture.live, fixture.now), before);
+}
+
 /// Failure: a call that waited for a host that has gone is lost, or waits though others are free.
 #[test]
 fn waiting_calls_go_to_the_hosts_that_are_left() {
--- a/crates/node/src/peer/message.rs
+++ b/crates/node/src/peer/message.rs
@@ -10,6 +10,8 @@
 use sycamore_graph::job::{Id, Spec, State};
 use sycamore_types::Name;
 
+use super::AdviceFailure;
+
 /// A call from one process to another.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) enum Command {
@@ -38,13 +40,15 @@
     Pong(Pong),
     #[serde(rename = "Verdict")]
     Outcome(RequestOutcome),
-    /// Allowed workers with their tickets; `None` when the advice service did not reply.
+    /// Allowed workers with their tickets. Earlier versions reply `None` to a failed call.
     Advice(Option<Vec<(Name, Name)>>),
     /// Source of the configuration in force, if there is one.
     Config(Option<Vec<u8>>),
     /// The owner, if the sender has heard from it recently or is the owner itself.
     #[serde(rename = "Heard")]
     Owner(Option<Owner>),
+    /// Why a call for advice failed. Earlier versions can't decode it, and count it as failed too.
+    AdviceFailure(AdviceFailure),
 }
 
 /// Identity of an owner.
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -1,5 +1,6 @@
 //! The protocol between processes: its messages, and the server that replies to them.
 
+mod advice_failure;
 mod directory;
 mod executor;
 mod message;
@@ -8,6 +9,7 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use advice_failure::AdviceFailure;
 pub(crate) use directory::Directory;
 pub(crate) use message::{CallerRequest, Command, Owner, Ping, Pong, Reply, RequestOutcome, Role};
 pub(crate) use order::{
--- a/crates/node/src/peer/serve.rs
+++ b/crates/node/src/peer/serve.rs
@@ -69,7 +69,10 @@
             Reply::Outcome(node.ask_local_owner(request.clone()).await)
         }
         Command::Advise { step, hosts, timeout_ms } => {
-            Reply::Advice(node.advise(step, hosts, Duration::from_millis(*timeout_ms)).await)
+            match node.advise(step, hosts, Duration::from_millis(*timeout_ms)).await {
+                Ok(allowed) => Reply::Advice(Some(allowed)),
+                Err(failure) => Reply::AdviceFailure(failure),
+            }
         }
         Command::Config => match node.configs.current() {
             Some(current) => return Ok(current.reply.clone()),
--- a/crates/node/src/timing.rs
+++ b/crates/node/src/timing.rs
@@ -100,6 +100,10 @@
 /// Time added to the expected duration of an advice call to form its timeout.
 pub(crate) const ADVICE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Part of the timeout of an advice call through a peer that is reserved for the way there and back,
+/// so that the owner hears from the peer why the call failed.
+pub(crate) const ADVICE_REPLY_MARGIN: Duration = Duration::from_millis(100);
+
 /// Timeout of one attempt to get the owner's answer to a caller's request.
 pub(crate) const OWNER_REQUEST_TIMEOUT: Duration = Duration::from_millis(900);
 
--- a/crates/node/tests/path/advice.rs
+++ b/crates/node/tests/path/advice.rs
@@ -169,6 +169,37 @@
     kill_all(processes.into()).await;
 }
 
+/// Failure: the log of the owner does not tell why a call through another process failed.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_explains_why_a_call_for_advice_failed() {
+    let platform = Platform::start().await;
+    let (refusing, allowing) =
+        (service(AdviceMode::Status(503)).await, service(AdviceMode::Allows).await);
+    let host = |name, service: &Advice| Host {
+        advice: Some(service.server.address),
+        ..Host::strong(name, platform.address)
+    };
+    let owner = Process::start_on(&host("b-host", &allowing)).await;
+    assert_job_starts_in_time(&platform, &owner, "a000").await;
+    let other = Process::start_on(&host("a-host", &refusing)).await;
+    let processes = [owner, other];
+    assert_each_process_serves(&platform, &processes, "a1").await;
+    require_advice(&platform, &processes).await;
+    let [owner, _] = &processes;
+
+    assert_jobs_start_in_time(&platform, owner, "b0").await;
+
+    let is_explained = || async {
+        let lines = owner.grep(&["\"kind\":\"advice\"", "\"cause\":\"status\"", "status 503"]);
+        lines.iter().any(|line| line["through"] == "a-host" && line["outcome"] == "failed")
+    };
+    until("a line tells why", is_explained).await;
+    let metrics = call("GET", &owner.metrics_url(), "", "").await.map(|(_, text)| text);
+    let counted = "advice_failures_total{cause=\"status\"}";
+    assert!(metrics.is_some_and(|text| text.contains(counted)), "no {counted}");
+    kill_all(processes.into()).await;
+}
+
 /// Incident inc1 at Mwakilema: all processes were killed and started again, and two jobs of one task
 /// that were accepted right after it never started. Failure: one host can't reach the advice
 /// service, and all calls at a low load go through it.
--- a/crates/platform/src/site/advice.rs
+++ b/crates/platform/src/site/advice.rs
@@ -1,10 +1,9 @@
 //! The client of the platform's advice service, which decides which workers may run a step.
-//!
-//! A failed query is logged and yields no advice, so that the caller has a single case to handle.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use displaydoc::Display;
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
@@ -12,7 +11,34 @@
 use sycamore_types::Name;
 
 use super::task::step_name;
-use crate::http::Client;
+use crate::http::{Client, Error};
+
+/// Why a query got no advice.
+#[derive(Clone, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+pub enum AdviceError {
+    /// the advice service was not reached: {0}
+    NotSent(String),
+    /// the advice service answered with status {0}
+    Status(u16),
+    /// the advice service did not answer in time
+    TimedOut,
+    /// the connection to the advice service broke: {0}
+    Broken(String),
+    /// the answer of the advice service can't be used: {0}
+    Malformed(String),
+}
+
+impl std::error::Error for AdviceError {}
+
+impl From<Error> for AdviceError {
+    fn from(error: Error) -> AdviceError {
+        match error {
+            Error::NotSent(reason) => AdviceError::NotSent(reason),
+            Error::Unknown(reason) => AdviceError::Broken(reason),
+            Error::TooLarge(_) => AdviceError::Malformed(error.to_string()),
+        }
+    }
+}
 
 #[derive(Serialize)]
 struct AdviceRequest<'a> {
@@ -39,38 +65,33 @@
         AdviceClient { address, client }
     }
 
-    /// Asks which of some workers may run a step.
+    /// Asks which of some workers may run a step. Returns the allowed ones with their tickets.
+    ///
+    /// # Errors
     ///
-    /// Returns the allowed workers with their tickets, or `None` if the query failed or did not
-    /// get a valid response within `timeout`.
+    /// Returns why there was no valid response within `timeout`.
     pub async fn query(
         &self,
         step: &StepId,
         workers: &[Name],
         timeout: Duration,
-    ) -> Option<Vec<(Name, Name)>> {
-        let body = serde_json::to_vec(&AdviceRequest { step: step_name(step), workers }).ok()?;
+    ) -> Result<Vec<(Name, Name)>, AdviceError> {
+        let broken = |error: &dyn std::fmt::Display| AdviceError::Broken(error.to_string());
+        let body = serde_json::to_vec(&AdviceRequest { step: step_name(step), workers })
+            .map_err(|error| broken(&error))?;
         let request = Request::post(format!("http://{}/sycamorechute/advise", self.address))
             .header("content-type", "application/json")
             .body(Full::new(body.into()))
-            .ok()?;
-        match self.client.call(request, timeout).await {
-            Ok(response) if response.status() == StatusCode::OK => {
-                let response: Result<AdviceResponse, _> = serde_json::from_slice(response.body());
-                response.map(|response| response.allowed).map_err(|error| log_failure(&error)).ok()
-            }
-            Ok(response) => {
-                log::debug!("advice service rejected the query with status {}", response.status());
-                None
-            }
-            Err(error) => {
-                log_failure(&error);
-                None
-            }
+            .map_err(|error| broken(&error))?;
+        // The client's own limit begins anew with each part of the call, so that the call ends
+        // by the one here.
+        let calling = tokio::time::timeout(timeout, self.client.call(request, timeout * 2));
+        let response = calling.await.map_err(|_| AdviceError::TimedOut)??;
+        if response.status() != StatusCode::OK {
+            return Err(AdviceError::Status(response.status().as_u16()));
         }
+        let response: AdviceResponse = serde_json::from_slice(response.body())
+            .map_err(|error| AdviceError::Malformed(error.to_string()))?;
+        Ok(response.allowed)
     }
 }
-
-fn log_failure(error: &dyn std::fmt::Display) {
-    log::warn!("query of the advice service failed: {error}");
-}
--- a/crates/platform/src/site/mod.rs
+++ b/crates/platform/src/site/mod.rs
@@ -14,7 +14,7 @@
 mod worker;
 mod worker_wire;
 
-pub use advice::AdviceClient;
+pub use advice::{AdviceClient, AdviceError};
 pub use config::{Config, ConfigError, Limits, Route};
 pub use entry::parse_worker_entry;
 pub use job::{JobError, parse_job, render_count, render_state};
