Take an answer about workers that were not named for a failure

Cause: all workers named in a call that the answer does not allow count as denied, and are never asked about again. An answer for another call would bar a step from all of them for good. Change: an answer that allows a worker that was not named is malformed: the call has failed and is repeated.

--- a/crates/node/src/owner/tests/advice_failure.rs
+++ b/crates/node/src/owner/tests/advice_failure.rs
@@ -33,6 +33,7 @@
         (AdviceMode::Status(503), "status"),
         (AdviceMode::ClosesConnections, "broken"),
         (AdviceMode::Silent, "timeout"),
+        (AdviceMode::AllowsOthers, "malformed"),
     ];
     for (mode, expected) in modes {
         let service = service(mode).await;
--- a/crates/platform/src/site/advice.rs
+++ b/crates/platform/src/site/advice.rs
@@ -69,7 +69,8 @@
     ///
     /// # Errors
     ///
-    /// Returns why there was no valid response within `timeout`.
+    /// Returns why there was no valid response within `timeout`. A response that allows a worker
+    /// that was not named is not valid: it would count as a denial of all those that were.
     pub async fn query(
         &self,
         step: &StepId,
@@ -92,6 +93,11 @@
         }
         let response: AdviceResponse = serde_json::from_slice(response.body())
             .map_err(|error| AdviceError::Malformed(error.to_string()))?;
-        Ok(response.allowed)
+        match response.allowed.iter().find(|(worker, _)| !workers.contains(worker)) {
+            Some((worker, _)) => {
+                Err(AdviceError::Malformed(format!("it allows {worker}, which was not named")))
+            }
+            None => Ok(response.allowed),
+        }
     }
 }
