Count the wait for an earlier call for advice against the timeout

Cause: a process makes one call at a time and waited for the one before without a limit. A call that its owner had given up was made all the same and delayed the next one. Change: the wait is part of the call's time; without the lock in time the call has failed with the cause busy.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -212,15 +212,20 @@
     ///
     /// # Errors
     ///
-    /// Returns why there was no answer within `timeout`.
+    /// Returns why there was no answer within `timeout`, which includes the wait for an earlier
+    /// call to end. Otherwise the call would be made although its owner has given it up, and
+    /// would delay the next one.
     pub async fn advise(
         &self,
         step: &StepId,
         hosts: &[Name],
         timeout: Duration,
     ) -> Result<Vec<(Name, Name)>, AdviceFailure> {
+        let started = Instant::now();
         let advice_client = self.advice_client.as_ref().ok_or(AdviceFailure::NotConfigured)?;
-        let _guard = self.advice_lock.lock().await;
-        advice_client.query(step, hosts, timeout).await.map_err(AdviceFailure::Service)
+        let lock = tokio::time::timeout(timeout, self.advice_lock.lock());
+        let _guard = lock.await.map_err(|_| AdviceFailure::Busy)?;
+        let left = timeout.saturating_sub(started.elapsed());
+        advice_client.query(step, hosts, left).await.map_err(AdviceFailure::Service)
     }
 }
--- a/crates/node/src/peer/advice_failure.rs
+++ b/crates/node/src/peer/advice_failure.rs
@@ -9,6 +9,8 @@
 pub(crate) enum AdviceFailure {
     /// the host has no advice service in its settings
     NotConfigured,
+    /// an earlier call of the host did not end in time
+    Busy,
     /// {0}
     Service(AdviceError),
     /// the process was not reached: {0}
@@ -24,6 +26,7 @@
     pub fn cause(&self) -> &'static str {
         match self {
             AdviceFailure::NotConfigured => "not_configured",
+            AdviceFailure::Busy => "busy",
             AdviceFailure::Service(AdviceError::NotSent(_)) => "not_sent",
             AdviceFailure::Service(AdviceError::Status(_)) => "status",
             AdviceFailure::Service(AdviceError::TimedOut) => "timeout",
