Tell of steps that wait for 3 s, and how their last call for advice ended

Cause: a step's obstacle was logged after 8 s only, so that a job that a caller misses after 3 s was often in no line; and "advice is under way" did not tell a call in flight from calls that fail. Result: a test of a process whose service refuses all calls finds both in its log, and one of the engine.

--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -13,7 +13,7 @@
 use super::demand::Demand;
 use super::placement::has_capacity_for;
 use crate::catalog::AdviceCost;
-use crate::progress::Ticket;
+use crate::progress::{EndedCall, Ticket};
 use crate::{Action, Advise, CallClass, StepId, WaitReason};
 
 /// Most hosts in one call: the platform's documented maximum.
@@ -209,6 +209,7 @@
         let valid_ms = self.queues.get(&queue).and_then(|queue| queue.advice).map(|a| a.valid_ms);
         let Some(step) = job.step_mut(step_id) else { return };
         step.advice.calls_in_flight = step.advice.calls_in_flight.saturating_sub(1);
+        step.advice.last_call = Some(EndedCall { at_ms: now_ms, is_answered: allowed.is_some() });
         let Some(allowed) = allowed else {
             step.advice.not_before_ms = now_ms + ADVICE_RETRY_MS;
             return;
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -60,8 +60,8 @@
 use crate::job;
 use crate::progress::Job;
 use crate::{
-    Action, Answer, CallClass, Decision, Event, Moment, Record, StepId, TaskId, Timing, Verdict,
-    WaitingStep,
+    Action, Answer, CallClass, Decision, Event, LastCall, Moment, Record, StepId, TaskId, Timing,
+    Verdict, WaitingStep,
 };
 
 use backlog::Backlog;
@@ -365,7 +365,11 @@
             let age_ms = self.now.unix_ms.saturating_sub(job.due_unix_ms(step_id.occurrence));
             let (allowed, denied) = (step.advice.allowed.len(), step.advice.denied.len());
             let reason = step.wait_reason?;
-            Some(WaitingStep { step: *step_id, age_ms, reason, allowed, denied })
+            let last_call = step.advice.last_call.map(|call| LastCall {
+                age_ms: self.now.monotonic_ms.saturating_sub(call.at_ms),
+                is_answered: call.is_answered,
+            });
+            Some(WaitingStep { step: *step_id, age_ms, reason, allowed, denied, last_call })
         };
         self.backlog.steps().filter_map(wait).filter(|wait| wait.age_ms >= min_age_ms).collect()
     }
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -34,4 +34,4 @@
 pub use record::{Closed, Ended, Record, Snapshot, TeamUse};
 pub use task::{StepId, TaskId};
 pub use timing::{PreemptionTiming, Timing};
-pub use waiting::{WaitReason, WaitingStep};
+pub use waiting::{LastCall, WaitReason, WaitingStep};
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -51,6 +51,16 @@
     pub calls_in_flight: u32,
     /// Time before which no call is made, in milliseconds.
     pub not_before_ms: u64,
+    /// The call that ended last.
+    pub last_call: Option<EndedCall>,
+}
+
+/// A call for advice that has ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EndedCall {
+    /// Time of the end on the owner's monotonic clock, in milliseconds.
+    pub at_ms: u64,
+    pub is_answered: bool,
 }
 
 /// Progress of one step of one occurrence.
--- a/crates/graph/src/waiting.rs
+++ b/crates/graph/src/waiting.rs
@@ -61,4 +61,15 @@
     pub allowed: usize,
     /// Number of hosts that the advice service denied for the step.
     pub denied: usize,
+    /// The step's call for advice that ended last. `None` if none has.
+    pub last_call: Option<LastCall>,
+}
+
+/// A call for advice that has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LastCall {
+    /// Time since its end, in milliseconds.
+    pub age_ms: u64,
+    /// Whether the advice service answered.
+    pub is_answered: bool,
 }
--- a/crates/graph/tests/engine/advice.rs
+++ b/crates/graph/tests/engine/advice.rs
@@ -3,7 +3,7 @@
 
 use sycamore_graph::job::State;
 
-use crate::fixture::{advised_queue, catalog, id, job, step};
+use crate::fixture::{advised_queue, catalog, host, id, job, step};
 use crate::world::World;
 
 #[test]
@@ -44,3 +44,32 @@
     assert_eq!(world.state(id(1)), Some(State::Complete));
     assert!(world.advised_hosts < 12 + 60, "asked about {}", world.advised_hosts);
 }
+
+/// Failure: the service rejects each call that names a worker that it does not know, the call is
+/// repeated with the same workers, and the step never starts.
+#[test]
+fn a_worker_for_which_calls_are_rejected_keeps_no_step_waiting() {
+    for rejected in 0..6 {
+        let mut world = World::new(6, catalog(advised_queue()), 1);
+        world.rejected_hosts = vec![host(rejected).id];
+
+        world.submit(id(1), job(vec![step(1, 1_000)]));
+        world.run(2_000);
+
+        assert_eq!(world.state(id(1)), Some(State::Complete), "{}", world.describe_waits());
+    }
+}
+
+/// Failure: nothing tells whether a step waits for a call or after one that failed.
+#[test]
+fn a_waiting_step_shows_how_its_last_call_ended() {
+    let mut world = World::new(3, catalog(advised_queue()), 1);
+    world.rejected_hosts = (0..3).map(|number| host(number).id).collect();
+    world.submit(id(1), job(vec![step(1, 1_000)]));
+
+    world.run(1_000);
+
+    let last_call = world.last_calls()[0].expect("a call that has ended");
+    assert!(!last_call.is_answered);
+    assert!(last_call.age_ms <= 200, "{last_call:?}");
+}
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -11,9 +11,9 @@
 use sycamore_graph::catalog::Catalog;
 use sycamore_graph::job::{Id, Spec, State};
 use sycamore_graph::{
-    Action, Advise, Answer, DomainLoad, Ended, Engine, Event, HostEntry, HostLoss, Moment, Poll,
-    PreemptionTiming, Reading, Record, Recovered, Report, RunEnd, Start, StartOutcome, TaskId,
-    Timing, Verdict, WaitReason,
+    Action, Advise, Answer, DomainLoad, Ended, Engine, Event, HostEntry, HostLoss, LastCall,
+    Moment, Poll, PreemptionTiming, Reading, Record, Recovered, Report, RunEnd, Start,
+    StartOutcome, TaskId, Timing, Verdict, WaitReason,
 };
 use sycamore_types::Name;
 
@@ -67,6 +67,8 @@
     pub failure_share: f64,
     /// Fraction of the workers that the advice service allows.
     pub allowed_share: f64,
+    /// Calls for advice that name one of these fail.
+    pub rejected_hosts: Vec<Name>,
     pub advice_calls: u64,
     pub advised_hosts: u64,
     pub polls: u64,
@@ -133,6 +135,7 @@
             takes_estimate: false,
             failure_share: 0.0,
             allowed_share: 1.0,
+            rejected_hosts: Vec::new(),
             advice_calls: 0,
             advised_hosts: 0,
             polls: 0,
@@ -593,7 +596,9 @@
         }
         let Advise { step, class, hosts: asked, cost_ms } = advise;
         let issued_ms = self.now_ms + cost_ms as u64;
-        let event = Event::Advised { step, class, asked, allowed: Some(allowed), issued_ms };
+        let is_rejected = asked.iter().any(|name| self.rejected_hosts.contains(name));
+        let allowed = (!is_rejected).then_some(allowed);
+        let event = Event::Advised { step, class, asked, allowed, issued_ms };
         self.schedule(cost_ms as u64, Delivery::Event { epoch: self.epoch, event });
     }
 
@@ -798,6 +803,11 @@
         self.engine.long_waits(0).iter().map(|wait| wait.reason).collect()
     }
 
+    /// Returns the call for advice of each waiting step that ended last.
+    pub fn last_calls(&self) -> Vec<Option<LastCall>> {
+        self.engine.long_waits(0).iter().map(|wait| wait.last_call).collect()
+    }
+
     /// Returns what the engine knows of the workers in a failure domain.
     pub fn domain_load(&self, domain: &str) -> DomainLoad {
         self.engine.domain_load(domain)
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -26,8 +26,9 @@
 /// Interval of the log lines about load and long waits.
 const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Time after which a step's wait is logged, in milliseconds.
-const LONG_WAIT_MS: u64 = 8_000;
+/// Time after which a step's wait is logged, in milliseconds: the one within which an accepted job
+/// has to start while there is room for it.
+const LONG_WAIT_MS: u64 = 3_000;
 
 /// Most waiting steps logged at a time, the longest waits first.
 const MAX_LOGGED_WAITS: usize = 5;
@@ -147,11 +148,14 @@
         waits.sort_by_key(|wait| std::cmp::Reverse(wait.age_ms));
         let total = waits.len();
         for wait in waits.into_iter().take(MAX_LOGGED_WAITS) {
-            let WaitingStep { step, age_ms, reason, allowed, denied } = wait;
+            let WaitingStep { step, age_ms, reason, allowed, denied, last_call } = wait;
+            let last_call_ms = last_call.map(|call| call.age_ms);
+            let last_call =
+                last_call.map(|call| if call.is_answered { "answered" } else { "failed" });
             log::info!(
                 target: "wait", job:% = step.job, occurrence = step.occurrence,
                 step = step.index, age_ms, obstacle:% = reason, allowed_workers = allowed,
-                denied_workers = denied, waiting_steps = total; "waiting"
+                denied_workers = denied, last_call, last_call_ms, waiting_steps = total; "waiting"
             );
         }
     }
--- a/crates/node/tests/path/advice.rs
+++ b/crates/node/tests/path/advice.rs
@@ -200,6 +200,33 @@
     kill_all(processes.into()).await;
 }
 
+/// Failure: an accepted job does not start, and the log does not tell that its calls for advice fail.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_tells_how_the_last_call_of_a_waiting_step_ended() {
+    let platform = Platform::start().await;
+    let refusing = service(AdviceMode::Status(503)).await;
+    let advice = Some(refusing.server.address);
+    let process =
+        Process::start_on(&Host { advice, ..Host::strong("one", platform.address) }).await;
+    assert_job_starts_in_time(&platform, &process, "a000").await;
+    let processes = [process];
+    require_advice(&platform, &processes).await;
+    let [process] = &processes;
+    until("the job is accepted", || submit(process, "000000000000b000")).await;
+
+    let waits = || process.grep(&["\"kind\":\"wait\"", "000000000000b000"]);
+    until("a line tells that the job waits", || async { !waits().is_empty() }).await;
+
+    let first = &waits()[0];
+    assert_eq!(first["last_call"], "failed", "{first}");
+    assert!(first["last_call_ms"].as_u64().is_some_and(|ms| ms <= 500), "{first}");
+    // Lines are written every 2 s, for waits of 3 s and more.
+    assert!(first["age_ms"].as_u64().is_some_and(|ms| ms <= 6_000), "{first}");
+    refusing.set_mode(AdviceMode::Allows);
+    until("the job starts", || async { platform.has_started("000000000000b000") }).await;
+    kill_all(processes.into()).await;
+}
+
 /// Incident inc1 at Mwakilema: all processes were killed and started again, and two jobs of one task
 /// that were accepted right after it never started. Failure: one host can't reach the advice
 /// service, and all calls at a low load go through it.
