Ask about fewer workers after calls for advice that fail in a row

Cause: while the service rejects each call that names a certain worker, such as one that has just left, the call was repeated with the same workers for as long as that one was listed. Change: from the third failure in a row on, a step's calls name half, a quarter and so on of the workers, another part each time. The first two are repeated whole, since they may fail by the process that makes them.

--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -61,6 +61,10 @@
 /// Pause of a step after a failed advice call, in milliseconds.
 const ADVICE_RETRY_MS: u64 = 100;
 
+/// Number of failed calls of a step in a row after which its calls name fewer hosts. The first ones
+/// may fail by the processes that make them.
+const MAX_FAILURES_OF_WHOLE_CALLS: u32 = 2;
+
 impl Engine {
     /// Returns why a step can neither start with its tickets nor request new ones now.
     /// `None` if it may be able to, or if its queue needs no advice.
@@ -147,7 +151,8 @@
         }
         let rate = self.allow_rate(demand.step_id);
         let asked = groups.hosts_to_ask(demand, rate, cost, search, min_expiry_ms);
-        let hosts = asked.into_iter().map(|index| search.host(index)).collect();
+        let asked = part_to_ask(&asked, advice.failures());
+        let hosts = asked.iter().map(|index| search.host(*index)).collect();
         (groups.ready, Some(hosts))
     }
 
@@ -209,7 +214,9 @@
         let valid_ms = self.queues.get(&queue).and_then(|queue| queue.advice).map(|a| a.valid_ms);
         let Some(step) = job.step_mut(step_id) else { return };
         step.advice.calls_in_flight = step.advice.calls_in_flight.saturating_sub(1);
-        step.advice.last_call = Some(EndedCall { at_ms: now_ms, is_answered: allowed.is_some() });
+        let failures = step.advice.failures();
+        let failures = if allowed.is_some() { 0 } else { failures.saturating_add(1) };
+        step.advice.last_call = Some(EndedCall { at_ms: now_ms, failures });
         let Some(allowed) = allowed else {
             step.advice.not_before_ms = now_ms + ADVICE_RETRY_MS;
             return;
@@ -236,6 +243,18 @@
     }
 }
 
+/// Returns the part of some hosts that a call is made about after so many failed calls of the step.
+///
+/// The service may reject each call that names one of them. With each failure the parts are halved
+/// and another one is chosen, until a call leaves that host out.
+fn part_to_ask(hosts: &[usize], failures: u32) -> &[usize] {
+    let halvings = failures.saturating_sub(MAX_FAILURES_OF_WHOLE_CALLS);
+    let parts = 1 << halvings.min(MAX_HOSTS_PER_CALL.ilog2() + 1);
+    let mut parts = hosts.chunks(hosts.len().div_ceil(parts).max(1));
+    let chosen = failures as usize % parts.len().max(1);
+    parts.nth(chosen).unwrap_or(hosts)
+}
+
 /// Candidates for a step, grouped by what advice says about them.
 struct AdviceGroups {
     /// Allowed, with a valid ticket.
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -367,7 +367,7 @@
             let reason = step.wait_reason?;
             let last_call = step.advice.last_call.map(|call| LastCall {
                 age_ms: self.now.monotonic_ms.saturating_sub(call.at_ms),
-                is_answered: call.is_answered,
+                is_answered: call.failures == 0,
             });
             Some(WaitingStep { step: *step_id, age_ms, reason, allowed, denied, last_call })
         };
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -55,12 +55,20 @@
     pub last_call: Option<EndedCall>,
 }
 
+impl StepAdvice {
+    /// Returns the number of calls that have failed in a row until now.
+    pub fn failures(&self) -> u32 {
+        self.last_call.map_or(0, |call| call.failures)
+    }
+}
+
 /// A call for advice that has ended.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EndedCall {
     /// Time of the end on the owner's monotonic clock, in milliseconds.
     pub at_ms: u64,
-    pub is_answered: bool,
+    /// Number of the step's calls that have failed in a row, up to this one. 0 if it was answered.
+    pub failures: u32,
 }
 
 /// Progress of one step of one occurrence.
