Log that the owner has not read the list of workers for a while

Cause: a failed read was logged at debug level, so that nothing told that an owner works on an old list. Change: one line after 2 s without a read, and one when the list is read again. Result: the_log_tells_that_the_list_of_workers_is_not_read passes: one line of an outage of 4 s, one of its end.

--- a/crates/node/src/owner/listing.rs
+++ b/crates/node/src/owner/listing.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rustc_hash::FxHashMap;
 use sycamore_graph::{Event, HostEntry, Reading};
@@ -20,10 +20,14 @@
 
 use super::Handle;
 use crate::backoff::Backoff;
-use crate::clock::Clock;
+use crate::clock::{Clock, millis};
 use crate::node::Node;
 use crate::timing::{STORE_RETRY_MAX, STORE_TIMEOUT, WORKER_LIST_INTERVAL};
 
+/// Time without a read of the list after which that is logged: four intervals. Capacities in the list
+/// are used for a few seconds only.
+const LOGGED_SILENCE: Duration = Duration::from_secs(2);
+
 /// Addresses of workers, by name.
 #[derive(Debug, Default)]
 pub(super) struct Addresses {
@@ -63,15 +67,48 @@
     written: Option<Instant>,
 }
 
+/// When the list was last read, for the log.
+#[derive(Debug)]
+struct Reads {
+    last: Instant,
+    /// The log tells that the list is not read.
+    is_outage_logged: bool,
+}
+
+impl Reads {
+    fn new(now: Instant) -> Reads {
+        Reads { last: now, is_outage_logged: false }
+    }
+
+    fn on_success(&mut self, epoch: u64) {
+        let silent_ms = millis(self.last.elapsed());
+        self.last = Instant::now();
+        if std::mem::take(&mut self.is_outage_logged) {
+            log::info!(target: "worker", epoch, silent_ms; "worker list is read again");
+        }
+    }
+
+    fn on_failure(&mut self, error: &StoreError, epoch: u64) {
+        if self.is_outage_logged || self.last.elapsed() < LOGGED_SILENCE {
+            return;
+        }
+        self.is_outage_logged = true;
+        let silent_ms = millis(self.last.elapsed());
+        log::warn!(target: "worker", epoch, silent_ms, error:%; "worker list is not read");
+    }
+}
+
 /// Reads the list at an interval, and sends it to the engine whenever it has changed, and the dates
 /// of the entries that were written again. Never returns.
 pub(super) async fn run(node: Arc<Node>, handle: Handle) {
     let mut known = BTreeMap::new();
     let mut backoff = Backoff::new(WORKER_LIST_INTERVAL, STORE_RETRY_MAX);
+    let mut reads = Reads::new(Instant::now());
     loop {
         match read(&node, &handle.addresses, &known).await {
             Ok(listed) => {
                 backoff.reset();
+                reads.on_success(handle.epoch);
                 handle.addresses.set_listed(listed.len());
                 if known.is_empty() {
                     let undated = listed.values().filter(|known| known.written.is_none()).count();
@@ -92,7 +129,7 @@
                 known = listed;
             }
             Err(error) => {
-                log::debug!("worker list not read: {error}");
+                reads.on_failure(&error, handle.epoch);
                 backoff.pause().await;
                 continue;
             }
--- a/crates/node/tests/path/explain.rs
+++ b/crates/node/tests/path/explain.rs
@@ -1,6 +1,8 @@
 //! Follows the five procedures of `docs/OPERATIONS.md` that lead from a failed or delayed
 //! request to its cause, with the log of a real process.
 
+use std::time::Duration;
+
 use serde_json::Value;
 use sycamore_standin::link::LinkState;
 
@@ -72,6 +74,30 @@
     process.kill().await;
 }
 
+/// Failure: an owner reads no list of workers any more, by which nothing starts, and the log does not tell.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_tells_that_the_list_of_workers_is_not_read() {
+    let platform = Platform::start().await;
+    let process = start_serving(&platform, "one", "00000000000000ac").await;
+    platform.set_workers_unlisted(true);
+
+    let lines = |message: &'static str| process.grep(&["\"kind\":\"worker\"", message]);
+    let is_told = || async { !lines("worker list is not read").is_empty() };
+    until("a line tells that the list is not read", is_told).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    platform.set_workers_unlisted(false);
+    until("a line tells that it is read again", || async {
+        !lines("worker list is read again").is_empty()
+    })
+    .await;
+
+    let outages = lines("worker list is not read");
+    assert_eq!(outages.len(), 1, "{outages:?}");
+    assert!(outages[0]["silent_ms"].as_u64() >= Some(2_000), "{outages:?}");
+    assert!(lines("worker list is read again")[0]["silent_ms"].as_u64() >= Some(4_000));
+    process.kill().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_log_explains_why_an_old_configuration_is_in_force() {
     let platform = Platform::start().await;
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -116,6 +116,15 @@
         self.store.set_mode(if is_unavailable { Mode::Unavailable } else { Mode::Normal });
     }
 
+    /// Refuses reads of the list of workers, and nothing else.
+    pub fn set_workers_unlisted(&self, is_unlisted: bool) {
+        if is_unlisted {
+            self.store.refuse_prefix("servers/");
+        } else {
+            self.store.serve_all_prefixes();
+        }
+    }
+
     /// Evacuates the failure domain of the worker. The store has acknowledged it on return.
     pub fn evacuate(&self) {
         self.store.evacuate("a");
--- a/crates/standin/src/fenced/store.rs
+++ b/crates/standin/src/fenced/store.rs
@@ -142,6 +142,11 @@
         self.state().refused_prefix = Some(prefix.to_string());
     }
 
+    /// Serves ranges and watches of all prefixes again.
+    pub fn serve_all_prefixes(&self) {
+        self.state().refused_prefix = None;
+    }
+
     /// Sets the behaviour for all later calls.
     pub fn set_mode(&self, mode: Mode) {
         self.state().mode = mode;
