--- a/crates/node/src/owner/advice/mod.rs
+++ b/crates/node/src/owner/advice/mod.rs
@@ -106,7 +106,7 @@
                 ask_peer(&node, address, &advise, timeout).await
             };
             let spent_ms = millis(started.elapsed());
-            log_call(&node, &host, &advise, &answer, spent_ms, handle.epoch);
+            record_call(&node, &host, &advise, &answer, spent_ms, handle.epoch);
             let end = match &answer {
                 Ok(_) => CallEnd::Answered,
                 Err(failure) if failure.is_about_call() => CallEnd::Rejected,
@@ -128,7 +128,8 @@
     hosts.iter().map(|(name, _)| name.clone()).collect()
 }
 
-fn log_call(
+/// Logs a call that has ended, and counts it.
+fn record_call(
     node: &Node,
     through: &Name,
     advise: &Advise,
@@ -136,22 +137,25 @@
     spent_ms: u64,
     epoch: u64,
 ) {
-    let (outcome, granted) = match answer {
-        Ok(allowed) => ("answered", allowed.len()),
-        Err(_) => ("failed", 0),
-    };
-    let failure = answer.as_ref().err();
-    let cause = failure.map(AdviceFailure::cause);
+    let Advise { step, hosts, cost_ms, .. } = advise;
+    let (asked, expected_ms) = (hosts.len(), *cost_ms as u64);
+    let outcome = if answer.is_ok() { "answered" } else { "failed" };
     node.meters.advice.with_label_values(&[outcome]).inc();
-    if let Some(cause) = cause {
-        node.meters.advice_failures.with_label_values(&[cause]).inc();
+    match answer {
+        Ok(allowed) => log::info!(
+            target: "advice", job:% = step.job, step = step.index, epoch, through:% = through,
+            asked, granted = allowed.len(), outcome, expected_ms, spent_ms; "advice"
+        ),
+        Err(failure) => {
+            let cause = failure.cause();
+            node.meters.advice_failures.with_label_values(&[cause]).inc();
+            log::info!(
+                target: "advice", job:% = step.job, step = step.index, epoch,
+                through:% = through, asked, granted = 0, outcome, cause, error:% = failure,
+                expected_ms, spent_ms; "advice"
+            );
+        }
     }
-    let error = failure.map(ToString::to_string);
-    log::info!(
-        target: "advice", job:% = advise.step.job, step = advise.step.index, epoch,
-        through:% = through, asked = advise.hosts.len(), granted, outcome, cause, error,
-        expected_ms = advise.cost_ms as u64, spent_ms; "advice"
-    );
 }
 
 async fn ask_peer(
--- a/crates/node/src/owner/tests/mod.rs
+++ b/crates/node/src/owner/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of single parts of the owner.
 
 mod advice;
+mod advice_dispatch;
 mod advice_failure;
 mod evacuation;
 pub(in crate::owner) mod fixture;
