--- a/crates/node/tests/path/advice.rs
+++ b/crates/node/tests/path/advice.rs
@@ -70,9 +70,14 @@
 async fn assert_job_starts_in_time(platform: &Platform, process: &Process, suffix: &str) {
     let id = format!("{suffix:0>16}");
     until("the job is accepted", || submit(process, &id)).await;
-    let accepted = Instant::now();
-    while !platform.has_started(&id) {
-        assert!(accepted.elapsed() < MAX_WAIT, "job {id} waits: {}", advice_lines(process));
+    assert_starts_in_time(platform, process, &id).await;
+}
+
+/// Fails if a job does not start within [`MAX_WAIT`] from now.
+async fn assert_starts_in_time(platform: &Platform, process: &Process, id: &str) {
+    let begin = Instant::now();
+    while !platform.has_started(id) {
+        assert!(begin.elapsed() < MAX_WAIT, "job {id} waits: {}", advice_lines(process));
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
 }
@@ -223,10 +228,37 @@
     // Lines are written every 2 s, for waits of 3 s and more.
     assert!(first["age_ms"].as_u64().is_some_and(|ms| ms <= 6_000), "{first}");
     refusing.set_mode(AdviceMode::Allows);
-    until("the job starts", || async { platform.has_started("000000000000b000") }).await;
+    assert_starts_in_time(&platform, process, "000000000000b000").await;
     kill_all(processes.into()).await;
 }
 
+/// Failure: after an outage of the service, processes are passed over although they could reach it, or steps
+/// are not asked about any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn steps_that_waited_for_the_service_start_when_it_is_back() {
+    let platform = Platform::start().await;
+    let advice = service(AdviceMode::Allows).await;
+    let processes = start_hosts(&platform, Some(&advice), &advice).await;
+    assert_each_process_serves(&platform, &processes, "a0").await;
+    require_advice(&platform, &processes).await;
+
+    for (round, mode) in [AdviceMode::Status(429), AdviceMode::Silent].into_iter().enumerate() {
+        advice.set_mode(mode);
+        let ids: Vec<String> =
+            (0..6).map(|job| format!("{:0>16}", format!("b{round}{job}"))).collect();
+        for id in &ids {
+            until("the job is accepted", || submit(&processes[1], id)).await;
+        }
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        advice.set_mode(AdviceMode::Allows);
+        for id in &ids {
+            assert_starts_in_time(&platform, &processes[1], id).await;
+        }
+    }
+    assert_eq!(platform.duplicate_starts(), 0);
+    kill_all(processes).await;
+}
+
 /// Incident inc1 at Mwakilema: all processes were killed and started again, and two jobs of one task
 /// that were accepted right after it never started. Failure: one host can't reach the advice
 /// service, and all calls at a low load go through it.
