Look for a host only while calls for advice wait

Cause: with each call that ends the names of all processes were copied and sorted, though mostly no call waits. Change: the dispatcher returns at once then. Result: by reading; cargo test -p sycamore-node passes.

--- a/crates/node/src/owner/advice/assigner.rs
+++ b/crates/node/src/owner/advice/assigner.rs
@@ -110,6 +110,10 @@
         self.waiting[advise.class as usize].push_back(advise);
     }
 
+    pub fn has_waiting(&self) -> bool {
+        self.waiting.iter().any(|waiting| !waiting.is_empty())
+    }
+
     /// Marks a host as free again.
     pub fn on_call_ended(&mut self, host: &Name, end: CallEnd, now: Instant) {
         let Some(record) = self.records.get_mut(host) else { return };
--- a/crates/node/src/owner/advice/mod.rs
+++ b/crates/node/src/owner/advice/mod.rs
@@ -86,6 +86,9 @@
     }
 
     fn dispatch(&mut self) {
+        if !self.assigner.has_waiting() {
+            return;
+        }
         let hosts = self.hosts();
         for (name, advise) in self.assigner.assign(&names(&hosts), Instant::now()) {
             if let Some((_, address)) = hosts.iter().find(|(host, _)| *host == name) {
