--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -19,6 +19,21 @@
 /// Time without new tasks after too many consecutive failures, in milliseconds.
 const QUARANTINE_MS: u64 = 4_000;
 
+/// Consecutive starts without a confirmation from which other hosts are preferred. Single orders get
+/// lost on sound hosts, too.
+const MAX_START_FAILURES: u32 = 2;
+
+/// Time within which starts without a confirmation count once, in milliseconds: some of those that
+/// were sent together are refused at once, others time out.
+const START_FAILURE_WINDOW_MS: u64 = 600;
+
+/// Time for which other hosts are preferred then, in milliseconds. It exceeds the time until the
+/// outcome of such a start is known.
+const AVOIDANCE_MS: u64 = 3_000;
+
+/// Most times that this time is doubled if the host confirms no start after it either.
+const MAX_AVOIDANCE_DOUBLINGS: u32 = 3;
+
 /// What the log says about a host, and so what a successor has to expect there.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum LogState {
@@ -96,6 +111,13 @@
     pub consecutive_failures: u32,
     /// Time until which the host gets no new tasks, in milliseconds.
     pub quarantined_until_ms: u64,
+    /// Starts without a confirmation since the last confirmed one. Those within
+    /// [`START_FAILURE_WINDOW_MS`] count once.
+    start_failures: u32,
+    /// Time of the first start that the last one of them counts with, in milliseconds.
+    start_failed_ms: u64,
+    /// Time until which other hosts are preferred, as starts do not arrive here, in milliseconds.
+    avoided_until_ms: u64,
 }
 
 impl Host {
@@ -129,6 +151,9 @@
             missed_polls: 0,
             consecutive_failures: 0,
             quarantined_until_ms: 0,
+            start_failures: 0,
+            start_failed_ms: 0,
+            avoided_until_ms: 0,
         }
     }
 
@@ -157,11 +182,11 @@
         self.entry.is_draining || self.is_evacuated
     }
 
-    /// Returns the times at which [`Host::is_usable`] and [`Host::has_current_capacity`] may change
-    /// without an event, in milliseconds.
+    /// Returns the times at which [`Host::is_usable`], [`Host::is_avoided`] and
+    /// [`Host::has_current_capacity`] may change without an event, in milliseconds.
     pub fn usability_changes_ms(&self, now_ms: u64, max_age_ms: u64) -> impl Iterator<Item = u64> {
         let too_old_ms = self.capacity_written_ms.map(|written_ms| written_ms + max_age_ms + 1);
-        let times = [Some(self.quarantined_until_ms), too_old_ms];
+        let times = [Some(self.quarantined_until_ms), Some(self.avoided_until_ms), too_old_ms];
         times.into_iter().flatten().filter(move |at_ms| now_ms < *at_ms)
     }
 
@@ -205,6 +230,31 @@
         u64::try_from(now_ms as i64 + self.clock_offset_ms).unwrap_or(0)
     }
 
+    /// Ends the preference for other hosts, since a start has reached this one or a new incarnation
+    /// begins.
+    pub fn clear_start_failures(&mut self) {
+        self.start_failures = 0;
+        self.avoided_until_ms = 0;
+    }
+
+    /// Records a start that may not have reached the host, or that the host can't carry out now.
+    /// Reports don't make up for it: they may come over a connection that was open before.
+    pub fn record_start_failure(&mut self, now_ms: u64) {
+        if self.start_failures == 0 || now_ms >= self.start_failed_ms + START_FAILURE_WINDOW_MS {
+            self.start_failures += 1;
+            self.start_failed_ms = now_ms;
+        }
+        if let Some(further) = self.start_failures.checked_sub(MAX_START_FAILURES) {
+            let doublings = further.min(MAX_AVOIDANCE_DOUBLINGS);
+            self.avoided_until_ms = now_ms + (AVOIDANCE_MS << doublings);
+        }
+    }
+
+    /// Returns whether other hosts are preferred, because starts have not arrived here.
+    pub fn is_avoided(&self, now_ms: u64) -> bool {
+        now_ms < self.avoided_until_ms
+    }
+
     /// Counts the outcome of a run, and quarantines the host after too many failures.
     pub fn record_outcome(&mut self, is_failure: bool, now_ms: u64) {
         if !is_failure {
