--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,7 +19,7 @@
 use crate::metrics::Meters;
 use crate::options::Options;
 use crate::ownership::{CurrentOwner, Ownership, Patience};
-use crate::peer::{CallerRequest, Directory, Ping, Pong, RequestOutcome, Role};
+use crate::peer::{AdviceFailure, CallerRequest, Directory, Ping, Pong, RequestOutcome, Role};
 use crate::timing::OWNER_TIMEOUT;
 
 /// Time for which idle connections are kept open, as each new connection is billed.
@@ -208,15 +208,24 @@
     }
 
     /// Asks the advice service which hosts may run a step. Returns the allowed hosts with their
-    /// tickets, or `None` if the service is not configured or does not reply.
+    /// tickets.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there was no answer within `timeout`, which includes the wait for an earlier
+    /// call to end. Otherwise the call would be made although its owner has given it up, and
+    /// would delay the next one.
     pub async fn advise(
         &self,
         step: &StepId,
         hosts: &[Name],
         timeout: Duration,
-    ) -> Option<Vec<(Name, Name)>> {
-        let advice_client = self.advice_client.as_ref()?;
-        let _guard = self.advice_lock.lock().await;
-        advice_client.query(step, hosts, timeout).await
+    ) -> Result<Vec<(Name, Name)>, AdviceFailure> {
+        let started = Instant::now();
+        let advice_client = self.advice_client.as_ref().ok_or(AdviceFailure::NotConfigured)?;
+        let lock = tokio::time::timeout(timeout, self.advice_lock.lock());
+        let _guard = lock.await.map_err(|_| AdviceFailure::Busy)?;
+        let left = timeout.saturating_sub(started.elapsed());
+        advice_client.query(step, hosts, left).await.map_err(AdviceFailure::Service)
     }
 }
--- a/crates/node/src/owner/tests/mod.rs
+++ b/crates/node/src/owner/tests/mod.rs
@@ -1,5 +1,9 @@
 //! Tests of single parts of the owner.
 
+mod advice;
+mod advice_dispatch;
+mod advice_failure;
 mod evacuation;
+pub(in crate::owner) mod fixture;
 mod skipped;
 mod write_timeout;
