Take a gang that breaks off out of reach for no certain crash

Cause: the members of a broken gang on a silent worker were ended as if the worker had crashed (log line `cause: crashed` 0.7 s after a cut began). Two cuts gave a job up that had attempts to spare, and showed it as failed without a cause.

Change: such a loss is uncertain (`cause: gang_broken`), with the same isolation, and becomes a crash once the worker's incarnation has ended. A gang with a loss that is not cleared waits for the lease or for certainty, so that a deadly gang still crashes two workers only.

Result: a_gang_that_breaks_off_behind_cuts_has_crashed_no_worker fails before with LOST and passes after. All other tests of the engine pass.

--- a/crates/graph/src/engine/broken_gangs.rs
+++ b/crates/graph/src/engine/broken_gangs.rs
@@ -3,7 +3,8 @@
 //! The end of one member ends the others, which their hosts report as broken. If every report
 //! says so, the member that ended first is among those not reported; if these are all on one
 //! host, that host has no member any more. Without this, the gang would wait until the host's
-//! lease has expired.
+//! lease has expired. How the members there ended is open: one may have failed (see
+//! [`super::unreported_ends`]), or the host may have crashed.
 
 use std::collections::BTreeSet;
 
@@ -11,7 +12,7 @@
 
 use super::Engine;
 use crate::host::{Phase, RunEnd};
-use crate::{StepId, TaskId};
+use crate::{LossCause, StepId, TaskId};
 
 /// Ends that this owner has seen of one attempt of a gang.
 #[derive(Clone, Debug, Default)]
@@ -45,11 +46,16 @@
                 self.gang_ends.remove(&(step_id, attempt));
             } else if self.is_broken_by(&left, step_id, attempt)
                 && self.are_lost_together(&left, attempt)
+                && !self.are_suspects(&left)
                 && self.has_spare_attempt(step_id)
             {
                 let lost: Vec<_> = left.iter().map(|(_, task)| (*task, attempt)).collect();
                 if let Some((host, _)) = left.first() {
-                    self.lose_runs(host, self.cause_of_end(host), &lost);
+                    let cause = match self.cause_of_end(host) {
+                        LossCause::Crashed => LossCause::GangBroken,
+                        cause => cause,
+                    };
+                    self.lose_runs(host, cause, &lost);
                     let members = left.iter().map(|(_, task)| *task).collect();
                     self.expect_end(step_id, attempt, host.clone(), members);
                 }
@@ -90,6 +96,16 @@
         host.missed_polls > 0 && runs.iter().all(is_there)
     }
 
+    /// Returns whether a host may have crashed under one of the members before. Then the gang waits
+    /// until it is certain whether this one has: it may be what crashes them.
+    fn are_suspects(&self, runs: &[(Name, TaskId)]) -> bool {
+        runs.iter().any(|(_, task)| {
+            let job = self.jobs.get(&task.step.job);
+            let suspicion = job.and_then(|job| job.suspicions.get(task));
+            suspicion.is_some_and(|suspicion| suspicion.losses() > 0)
+        })
+    }
+
     /// Returns whether a gang may start again even if its last attempt has failed, which its
     /// host may report later.
     fn has_spare_attempt(&self, step_id: StepId) -> bool {
--- a/crates/graph/src/engine/losses.rs
+++ b/crates/graph/src/engine/losses.rs
@@ -18,7 +18,7 @@
 use crate::host::{Host, Phase, Run, RunEnd};
 use crate::job::{Id, State};
 use crate::progress::{ISOLATE_AFTER, Job};
-use crate::{Action, HostLoss, LossCause, TaskId, Verdict};
+use crate::{Action, Ended, HostLoss, LossCause, Record, TaskId, Verdict};
 
 /// Time between the starts of the youngest run of a host and of another one up to which both are
 /// isolated after a crash, in milliseconds.
@@ -54,6 +54,9 @@
     Collateral,
     /// The host may have crashed, the run may not have been there, or another one is likelier.
     Uncertain { is_isolated: bool },
+    /// The host is silent and the run has ended, so that it may have crashed, perhaps because of
+    /// the task.
+    Unconfirmed { is_isolated: bool },
     /// The host crashed, perhaps because of the task.
     Suspect { is_isolated: bool, is_prime: bool },
 }
@@ -68,18 +71,42 @@
     }
 
     fn is_isolated(self) -> bool {
-        let (Blame::Suspect { is_isolated, .. } | Blame::Uncertain { is_isolated }) = self else {
-            return false;
-        };
-        is_isolated
+        match self {
+            Blame::None | Blame::Collateral => false,
+            Blame::Uncertain { is_isolated }
+            | Blame::Unconfirmed { is_isolated }
+            | Blame::Suspect { is_isolated, .. } => is_isolated,
+        }
     }
 }
 
 impl Engine {
     /// Ends all runs of a host whose incarnation has ended.
     pub(super) fn lose_incarnation(&mut self, name: &Name) {
-        self.lose_all_runs(name, self.cause_of_end(name));
-        self.forget_lost_ends(name);
+        let cause = self.cause_of_end(name);
+        self.lose_all_runs(name, cause);
+        for (task, attempt) in self.take_unreported_ends(name) {
+            if cause == LossCause::Crashed {
+                self.confirm_crash(task, attempt);
+            }
+        }
+    }
+
+    /// Counts a crash for certain that has counted as an uncertain one until now.
+    fn confirm_crash(&mut self, task: TaskId, attempt: u32) {
+        let job = self.jobs.get_mut(&task.step.job).filter(|job| job.closed.is_none());
+        let Some(suspicion) = job.and_then(|job| job.suspicions.get_mut(&task)) else { return };
+        if !suspicion.uncertain.remove(&attempt) {
+            return;
+        }
+        suspicion.crashed.insert(attempt);
+        let is_settled = suspicion.is_prime && suspicion.crashed.len() >= GIVE_UP_AFTER_EXPLAINED;
+        let losses = suspicion.losses();
+        let checkpoint = Name::from("");
+        self.append(Record::Ended(Ended { task, attempt, how: RunEnd::HostCrashed, checkpoint }));
+        if is_settled {
+            self.give_up(task, losses);
+        }
     }
 
     /// Ends all runs of a host.
@@ -134,7 +161,9 @@
             let how = match blame {
                 Blame::Suspect { .. } => RunEnd::HostCrashed,
                 Blame::Collateral => RunEnd::Collateral,
-                Blame::None | Blame::Uncertain { .. } => RunEnd::LeaseExpired,
+                Blame::None | Blame::Uncertain { .. } | Blame::Unconfirmed { .. } => {
+                    RunEnd::LeaseExpired
+                }
             };
             self.end_run(name, run.task, run.attempt, how, None);
         }
@@ -170,6 +199,11 @@
                 suspicion.uncertain.insert(run.attempt);
                 suspicion.needs_isolation |= is_isolated;
             }
+            Blame::Unconfirmed { is_isolated } => {
+                suspicion.uncertain.insert(run.attempt);
+                suspicion.max_age_ms = suspicion.max_age_ms.max(run.age_ms);
+                suspicion.needs_isolation |= is_isolated;
+            }
             Blame::Suspect { is_isolated, is_prime } => {
                 suspicion.crashed.insert(run.attempt);
                 suspicion.max_age_ms = suspicion.max_age_ms.max(run.age_ms);
@@ -252,23 +286,29 @@
     /// Returns whether the loss counts against one of the runs.
     fn blame(&self, run: &LostRun) -> Blame {
         let is_young = run.age_ms <= self.youngest_age_ms.saturating_add(SUSPECT_WINDOW_MS);
-        match self.cause {
+        let blame = match self.cause {
             _ if !run.was_there => Blame::None,
             LossCause::Drained => Blame::None,
             LossCause::LeaseExpired => Blame::Uncertain { is_isolated: false },
-            LossCause::Crashed if self.suspects.is_empty() => {
+            _ if self.suspects.is_empty() => {
                 Blame::of_crash(run, is_young && !self.is_mass_loss, false)
             }
             // A run that started later or at about the same time may be at fault instead. Its next
             // run is isolated as well.
-            LossCause::Crashed if self.is_shadowed(run) => Blame::Uncertain { is_isolated: true },
-            LossCause::Crashed if self.suspects.contains(&run.task.step.job) => {
+            _ if self.is_shadowed(run) => Blame::Uncertain { is_isolated: true },
+            _ if self.suspects.contains(&run.task.step.job) => {
                 let is_prime = run.is_isolated && self.suspects.len() == 1 && !self.is_mass_loss;
                 Blame::of_crash(run, true, is_prime)
             }
             // The likely culprit may be innocent, too.
-            LossCause::Crashed if is_young => Blame::Uncertain { is_isolated: false },
-            LossCause::Crashed => Blame::Collateral,
+            _ if is_young => Blame::Uncertain { is_isolated: false },
+            _ => Blame::Collateral,
+        };
+        match blame {
+            Blame::Suspect { is_isolated, .. } if self.cause == LossCause::GangBroken => {
+                Blame::Unconfirmed { is_isolated }
+            }
+            blame => blame,
         }
     }
 
--- a/crates/graph/src/engine/unreported_ends.rs
+++ b/crates/graph/src/engine/unreported_ends.rs
@@ -45,10 +45,15 @@
         failed.len() as u32 + unreported as u32
     }
 
+    /// Returns whether the end of an attempt of a gang is yet to be reported.
+    pub(super) fn has_unreported_attempt(&self, step_id: StepId) -> bool {
+        self.unreported_ends.range((step_id, 0)..=(step_id, u32::MAX)).next().is_some()
+    }
+
     /// Returns whether a gang may not start because an attempt that has yet to be reported may
     /// have been its last.
     pub(super) fn is_held_by_unreported_end(&self, step_id: StepId) -> bool {
-        if self.unreported_ends.is_empty() {
+        if !self.has_unreported_attempt(step_id) {
             return false;
         }
         let Some(job) = self.jobs.get(&step_id.job) else { return false };
@@ -56,9 +61,8 @@
         if !spec.is_some_and(|spec| spec.is_gang && !spec.is_service) {
             return false;
         }
-        let mut ends = self.unreported_ends.range((step_id, 0)..=(step_id, u32::MAX));
         let max_attempts = self.queues.get(&job.queue).map_or(1, |queue| queue.max_attempts.max(1));
-        ends.next().is_some() && self.possible_failures(step_id) >= max_attempts
+        self.possible_failures(step_id) >= max_attempts
     }
 
     /// Forgets the ends that a host would have listed in its report to a poll.
@@ -67,22 +71,21 @@
     }
 
     /// Forgets the ends that a host can't report any more because its incarnation has ended.
-    pub(super) fn forget_lost_ends(&mut self, name: &Name) {
+    /// Returns the runs.
+    pub(super) fn take_unreported_ends(&mut self, name: &Name) -> Vec<(TaskId, u32)> {
+        let runs = self.unreported_runs(name).collect();
         self.retain_unreported_ends(|end| end.host != *name);
+        runs
     }
 
     /// Forgets the ends on hosts whose lease has expired.
     pub(super) fn forget_expired_ends(&mut self) {
         let now_ms = self.now.monotonic_ms;
-        let expired: Vec<Name> = self
-            .unreported_ends
-            .values()
-            .filter(|end| {
-                self.hosts.get(&end.host).is_none_or(|host| host.is_lease_expired(now_ms))
-            })
-            .map(|end| end.host.clone())
-            .collect();
-        expired.iter().for_each(|name| self.forget_lost_ends(name));
+        let is_expired =
+            |name: &Name| self.hosts.get(name).is_none_or(|host| host.is_lease_expired(now_ms));
+        let hosts = self.unreported_ends.values().map(|end| &end.host);
+        let expired: Vec<Name> = hosts.filter(|name| is_expired(name)).cloned().collect();
+        self.retain_unreported_ends(|end| !expired.contains(&end.host));
     }
 
     /// Returns whether a host has yet to report an end.
@@ -93,13 +96,15 @@
     /// Returns the record that a host gets no new tasks, with the runs that it has left. A
     /// successor waits for those whose end is not reported as for the others.
     pub(super) fn leaving_record(&self, host: &Host) -> Record {
-        let mut runs: Vec<(TaskId, u32)> = host.runs.keys().copied().collect();
-        for ((_, attempt), end) in &self.unreported_ends {
-            if end.host == host.entry.id {
-                runs.extend(end.members.iter().map(|member| (*member, *attempt)));
-            }
-        }
-        Record::HostLeaving { host: host.entry.id.clone(), runs }
+        let name = &host.entry.id;
+        let runs = host.runs.keys().copied().chain(self.unreported_runs(name)).collect();
+        Record::HostLeaving { host: name.clone(), runs }
+    }
+
+    /// Returns the runs on a host whose end it has yet to report.
+    fn unreported_runs(&self, name: &Name) -> impl Iterator<Item = (TaskId, u32)> {
+        let ends = self.unreported_ends.iter().filter(|(_, end)| end.host == *name);
+        ends.flat_map(|((_, attempt), end)| end.members.iter().map(|member| (*member, *attempt)))
     }
 
     fn retain_unreported_ends(&mut self, is_open: impl Fn(&UnreportedEnd) -> bool) {
--- a/crates/graph/src/loss.rs
+++ b/crates/graph/src/loss.rs
@@ -16,6 +16,9 @@
     Drained,
     /// The host was out of reach until its lease had expired. It may have crashed.
     LeaseExpired,
+    /// The host is out of reach, and its members of a gang have ended: they failed, or the host
+    /// crashed.
+    GangBroken,
 }
 
 /// Loss of a host that had runs.
--- a/crates/node/src/owner/execute.rs
+++ b/crates/node/src/owner/execute.rs
@@ -91,6 +91,7 @@
         LossCause::Crashed => "crashed",
         LossCause::Drained => "drained",
         LossCause::LeaseExpired => "lease_expired",
+        LossCause::GangBroken => "gang_broken",
     };
     node.meters.host_losses.with_label_values(&[cause]).inc();
     node.meters.suspects.inc_by(loss.suspects as u64);
