Vary the attempts of a queue in the engine's fuzz

Cause: with three attempts in each case, hardly any task failed as often as it may, so that the fuzz did not reach the states around the last attempt.

Change: a case has one, two or three attempts, by its seed.

--- a/crates/graph/tests/engine/fuzz.rs
+++ b/crates/graph/tests/engine/fuzz.rs
@@ -63,16 +63,24 @@
     world.list_hosts();
 }
 
+/// A queue of one to three attempts: with more, hardly any task fails as often as it may.
+fn random_queue(seed: u64, is_advised: bool) -> Queue {
+    let queue = if is_advised { advised_queue() } else { queue() };
+    Queue { max_attempts: 1 + (seed % 3) as u32, ..queue }
+}
+
 fn run_case(seed: u64, is_advised: bool) {
-    let catalog = catalog(if is_advised { advised_queue() } else { queue() });
+    let catalog = catalog(random_queue(seed, is_advised));
     let mut world = World::new(HOSTS, limited(catalog, size(11_000, 0)), seed);
     play(&mut world, seed, |world| (QUEUE, random_job(world)));
 }
 
 /// The same with a queue whose tasks may have to yield. Returns the number of preemptions.
 fn run_preempting_case(seed: u64, is_advised: bool) -> u64 {
-    let mut catalog = catalog(if is_advised { advised_queue() } else { queue() });
-    catalog.queues.insert("bulk".into(), Queue { priority: 1, ..queue() });
+    let queue = random_queue(seed, is_advised);
+    let bulk = Queue { priority: 1, advice: None, ..queue.clone() };
+    let mut catalog = catalog(queue);
+    catalog.queues.insert("bulk".into(), bulk);
     let mut world = World::new(HOSTS, limited(catalog, size(15_000, 0)), seed);
     world.takes_estimate = true;
     let stop_ms = world.random.random_range(5..300);
