Leave avoided workers out before a rack is chosen

Callers would see: LOST, an accepted gang with nothing running. Cause: a step that prefers one rack takes the smallest rack that fits, whether or not starts arrive on its workers. Best-effort tasks, which are spread over all workers that fit, also went to avoided ones. Change: where the workers on which starts arrive have capacity for all tasks, the others are left out first.

--- a/crates/graph/src/engine/placement.rs
+++ b/crates/graph/src/engine/placement.rs
@@ -53,10 +53,17 @@
     fill(ready, demand.wanted())
 }
 
-/// Keeps the hosts on which tasks fit; of these, those of one rack if the step prefers that and
-/// there is a rack that has capacity for all.
+/// Keeps the hosts on which tasks fit; of these, those where starts arrive if they have capacity
+/// for all; of these, those of one rack if the step prefers that and there is a rack that has
+/// capacity for all.
 fn retain_fitting(ready: &mut Vec<Candidate>, demand: &Demand, views: &HostViews) {
     ready.retain(|candidate| candidate.fits_now > 0);
+    let preferred = ready.iter().filter(|candidate| !candidate.is_avoided);
+    let capacity: u32 = preferred.map(|candidate| candidate.fits_now).sum();
+    // Otherwise the choice of a rack could lead to the same avoided host at each attempt.
+    if capacity >= demand.wanted() {
+        ready.retain(|candidate| !candidate.is_avoided);
+    }
     if demand.prefers_one_rack
         && let Some(rack) = smallest_fitting_rack(ready, demand.wanted(), views)
     {
--- a/crates/graph/tests/engine/regression.rs
+++ b/crates/graph/tests/engine/regression.rs
@@ -188,6 +188,10 @@
     advised_tasks = { advised_queue(), step(3, 1_000) },
     whole_gang = { queue(), gang(3, 1_000) },
     advised_whole_gang = { advised_queue(), gang(3, 1_000) },
+    // Needs both workers of a rack.
+    one_rack_gang = { queue(), Step { prefers_one_rack: true, ..gang(5, 1_000) } },
+    advised_one_rack_gang = { advised_queue(), Step { prefers_one_rack: true, ..gang(5, 1_000) } },
+    best_effort_tasks = { queue(), Step { is_best_effort: true, ..step(12, 1_000) } },
 )]
 fn a_job_leaves_a_worker_that_takes_no_starts(queue: Queue, step: Step) {
     let mut world = World::new(12, catalog(queue), 1);
