Ignore outcomes of starts to an earlier incarnation of a worker

Cause: a worker restarts under its id while a start is in flight. The outcome, Unknown after the time limit, made the new incarnation the last choice for 3 s, although no start had failed there; a late confirmation cleared its failures. Change: outcomes count only while the run is known; the runs of an earlier incarnation are removed. Result: regression::a_start_that_an_earlier_incarnation_lost_does_not_count_against_the_next_one failed before (one worker avoided) and passes.

--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -121,6 +121,10 @@
         if clock_ms > 0 && outcome != StartOutcome::Gone && host.has_reported {
             host.clock_offset_ms = clock_ms as i64 - now_ms as i64;
         }
+        // An outcome of a start to an earlier incarnation comes after its runs have been removed.
+        if !host.runs.contains_key(&(task, attempt)) {
+            return;
+        }
         match outcome {
             StartOutcome::Started => host.clear_start_failures(),
             StartOutcome::Unknown | StartOutcome::Rejected => host.record_start_failure(now_ms),
--- a/crates/graph/tests/engine/regression.rs
+++ b/crates/graph/tests/engine/regression.rs
@@ -229,3 +229,21 @@
     assert_eq!(world.workers[0].starts + world.workers[1].starts, 8);
     assert_eq!(world.state(id(1)), Some(State::Complete));
 }
+
+/// The outcome of a start that was sent to the earlier incarnation of a worker made the new one the
+/// last choice, although no start had failed there.
+#[test]
+fn a_start_that_an_earlier_incarnation_lost_does_not_count_against_the_next_one() {
+    let mut world = World::new(1, catalog(queue()), 1);
+    world.run(500);
+    world.workers[0].is_unreachable = true;
+    world.submit(id(1), job(vec![step(1, 1_000)]));
+    world.run(100);
+    world.workers[0].is_unreachable = false;
+    world.workers[0].restart();
+    world.list_hosts();
+
+    world.run(500);
+
+    assert_eq!(world.avoided_hosts(), 0);
+}
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -734,6 +734,11 @@
         self.schedule(after_ms, Delivery::Event { epoch: self.epoch, event });
     }
 
+    /// Returns the number of workers that the engine uses only if no other has room.
+    pub fn avoided_hosts(&self) -> usize {
+        self.engine.avoided_hosts()
+    }
+
     /// Returns the number of runs on workers that are alive.
     pub fn running(&self) -> usize {
         let up = self.workers.iter().filter(|worker| worker.is_alive);
