Keep a worker avoided after a confirmation that was requested earlier

Cause: starts and polls share a connection pool, so that at a worker at its limit a start now and then gets through on the connection of a poll. Its confirmation arrives after the resets of the starts beside it, and ended the preference for other workers at once. Change: a confirmation counts only if its start was requested after the last failure. Result: regression::a_confirmation_does_not_make_up_for_starts_that_failed_after_it_was_sent failed before and passes, as do all 16 tests that match regression::a_.

--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -122,11 +122,10 @@
             host.clock_offset_ms = clock_ms as i64 - now_ms as i64;
         }
         // An outcome of a start to an earlier incarnation comes after its runs have been removed.
-        if !host.runs.contains_key(&(task, attempt)) {
-            return;
-        }
+        let Some(run) = host.runs.get(&(task, attempt)) else { return };
+        let requested_ms = run.requested_ms;
         match outcome {
-            StartOutcome::Started => host.clear_start_failures(),
+            StartOutcome::Started => host.record_start(requested_ms),
             StartOutcome::Unknown | StartOutcome::Rejected => host.record_start_failure(now_ms),
             _ => {}
         }
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -106,6 +106,8 @@
     pub quarantined_until_ms: u64,
     /// Periods for which other hosts were preferred since the last confirmed start.
     start_failures: u32,
+    /// Time at which the last start failed, in milliseconds.
+    last_start_failure_ms: u64,
     /// Time until which other hosts are preferred, as starts do not arrive here, in milliseconds.
     avoided_until_ms: u64,
 }
@@ -142,6 +144,7 @@
             consecutive_failures: 0,
             quarantined_until_ms: 0,
             start_failures: 0,
+            last_start_failure_ms: 0,
             avoided_until_ms: 0,
         }
     }
@@ -219,16 +222,25 @@
         u64::try_from(now_ms as i64 + self.clock_offset_ms).unwrap_or(0)
     }
 
-    /// Ends the preference for other hosts, since a start has reached this one or a new incarnation
-    /// begins.
+    /// Ends the preference for other hosts.
     pub fn clear_start_failures(&mut self) {
         self.start_failures = 0;
         self.avoided_until_ms = 0;
     }
 
+    /// Records a start that the host has confirmed. It ends the preference for other hosts if it was
+    /// requested after the last failure: of starts at the same time, one may get through on the
+    /// connection of a poll.
+    pub fn record_start(&mut self, requested_ms: u64) {
+        if requested_ms >= self.last_start_failure_ms {
+            self.clear_start_failures();
+        }
+    }
+
     /// Records a start that may not have reached the host, or that the host can't carry out now.
     /// Reports don't make up for it: they may come over a connection that was open before.
     pub fn record_start_failure(&mut self, now_ms: u64) {
+        self.last_start_failure_ms = now_ms;
         // Starts that failed together count once.
         if now_ms >= self.avoided_until_ms {
             self.start_failures += 1;
--- a/crates/graph/tests/engine/regression.rs
+++ b/crates/graph/tests/engine/regression.rs
@@ -1,11 +1,16 @@
 //! Failures that were found in the benchmark or by fuzzing, one test each. The upper-case
 //! words are the names of the violations, as in the oracle.
 
-use sycamore_graph::Event;
+use std::collections::VecDeque;
+
 use sycamore_graph::catalog::Queue;
 use sycamore_graph::job::{State, Step};
+use sycamore_graph::{
+    Action, Engine, Event, Moment, Poll, Reading, Recovered, Report, StartOutcome, Timing,
+};
+use sycamore_types::Name;
 
-use crate::fixture::{advised_queue, catalog, gang, id, job, queue, step};
+use crate::fixture::{QUEUE, TEAM, advised_queue, catalog, gang, host, id, job, queue, step};
 use crate::world::World;
 
 /// A failed attempt that only the next owner saw was not counted, so that a task got more
@@ -247,3 +252,47 @@
 
     assert_eq!(world.avoided_hosts(), 0);
 }
+
+/// Of three starts at the same time, one reached a worker at its limit of connections, over the
+/// connection of a poll. Its late confirmation made up for the others, which had been reset.
+#[test]
+fn a_confirmation_does_not_make_up_for_starts_that_failed_after_it_was_sent() {
+    let moment = |ms| Moment { monotonic_ms: ms, unix_ms: ms };
+    let catalog = catalog(queue());
+    let mut engine = Engine::new(moment(0), Timing::default(), catalog, Recovered::default());
+    let mut starts = Vec::new();
+    let entry = host(0);
+    let written = Reading { host: entry.id.clone(), incarnation: 1, written_ms: 0 };
+    let (job, queue, team) = (job(vec![gang(3, 1_000)]), Name::from(QUEUE), Name::from(TEAM));
+    let submit = Event::Submit { token: 1, job: id(1), queue, team, spec: job };
+    let mut events =
+        VecDeque::from([Event::Listed(vec![entry]), Event::Dated(vec![written]), submit]);
+    for ms in 1..100 {
+        let mut actions = engine.handle(moment(ms), events.pop_front().unwrap_or(Event::Tick));
+        actions.extend(engine.dispatch(moment(ms)));
+        for action in actions {
+            match action {
+                Action::Append(_) => events.push_back(Event::Committed(engine.appended_records())),
+                Action::Poll(Poll { host, number: poll, wait_ms: 0, .. }) => {
+                    let report = Report { incarnation: 1, clock_ms: ms, ..Report::default() };
+                    events.push_back(Event::Polled { host, poll, report });
+                }
+                Action::Start(start) => starts.push(start),
+                _ => {}
+            }
+        }
+    }
+    let [first, second, third] = &starts[..] else { panic!("{} starts", starts.len()) };
+
+    for (start, outcome, ms) in [
+        (first, StartOutcome::Rejected, 101),
+        (second, StartOutcome::Unknown, 101),
+        (third, StartOutcome::Started, 102),
+    ] {
+        let (host, task, attempt) = (start.host.clone(), start.task, start.attempt);
+        let event = Event::Started { host, task, attempt, outcome, clock_ms: 0 };
+        engine.handle(moment(ms), event);
+    }
+
+    assert_eq!(engine.avoided_hosts(), 1);
+}
