Limit the idle connections to each worker

Cause: the pool opens a connection when a call begins before that of the last call is back, and kept up to 64 idle ones to an address for 30 s. Change: the connections to workers have a pool of their own, which keeps at most five idle ones to an address.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -73,10 +73,8 @@
             nonce: rand::random(),
             decision_log,
             store: Store::new(settings.store, client.clone()),
-            advice_client: settings
-                .advice
-                .map(|address| AdviceClient::new(address, client.clone())),
-            workers: WorkerConnections::new(client),
+            advice_client: settings.advice.map(|address| AdviceClient::new(address, client)),
+            workers: WorkerConnections::new(IDLE_TIMEOUT),
             pool: Pool::default(),
             configs: match settings.evacuation_ms {
                 Some(_) => configs.with_evacuations(),
--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -59,13 +59,19 @@
 
     /// Builds a client with its own idle timeout.
     pub fn with_idle_timeout(idle_timeout: Duration) -> Client {
+        Client::with_idle_limits(idle_timeout, MAX_IDLE_PER_HOST)
+    }
+
+    /// Builds a client that keeps at most `max_idle` connections to one address without use, each
+    /// for at most `idle_timeout`.
+    pub fn with_idle_limits(idle_timeout: Duration, max_idle: usize) -> Client {
         let mut connector = connector();
         connector.set_send_buffer_size(Some(SEND_BUFFER_BYTES));
         let inner = legacy::Client::builder(TokioExecutor::new())
             .http1_max_buf_size(SEND_BUFFER_BYTES)
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(idle_timeout)
-            .pool_max_idle_per_host(MAX_IDLE_PER_HOST)
+            .pool_max_idle_per_host(max_idle)
             .build(connector);
         Client { inner, activity: Activity::default() }
     }
--- a/crates/platform/src/site/worker.rs
+++ b/crates/platform/src/site/worker.rs
@@ -20,6 +20,10 @@
 /// process loses power, and a worker of the documented sites takes 64 in all.
 const MAX_ORDERS_PER_WORKER: usize = 3;
 
+/// Most idle connections to one worker: those of the orders and of two polls. The pool opens more
+/// now and then, as a call may begin before the connection of the last one is back.
+const MAX_IDLE_PER_WORKER: usize = MAX_ORDERS_PER_WORKER + 2;
+
 /// Reason of a refusal because of a higher fencing token.
 const FENCED: &str = "fence";
 
@@ -49,8 +53,9 @@
 }
 
 impl WorkerConnections {
-    /// Limits the connections of a client to each worker.
-    pub fn new(client: Client) -> WorkerConnections {
+    /// Builds connections that are closed after `idle_timeout` without use.
+    pub fn new(idle_timeout: Duration) -> WorkerConnections {
+        let client = Client::with_idle_limits(idle_timeout, MAX_IDLE_PER_WORKER);
         WorkerConnections { client, orders: CallLimit::new(MAX_ORDERS_PER_WORKER) }
     }
 }
--- a/crates/platform/tests/site/connections.rs
+++ b/crates/platform/tests/site/connections.rs
@@ -8,7 +8,6 @@
 use futures::future::join_all;
 use sycamore_graph::job::Id;
 use sycamore_graph::{Poll, Start, StartOutcome, StepId, TaskId};
-use sycamore_platform::http::Client;
 use sycamore_platform::site::{WorkerClient, WorkerConnections};
 use sycamore_types::Name;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -28,21 +27,34 @@
     address: SocketAddr,
     /// Connections that were opened so far.
     opened: Arc<AtomicUsize>,
+    /// Connections that are open now.
+    open: Arc<AtomicUsize>,
 }
 
 impl Worker {
     async fn start() -> Worker {
+        Worker::with_replies_after(5, 300).await
+    }
+
+    /// Starts a worker that replies to starts and to polls after so many milliseconds.
+    async fn with_replies_after(start_ms: u64, poll_ms: u64) -> Worker {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let opened = Arc::new(AtomicUsize::new(0));
-        let counter = opened.clone();
+        let open = Arc::new(AtomicUsize::new(0));
+        let (counter, gauge) = (opened.clone(), open.clone());
         tokio::spawn(async move {
             while let Ok((socket, _)) = listener.accept().await {
                 counter.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(serve(socket));
+                gauge.fetch_add(1, Ordering::Relaxed);
+                let gauge = gauge.clone();
+                tokio::spawn(async move {
+                    let _ = serve(socket, start_ms, poll_ms).await;
+                    gauge.fetch_sub(1, Ordering::Relaxed);
+                });
             }
         });
-        Worker { address, opened }
+        Worker { address, opened, open }
     }
 
     fn opened(&self) -> usize {
@@ -50,7 +62,7 @@
     }
 }
 
-async fn serve(mut socket: TcpStream) -> std::io::Result<()> {
+async fn serve(mut socket: TcpStream, start_ms: u64, poll_ms: u64) -> std::io::Result<()> {
     let mut request = Vec::new();
     let mut buffer = [0; 4096];
     loop {
@@ -66,7 +78,7 @@
             continue;
         }
         request.clear();
-        let wait_ms = if is_poll { 300 } else { 5 };
+        let wait_ms = if is_poll { poll_ms } else { start_ms };
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
         let body = r#"{"clock-ms":7,"born":1,"running":[],"finished":[]}"#;
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
@@ -93,7 +105,7 @@
 #[tokio::test]
 async fn a_burst_of_starts_leaves_room_for_the_connections_of_lost_owners() {
     let worker = Worker::start().await;
-    let connections = WorkerConnections::new(Client::with_idle_timeout(Duration::from_secs(30)));
+    let connections = WorkerConnections::new(Duration::from_secs(30));
     let client = WorkerClient::new(connections, 1);
     let poll = Poll { host: "i-1".into(), number: 1, ack: 0, deadline_ms: None, wait_ms: 200 };
 
@@ -114,7 +126,7 @@
 async fn a_start_that_gets_no_connection_in_time_is_rejected() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
-    let client = WorkerClient::new(WorkerConnections::new(Client::new()), 1);
+    let client = WorkerClient::new(WorkerConnections::new(Duration::from_secs(3)), 1);
 
     let starts: Vec<Start> = (0..60).map(start_of).collect();
     let started = std::time::Instant::now();
@@ -124,3 +136,24 @@
     let unknown = outcomes.iter().filter(|(outcome, _)| *outcome == StartOutcome::Unknown).count();
     assert!((1..=WORKER_CONNECTIONS / PROCESSES).contains(&unknown), "{unknown} may be started");
 }
+
+/// Calls that began before the last connection was back in the pool opened further ones, up to 9
+/// with five calls in flight, which stayed open.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeated_bursts_leave_no_more_connections_than_calls_in_flight() {
+    let worker = Worker::with_replies_after(1, 20).await;
+    let client = WorkerClient::new(WorkerConnections::new(Duration::from_secs(30)), 1);
+    let poll = Poll { host: "i-1".into(), number: 1, ack: 0, deadline_ms: None, wait_ms: 200 };
+
+    for round in 0..100 {
+        let starts: Vec<Start> = (0..30).map(|index| start_of(30 * round + index)).collect();
+        let calls = starts.iter().map(|start| client.start(worker.address, start, TIMEOUT));
+        let polls = [(); 2].map(|()| client.poll(worker.address, &poll, TIMEOUT));
+        tokio::join!(join_all(polls), join_all(calls));
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+
+    // Three starts and stops, and two polls.
+    let open = worker.open.load(Ordering::Relaxed);
+    assert!(open <= 5, "{open} connections");
+}
