Add a failing test of a wide gang on a worker with slow replies

Cause: three starts at a time, and 250 ms of waiting at most, let 27 starts at best reach a worker that takes 30 ms for a reply. The others count as not sent, the gang is given up, and its worker becomes the last choice.

--- a/crates/platform/tests/site/connections.rs
+++ b/crates/platform/tests/site/connections.rs
@@ -157,3 +157,19 @@
     let open = worker.open.load(Ordering::Relaxed);
     assert!(open <= 5, "{open} connections");
 }
+
+/// Starts that wait for a connection were given up as not sent, although the worker replied to each
+/// within 30 ms. A gang whose members all go to one worker never starts there.
+#[tokio::test]
+async fn a_wide_gang_starts_on_a_worker_that_takes_30_ms_for_each_reply() {
+    let worker = Worker::with_replies_after(30, 300).await;
+    let client = WorkerClient::new(WorkerConnections::new(Duration::from_secs(30)), 1);
+
+    // The largest burst to one worker in the play of the incident.
+    let starts: Vec<Start> = (0..31).map(start_of).collect();
+    let calls = starts.iter().map(|start| client.start(worker.address, start, TIMEOUT));
+    let outcomes = join_all(calls).await;
+
+    let started = outcomes.iter().filter(|(outcome, _)| *outcome == StartOutcome::Started).count();
+    assert_eq!(started, starts.len());
+}
