--- a/crates/graph/tests/engine/regression.rs
+++ b/crates/graph/tests/engine/regression.rs
@@ -1,12 +1,17 @@
 //! Failures that were found in the benchmark or by fuzzing, one test each. The upper-case
 //! words are the names of the violations, as in the oracle.
 
-use sycamore_graph::Event;
+use std::collections::VecDeque;
+
 use sycamore_graph::catalog::Queue;
 use sycamore_graph::job::{State, Step};
+use sycamore_graph::{
+    Action, Engine, Event, Moment, Poll, Reading, Recovered, Report, StartOutcome, Timing,
+};
+use sycamore_types::Name;
 
 use crate::broken_gangs::world_with_unreported_failure;
-use crate::fixture::{advised_queue, catalog, gang, id, job, queue, step};
+use crate::fixture::{QUEUE, TEAM, advised_queue, catalog, gang, host, id, job, queue, step};
 use crate::world::World;
 
 /// A failed attempt that only the next owner saw was not counted, so that a task got more
@@ -189,6 +194,10 @@
     advised_tasks = { advised_queue(), step(3, 1_000) },
     whole_gang = { queue(), gang(3, 1_000) },
     advised_whole_gang = { advised_queue(), gang(3, 1_000) },
+    // Needs both workers of a rack.
+    one_rack_gang = { queue(), Step { prefers_one_rack: true, ..gang(5, 1_000) } },
+    advised_one_rack_gang = { advised_queue(), Step { prefers_one_rack: true, ..gang(5, 1_000) } },
+    best_effort_tasks = { queue(), Step { is_best_effort: true, ..step(12, 1_000) } },
 )]
 fn a_job_leaves_a_worker_that_takes_no_starts(queue: Queue, step: Step) {
     let mut world = World::new(12, catalog(queue), 1);
@@ -242,3 +251,65 @@
     assert_eq!((early, world.oracle.starts), (16, 16));
     assert_eq!(world.state(id(1)), Some(State::Failed));
 }
+
+/// The outcome of a start that was sent to the earlier incarnation of a worker made the new one the
+/// last choice, although no start had failed there.
+#[test]
+fn a_start_that_an_earlier_incarnation_lost_does_not_count_against_the_next_one() {
+    let mut world = World::new(1, catalog(queue()), 1);
+    world.run(500);
+    world.workers[0].is_unreachable = true;
+    world.submit(id(1), job(vec![step(1, 1_000)]));
+    world.run(100);
+    world.workers[0].is_unreachable = false;
+    world.workers[0].restart();
+    world.list_hosts();
+
+    world.run(500);
+
+    assert_eq!(world.avoided_hosts(), 0);
+}
+
+/// Of three starts at the same time, one reached a worker at its limit of connections, over the
+/// connection of a poll. Its late confirmation made up for the others, which had been reset.
+#[test]
+fn a_confirmation_does_not_make_up_for_starts_that_failed_after_it_was_sent() {
+    let moment = |ms| Moment { monotonic_ms: ms, unix_ms: ms };
+    let catalog = catalog(queue());
+    let mut engine = Engine::new(moment(0), Timing::default(), catalog, Recovered::default());
+    let mut starts = Vec::new();
+    let entry = host(0);
+    let written = Reading { host: entry.id.clone(), incarnation: 1, written_ms: 0 };
+    let (job, queue, team) = (job(vec![gang(3, 1_000)]), Name::from(QUEUE), Name::from(TEAM));
+    let submit = Event::Submit { token: 1, job: id(1), queue, team, spec: job };
+    let mut events =
+        VecDeque::from([Event::Listed(vec![entry]), Event::Dated(vec![written]), submit]);
+    for ms in 1..100 {
+        let mut actions = engine.handle(moment(ms), events.pop_front().unwrap_or(Event::Tick));
+        actions.extend(engine.dispatch(moment(ms)));
+        for action in actions {
+            match action {
+                Action::Append(_) => events.push_back(Event::Committed(engine.appended_records())),
+                Action::Poll(Poll { host, number: poll, wait_ms: 0, .. }) => {
+                    let report = Report { incarnation: 1, clock_ms: ms, ..Report::default() };
+                    events.push_back(Event::Polled { host, poll, report });
+                }
+                Action::Start(start) => starts.push(start),
+                _ => {}
+            }
+        }
+    }
+    let [first, second, third] = &starts[..] else { panic!("{} starts", starts.len()) };
+
+    for (start, outcome, ms) in [
+        (first, StartOutcome::Rejected, 101),
+        (second, StartOutcome::Unknown, 801),
+        (third, StartOutcome::Started, 802),
+    ] {
+        let (host, task, attempt) = (start.host.clone(), start.task, start.attempt);
+        let event = Event::Started { host, task, attempt, outcome, clock_ms: 0 };
+        engine.handle(moment(ms), event);
+    }
+
+    assert_eq!(engine.avoided_hosts(), 1);
+}
--- a/crates/platform/src/site/worker.rs
+++ b/crates/platform/src/site/worker.rs
@@ -18,7 +18,11 @@
 
 /// Most starts and stops in flight to one worker. Their connections stay open at the worker if this
 /// process loses power, and a worker of the documented sites takes 64 in all.
-const MAX_ORDERS_PER_WORKER: usize = 3;
+const MAX_ORDERS_PER_WORKER: usize = 5;
+
+/// Most idle connections to one worker. The pool opens more of them now and then than there are
+/// calls in flight, as a call may begin before the connection of the last one is back.
+const MAX_IDLE_PER_WORKER: usize = MAX_ORDERS_PER_WORKER;
 
 /// Reason of a refusal because of a higher fencing token.
 const FENCED: &str = "fence";
@@ -49,8 +53,9 @@
 }
 
 impl WorkerConnections {
-    /// Limits the connections of a client to each worker.
-    pub fn new(client: Client) -> WorkerConnections {
+    /// Builds connections that are closed after `idle_timeout` without use.
+    pub fn new(idle_timeout: Duration) -> WorkerConnections {
+        let client = Client::with_idle_limits(idle_timeout, MAX_IDLE_PER_WORKER);
         WorkerConnections { client, orders: CallLimit::new(MAX_ORDERS_PER_WORKER) }
     }
 }
