Renew a gang's tickets in the call that asks about more workers

Cause: a gang whose allowed workers had room for some of its members asked about more workers only. Its own tickets had expired by then or expired during the call, so that a second call had to renew them before it could start. On a busy site the room was gone by the end of that call.

Change: if the allowed workers and those expected of the call have room for the whole gang, the call also renews the tickets that would not outlast it.

Measured: the new test failed before and passes now.

--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -272,24 +272,36 @@
             self.allowed.iter().map(|(candidate, _)| candidate.fits_idle).sum();
         let capacity: u32 = self.allowed.iter().map(|(candidate, _)| candidate.fits_now).sum();
         match (demand.is_gang, capacity >= wanted) {
-            (true, true) => self.gang_renewals(wanted, cost, min_expiry_ms),
+            (true, true) => self.gang_renewals(wanted, cost, 0, min_expiry_ms),
             (true, false) => {
+                let mut chosen = Vec::new();
                 // The more hosts are allowed, the sooner all members of the gang fit at
                 // once.
                 let extra = (wanted * GANG_CAPACITY_FACTOR).saturating_sub(idle_capacity);
                 if extra > 0 {
                     let wish = Wish { missing: extra, rate, counts_full_hosts: true };
-                    let chosen = wish.choose(search, demand.step_id, 0).0;
-                    if !chosen.is_empty() {
-                        return chosen;
+                    chosen = wish.choose(search, demand.step_id, 0).0;
+                }
+                if chosen.is_empty() {
+                    // The allowed hosts may stay full while other hosts are idle.
+                    let missing = wanted - capacity;
+                    let wish = Wish { missing, rate, counts_full_hosts: false };
+                    let (found, expected) =
+                        wish.choose(search, demand.step_id, demand.footprint.cpu_millis);
+                    if expected >= f64::from(missing) {
+                        chosen = found;
                     }
                 }
-                // The allowed hosts may stay full while other hosts are idle.
-                let missing = wanted - capacity;
-                let wish = Wish { missing, rate, counts_full_hosts: false };
-                let (chosen, expected) =
-                    wish.choose(search, demand.step_id, demand.footprint.cpu_millis);
-                if expected >= f64::from(missing) { chosen } else { Vec::new() }
+                let fitting = |index: &usize| search.tasks_that_fit(*index);
+                let new_capacity = rate * f64::from(chosen.iter().map(fitting).sum::<u32>());
+                if f64::from(capacity) + new_capacity >= f64::from(wanted) {
+                    // The gang may start with the answer only if all tickets hold then.
+                    let mut renewed = self.gang_renewals(wanted, cost, chosen.len(), min_expiry_ms);
+                    chosen.truncate(MAX_HOSTS_PER_CALL - renewed.len());
+                    renewed.append(&mut chosen);
+                    chosen = renewed;
+                }
+                chosen
             }
             (false, true) => self.renewals(wanted, min_expiry_ms),
             (false, false) => {
@@ -302,10 +314,18 @@
     }
 
     /// Returns the hosts whose renewal gives a gang valid tickets for all members at the
-    /// same time, with some spare hosts in case others fill up during the call.
-    fn gang_renewals(&self, wanted: u32, cost: AdviceCost, min_expiry_ms: u64) -> Vec<usize> {
+    /// same time, with some spare hosts in case others fill up during the call. The call is also
+    /// about `others` new hosts.
+    fn gang_renewals(
+        &self,
+        wanted: u32,
+        cost: AdviceCost,
+        others: usize,
+        min_expiry_ms: u64,
+    ) -> Vec<usize> {
         let wanted = (f64::from(wanted) * CAPACITY_MARGIN_FACTOR) as u32;
-        let call_ms = cost.call_ms(self.renewals(wanted, u64::MAX).len());
+        let renewed = self.renewals(wanted, u64::MAX).len();
+        let call_ms = cost.call_ms((renewed + others).min(MAX_HOSTS_PER_CALL));
         let mut chosen =
             self.renewals(wanted, min_expiry_ms + call_ms as u64 + GANG_TICKET_MARGIN_MS);
         chosen.truncate(MAX_HOSTS_PER_CALL);
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -586,6 +586,11 @@
         })
     }
 
+    /// Returns how many tasks of the step fit on a host now.
+    pub fn tasks_that_fit(&self, index: usize) -> u32 {
+        self.candidate(index).map_or(0, |found| found.fits_now)
+    }
+
     /// Returns the name of a candidate's host.
     pub fn host(&self, index: usize) -> Name {
         self.views[index].host.clone()
--- a/crates/graph/tests/engine/gangs.rs
+++ b/crates/graph/tests/engine/gangs.rs
@@ -126,6 +126,42 @@
     assert_eq!(world.state(id(1)), Some(State::Complete), "{}", world.describe_waits());
 }
 
+/// A gang whose allowed workers had room for some of its members asked about more workers only, and
+/// renewed its expired tickets in a further call. On a busy site the room was gone by then, so that
+/// late gangs used calls without end and rule LOST was broken at the enlarged Aarelin site
+/// (dark.toml, seed 16873). The platform's objective counts one call on 30 workers for each step.
+#[test]
+fn a_gang_that_asks_about_more_workers_renews_its_tickets_in_the_same_call() {
+    let advice = AdviceCost { base_ms: 455.0, per_host_ms: 6.5, valid_ms: 1_500 };
+    let mut catalog = catalog(Queue { advice: Some(advice), ..queue() });
+    catalog.queues.insert("plain".into(), queue());
+    let mut world = World::new(24, catalog, 1);
+    world.allowed_share = 0.5;
+    world.work_ms = 60_000;
+    let filler = Step { estimate_ms: 60_000, ..step(96, 1_000) };
+    world.submit_to("plain", id(2), job(vec![filler]));
+    world.run(200);
+    world.submit(id(1), job(vec![gang(8, 2_000)]));
+    // The answers for the full workers arrive, and their tickets expire.
+    world.run(8_000);
+    world.work_ms = 500;
+
+    // Three allowed workers become idle, with room for six members, and others join.
+    let now_ms = world.now_ms;
+    let allowed: Vec<usize> =
+        (0..24).filter(|at| world.is_allowed(id(1), &host(*at).id)).take(3).collect();
+    for at in allowed {
+        world.workers[at].runs.values_mut().for_each(|run| run.until_ms = now_ms);
+    }
+    for number in 24..48 {
+        world.add_worker(host(number));
+    }
+    let starts = world.oracle.starts;
+    world.run(455 + 30 * 13 / 2);
+
+    assert_eq!(world.oracle.starts - starts, 8, "{}", world.describe_waits());
+}
+
 /// A world whose first two workers run a gang of eight.
 fn world_with_gang(max_attempts: u32) -> World {
     let mut world = World::new(4, catalog(Queue { max_attempts, ..queue() }), 1);
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -778,6 +778,11 @@
         self.catalog.queues[&self.queues[&job]].advice.is_some()
     }
 
+    /// Returns whether advice allows a worker for the steps of a job.
+    pub fn is_allowed(&self, job: Id, name: &Name) -> bool {
+        is_allowed(job, name, self.allowed_share)
+    }
+
     /// Returns whether a job could run if it had all workers for itself.
     pub fn is_feasible(&self, job: Id) -> bool {
         let is_advised = self.is_advised(job);
