Log for how long a step has waited for each reason

Change: passes count the time for each reason that they see. From 3 s on, every 2 s, the five oldest steps and 15 of the others in turn are logged, each with the times so far.

--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -80,6 +80,7 @@
                 self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id))
             {
                 step.wait_reason = reason;
+                step.wait_times.record(reason, self.now.monotonic_ms);
             }
             if failed_searches >= MAX_FAILED_SEARCHES {
                 break;
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -365,7 +365,8 @@
             let age_ms = self.now.unix_ms.saturating_sub(job.due_unix_ms(step_id.occurrence));
             let (allowed, denied) = (step.advice.allowed.len(), step.advice.denied.len());
             let reason = step.wait_reason?;
-            Some(WaitingStep { step: *step_id, age_ms, reason, allowed, denied })
+            let spent_ms = step.wait_times.longest_first();
+            Some(WaitingStep { step: *step_id, age_ms, reason, spent_ms, allowed, denied })
         };
         self.backlog.steps().filter_map(wait).filter(|wait| wait.age_ms >= min_age_ms).collect()
     }
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -9,6 +9,7 @@
 use sycamore_types::Name;
 
 use crate::WaitReason;
+use crate::waiting::WaitTimes;
 
 /// Progress of one task.
 #[derive(Clone, Debug, Default)]
@@ -67,6 +68,7 @@
     pub has_survivor: bool,
     /// Why tasks of the step waited in the last dispatch pass that reached it.
     pub wait_reason: Option<WaitReason>,
+    pub wait_times: WaitTimes,
     /// Indices of the tasks that wait to be started.
     pub waiting: BTreeSet<u32>,
 }
@@ -90,6 +92,7 @@
             durations: Vec::new(),
             has_survivor: false,
             wait_reason: None,
+            wait_times: WaitTimes::default(),
             waiting: (0..tasks).collect(),
         }
     }
--- a/crates/graph/src/waiting.rs
+++ b/crates/graph/src/waiting.rs
@@ -48,8 +48,41 @@
     AdviceBusy,
 }
 
+impl WaitReason {
+    /// Number of reasons.
+    pub(crate) const COUNT: usize = WaitReason::AdviceBusy as usize + 1;
+}
+
+/// How long a step has waited for each reason, as seen by the dispatch passes that reached it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WaitTimes {
+    /// Reason seen by the last pass, and the time of that pass in milliseconds.
+    last: Option<(WaitReason, u64)>,
+    /// Time for each reason, in milliseconds.
+    spent_ms: [(Option<WaitReason>, u64); WaitReason::COUNT],
+}
+
+impl WaitTimes {
+    /// Counts the time since the last pass for the reason that it saw.
+    pub fn record(&mut self, reason: Option<WaitReason>, now_ms: u64) {
+        if let Some((last, since_ms)) = self.last {
+            let spent = &mut self.spent_ms[last as usize];
+            *spent = (Some(last), spent.1 + now_ms.saturating_sub(since_ms));
+        }
+        self.last = reason.map(|reason| (reason, now_ms));
+    }
+
+    /// Returns the reasons with the time for each in milliseconds, the longest first.
+    pub fn longest_first(&self) -> Vec<(WaitReason, u64)> {
+        let spent = self.spent_ms.iter().filter_map(|(reason, ms)| Some(((*reason)?, *ms)));
+        let mut spent: Vec<(WaitReason, u64)> = spent.filter(|(_, ms)| *ms > 0).collect();
+        spent.sort_by_key(|(_, ms)| std::cmp::Reverse(*ms));
+        spent
+    }
+}
+
 /// A step with tasks that wait to be started.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct WaitingStep {
     /// The step.
     pub step: StepId,
@@ -57,6 +90,9 @@
     pub age_ms: u64,
     /// Why the tasks wait.
     pub reason: WaitReason,
+    /// How long they have waited for each reason in milliseconds, the longest first. Passes look at
+    /// some steps only now and then, and count the time between for the reason that they saw.
+    pub spent_ms: Vec<(WaitReason, u64)>,
     /// Number of hosts that the advice service allowed for the step.
     pub allowed: usize,
     /// Number of hosts that the advice service denied for the step.
--- a/crates/graph/tests/engine/jobs.rs
+++ b/crates/graph/tests/engine/jobs.rs
@@ -1,7 +1,7 @@
 //! The life cycle of a job: submission, dependencies, retries, limits, schedules.
 
-use sycamore_graph::Answer;
 use sycamore_graph::job::{Schedule, Spec, State, Step};
+use sycamore_graph::{Answer, WaitReason};
 use sycamore_types::Name;
 
 use crate::fixture::{catalog, gang, id, job, limited, queue, size, step};
@@ -180,3 +180,23 @@
     }
     assert!(world.running() > 2);
 }
+
+/// The log told only why the oldest steps waited at that moment, so that it could not be told why a
+/// gang had waited for 30 s (enlarged Aarelin site, dark.toml, seed 16873).
+#[test]
+fn a_waiting_step_knows_how_long_it_has_waited_for_each_reason() {
+    let mut world = World::new(1, limited(catalog(queue()), size(2_000, 0)), 1);
+    world.work_ms = 2_000;
+    world.submit(id(1), job(vec![step(1, 2_000)]));
+    world.run(200);
+    world.submit(id(2), job(vec![step(1, 1_000)]));
+
+    world.run(1_000);
+
+    let waits = world.waits();
+    let spent_ms = &waits[0].spent_ms;
+    assert_eq!(waits[0].step.job, id(2));
+    assert_eq!(spent_ms[0].0, WaitReason::TeamLimit);
+    let total_ms: u64 = spent_ms.iter().map(|(_, ms)| ms).sum();
+    assert!((900..=1_000).contains(&total_ms), "{spent_ms:?}");
+}
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -13,7 +13,7 @@
 use sycamore_graph::{
     Action, Advise, Answer, DomainLoad, Ended, Engine, Event, HostEntry, HostLoss, Moment, Poll,
     PreemptionTiming, Reading, Record, Recovered, Report, RunEnd, Start, StartOutcome, TaskId,
-    Timing, Verdict, WaitReason,
+    Timing, Verdict, WaitReason, WaitingStep,
 };
 use sycamore_types::Name;
 
@@ -798,6 +798,11 @@
 }
 
 impl World {
+    /// Returns the steps that wait, in no particular order.
+    pub fn waits(&self) -> Vec<WaitingStep> {
+        self.engine.long_waits(0)
+    }
+
     /// Returns why steps wait, in no particular order.
     pub fn wait_reasons(&self) -> Vec<WaitReason> {
         self.engine.long_waits(0).iter().map(|wait| wait.reason).collect()
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use rustc_hash::FxHashMap;
-use sycamore_graph::{Action, Engine, Event, WaitingStep};
+use sycamore_graph::{Action, Engine, Event, StepId, WaitingStep};
 use tokio::sync::{mpsc, oneshot};
 
 use super::evacuation::EvacuationLog;
@@ -27,10 +27,11 @@
 const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Time after which a step's wait is logged, in milliseconds.
-const LONG_WAIT_MS: u64 = 8_000;
+const LONG_WAIT_MS: u64 = 3_000;
 
-/// Most waiting steps logged at a time, the longest waits first.
+/// Most waiting steps logged at a time: the longest waits, and the others in turn.
 const MAX_LOGGED_WAITS: usize = 5;
+const MAX_OTHER_LOGGED_WAITS: usize = 15;
 
 /// Work of the thread since the load was last logged.
 #[derive(Debug, Default)]
@@ -55,6 +56,8 @@
     /// Time before which no dispatch pass starts.
     next_dispatch: Instant,
     last_load_log: Instant,
+    /// Last step that was logged in turn.
+    last_logged_wait: Option<StepId>,
     load: Load,
     /// Workers of the previous owner are not all accounted for yet.
     is_recovering: bool,
@@ -83,6 +86,7 @@
             last_token: 0,
             next_dispatch,
             last_load_log,
+            last_logged_wait: None,
             load: Load::default(),
             is_recovering,
             evacuation_log: EvacuationLog::default(),
@@ -146,11 +150,17 @@
         let mut waits = self.engine.long_waits(LONG_WAIT_MS);
         waits.sort_by_key(|wait| std::cmp::Reverse(wait.age_ms));
         let total = waits.len();
-        for wait in waits.into_iter().take(MAX_LOGGED_WAITS) {
-            let WaitingStep { step, age_ms, reason, allowed, denied } = wait;
+        let mut others = waits.split_off(MAX_LOGGED_WAITS.min(total));
+        others.sort_by_key(|wait| (Some(wait.step) <= self.last_logged_wait, wait.step));
+        others.truncate(MAX_OTHER_LOGGED_WAITS);
+        self.last_logged_wait = others.last().map(|wait| wait.step);
+        for wait in waits.into_iter().chain(others) {
+            let WaitingStep { step, age_ms, reason, spent_ms, allowed, denied } = wait;
+            let spent = spent_ms.iter().map(|(reason, ms)| format!("{reason}: {ms} ms"));
+            let spent = spent.collect::<Vec<String>>().join("; ");
             log::info!(
                 target: "wait", job:% = step.job, occurrence = step.occurrence,
-                step = step.index, age_ms, obstacle:% = reason, allowed_workers = allowed,
+                step = step.index, age_ms, obstacle:% = reason, spent, allowed_workers = allowed,
                 denied_workers = denied, waiting_steps = total; "waiting"
             );
         }
