--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -380,7 +380,9 @@
                 age_ms: self.now.monotonic_ms.saturating_sub(call.at_ms),
                 is_answered: call.failures == 0,
             });
-            Some(WaitingStep { step: *step_id, age_ms, reason, allowed, denied, last_call })
+            let spent_ms = step.wait_times.longest_first();
+            let step = *step_id;
+            Some(WaitingStep { step, age_ms, reason, spent_ms, allowed, denied, last_call })
         };
         self.backlog.steps().filter_map(wait).filter(|wait| wait.age_ms >= min_age_ms).collect()
     }
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -13,7 +13,7 @@
 use sycamore_graph::{
     Action, Advise, Answer, DomainLoad, Ended, Engine, Event, HostEntry, HostLoss, LastCall,
     Moment, Poll, PreemptionTiming, Reading, Record, Recovered, Report, RunEnd, Start,
-    StartOutcome, TaskId, Timing, Verdict, WaitReason,
+    StartOutcome, TaskId, Timing, Verdict, WaitReason, WaitingStep,
 };
 use sycamore_types::Name;
 
@@ -793,6 +793,11 @@
         self.catalog.queues[&self.queues[&job]].advice.is_some()
     }
 
+    /// Returns whether advice allows a worker for the steps of a job.
+    pub fn is_allowed(&self, job: Id, name: &Name) -> bool {
+        is_allowed(job, name, self.allowed_share)
+    }
+
     /// Returns whether a job could run if it had all workers for itself.
     pub fn is_feasible(&self, job: Id) -> bool {
         let is_advised = self.is_advised(job);
@@ -808,6 +813,11 @@
 }
 
 impl World {
+    /// Returns the steps that wait, in no particular order.
+    pub fn waits(&self) -> Vec<WaitingStep> {
+        self.engine.long_waits(0)
+    }
+
     /// Returns why steps wait, in no particular order.
     pub fn wait_reasons(&self) -> Vec<WaitReason> {
         self.engine.long_waits(0).iter().map(|wait| wait.reason).collect()
