--- a/crates/platform/src/site/worker.rs
+++ b/crates/platform/src/site/worker.rs
@@ -44,8 +44,8 @@
 
 /// Connections to all workers, shared by the clients of one process.
 ///
-/// Starts and stops wait for one of a few connections to their worker. Polls don't wait: a worker
-/// has one or two of them at a time.
+/// Starts and stops wait for one of a few connections to their worker. Polls don't wait, and their
+/// number is not limited here: usually one or two are in flight, more after stops of several runs.
 #[derive(Clone, Debug)]
 pub struct WorkerConnections {
     client: Client,
