Shows a task that runs on two workers after one of them has crashed and is back (TWICE)

Cause: a start order that still waits in the owner for a connection to the worker is sent to the worker's next life, which has the same id, no fence and a new clock, and takes it. By then the owner has seen the new life in the list of workers, counts the run as lost and starts the task elsewhere.

--- /dev/null
+++ b/review/harness/cases.rs
@@ -0,0 +1,14 @@
+//! The cases, by the number of their folder.
+
+#[path = "../1/case.rs"]
+mod case_1;
+
+use crate::Found;
+use crate::record::Record;
+
+pub fn play(number: &str, record: &Record, has_trouble: bool) -> Found {
+    match number {
+        "1" => case_1::play(record, has_trouble),
+        other => Err(format!("no case {other}")),
+    }
+}
