Shows a task that lasts and is not started again after its worker is lost (LOST)

Cause: tasks with a goal-ms are never placed beside tasks that fill, and these are spread over all other workers and neither paced nor moved.

Added: review/2. One worker of eight is lost for good; the seven others each run one task that fills.

--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -2,6 +2,8 @@
 
 #[path = "../1/case.rs"]
 mod case_1;
+#[path = "../2/case.rs"]
+mod case_2;
 
 use crate::Found;
 use crate::record::Record;
@@ -9,6 +11,7 @@
 pub fn play(number: &str, record: &Record, has_trouble: bool) -> Found {
     match number {
         "1" => case_1::play(record, has_trouble),
+        "2" => case_2::play(record, has_trouble),
         other => Err(format!("no case {other}")),
     }
 }
