Shows a submission that lasts and is closed as failed after two crashes of workers (LOST)

Cause: a job under one of whose tasks two hosts have crashed is given up, also one whose tasks last and have to be restarted however they end.

Added: review/4. The worker of the task crashes, then the one on which it was started again, each for 1.5 s.

--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -6,6 +6,8 @@
 mod case_2;
 #[path = "../3/case.rs"]
 mod case_3;
+#[path = "../4/case.rs"]
+mod case_4;
 
 use crate::Found;
 use crate::record::Record;
@@ -15,6 +17,7 @@
         "1" => case_1::play(record, has_trouble),
         "2" => case_2::play(record, has_trouble),
         "3" => case_3::play(record, has_trouble),
+        "4" => case_4::play(record, has_trouble),
         other => Err(format!("no case {other}")),
     }
 }
