--- a/review/harness/worker.rs
+++ b/review/harness/worker.rs
@@ -46,8 +46,6 @@
 
 struct State {
     power: Power,
-    /// Since when no message gets through. Those that arrive meanwhile are lost.
-    is_cut: bool,
     born: u64,
     clock: Instant,
     fence: u64,
@@ -64,7 +62,6 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         State {
             power: Power::Up,
-            is_cut: false,
             born: unix.as_millis() as u64,
             clock: Instant::now(),
             fence: 0,
@@ -183,13 +180,6 @@
         self.write_entry();
     }
 
-    /// Cuts the worker off from all machines of the system, or ends that. It runs on meanwhile.
-    pub fn set_cut(&self, is_cut: bool) {
-        self.state().is_cut = is_cut;
-        self.0.changed.notify_all();
-        self.note((if is_cut { "cut off" } else { "reached again" }).to_string());
-    }
-
     fn write_entry(&self) {
         let shared = &self.0;
         let mut state = self.state();
@@ -298,7 +288,7 @@
     fn is_reached(&self) -> bool {
         let arrived = Instant::now();
         let mut state = self.state();
-        if state.power == Power::Up && !state.is_cut {
+        if state.power == Power::Up {
             return true;
         }
         let mut repeats = REPEATS.iter().map(|ms| Duration::from_millis(*ms));
@@ -307,10 +297,9 @@
             if state.power == Power::Down {
                 return false;
             }
-            let is_silent = state.power == Power::Dark || state.is_cut;
             let left = at.saturating_sub(arrived.elapsed());
             if left.is_zero() {
-                if !is_silent {
+                if state.power == Power::Up {
                     return false;
                 }
                 next = repeats.next();
