Log how old the confirmation of ownership is, and whose lease has expired

Change: the load line has confirmed_ms_ago; a new owner logs the workers that it waits for, and each lease that it takes for expired with who granted it; counter leases_expired_total. The time of the last confirmation counts from when the call was sent, also for the claim itself, and includes suspensions of the host (CLOCK_BOOTTIME, crate nix).

--- a/crates/bench/src/site/simulation.rs
+++ b/crates/bench/src/site/simulation.rs
@@ -318,6 +318,7 @@
                 | Action::ReportLoss(_)
                 | Action::ReportRestriction(_)
                 | Action::ReportTeamUse(_)
+                | Action::ReportExpiredLease(_)
                 | Action::ReportUnusedReservation { .. }
                 | Action::Deposed => {}
             }
--- a/crates/graph/src/action.rs
+++ b/crates/graph/src/action.rs
@@ -6,7 +6,7 @@
 use sycamore_types::Name;
 
 use crate::job::State;
-use crate::{CallClass, Decision, HostLoss, Record, StepId, TaskId};
+use crate::{CallClass, Decision, ExpiredLease, HostLoss, Record, StepId, TaskId};
 
 /// Request to a host to start a task.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -109,6 +109,8 @@
     RecordDecision(Decision),
     /// Reports the loss of a host with its runs to operators.
     ReportLoss(HostLoss),
+    /// Reports to operators that a lease counts as expired.
+    ReportExpiredLease(ExpiredLease),
     /// Reports the past use of the teams to operators: team, use in seconds of the whole capacity,
     /// factor.
     ReportTeamUse(Vec<(Name, f64, f64)>),
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -12,7 +12,7 @@
 
 use super::Engine;
 use crate::host::{Host, LogState, Phase, Speed};
-use crate::{HostEntry, LossCause, Reading, Record, TaskId};
+use crate::{Action, ExpiredLease, HostEntry, LossCause, Reading, Record, TaskId};
 
 /// Most time by which a host's clock may be ahead of this one, in milliseconds. A host that states a
 /// later start hasn't taken another one's address: its entry has another writer.
@@ -174,6 +174,7 @@
         let expired: Vec<Name> =
             self.hosts.values().filter(has_expired).map(|host| host.entry.id.clone()).collect();
         for name in expired {
+            self.report_expired_lease(&name);
             self.lose_all_runs(&name, LossCause::LeaseExpired);
             if let Some(host) = self.hosts.get_mut(&name) {
                 host.has_reported = false;
@@ -185,6 +186,35 @@
         self.finish_recovery();
     }
 
+    /// Reports the end of a lease once, if the host may have had runs until then.
+    fn report_expired_lease(&mut self, name: &Name) {
+        let now_ms = self.now.monotonic_ms;
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let may_have_had_others = host.log == LogState::Used && !host.has_reported;
+        let had_runs = may_have_had_others || !host.runs.is_empty();
+        if std::mem::replace(&mut host.is_written_off, true) || !had_runs {
+            return;
+        }
+        let lease = ExpiredLease {
+            host: name.clone(),
+            runs: host.runs.len(),
+            may_have_had_others,
+            was_granted_here: host.has_granted,
+            silent_ms: host.unreachable_since_ms.map(|since_ms| now_ms.saturating_sub(since_ms)),
+        };
+        self.actions.push(Action::ReportExpiredLease(lease));
+    }
+
+    /// Returns the hosts that may have runs of an earlier owner which no report has shown, each with
+    /// the time until its lease has certainly expired, in milliseconds.
+    pub fn awaited_hosts(&self) -> Vec<(Name, u64)> {
+        let now_ms = self.now.monotonic_ms;
+        let awaited = self.hosts.values().filter(|host| host.may_have_unlisted_runs(now_ms));
+        let left = awaited
+            .map(|host| (host.entry.id.clone(), host.lease_until_ms().saturating_sub(now_ms)));
+        left.collect()
+    }
+
     /// Records which hosts get no new work, with the runs that they still have. The fewer
     /// runs the log allows for, the fewer unreachable hosts a new owner has to wait for. A
     /// silent host gets no new work either.
--- a/crates/graph/src/engine/polls.rs
+++ b/crates/graph/src/engine/polls.rs
@@ -119,6 +119,7 @@
         host.last_forgotten_end =
             first_listed.map_or(host.last_seen_end, |seq| seq.saturating_sub(1));
         host.has_reported = true;
+        host.is_written_off = false;
         if was_unreachable {
             host.lost_suspects.clear();
             self.bulkheads.retract_loss(name);
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -117,6 +117,10 @@
     /// deadline moves it, whatever its reply: the host may carry it out late, and takes the
     /// deadline even of a start that it refuses.
     lease_until_ms: u64,
+    /// This owner has granted a lease.
+    pub has_granted: bool,
+    /// The lease counts as expired, and the host has not reported since.
+    pub is_written_off: bool,
     /// Number of the poll in flight.
     pub poll_in_flight: Option<u64>,
     /// Time before which no poll is sent, in milliseconds.
@@ -172,6 +176,8 @@
             has_other_clock: false,
             unanswered_starts: Vec::new(),
             lease_until_ms: timing.lease_until_ms(now_ms, timing.lease_ms),
+            has_granted: false,
+            is_written_off: false,
             poll_in_flight: None,
             poll_not_before_ms: 0,
             reported_ms: 0,
@@ -229,6 +235,11 @@
         self.entry.capacity.minus(&self.used)
     }
 
+    /// Returns the time after which the lease has certainly expired, in milliseconds.
+    pub fn lease_until_ms(&self) -> u64 {
+        self.lease_until_ms
+    }
+
     /// Returns whether the lease has certainly expired, so that no run of this owner or an
     /// earlier one can still exist on the host.
     pub fn is_lease_expired(&self, now_ms: u64) -> bool {
@@ -238,6 +249,7 @@
     /// Returns the deadline of an order that is valid for `granted_ms`, on the host's clock.
     /// The order may extend the lease until then.
     pub fn grant(&mut self, now_ms: u64, granted_ms: u64, timing: &Timing) -> u64 {
+        self.has_granted = true;
         self.extend_lease(now_ms, granted_ms, timing);
         self.clock_at(now_ms) + granted_ms
     }
--- a/crates/graph/src/loss.rs
+++ b/crates/graph/src/loss.rs
@@ -21,6 +21,21 @@
     GangBroken,
 }
 
+/// A lease that counts as expired, so that tasks which may have run on the host start again.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ExpiredLease {
+    /// Name of the host.
+    pub host: Name,
+    /// Number of runs that were known to be there or may have been there.
+    pub runs: usize,
+    /// The log allowed for further runs that no report to this owner has shown.
+    pub may_have_had_others: bool,
+    /// This owner has granted a lease to the host. Otherwise only earlier owners can have.
+    pub was_granted_here: bool,
+    /// Time since the first poll without a reply, in milliseconds. `None` if there was none.
+    pub silent_ms: Option<u64>,
+}
+
 /// Loss of a host that had runs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HostLoss {
--- a/crates/graph/tests/engine/takeover.rs
+++ b/crates/graph/tests/engine/takeover.rs
@@ -1,5 +1,6 @@
 //! Takeovers: a new owner rebuilds its state from the log and from the reports of the workers.
 
+use sycamore_graph::ExpiredLease;
 use sycamore_graph::job::{State, Step};
 
 use crate::fixture::{catalog, gang, id, job, limited, queue, size, step};
@@ -54,6 +55,32 @@
     assert!(world.workers[0].runs.is_empty());
 }
 
+/// Logs did not tell for which workers a successor waited, and whose lease it took for over.
+#[test]
+fn an_expired_lease_is_reported_once_with_who_granted_it() {
+    let mut world = World::new(2, catalog(queue()), 1);
+    world.work_ms = 60_000;
+    world.submit(id(1), job(vec![step(8, 1_000)]));
+    world.run(300);
+    let host = world.workers[0].entry.id.clone();
+    world.workers[0].is_unreachable = true;
+
+    world.take_over();
+    world.run(100);
+    let awaited = world.awaited_hosts();
+    world.run(12_000);
+
+    assert_eq!(awaited, [(host.clone(), 6_320)]);
+    let expired = ExpiredLease {
+        host,
+        runs: 0,
+        may_have_had_others: true,
+        was_granted_here: false,
+        silent_ms: None,
+    };
+    assert_eq!(world.expired_leases, [expired]);
+}
+
 #[test]
 fn a_limit_holds_while_workers_of_the_previous_owner_are_unreachable() {
     let limit = size(6_000, 0);
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -11,8 +11,8 @@
 use sycamore_graph::catalog::Catalog;
 use sycamore_graph::job::{Id, Spec, State};
 use sycamore_graph::{
-    Action, Advise, Answer, DomainLoad, Ended, Engine, Event, HostEntry, HostLoss, LastCall,
-    Moment, Poll, PreemptionTiming, Reading, Record, Recovered, Report, RunEnd, Start,
+    Action, Advise, Answer, DomainLoad, Ended, Engine, Event, ExpiredLease, HostEntry, HostLoss,
+    LastCall, Moment, Poll, PreemptionTiming, Reading, Record, Recovered, Report, RunEnd, Start,
     StartOutcome, TaskId, Timing, Verdict, WaitReason, WaitingStep,
 };
 use sycamore_types::Name;
@@ -101,6 +101,8 @@
     evacuated: BTreeSet<Name>,
     /// Losses of workers that the engine has reported.
     pub losses: Vec<HostLoss>,
+    /// Leases that the engine has reported as expired.
+    pub expired_leases: Vec<ExpiredLease>,
     engine: Engine,
     log: Vec<Record>,
     durable_records: usize,
@@ -157,6 +159,7 @@
             listed: BTreeMap::new(),
             evacuated: BTreeSet::new(),
             losses: Vec::new(),
+            expired_leases: Vec::new(),
             engine,
             log: Vec::new(),
             durable_records: 0,
@@ -554,6 +557,7 @@
                 Action::RecordDecision(decision) => self.check_decision(decision.verdict),
                 Action::ReportUnusedReservation { .. } => self.unused_reservations += 1,
                 Action::ReportRestriction(_) | Action::ReportTeamUse(_) | Action::Deposed => {}
+                Action::ReportExpiredLease(lease) => self.expired_leases.push(lease),
             }
         }
     }
@@ -837,6 +841,12 @@
 }
 
 impl World {
+    /// Returns the hosts of an earlier owner that the engine waits for, each with the time left of its
+    /// lease in milliseconds.
+    pub fn awaited_hosts(&self) -> Vec<(Name, u64)> {
+        self.engine.awaited_hosts()
+    }
+
     /// Returns the steps that wait, in no particular order.
     pub fn waits(&self) -> Vec<WaitingStep> {
         self.engine.long_waits(0)
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
 use sycamore_graph::Moment;
 
 /// Reads the monotonic and the wall clock together.
@@ -20,6 +21,13 @@
         millis(at.saturating_duration_since(self.origin))
     }
 
+    /// Returns the time since the host booted, in milliseconds. Unlike [`Instant`] it includes the
+    /// time for which the host was suspended.
+    pub fn uptime_ms(&self) -> u64 {
+        let uptime = clock_gettime(ClockId::CLOCK_BOOTTIME);
+        millis(uptime.map_or_else(|_| self.origin.elapsed(), Duration::from))
+    }
+
     pub fn now(&self) -> Moment {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
         Moment { monotonic_ms: millis(self.origin.elapsed()), unix_ms: millis(unix) }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -32,6 +32,8 @@
     pub starts: IntCounterVec,
     /// Lost workers that had runs, by cause.
     pub host_losses: IntCounterVec,
+    /// Leases that count as expired, by who granted them.
+    pub expired_leases: IntCounterVec,
     /// Runs that were suspected to have crashed their worker.
     pub suspects: IntCounter,
     /// Jobs given up because workers crash under one of their tasks.
@@ -101,6 +103,11 @@
                 "Lost workers that had runs.",
                 &["cause"],
             ),
+            expired_leases: all.counters(
+                "leases_expired_total",
+                "Leases of workers with runs that count as expired.",
+                &["granted_by"],
+            ),
             suspects: all
                 .counter("suspect_runs_total", "Lost runs that start again apart from others."),
             given_up: all.counter(
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -3,6 +3,7 @@
 //! Events are handled as they arrive. Dispatch passes, which start waiting tasks, cost more:
 //! they run at a bounded rate and cover all events that arrived in between.
 
+use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 use sycamore_graph::{Action, Engine, Event, StepId, WaitingStep};
 use tokio::sync::{mpsc, oneshot};
 
+use super::Shared;
 use super::evacuation::EvacuationLog;
 use super::handle::Input;
 use crate::clock::{Clock, millis};
@@ -34,6 +36,9 @@
 const MAX_LOGGED_WAITS: usize = 5;
 const MAX_OTHER_LOGGED_WAITS: usize = 15;
 
+/// Most workers of the previous owner logged at a time.
+const MAX_LOGGED_HOSTS: usize = 20;
+
 /// Work of the thread since the load was last logged.
 #[derive(Debug, Default)]
 struct Load {
@@ -50,6 +55,7 @@
 struct Control {
     engine: Engine,
     clock: Clock,
+    shared: Arc<Shared>,
     actions: mpsc::UnboundedSender<Action>,
     /// Channels to callers who wait for an answer, by token.
     callers: FxHashMap<u64, oneshot::Sender<RequestOutcome>>,
@@ -72,6 +78,7 @@
     engine: Engine,
     clock: Clock,
     actions: mpsc::UnboundedSender<Action>,
+    shared: Arc<Shared>,
 ) -> std::io::Result<Sender<Input>> {
     let (sender, inputs) = channel();
     std::thread::Builder::new().name("control".to_string()).spawn(move || {
@@ -82,6 +89,7 @@
         let mut control = Control {
             engine,
             clock,
+            shared,
             actions,
             callers,
             last_token: 0,
@@ -144,11 +152,13 @@
             waiting_steps = self.engine.waiting_steps(),
             hopeless_steps = self.engine.hopeless_steps(),
             isolated_runs = self.engine.isolated_runs(),
-            avoided_workers = self.engine.avoided_hosts(), events = load.events,
+            avoided_workers = self.engine.avoided_hosts(),
+            confirmed_ms_ago = millis(self.shared.confirmation.age()), events = load.events,
             events_ms = millis(load.event_time), passes = load.passes,
             passes_ms = millis(load.pass_time), longest_pass_ms = millis(load.longest_pass);
             "load of the control thread"
         );
+        self.log_awaited_hosts();
         let mut waits = self.engine.long_waits(LONG_WAIT_MS);
         waits.sort_by_key(|wait| std::cmp::Reverse(wait.age_ms));
         let total = waits.len();
@@ -171,6 +181,21 @@
         }
     }
 
+    /// Logs for which workers of the previous owner the tasks wait, and for how long.
+    fn log_awaited_hosts(&self) {
+        if !self.is_recovering {
+            return;
+        }
+        let awaited = self.engine.awaited_hosts();
+        let workers = awaited.len();
+        for (host, lease_left_ms) in awaited.into_iter().take(MAX_LOGGED_HOSTS) {
+            log::info!(
+                target: "worker", host:%, lease_left_ms, workers;
+                "waiting for a worker of the previous owner"
+            );
+        }
+    }
+
     /// Runs a dispatch pass if one is needed and the pause after the last one is over.
     fn dispatch_if_due(&mut self) {
         let started = Instant::now();
--- a/crates/node/src/owner/execute.rs
+++ b/crates/node/src/owner/execute.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use sycamore_graph::{Action, HostLoss, LossCause, StepId};
+use sycamore_graph::{Action, ExpiredLease, HostLoss, LossCause, StepId};
 use sycamore_types::Name;
 use tokio::sync::{Notify, mpsc};
 
@@ -70,6 +70,9 @@
                 }
                 Some(Action::RecordDecision(decision)) => recorder.record(decision),
                 Some(Action::ReportLoss(loss)) => report_loss(&node, &loss, handle.epoch),
+                Some(Action::ReportExpiredLease(lease)) => {
+                    report_expired_lease(&node, &lease, handle.epoch);
+                }
                 Some(Action::ReportRestriction(queue)) => report_restriction(&node, &queue, handle.epoch),
                 Some(Action::ReportTeamUse(rows)) => report_team_use(&node, &rows),
                 Some(Action::ReportUnusedReservation { step, host }) => {
@@ -105,6 +108,16 @@
     );
 }
 
+fn report_expired_lease(node: &Node, lease: &ExpiredLease, epoch: u64) {
+    let granted_by = if lease.was_granted_here { "this_owner" } else { "earlier_owner" };
+    node.meters.expired_leases.with_label_values(&[granted_by]).inc();
+    log::info!(
+        target: "worker", host:% = lease.host, epoch, runs = lease.runs,
+        may_have_had_others = lease.may_have_had_others, granted_by, silent_ms = lease.silent_ms;
+        "the lease of a worker has expired"
+    );
+}
+
 fn report_unused_reservation(node: &Node, step: StepId, host: &str, epoch: u64) {
     node.meters.unused_reservations.inc();
     log::info!(
--- a/crates/node/src/owner/executors/tests/session.rs
+++ b/crates/node/src/owner/executors/tests/session.rs
@@ -19,6 +19,7 @@
 use super::super::session::{Notice, NoticeEvent, Session};
 use super::super::{Executors, UPDATE_INTERVAL};
 use super::{poll, start, stop};
+use crate::clock::Clock;
 use crate::node::Node;
 use crate::owner::calls::{Calls, Request};
 use crate::owner::handle::Input;
@@ -78,7 +79,7 @@
         let worker = Worker::start("worker", capacity, starts.clone()).await.expect("a free port");
         let node = node("owner", SocketAddr::from(([127, 0, 0, 1], 9)), None);
         let (control, events) = std::sync::mpsc::channel();
-        let handle = Handle::new(EPOCH, control, Arc::new(Shared::new(1)));
+        let handle = Handle::new(EPOCH, control, Arc::new(Shared::new(1, Clock::new(), 0)));
         handle.addresses.set(Name::from("worker"), worker.address());
         handle.addresses.set_listed(1);
         let calls = Calls::new(node.clone(), handle, Arc::new(Notify::new()));
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -220,13 +220,13 @@
         let mut failures = 0;
         loop {
             let timeout = self.timeout.of(transaction.value_bytes(), failures);
-            let attempted = Instant::now();
+            let attempted_ms = self.shared.confirmation.begin();
             let outcome = self.store.commit(transaction, timeout).await;
             let label = if outcome.is_ok() { "kept" } else { "failed" };
             self.meters.log_writes.with_label_values(&[label]).inc();
             match outcome {
                 Ok(_) => {
-                    self.shared.record_confirmation(attempted);
+                    self.shared.confirmation.record(attempted_ms);
                     break;
                 }
                 Err(StoreError::Conflict) => match self.is_written(key, may_be_written).await {
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -7,6 +7,7 @@
 
 mod advice;
 mod calls;
+mod confirmation;
 mod control;
 mod evacuation;
 mod execute;
@@ -24,18 +25,19 @@
 mod tests;
 mod write_timeout;
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use sycamore_graph::catalog::Catalog;
 use sycamore_graph::{Engine, Event, PreemptionTiming, Recovered, Timing};
 use sycamore_platform::site::{Settings, Store, StoreError};
 use tokio::sync::mpsc;
 
+use confirmation::Confirmation;
 pub(crate) use handle::Handle;
 
-use crate::clock::millis;
+use crate::clock::{Clock, millis};
 use crate::node::Node;
 use crate::ownership::{CurrentOwner, OwnerRecord};
 use crate::timing::{START_STOP_TIMEOUT, STORE_RETRY, STORE_TIMEOUT, UNCONFIRMED_RECOVERY_TIME};
@@ -51,8 +53,8 @@
     pub is_store_unavailable: AtomicBool,
     /// Revision of the owner record under which this process is the owner.
     owner_rev: u64,
-    /// Last time at which the record certainly had that revision.
-    confirmed_at: Mutex<Instant>,
+    /// When the record last certainly had that revision.
+    confirmation: Confirmation,
 }
 
 /// Why this process stops being the owner.
@@ -69,10 +71,11 @@
 /// Runs this process as the owner until it loses ownership or stops.
 ///
 /// `record` is the owner record that this process has written, `rev` its revision in the
-/// store. Log writes require that the record is still at this revision.
-pub(crate) async fn run(node: &Arc<Node>, record: OwnerRecord, rev: u64) {
+/// store. Log writes require that the record is still at this revision. `confirmed_ms` is
+/// [`Clock::uptime_ms`] before the call that has written or found it was sent.
+pub(crate) async fn run(node: &Arc<Node>, record: OwnerRecord, rev: u64, confirmed_ms: u64) {
     node.ownership.set_current(CurrentOwner::Recovering { epoch: record.epoch });
-    let shared = Arc::new(Shared::new(rev));
+    let shared = Arc::new(Shared::new(rev, node.clock, confirmed_ms));
     let recovered = tokio::select! {
         recovered = read_log_as_owner(node, &shared) => recovered,
         () = node.outranked.notified() => None,
@@ -105,7 +108,7 @@
     };
     let engine = Engine::new(node.clock.now(), timing, catalog, recovered);
     let (actions, received) = mpsc::unbounded_channel();
-    let control = match control::spawn(engine, node.clock, actions) {
+    let control = match control::spawn(engine, node.clock, actions, shared.clone()) {
         Ok(control) => control,
         Err(error) => {
             log::error!("control thread failed to start: {error}");
@@ -218,22 +221,16 @@
 }
 
 impl Shared {
-    /// `owner_rev` is the revision of the record that this process has just written or read.
-    fn new(owner_rev: u64) -> Shared {
-        let confirmed_at = Mutex::new(Instant::now());
-        Shared { is_store_unavailable: AtomicBool::new(false), owner_rev, confirmed_at }
-    }
-
-    /// Records that this process was still the owner at a time.
-    fn record_confirmation(&self, at: Instant) {
-        let mut confirmed_at = self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
-        *confirmed_at = at.max(*confirmed_at);
+    /// `owner_rev` is the revision of the record that this process has written or read by a call that
+    /// it sent at `confirmed_ms` of [`Clock::uptime_ms`].
+    fn new(owner_rev: u64, clock: Clock, confirmed_ms: u64) -> Shared {
+        let confirmation = Confirmation::new(clock, confirmed_ms);
+        Shared { is_store_unavailable: AtomicBool::new(false), owner_rev, confirmation }
     }
 
     /// Returns whether this process was certainly the owner within a time before now.
     pub fn is_recently_confirmed(&self, time: Duration) -> bool {
-        let confirmed_at = self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
-        confirmed_at.elapsed() < time
+        self.confirmation.age() < time
     }
 
     /// Reads the owner record, and returns whether this process is still the owner.
@@ -242,11 +239,11 @@
     ///
     /// Returns the store's error if the record can't be read.
     pub async fn confirm(&self, store: &Store) -> Result<bool, StoreError> {
-        let started = Instant::now();
+        let started_ms = self.confirmation.begin();
         let (_, rev) = OwnerRecord::read(store).await?;
         let is_owner = rev == self.owner_rev;
         if is_owner {
-            self.record_confirmation(started);
+            self.confirmation.record(started_ms);
         }
         Ok(is_owner)
     }
--- a/crates/node/src/owner/tests/advice_dispatch.rs
+++ b/crates/node/src/owner/tests/advice_dispatch.rs
@@ -14,6 +14,7 @@
 use super::super::advice::{AdviceDispatcher, CallEnd, EndedCall};
 use super::super::handle::Input;
 use super::fixture::node;
+use crate::clock::Clock;
 use crate::node::Node;
 use crate::owner::{Handle, Shared};
 use crate::peer::Ping;
@@ -38,7 +39,7 @@
         let service = Advice::start(mode).await.expect("a free port");
         let node = node("host-b", unused_address(), Some(service.server.address));
         let (control, events) = std::sync::mpsc::channel();
-        let handle = Handle::new(1, control, Arc::new(Shared::new(1)));
+        let handle = Handle::new(1, control, Arc::new(Shared::new(1, Clock::new(), 0)));
         let (dispatcher, ended) = AdviceDispatcher::new(node.clone(), handle);
         Fixture { node, dispatcher, ended, events, _service: service }
     }
--- a/crates/node/src/ownership/follow.rs
+++ b/crates/node/src/ownership/follow.rs
@@ -52,11 +52,12 @@
 pub(crate) async fn follow(node: Arc<Node>) {
     let mut backoff = Backoff::new(STORE_RETRY, STORE_RETRY_MAX);
     loop {
+        let read_ms = node.clock.uptime_ms();
         match OwnerRecord::read(&node.store).await {
             Ok((record, rev)) => {
                 node.ownership.set_detached(false);
                 backoff.reset();
-                handle_record(&node, record, rev).await;
+                handle_record(&node, record, rev, read_ms).await;
             }
             Err(error) => {
                 log::debug!("can't read the owner record: {error}");
@@ -70,7 +71,8 @@
     }
 }
 
-async fn handle_record(node: &Arc<Node>, record: Option<OwnerRecord>, rev: u64) {
+/// Acts on the owner record, which was read by a call sent at `read_ms` of the host's uptime.
+async fn handle_record(node: &Arc<Node>, record: Option<OwnerRecord>, rev: u64, read_ms: u64) {
     let Some(record) = record else {
         take_over(node, None, rev, "first").await;
         return;
@@ -80,7 +82,7 @@
         take_over(node, Some(record), rev, "vacant").await;
     } else if record.nonce == node.nonce {
         // An earlier claim of this process succeeded, but its reply was lost.
-        owner::run(node, record, rev).await;
+        owner::run(node, record, rev, read_ms).await;
     } else if record.host == node.settings.host {
         take_over(node, Some(record), rev, "restarted").await;
     } else {
@@ -309,6 +311,7 @@
         is_vacant: false,
         is_weak: is_weak(node),
     };
+    let claimed_ms = node.clock.uptime_ms();
     match own.write(&node.store, rev).await {
         Ok(rev) => {
             node.meters.claims.with_label_values(&[why, "won"]).inc();
@@ -317,7 +320,7 @@
             if let Some(address) = previous_address.filter(|address| *address != own.address) {
                 notify_previous_owner(node, address);
             }
-            owner::run(node, own, rev).await;
+            owner::run(node, own, rev, claimed_ms).await;
         }
         Err(error) => {
             node.meters.claims.with_label_values(&[why, "not won"]).inc();
