Show a task that runs twice while a replaced owner goes on

Change: the simulation of the engine's tests can keep the replaced owner, with its epoch and the workers that it reaches.

--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -17,6 +17,7 @@
 mod preemption;
 mod rebirth;
 mod regression;
+mod replaced_owner;
 mod silence;
 mod takeover;
 mod worker;
--- a/crates/graph/tests/engine/worker.rs
+++ b/crates/graph/tests/engine/worker.rs
@@ -82,6 +82,8 @@
     pub hides_members: bool,
     /// No message reaches the worker or comes from it.
     pub is_unreachable: bool,
+    /// Messages of a replaced owner reach the worker, and its replies reach that one.
+    pub hears_former: bool,
     /// Multiple of the ordinary time that the worker takes for its tasks.
     pub slowness: u64,
     /// Names of the incarnations that had the address of this one.
@@ -119,6 +121,7 @@
             is_hung: false,
             hides_members: false,
             is_unreachable: false,
+            hears_former: false,
             slowness: 1,
             former_names: Vec::new(),
             back_ms: None,
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world/mod.rs
@@ -3,6 +3,8 @@
 //! All delays, losses and failures come from a seeded random source, so that a test
 //! takes the same course each time.
 
+mod former;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
@@ -21,6 +23,8 @@
 use crate::oracle::{End, Oracle};
 use crate::worker::{Work, Worker};
 
+use former::Former;
+
 /// Time by which the clock advances in each iteration, in milliseconds.
 const TIME_STEP_MS: u64 = 5;
 
@@ -104,6 +108,10 @@
     /// Leases that the engine has reported as expired.
     pub expired_leases: Vec<ExpiredLease>,
     engine: Engine,
+    /// A replaced owner that goes on.
+    former: Option<Former>,
+    /// The engine is that of the replaced owner at present.
+    is_former_acting: bool,
     log: Vec<Record>,
     durable_records: usize,
     delivery_times: BinaryHeap<Reverse<(u64, u64)>>,
@@ -161,6 +169,8 @@
             losses: Vec::new(),
             expired_leases: Vec::new(),
             engine,
+            former: None,
+            is_former_acting: false,
             log: Vec::new(),
             durable_records: 0,
             delivery_times: BinaryHeap::new(),
@@ -278,15 +288,22 @@
 
     /// Replaces the owner before it has read the list of workers.
     pub fn take_over_unlisted(&mut self) {
+        self.replace_engine();
+    }
+
+    /// Replaces the engine by that of a successor, and returns the former one.
+    fn replace_engine(&mut self) -> Engine {
         self.epoch += 1;
         self.log.truncate(self.durable_records);
         let mut recovered = Recovered::default();
         self.log.iter().cloned().for_each(|record| recovered.apply(record));
         let timing = self.timing.clone();
-        self.engine = Engine::new(self.moment(), timing, self.catalog.clone(), recovered);
+        let engine = Engine::new(self.moment(), timing, self.catalog.clone(), recovered);
+        let former = std::mem::replace(&mut self.engine, engine);
         if !self.evacuated.is_empty() {
             self.handle(Event::Evacuating(self.evacuated.clone()));
         }
+        former
     }
 
     /// Checks that a successor would judge each open job as the owner does. A job whose acceptance
@@ -354,6 +371,7 @@
             }
             if self.now_ms.is_multiple_of(50) {
                 self.handle(Event::Tick);
+                self.handle_as_former(Event::Tick);
             }
             let actions = self.engine.dispatch(self.moment());
             self.assert_no_stale_result();
@@ -527,6 +545,8 @@
     fn execute(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
+                // The store takes no records of a replaced owner.
+                Action::Append(_) if self.is_former_acting => {}
                 Action::Append(record) => {
                     self.log.push(record);
                     let records = self.engine.appended_records();
@@ -602,7 +622,7 @@
             self.random.random_range(0..4)
         };
         if is_lost {
-            self.report_no_reply(&action, 500);
+            self.report_no_reply(self.epoch, &action, 500);
         }
         self.schedule(delay, Delivery::Request { at, epoch: self.epoch, action, is_lost });
     }
@@ -636,6 +656,9 @@
     fn deliver(&mut self, delivery: Delivery) {
         match delivery {
             Delivery::Event { epoch, event } if epoch == self.epoch => self.handle(event),
+            Delivery::Event { epoch, event } if self.is_former(epoch) => {
+                self.handle_as_former(event);
+            }
             Delivery::Commit { .. } if self.is_store_away => {
                 self.schedule(STORE_RETRY_MS, delivery);
             }
@@ -657,14 +680,21 @@
         let is_long_poll = matches!(&action, Action::Poll(poll) if poll.wait_ms > 0);
         let is_reset = worker.resets_connections && !matches!(&action, Action::Poll(_));
         let is_dropped = worker.loses_long_polls && is_long_poll || is_reset;
-        if !worker.is_alive || worker.is_unreachable || is_dropped {
-            if !is_lost && epoch == self.epoch {
+        let is_former = self.is_former(epoch);
+        let is_cut = if is_former { !worker.hears_former } else { worker.is_unreachable };
+        if !worker.is_alive || is_cut || is_dropped {
+            if !is_lost && (is_former || epoch == self.epoch) {
                 // A process that is gone refuses connections; a cut swallows them.
                 let after_ms = if worker.back_ms.is_some() || is_reset { 1 } else { 500 };
-                self.report_no_reply(&action, after_ms);
+                self.report_no_reply(epoch, &action, after_ms);
             }
             return;
         }
+        if is_former && epoch < worker.fence {
+            // The first worker that has heard the successor ends the replaced owner.
+            self.end_former();
+            return;
+        }
         if let Some(event) = reply_of_successor(&action, &worker.entry.id) {
             self.schedule(1, Delivery::Event { epoch, event });
             return;
@@ -677,7 +707,7 @@
                 let name = self.workers[at].entry.id.clone();
                 self.ended_ms.entry((name, stop.task, stop.attempt)).or_insert(self.now_ms);
                 if self.workers[at].loses_stop_replies {
-                    self.report_no_reply(&action, 500);
+                    self.report_no_reply(epoch, &action, 500);
                     return;
                 }
                 let (host, task, attempt) = (stop.host.clone(), stop.task, stop.attempt);
@@ -748,7 +778,7 @@
     }
 
     /// Reports to the engine, after a delay, that a request got no reply.
-    fn report_no_reply(&mut self, action: &Action, after_ms: u64) {
+    fn report_no_reply(&mut self, epoch: u64, action: &Action, after_ms: u64) {
         let event = match action {
             Action::Start(start) => Event::Started {
                 host: start.host.clone(),
@@ -768,7 +798,7 @@
             }
             _ => return,
         };
-        self.schedule(after_ms, Delivery::Event { epoch: self.epoch, event });
+        self.schedule(after_ms, Delivery::Event { epoch, event });
     }
 
     /// Returns the number of workers that the engine uses only if no other has room.
