Let a proxy treat connections from one address apart

Cause: a proxy had one state for all who connect through it, so that a test could cut a process off from a worker only together with all others.

--- a/crates/standin/src/link/mod.rs
+++ b/crates/standin/src/link/mod.rs
@@ -1,7 +1,7 @@
 //! TCP proxy on loopback that can slow down, lose or reset what it forwards.
 //!
-//! Faults act on the state of the link, which all connections of a proxy share. The proxy
-//! forwards bytes and knows nothing of HTTP.
+//! Faults act on the state of the link, which all connections of a proxy share, or on the state of
+//! the connections from one address. The proxy forwards bytes and knows nothing of HTTP.
 
 mod proxy;
 
