Choose the address that sycamore-node connects from and listens on for peers

Cause: a host with several addresses could not say which one its calls come from, and a process listened for peers on the address that it names to others, so that no port forwarding fitted in front of it. Without them nothing changes. Bad addresses end the process at once.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -18,6 +18,18 @@
          (default: 0, off)",
         "SECONDS",
     );
+    flags.optopt(
+        "",
+        "source-address",
+        "connect to the store, workers, advice and peers from this address of the host",
+        "IP",
+    );
+    flags.optopt(
+        "",
+        "peer-listen",
+        "listen for peers here, while the settings state the address that others use",
+        "IP:PORT",
+    );
     flags.optflag("", "print-settings", "check the settings, print them and exit");
     flags.optflag("h", "help", "print this help and exit");
     let matches = match flags.parse(std::env::args().skip(1)) {
@@ -42,18 +54,9 @@
         println!("{settings:#?}");
         return ExitCode::SUCCESS;
     }
-    let metrics_port = match matches.opt_get("metrics-port") {
-        Ok(port) => port,
-        Err(error) => return fail(&format!("--metrics-port: {error}")),
-    };
-    let half_life = match matches.opt_get_default("usage-half-life", 0) {
-        Ok(seconds) => Duration::from_secs(seconds),
-        Err(error) => return fail(&format!("--usage-half-life: {error}")),
-    };
-    let options = Options::default().with_metrics_port(metrics_port);
-    let options = match options.with_usage_half_life(half_life) {
+    let options = match read_options(&matches) {
         Ok(options) => options,
-        Err(error) => return fail(&format!("--usage-half-life: {error}")),
+        Err(error) => return fail(&error),
     };
     match logs::start_rate_limited() {
         Ok(lines) => start(settings, &path, lines, options),
@@ -61,6 +64,32 @@
     }
 }
 
+/// Reads the options of the process.
+///
+/// # Errors
+///
+/// Returns a message that names the first option with a bad value.
+fn read_options(matches: &getopts::Matches) -> Result<Options, String> {
+    let options = Options::default().with_metrics_port(value(matches, "metrics-port")?);
+    let half_life = Duration::from_secs(value(matches, "usage-half-life")?.unwrap_or(0));
+    let options = options
+        .with_usage_half_life(half_life)
+        .map_err(|error| format!("--usage-half-life: {error}"))?;
+    let options = options
+        .with_source_address(value(matches, "source-address")?)
+        .map_err(|error| format!("--source-address: {error}"))?;
+    options
+        .with_peer_listen(value(matches, "peer-listen")?)
+        .map_err(|error| format!("--peer-listen: {error}"))
+}
+
+fn value<T>(matches: &getopts::Matches, name: &str) -> Result<Option<T>, String>
+where
+    T: std::str::FromStr<Err: std::fmt::Display>,
+{
+    matches.opt_get(name).map_err(|error| format!("--{name}: {error}"))
+}
+
 fn start(settings: Settings, path: &str, lines: LineSender, options: Options) -> ExitCode {
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -65,7 +65,8 @@
 
 impl Node {
     pub fn new(settings: Settings, options: Options, decision_log: LineSender) -> Node {
-        let client = Client::with_idle_timeout(IDLE_TIMEOUT);
+        let source_address = options.source_address();
+        let client = Client::with_source_address(IDLE_TIMEOUT, source_address);
         let meters = Meters::new();
         let configs = Configs::new(meters.clone());
         Node {
@@ -74,8 +75,8 @@
             decision_log,
             store: Store::new(settings.store, client.clone()),
             advice_client: settings.advice.map(|address| AdviceClient::new(address, client)),
-            workers: WorkerConnections::new(IDLE_TIMEOUT),
-            pool: Pool::default(),
+            workers: WorkerConnections::with_source_address(IDLE_TIMEOUT, source_address),
+            pool: Pool::with_source_address(source_address),
             configs: match settings.evacuation_ms {
                 Some(_) => configs.with_evacuations(),
                 None => configs,
--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -1,15 +1,19 @@
 //! Options of the process, which operators set on its command line.
 
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// Longest half-life of past use: 30 days. Use that old says little about a team.
 pub(crate) const MAX_USAGE_HALF_LIFE: Duration = Duration::from_secs(30 * 24 * 3_600);
 
-/// Options of the process. By default there are no metrics and past use plays no part.
+/// Options of the process. By default there are no metrics, past use plays no part, and addresses
+/// are those of the settings and the system.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Options {
     metrics_port: Option<u16>,
     usage_half_life: Duration,
+    source_address: Option<IpAddr>,
+    peer_listen: Option<SocketAddr>,
 }
 
 impl Options {
@@ -34,6 +38,42 @@
         Ok(self)
     }
 
+    /// Connects to the store, the workers, the advice service and peers from an address of the
+    /// host, for hosts that have several.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if the address names no single address.
+    pub fn with_source_address(mut self, address: Option<IpAddr>) -> Result<Options, String> {
+        if let Some(address) = address.filter(|ip| ip.is_unspecified() || ip.is_multicast()) {
+            return Err(format!("`{address}` names no single address of the host"));
+        }
+        self.source_address = address;
+        Ok(self)
+    }
+
+    /// Listens for peers on an address other than the one that the settings state, for hosts that
+    /// are reached through port forwarding.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if the port is 0, to which nothing can be forwarded.
+    pub fn with_peer_listen(mut self, address: Option<SocketAddr>) -> Result<Options, String> {
+        if address.is_some_and(|address| address.port() == 0) {
+            return Err("the port must not be 0".to_string());
+        }
+        self.peer_listen = address;
+        Ok(self)
+    }
+
+    pub(crate) fn source_address(&self) -> Option<IpAddr> {
+        self.source_address
+    }
+
+    pub(crate) fn peer_listen(&self) -> Option<SocketAddr> {
+        self.peer_listen
+    }
+
     pub(crate) fn metrics_port(&self) -> Option<u16> {
         self.metrics_port
     }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,7 +1,7 @@
 //! Starts the process, applies changed settings, and stops it in order: it stops being ready,
 //! keeps serving while the load balancer reacts, then resigns and closes its connections.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,7 +9,7 @@
 use sycamore_platform::site::Settings;
 use sycamore_platform::{SignalAction, Signals};
 use sycamore_telemetry::logs::LineSender;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::Notify;
 
 use crate::node::Node;
@@ -23,6 +23,8 @@
 pub enum Error {
     /// can't listen on {0}: {1}
     Listen(SocketAddr, std::io::Error),
+    /// can't connect from {0}: {1}
+    SourceAddress(IpAddr, std::io::Error),
     /// can't listen for signals: {0}
     Signals(std::io::Error),
 }
@@ -36,7 +38,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the process can't listen for signals or on one of its addresses.
+/// Returns an error if the process can't listen for signals or on one of its addresses, or can't
+/// connect from the source address of its options.
 pub async fn run(
     settings: Settings,
     path: &str,
@@ -44,8 +47,12 @@
     options: Options,
 ) -> Result<(), Error> {
     let mut signals = Signals::listen().map_err(Error::Signals)?;
+    if let Some(address) = options.source_address() {
+        check_source_address(address).map_err(|error| Error::SourceAddress(address, error))?;
+    }
+    let peer_address = options.peer_listen().unwrap_or(settings.peers);
     let callers = listen(settings.callers).await?;
-    let peers = listen(settings.peers).await?;
+    let peers = listen(peer_address).await?;
     let readiness = match settings.readiness {
         Some(address) => Some(listen(address).await?),
         None => None,
@@ -55,7 +62,7 @@
     );
     let grace = Duration::from_millis(settings.grace_ms);
     let metrics = match options.metrics_port() {
-        Some(port) => Some(listen(SocketAddr::new(settings.peers.ip(), port)).await?),
+        Some(port) => Some(listen(SocketAddr::new(peer_address.ip(), port)).await?),
         None => None,
     };
     let node = Arc::new(Node::new(settings, options, lines));
@@ -88,6 +95,12 @@
     Ok(())
 }
 
+/// Checks that the address is one of this host, since every later connection would fail.
+fn check_source_address(address: IpAddr) -> std::io::Result<()> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.bind(SocketAddr::new(address, 0))
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
 }
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -1,6 +1,7 @@
 //! Runs real processes on loopback against a simulated platform with one store and one
 //! worker.
 
+mod addresses;
 mod advice;
 mod configuration;
 mod entries;
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -1,6 +1,6 @@
 //! Simulated platform of one test: a store and one worker with 8 cores.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -139,6 +139,12 @@
         self.worker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Resets connections to the worker unless they come from an address.
+    pub fn limit_worker_to(&self, source: IpAddr) {
+        self.worker_link.set_state(LinkState::Reset);
+        self.worker_link.set_state_from(source, LinkState::Slow(1));
+    }
+
     /// Puts a link in the given state between a process and the store.
     pub async fn store_link(&self, state: LinkState) -> Proxy {
         let link = Proxy::start(self.address).await.expect("a free port");
--- a/crates/node/tests/path/process.rs
+++ b/crates/node/tests/path/process.rs
@@ -27,6 +27,7 @@
     child: Child,
     callers: SocketAddr,
     metrics: SocketAddr,
+    peers: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     _ports: [Port; 3],
@@ -65,11 +66,21 @@
 
     /// Starts a process with environment variables, which debug builds read.
     pub async fn start_with(host: &Host<'_>, variables: &[(&str, &str)]) -> Process {
+        Process::launch(host, variables, &[]).await
+    }
+
+    /// Starts a process with further arguments.
+    pub async fn start_with_arguments(host: &Host<'_>, arguments: &[&str]) -> Process {
+        Process::launch(host, &[], arguments).await
+    }
+
+    async fn launch(host: &Host<'_>, variables: &[(&str, &str)], arguments: &[&str]) -> Process {
         let caller_port = Port::reserve().expect("a port for callers");
         let peer_port = Port::reserve().expect("a port for peers");
         let metrics_port = Port::reserve().expect("a port for metrics");
         let callers = caller_port.on(Ipv4Addr::LOCALHOST);
         let metrics = metrics_port.on(Ipv4Addr::LOCALHOST);
+        let peers = peer_port.on(Ipv4Addr::LOCALHOST);
         let text = fenced::settings(&ProcessSettings {
             host: host.name.to_string(),
             address: "127.0.0.1".to_string(),
@@ -93,6 +104,7 @@
             .arg(&settings)
             .arg("--metrics-port")
             .arg(metrics_port.number().to_string())
+            .args(arguments)
             .envs(variables.iter().copied())
             .stdout(Stdio::from(output))
             .kill_on_drop(true)
@@ -100,7 +112,7 @@
             .expect("the process starts");
         wait_until_listening(&mut child, callers).await;
         let ports = [caller_port, peer_port, metrics_port];
-        Process { child, callers, metrics, settings, log, _ports: ports }
+        Process { child, callers, metrics, peers, settings, log, _ports: ports }
     }
 
     /// Returns the log lines so far that contain all of the texts.
@@ -118,6 +130,11 @@
         format!("http://{}{path}", self.callers)
     }
 
+    /// Returns the address for peers that the settings state.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peers
+    }
+
     pub fn metrics_url(&self) -> String {
         format!("http://{}/metrics", self.metrics)
     }
--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -4,6 +4,7 @@
 //! the caller knows what is safe to retry.
 
 use std::error::Error as _;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -59,13 +60,24 @@
 
     /// Builds a client with its own idle timeout.
     pub fn with_idle_timeout(idle_timeout: Duration) -> Client {
-        Client::with_idle_limits(idle_timeout, MAX_IDLE_PER_HOST)
+        Client::with_source_address(idle_timeout, None)
+    }
+
+    /// Builds a client that connects from `source_address`, or from the address that the system
+    /// chooses.
+    pub fn with_source_address(idle_timeout: Duration, source_address: Option<IpAddr>) -> Client {
+        Client::with_idle_limits(idle_timeout, MAX_IDLE_PER_HOST, source_address)
     }
 
     /// Builds a client that keeps at most `max_idle` connections to one address without use, each
-    /// for at most `idle_timeout`.
-    pub fn with_idle_limits(idle_timeout: Duration, max_idle: usize) -> Client {
+    /// for at most `idle_timeout`. It connects as [`Client::with_source_address`] does.
+    pub fn with_idle_limits(
+        idle_timeout: Duration,
+        max_idle: usize,
+        source_address: Option<IpAddr>,
+    ) -> Client {
         let mut connector = connector();
+        connector.set_local_address(source_address);
         connector.set_send_buffer_size(Some(SEND_BUFFER_BYTES));
         let inner = legacy::Client::builder(TokioExecutor::new())
             .http1_max_buf_size(SEND_BUFFER_BYTES)
--- a/crates/platform/src/site/worker.rs
+++ b/crates/platform/src/site/worker.rs
@@ -3,7 +3,7 @@
 //! Every call carries the owner's fencing token, so that a worker rejects calls of a previous
 //! owner, and the id of the worker incarnation that it is meant for.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use http::{Request, StatusCode};
@@ -55,7 +55,15 @@
 impl WorkerConnections {
     /// Builds connections that are closed after `idle_timeout` without use.
     pub fn new(idle_timeout: Duration) -> WorkerConnections {
-        let client = Client::with_idle_limits(idle_timeout, MAX_IDLE_PER_WORKER);
+        WorkerConnections::with_source_address(idle_timeout, None)
+    }
+
+    /// Builds such connections from `source_address`, or from the address that the system chooses.
+    pub fn with_source_address(
+        idle_timeout: Duration,
+        source_address: Option<IpAddr>,
+    ) -> WorkerConnections {
+        let client = Client::with_idle_limits(idle_timeout, MAX_IDLE_PER_WORKER, source_address);
         WorkerConnections { client, orders: CallLimit::new(MAX_ORDERS_PER_WORKER) }
     }
 }
--- a/crates/wire/src/channel/connection.rs
+++ b/crates/wire/src/channel/connection.rs
@@ -1,12 +1,12 @@
 //! Establishes HTTP/2 connections to other processes.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use h2::client::SendRequest;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio_util::io::InspectReader;
 
 use crate::Error;
@@ -40,9 +40,13 @@
     }
 }
 
-/// Connects to a process. A spawned task drives the connection until it closes.
-pub(super) async fn connect(address: SocketAddr) -> Result<Connection, Error> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, handshake(address));
+/// Connects to a process, from `source_address` if it is given. A spawned task drives the
+/// connection until it closes.
+pub(super) async fn connect(
+    address: SocketAddr,
+    source_address: Option<IpAddr>,
+) -> Result<Connection, Error> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, handshake(address, source_address));
     match connecting.await {
         Ok(result) => result,
         Err(_) => Err(Error::NotSent(format!(
@@ -52,9 +56,22 @@
     }
 }
 
-async fn handshake(address: SocketAddr) -> Result<Connection, Error> {
+async fn open_socket(
+    address: SocketAddr,
+    source_address: Option<IpAddr>,
+) -> std::io::Result<TcpStream> {
+    let Some(source_address) = source_address else { return TcpStream::connect(address).await };
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.bind(SocketAddr::new(source_address, 0))?;
+    socket.connect(address).await
+}
+
+async fn handshake(
+    address: SocketAddr,
+    source_address: Option<IpAddr>,
+) -> Result<Connection, Error> {
     let not_sent = |error: std::io::Error| Error::NotSent(format!("{address}: {error}"));
-    let socket = TcpStream::connect(address).await.map_err(not_sent)?;
+    let socket = open_socket(address, source_address).await.map_err(not_sent)?;
     socket.set_nodelay(true).map_err(not_sent)?;
     let last_heard = Arc::new(Mutex::new(Instant::now()));
     let heard = last_heard.clone();
--- a/crates/wire/src/channel/pool.rs
+++ b/crates/wire/src/channel/pool.rs
@@ -4,7 +4,7 @@
 //! fill the flow-control window of the other.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,9 +42,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     connections: Arc<Mutex<HashMap<(SocketAddr, ConnectionKind), SharedConnection>>>,
+    source_address: Option<IpAddr>,
 }
 
 impl Pool {
+    /// Builds a pool whose connections come from `source_address`, or from the address that the
+    /// system chooses.
+    pub fn with_source_address(source_address: Option<IpAddr>) -> Pool {
+        Pool { source_address, ..Pool::default() }
+    }
+
     /// Makes a call that consists of one frame and reads the one frame of its response.
     ///
     /// # Errors
@@ -175,8 +182,9 @@
             *current = Some(ready.clone());
             return Ok(ready);
         }
+        let source_address = self.source_address;
         let connecting = tokio::spawn(async move {
-            let ready = connection::connect(address).await?.ready().await;
+            let ready = connection::connect(address, source_address).await?.ready().await;
             let ready = ready.map_err(|error| Error::NotSent(error.to_string()))?;
             *current = Some(ready.clone());
             Ok(ready)
--- a/crates/wire/tests/pool.rs
+++ b/crates/wire/tests/pool.rs
@@ -1,5 +1,6 @@
 //! Calls between processes when connections fail without being closed.
 
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 use sycamore_standin::link::{LinkState, Proxy};
@@ -94,3 +95,17 @@
         assert!(started.elapsed() < REPLACE_TIMEOUT);
     }
 }
+
+/// Failure: a pool with a source address connected from the address that the system chose.
+#[tokio::test]
+async fn connections_come_from_the_source_address() {
+    let link = server(0).await;
+    let source = IpAddr::from([127, 0, 0, 8]);
+    link.set_state(LinkState::Reset);
+    link.set_state_from(source, LinkState::Slow(1));
+
+    let pool = Pool::with_source_address(Some(source));
+
+    assert_eq!(call(&pool, &link, 1).await, Ok(1));
+    assert!(call(&Pool::default(), &link, 2).await.is_err());
+}
