Separate processes and workers from each other in the soak

Cause: processes connected to each other directly and shared one proxy to each worker, so that no fault could cut some of them off from the others. The default is 0: recorded seeds mean what they did.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,8 +6,8 @@
 //! see, and the invariants are checked against that record alone. The same seed gives the same
 //! jobs and faults at the same times, though the processes interleave differently.
 //!
-//! Links between processes are not proxied, since a process listens on the address that it
-//! announces to the others; faults that pause a process take their place.
+//! Each process has its own loopback address, from which it connects, so that proxies can cut it
+//! off from some processes and workers while others reach them.
 
 mod caller;
 mod checker;
@@ -25,4 +25,4 @@
 pub use options::{Options, OptionsError};
 pub use report::Report;
 pub use round::{Outcome, run_round};
-pub use scenario::{ConfigChange, Fault, FaultKind, Job, Scenario, Step, StoreLink};
+pub use scenario::{ConfigChange, Fault, FaultKind, Group, Job, Scenario, Step, StoreLink};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -76,6 +76,7 @@
     };
     std::fs::create_dir_all(&dir)?;
     let scenario = Scenario::from_seed(seed, options.processes);
+    let scenario = scenario.with_partition(options.partition_percent);
     let outcome = run_round(&scenario, &program, &dir, options.keep_dir.is_some(), &[]).await;
     if options.keep_dir.is_none() {
         std::fs::remove_dir_all(&dir)?;
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -32,6 +32,8 @@
     pub duration: Option<Duration>,
     /// Number of processes in a round.
     pub processes: usize,
+    /// Share of rounds with a partition and long jobs, in percent.
+    pub partition_percent: u64,
     /// Number of rounds that run at the same time.
     pub parallel_rounds: usize,
     /// Directory in which settings and logs are kept. Without it they are deleted.
@@ -63,6 +65,7 @@
         flags.optopt("", "seed", "repeat the round of one seed", "S");
         flags.optopt("", "minutes", "start new rounds for this many minutes", "M");
         flags.optopt("", "processes", "processes per round, 1 to 200 (3)", "P");
+        flags.optopt("", "partitions", "percentage of rounds with a partition (0)", "PERCENT");
         flags.optopt("", "parallel", "rounds at the same time (1)", "K");
         flags.optopt("", "keep", "keep settings and logs in this directory", "DIR");
         flags.optopt("", "node", "path of sycamore-node (next to this program)", "FILE");
@@ -98,6 +101,7 @@
             rounds: if is_single_seed { 1 } else { rounds },
             duration: (minutes > 0 && !is_single_seed).then(|| Duration::from_secs(60 * minutes)),
             processes: number("processes", 3, 1..=MAX_PROCESSES)? as usize,
+            partition_percent: number("partitions", 0, 0..=100)?,
             parallel_rounds: number("parallel", 1, 1..=MAX_PARALLEL_ROUNDS)? as usize,
             keep_dir: matches.opt_str("keep").map(PathBuf::from),
             node_program: matches.opt_str("node").map(PathBuf::from),
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -15,17 +15,20 @@
 pub(crate) struct Process {
     program: PathBuf,
     settings: PathBuf,
+    arguments: Vec<String>,
     log: Option<PathBuf>,
     environment: Vec<(String, String)>,
     child: Option<Child>,
 }
 
 impl Process {
-    /// Writes the settings file of a process without starting it.
+    /// Writes the settings file of a process without starting it. `arguments` follow those that
+    /// name the file.
     pub fn prepare(
         program: &Path,
         dir: &Path,
         process_settings: &ProcessSettings,
+        arguments: Vec<String>,
         keep_log: bool,
         environment: Vec<(String, String)>,
     ) -> std::io::Result<Process> {
@@ -33,7 +36,8 @@
         let settings = file.with_extension("toml");
         std::fs::write(&settings, fenced::settings(process_settings))?;
         let log = keep_log.then(|| file.with_extension("log"));
-        Ok(Process { program: program.to_path_buf(), settings, log, environment, child: None })
+        let program = program.to_path_buf();
+        Ok(Process { program, settings, arguments, log, environment, child: None })
     }
 
     /// Starts the process unless it runs. Its standard output is appended to the log, if one
@@ -49,6 +53,7 @@
         let child = Command::new(&self.program)
             .arg("--settings")
             .arg(&self.settings)
+            .args(&self.arguments)
             .envs(self.environment.iter().cloned())
             .stdout(output)
             .kill_on_drop(true)
--- a/crates/soak/src/round.rs
+++ b/crates/soak/src/round.rs
@@ -2,10 +2,10 @@
 //! invariants.
 //!
 //! Every process has its own loopback address, which stands for a host, and its own proxy to
-//! the store. Every worker has a proxy in front of it that all processes share.
+//! the store. Every worker, and every process, has a proxy in front of it that all processes share.
 
 use std::collections::BTreeMap;
-use std::net::IpAddr;
+use std::net::{IpAddr, Ipv4Addr};
 use std::path::Path;
 use std::time::Duration;
 
@@ -21,7 +21,7 @@
 use crate::config::ConfigWriter;
 use crate::history::{Event, History};
 use crate::process::Process;
-use crate::scenario::{Fault, FaultKind, Scenario, StoreLink, WORKER_COUNT};
+use crate::scenario::{Fault, FaultKind, Group, Scenario, StoreLink, WORKER_COUNT};
 use crate::workers::WorkerHost;
 
 /// CPU capacity that the settings state for a host, in cores: enough to own at once.
@@ -77,6 +77,8 @@
 struct Cluster {
     store: Store,
     store_links: Vec<Proxy>,
+    /// Links to the addresses on which processes are reached by the others.
+    peer_links: Vec<Proxy>,
     worker_hosts: Vec<Mutex<WorkerHost>>,
     processes: Vec<Mutex<Process>>,
     history: History,
@@ -105,21 +107,24 @@
     }
     // All processes use these ports, each on its own address.
     let (peer_port, caller_port) = (Port::reserve()?, Port::reserve()?);
-    let (mut store_links, mut processes, mut caller_addresses) =
-        (Vec::new(), Vec::new(), Vec::new());
+    // Behind the proxies that listen on the first one.
+    let inner_peer_port = Port::reserve()?;
+    let (mut store_links, mut peer_links, mut processes, mut caller_addresses) =
+        (Vec::new(), Vec::new(), Vec::new(), Vec::new());
     for number in 0..scenario.processes {
         let link = Proxy::start(store.server.address).await?;
         let usual_link = scenario.store_links[number];
         link.set_state(usual_link.state());
-        let address = host_address(number);
-        let ip: IpAddr = address.parse().map_err(std::io::Error::other)?;
+        let ip = host_address(number);
         let listen_address = caller_port.on(ip);
+        let inner_peer_address = inner_peer_port.on(ip);
+        peer_links.push(Proxy::start_on(peer_port.on(ip), inner_peer_address).await?);
         let others = (0..scenario.processes).filter(|other| *other != number);
         let process_settings = ProcessSettings {
             host: format!("host-{number}"),
-            address,
+            address: ip.to_string(),
             peer_port: peer_port.number(),
-            seeds: others.map(host_address).collect(),
+            seeds: others.map(|other| host_address(other).to_string()).collect(),
             caller_address: listen_address,
             store_address: link.address,
             advice_address: None,
@@ -128,16 +133,18 @@
             link_mbps: usual_link.mbps(),
             evacuation_ms: None,
         };
+        let addresses = format!("--source-address {ip} --peer-listen {inner_peer_address}");
+        let arguments = addresses.split(' ').map(str::to_string).collect();
         let environment = environment.to_vec();
         let mut process =
-            Process::prepare(program, dir, &process_settings, keep_logs, environment)?;
+            Process::prepare(program, dir, &process_settings, arguments, keep_logs, environment)?;
         process.start()?;
         history.record(Event::Started(number));
         store_links.push(link);
         processes.push(Mutex::new(process));
         caller_addresses.push(listen_address);
     }
-    let cluster = Cluster { store, store_links, worker_hosts, processes, history };
+    let cluster = Cluster { store, store_links, peer_links, worker_hosts, processes, history };
     let history = &cluster.history;
     tokio::time::sleep(STARTUP_DELAY).await;
     for process in &cluster.processes {
@@ -200,9 +207,8 @@
         config_writer: &ConfigWriter,
         job_tasks: Vec<JoinHandle<()>>,
     ) -> std::io::Result<()> {
-        let faults = join_all(
-            scenario.faults.iter().map(|fault| self.inject(*fault, &scenario.store_links)),
-        );
+        let faults =
+            join_all(scenario.faults.iter().map(|fault| self.inject(fault, &scenario.store_links)));
         let (last_change, changes) = scenario
             .config_changes
             .split_last()
@@ -241,12 +247,12 @@
     }
 
     /// Waits for the start of a fault, starts it, and ends it after its duration.
-    async fn inject(&self, fault: Fault, store_links: &[StoreLink]) -> std::io::Result<()> {
+    async fn inject(&self, fault: &Fault, store_links: &[StoreLink]) -> std::io::Result<()> {
         tokio::time::sleep(Duration::from_millis(fault.at_ms)).await;
         self.history.record(Event::FaultBegan);
-        self.start_fault(fault.kind).await?;
+        self.start_fault(&fault.kind).await?;
         tokio::time::sleep(Duration::from_millis(fault.for_ms)).await;
-        self.end_fault(fault.kind, store_links).await?;
+        self.end_fault(&fault.kind, store_links).await?;
         self.history.record(Event::FaultEnded);
         Ok(())
     }
@@ -257,8 +263,8 @@
         Ok(())
     }
 
-    async fn start_fault(&self, kind: FaultKind) -> std::io::Result<()> {
-        match kind {
+    async fn start_fault(&self, kind: &FaultKind) -> std::io::Result<()> {
+        match *kind {
             FaultKind::Kill(index) => self.processes[index].lock().await.kill().await?,
             FaultKind::Pause(index) => self.processes[index].lock().await.signal("STOP").await?,
             FaultKind::Terminate(index) => {
@@ -273,12 +279,13 @@
             FaultKind::StoreLosesAnswers => self.store.set_mode(Mode::LosesResponses),
             FaultKind::StoreSlow => self.store.set_mode(Mode::Slow(SLOW_STORE_DELAY)),
             FaultKind::WorkerCrash(index) => self.worker_hosts[index].lock().await.crash(),
+            FaultKind::Partition(ref group) => self.separate(group, true).await,
         }
         Ok(())
     }
 
-    async fn end_fault(&self, kind: FaultKind, store_links: &[StoreLink]) -> std::io::Result<()> {
-        match kind {
+    async fn end_fault(&self, kind: &FaultKind, store_links: &[StoreLink]) -> std::io::Result<()> {
+        match *kind {
             FaultKind::Kill(index) => {
                 self.start_process(index, &mut *self.processes[index].lock().await)?;
             }
@@ -297,10 +304,38 @@
             FaultKind::WorkerCrash(index) => {
                 self.worker_hosts[index].lock().await.restart(&self.store).await?
             }
+            FaultKind::Partition(ref group) => self.separate(group, false).await,
         }
         Ok(())
     }
 
+    /// Silences all links between a group and the others, or opens them again.
+    async fn separate(&self, group: &Group, is_separate: bool) {
+        let state = if is_separate { LinkState::Silent } else { LinkState::Open };
+        for process in 0..self.processes.len() {
+            let source = host_address(process);
+            let is_inside = group.processes.contains(&process);
+            if is_inside && !group.has_store {
+                self.store_links[process].set_state_from(source, state);
+            }
+            for (peer, link) in self.peer_links.iter().enumerate() {
+                if group.processes.contains(&peer) != is_inside {
+                    link.set_state_from(source, state);
+                }
+            }
+            for (worker, host) in self.worker_hosts.iter().enumerate() {
+                if group.workers.contains(&worker) != is_inside {
+                    host.lock().await.link.set_state_from(source, state);
+                }
+            }
+        }
+        if !group.has_store {
+            for worker in &group.workers {
+                self.worker_hosts[*worker].lock().await.set_cut_off(is_separate, &self.store);
+            }
+        }
+    }
+
     /// Restarts a process that was sent SIGTERM once it has exited, or kills it first if it
     /// doesn't exit in time.
     async fn restart(&self, index: usize) -> std::io::Result<()> {
@@ -322,6 +357,7 @@
 }
 
 /// Returns the loopback address that stands for a host.
-fn host_address(number: usize) -> String {
-    format!("127.0.0.{}", 10 + number)
+fn host_address(number: usize) -> IpAddr {
+    // At most 200 processes.
+    IpAddr::from(Ipv4Addr::new(127, 0, 0, 10 + number as u8))
 }
--- a/crates/soak/src/scenario.rs
+++ b/crates/soak/src/scenario.rs
@@ -3,8 +3,10 @@
 //! The order of the random draws is part of what a seed means: changing it changes the round
 //! that a recorded seed repeats.
 
+use std::ops::RangeInclusive;
+
 use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, index};
 use rand::{Rng, SeedableRng};
 use sycamore_standin::link::LinkState;
 
@@ -39,6 +41,20 @@
 /// Distinguishes the random draws of deadly jobs likewise.
 const CRASH_SEED: u64 = 0x0063_7261_7368;
 
+/// Distinguishes the random draws of partitions and long jobs likewise.
+const PARTITION_SEED: u64 = 0x7061_7274_6974;
+
+/// Range of the duration of a partition, in milliseconds. It exceeds the wait of a new owner for
+/// the leases of its predecessor, which is 6.42 s.
+const PARTITION_MS: RangeInclusive<u64> = 9_000..=25_000;
+
+/// Share of long jobs in a round with a partition. Workers have to run all of them once more
+/// within the time that a round waits for its jobs.
+const LONG_SHARE: f64 = 0.03;
+
+/// Range of the run time of their tasks, in milliseconds. Most exceed the lease of 6 s.
+const LONG_WORK_MS: RangeInclusive<u64> = 5_000..=20_000;
+
 /// Share of deadly jobs in a round that has any. Six workers can't bear many.
 const DEADLY_SHARE: f64 = 0.02;
 
@@ -95,8 +111,19 @@
     }
 }
 
+/// Processes and workers on one side of a partition, by their numbers.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Group {
+    /// Processes, which reach each other and the workers of the group only.
+    pub processes: Vec<usize>,
+    /// Workers, which only the processes of the group reach.
+    pub workers: Vec<usize>,
+    /// The group still reaches the store, as the others do.
+    pub has_store: bool,
+}
+
 /// What a fault does, and the number of the process or worker that it hits.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum FaultKind {
     /// A process is killed, and restarted at the end of the fault.
     Kill(usize),
@@ -118,6 +145,8 @@
     StoreSlow,
     /// A worker loses power, and another incarnation of it starts at the end of the fault.
     WorkerCrash(usize),
+    /// All links between a group and the others go silent, in both directions.
+    Partition(Group),
 }
 
 impl FaultKind {
@@ -134,12 +163,13 @@
             FaultKind::StoreLosesAnswers => "store_loses_answers",
             FaultKind::StoreSlow => "store_slow",
             FaultKind::WorkerCrash(_) => "worker_crash",
+            FaultKind::Partition(_) => "partition",
         }
     }
 }
 
 /// A fault.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Fault {
     /// When it starts, in milliseconds after the load of the round starts.
     pub at_ms: u64,
@@ -232,6 +262,18 @@
         Scenario { seed, processes, jobs, faults, config_changes, store_links }
     }
 
+    /// Adds a partition and some long jobs to this share of all rounds, in percent. The others, and
+    /// all other jobs and faults, stay as they are.
+    pub fn with_partition(mut self, percent: u64) -> Scenario {
+        let mut random = SmallRng::seed_from_u64(self.seed ^ PARTITION_SEED);
+        if random.random_range(0..100) < percent {
+            make_some_long(&mut random, &mut self.jobs);
+            self.faults.push(random_partition(&mut random, self.processes));
+            self.faults.sort_by_key(|fault| fault.at_ms);
+        }
+        self
+    }
+
     /// Returns the slowest link of a process to the store.
     pub fn slowest_link(&self) -> StoreLink {
         let slowest = self.store_links.iter().min_by_key(|link| link.bytes_per_s());
@@ -281,6 +323,31 @@
     }
 }
 
+/// Makes a few jobs that succeed long. One step each keeps them within the time of a round.
+fn make_some_long(random: &mut SmallRng, jobs: &mut [Job]) {
+    for job in jobs.iter_mut().filter(|job| !job.is_deadly && job.failing == 0) {
+        if random.random_bool(LONG_SHARE) {
+            job.work_ms = random.random_range(LONG_WORK_MS);
+            job.steps.truncate(1);
+            job.cancel_after_ms = None;
+        }
+    }
+}
+
+/// Separates half of the processes at most, and any number of workers but all.
+fn random_partition(random: &mut SmallRng, processes: usize) -> Fault {
+    let count = random.random_range(1..=(processes / 2).max(1));
+    let cut_off_processes = index::sample(random, processes, count).into_vec();
+    let count = random.random_range(1..WORKER_COUNT);
+    let workers = index::sample(random, WORKER_COUNT, count).into_vec();
+    let group = Group { processes: cut_off_processes, workers, has_store: random.random_bool(0.2) };
+    Fault {
+        at_ms: random.random_range(FAULT_FREE_MS..SUBMISSION_WINDOW_MS),
+        for_ms: random.random_range(PARTITION_MS),
+        kind: FaultKind::Partition(group),
+    }
+}
+
 fn random_job(random: &mut SmallRng, at_ms: u64, number: u64) -> Job {
     let steps = (0..random.random_range(1..=3))
         .map(|step| Step {
@@ -325,9 +392,10 @@
         4 => FaultKind::Reload(node),
         5 => FaultKind::StoreLink(node, link),
         6 | 7 => FaultKind::WorkerLink(worker, link),
-        8 => *[FaultKind::StoreAway, FaultKind::StoreLosesAnswers, FaultKind::StoreSlow]
+        8 => [FaultKind::StoreAway, FaultKind::StoreLosesAnswers, FaultKind::StoreSlow]
             .choose(random)
-            .unwrap_or(&FaultKind::StoreAway),
+            .cloned()
+            .unwrap_or(FaultKind::StoreAway),
         _ => FaultKind::WorkerCrash(worker),
     };
     Fault {
--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -22,6 +22,8 @@
     pub link: Proxy,
     /// The fault that took the worker down starts the next incarnation, too.
     is_down_by_fault: bool,
+    /// A fault keeps the worker from writing its entry.
+    is_cut_off: bool,
     history: History,
 }
 
@@ -35,16 +37,34 @@
         let id = format!("worker-{number}");
         let worker = start_worker(&id, &history).await?;
         let link = Proxy::start(worker.address()).await?;
-        store.add_worker(&id, &worker.entry(SERVICE, link.address));
-        Ok(WorkerHost {
+        let host = WorkerHost {
             number,
             incarnation: 0,
             id,
             worker,
             link,
             is_down_by_fault: false,
+            is_cut_off: false,
             history,
-        })
+        };
+        host.write_entry(store);
+        Ok(host)
+    }
+
+    fn write_entry(&self, store: &Store) {
+        if !self.is_cut_off {
+            store.add_worker(&self.id, &self.worker.entry(SERVICE, self.link.address));
+        }
+    }
+
+    /// Sets whether the worker is cut off from the store. Its link is left as it is.
+    pub fn set_cut_off(&mut self, is_cut_off: bool, store: &Store) {
+        self.is_cut_off = is_cut_off;
+        if is_cut_off {
+            store.stop_heartbeat(&self.id);
+        } else if !self.worker.has_crashed() {
+            self.write_entry(store);
+        }
     }
 
     /// Simulates a loss of power. The worker's entry stays in the store, as on the platform.
@@ -68,7 +88,7 @@
         }
         self.worker = start_worker(&self.id, &self.history).await?;
         self.link.retarget(self.worker.address());
-        store.add_worker(&self.id, &self.worker.entry(SERVICE, self.link.address));
+        self.write_entry(store);
         Ok(())
     }
 }
--- a/crates/soak/tests/soak/options.rs
+++ b/crates/soak/tests/soak/options.rs
@@ -16,6 +16,7 @@
         "--seed 18446744073709551615",
         "--seed: `18446744073709551615` is not a number within its bounds"
     },
+    many_partitions = { "--partitions 101", "--partitions: `101` is not a number within its bounds" },
     format = { "--format xml", "--format: `xml` is neither `json` nor `text`" },
 )]
 fn a_wrong_option_is_named(line: &str, message: &str) {
--- a/crates/standin/src/fenced/store.rs
+++ b/crates/standin/src/fenced/store.rs
@@ -108,6 +108,11 @@
         state.workers.remove(&key);
     }
 
+    /// Stops writing the entry of a worker again, as when it can't reach the store.
+    pub fn stop_heartbeat(&self, id: &str) {
+        self.state().workers.remove(&format!("servers/{id}"));
+    }
+
     /// Evacuates a failure domain, as an operator would.
     pub fn evacuate(&self, domain: &str) {
         self.put(&format!("op/evacuate/{domain}"), &json!({}));
