Add a failing test of an owner that is cut off with half of the workers

An owner that reaches neither the store nor its peers goes on renewing leases of runs on workers that it still reaches. Its successor, which does not reach them, waits for one lease and starts their tasks again.

--- a/crates/soak/tests/soak/main.rs
+++ b/crates/soak/tests/soak/main.rs
@@ -3,6 +3,7 @@
 mod checker;
 mod injected_bugs;
 mod options;
+mod partition;
 mod regression;
 mod round;
 mod scenario;
