Refuse a source address of another IP version at the start

Cause: such an address belonged to the host and passed the check, but no connection to a peer could be made from it. Change: it ends the process with a message that names it.

--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -48,7 +48,8 @@
 ) -> Result<(), Error> {
     let mut signals = Signals::listen().map_err(Error::Signals)?;
     if let Some(address) = options.source_address() {
-        check_source_address(address).map_err(|error| Error::SourceAddress(address, error))?;
+        check_source_address(address, settings.peers)
+            .map_err(|error| Error::SourceAddress(address, error))?;
     }
     let peer_address = options.peer_listen().unwrap_or(settings.peers);
     let callers = listen(settings.callers).await?;
@@ -95,8 +96,12 @@
     Ok(())
 }
 
-/// Checks that the address is one of this host, since every later connection would fail.
-fn check_source_address(address: IpAddr) -> std::io::Result<()> {
+/// Checks that the address is one of this host, and of the IP version of the address for peers,
+/// since every later connection would fail.
+fn check_source_address(address: IpAddr, peers: SocketAddr) -> std::io::Result<()> {
+    if address.is_ipv4() != peers.is_ipv4() {
+        return Err(std::io::Error::other("the address for peers has another IP version"));
+    }
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.bind(SocketAddr::new(address, 0))
 }
--- a/crates/node/tests/path/addresses.rs
+++ b/crates/node/tests/path/addresses.rs
@@ -58,6 +58,7 @@
         ("--source-address", "0.0.0.0", "--source-address: `0.0.0.0` names no single address"),
         ("--source-address", "224.0.0.1", "--source-address: `224.0.0.1` names no single address"),
         ("--source-address", "192.0.2.1", "can't connect from 192.0.2.1: "),
+        ("--source-address", "::1", "can't connect from ::1: the address for peers has another IP"),
         ("--peer-listen", "127.0.0.1", "--peer-listen: "),
         ("--peer-listen", "127.0.0.1:0", "--peer-listen: the port must not be 0"),
         ("--peer-listen", "192.0.2.1:7000", "can't listen on 192.0.2.1:7000: "),
