--- a/crates/soak/src/scenario.rs
+++ b/crates/soak/src/scenario.rs
@@ -323,7 +323,8 @@
     }
 }
 
-/// Makes a few jobs that succeed long. One step each keeps them within the time of a round.
+/// Gives long run times to a few of the jobs that can succeed. Each keeps one step only, so that it
+/// ends within the time of a round.
 fn make_some_long(random: &mut SmallRng, jobs: &mut [Job]) {
     for job in jobs.iter_mut().filter(|job| !job.is_deadly && job.failing == 0) {
         if random.random_bool(LONG_SHARE) {
