--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -2,6 +2,7 @@
 //! worker.
 
 mod absent_store;
+mod addresses;
 mod advice;
 mod configuration;
 mod entries;
