Keep the settings of queues with jobs in the log

Cause: an owner kept the settings of queues that a configuration had removed in memory only.

Change: the engine appends the definition of a queue, with the version of the configuration, before its first job, when it changes while the queue has jobs, and after a recovery where the log lacks it. Compaction carries it over while jobs of the queue are known. A definition newer than the configuration of the owner waits for it, since the limits of teams that came with it are not known.

With the appending taken out, the seven new tests in takeover and the new random test fail; with carrying over taken out two of them, with newer definitions used at once one. Two tests with real processes pass, one over a compaction of the log.

--- a/crates/graph/src/catalog/mod.rs
+++ b/crates/graph/src/catalog/mod.rs
@@ -21,6 +21,8 @@
 ///
 /// The objective of a job is to finish within `slack_factor` times its critical path
 /// plus `objective_ms` after it became due.
+///
+/// The log holds it in JSON: a further field needs a default, for definitions of older builds.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Queue {
     /// Service whose hosts run the queue's tasks.
--- a/crates/graph/src/engine/close.rs
+++ b/crates/graph/src/engine/close.rs
@@ -100,8 +100,10 @@
 
     pub(super) fn forget_closed_jobs(&mut self) {
         while self.closed_jobs.front().is_some_and(|(at, _)| *at <= self.now.unix_ms) {
-            if let Some((_, id)) = self.closed_jobs.pop_front() {
-                self.jobs.remove(&id);
+            if let Some((_, id)) = self.closed_jobs.pop_front()
+                && let Some(job) = self.jobs.remove(&id)
+            {
+                self.queues.remove_job(&job.queue);
             }
         }
     }
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -41,6 +41,7 @@
 mod preemption;
 #[cfg(test)]
 mod preemption_tests;
+mod queues;
 mod rank;
 mod reclaim;
 mod recover;
@@ -73,6 +74,7 @@
 use host_map::HostMap;
 use host_totals::HostTotals;
 use past_use::PastUse;
+use queues::Queues;
 pub use rank::Rank;
 pub use recover::Recovered;
 use reservations::Reservations;
@@ -110,7 +112,7 @@
     catalog: Catalog,
     /// Queues of this and earlier configurations, because accepted jobs outlive their
     /// queue.
-    queues: BTreeMap<Name, Queue>,
+    queues: Queues,
     jobs: FxHashMap<job::Id, Job>,
     hosts: HostMap,
     /// Failure domains on whose hosts no task may start.
@@ -245,8 +247,9 @@
         if catalog.version <= self.catalog.version && self.catalog.version != 0 {
             return;
         }
-        self.queues.extend(catalog.queues.iter().map(|(name, q)| (name.clone(), q.clone())));
+        self.queues.update(&catalog);
         self.catalog = catalog;
+        self.log_queues();
         self.close_exhausted_jobs();
         self.queue_waiting_steps();
         self.needs_dispatch = true;
@@ -346,6 +349,14 @@
         self.jobs.values().map(|job| (job.id, job.describe_settled())).collect()
     }
 
+    /// Returns the definition of the queue of each open job. For tests, which compare the engines of two
+    /// owners.
+    #[doc(hidden)]
+    pub fn queues_of_open_jobs(&self) -> BTreeMap<job::Id, Option<Queue>> {
+        let open = self.jobs.values().filter(|job| job.closed.is_none());
+        open.map(|job| (job.id, self.queues.get(&job.queue).cloned())).collect()
+    }
+
     /// Returns the number of runs that exist or may exist on all hosts.
     pub fn running_tasks(&self) -> usize {
         self.hosts.values().map(|host| host.runs.len()).sum()
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -17,13 +17,15 @@
 use super::host_map::HostMap;
 use super::host_totals::HostTotals;
 use super::past_use::PastUse;
+use super::queues::Queues;
 use super::reservations::Reservations;
 use crate::catalog::Catalog;
 use crate::host::{Host, LogState, RunEnd};
 use crate::job::Id;
 use crate::progress::{ISOLATE_AFTER, Job, Suspicion};
 use crate::{
-    CallClass, Ended, HostEntry, Moment, Record, Snapshot, StepId, TaskId, TeamUse, Timing,
+    CallClass, Ended, HostEntry, Moment, QueueDefined, Record, Snapshot, StepId, TaskId, TeamUse,
+    Timing,
 };
 
 /// Attempt numbers skipped per task at a recovery, because the previous owner may have sent
@@ -48,6 +50,7 @@
     jobs: FxHashMap<Id, Job>,
     hosts: BTreeMap<Name, LoggedHost>,
     team_use: Option<TeamUse>,
+    queues: BTreeMap<Name, QueueDefined>,
 }
 
 impl Recovered {
@@ -82,6 +85,15 @@
             }
             Record::Snapshot(snapshot) => self.restore(snapshot),
             Record::TeamUse(team_use) => self.team_use = Some(team_use),
+            Record::QueueDefined(defined) => self.define(defined),
+        }
+    }
+
+    /// Keeps the newest definition. A page may carry one over that is newer than the records behind it.
+    fn define(&mut self, defined: QueueDefined) {
+        let known = self.queues.get(&defined.name);
+        if known.is_none_or(|known| known.version <= defined.version) {
+            self.queues.insert(defined.name.clone(), defined);
         }
     }
 
@@ -229,10 +241,12 @@
             recovered.team_use,
         );
         let last_host_number = hosts.len() as u32;
+        let queues_of_jobs = recovered.jobs.values().map(|job| &job.queue);
+        let queues = Queues::new(recovered.queues, &catalog, queues_of_jobs);
         let mut engine = Engine {
             timing,
             now,
-            queues: catalog.queues.clone(),
+            queues,
             catalog,
             jobs: recovered.jobs,
             hosts,
@@ -264,6 +278,7 @@
             needs_poll: false,
             actions: Vec::new(),
         };
+        engine.log_queues();
         engine.resume_jobs();
         for (host, task, attempt) in logged_runs {
             engine.adopt_logged_run(&host, task, attempt);
--- a/crates/graph/src/engine/requests.rs
+++ b/crates/graph/src/engine/requests.rs
@@ -25,6 +25,8 @@
             return;
         }
         let at_unix_ms = self.now.unix_ms;
+        self.queues.add_job(&queue);
+        self.log_queue(&queue);
         self.append(Record::Accepted {
             job: id,
             queue: queue.clone(),
--- a/crates/graph/src/record.rs
+++ b/crates/graph/src/record.rs
@@ -6,6 +6,7 @@
 use sycamore_types::Name;
 use sycamore_types::resources::Resources;
 
+use crate::catalog::Queue;
 use crate::host::RunEnd;
 use crate::job::{Id, Spec, State};
 use crate::{StepId, TaskId};
@@ -55,6 +56,20 @@
     Snapshot(Snapshot),
     /// Use of the teams in the past. Replaces all earlier records of it.
     TeamUse(TeamUse),
+    /// The definition of a queue that has jobs. Replaces earlier ones up to its version. Not part of
+    /// an encoded page, since older builds can't read one with it.
+    QueueDefined(QueueDefined),
+}
+
+/// The definition of a queue in a version of the configuration.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct QueueDefined {
+    /// Name of the queue.
+    pub name: Name,
+    /// Version of the configuration.
+    pub version: u64,
+    /// The definition.
+    pub queue: Queue,
 }
 
 /// Decayed use of the teams at one time.
--- a/crates/graph/tests/engine/fuzz.rs
+++ b/crates/graph/tests/engine/fuzz.rs
@@ -103,6 +103,40 @@
     world.preemptions
 }
 
+/// The same with a configuration that removes and changes queues and brings them back.
+fn run_changing_case(seed: u64, is_advised: bool) {
+    let queue = random_queue(seed, is_advised);
+    let mut catalog = catalog(queue.clone());
+    catalog.queues.insert("other".into(), queue);
+    let mut world = World::new(HOSTS, limited(catalog, size(11_000, 0)), seed);
+    play(&mut world, seed, |world| {
+        if world.random.random_bool(0.4) {
+            change_queue(world, is_advised);
+        }
+        let steps = random_job(world);
+        let has_queue = world.catalog.queues.contains_key(QUEUE);
+        (if has_queue { QUEUE } else { "other" }, steps)
+    });
+}
+
+/// Removes a queue, changes it or brings it back. One queue remains for the next job. The number of
+/// attempts stays, by which the oracle judges all failures.
+fn change_queue(world: &mut World, is_advised: bool) {
+    let (name, kept) = if world.random.random() { (QUEUE, "other") } else { ("other", QUEUE) };
+    let is_removed = world.random.random_bool(0.5) && world.catalog.queues.contains_key(kept);
+    let priority = world.random.random_range(0..3);
+    let objective_ms = world.random.random_range(500..2_000);
+    let queue = if is_advised { advised_queue() } else { queue() };
+    let queue = Queue { priority, objective_ms, max_attempts: world.oracle.max_attempts, ..queue };
+    world.configure(|catalog| {
+        if is_removed {
+            catalog.queues.remove(name);
+        } else {
+            catalog.queues.insert(name.into(), queue);
+        }
+    });
+}
+
 fn play(world: &mut World, seed: u64, next: impl Fn(&mut World) -> (&'static str, Vec<Step>)) {
     world.late_start_share = world.random.random_range(0.0..0.2);
     world.failure_share = world.random.random_range(0.0..0.2);
@@ -173,6 +207,12 @@
         run_case(seed, is_advised);
     }
 
+    /// Jobs outlive their queues, under new owners too.
+    #[test]
+    fn every_rule_holds_with_changing_configurations(seed in any::<u64>(), is_advised in any::<bool>()) {
+        run_changing_case(seed, is_advised);
+    }
+
     /// Stops for preemption cross with losses, late starts and new owners.
     #[test]
     fn every_rule_holds_with_preemption(seed in any::<u64>(), is_advised in any::<bool>()) {
--- a/crates/graph/tests/engine/takeover.rs
+++ b/crates/graph/tests/engine/takeover.rs
@@ -1,8 +1,9 @@
 //! Takeovers: a new owner rebuilds its state from the log and from the reports of the workers.
 
+use sycamore_graph::catalog::{Catalog, Queue};
 use sycamore_graph::job::{State, Step};
 
-use crate::fixture::{catalog, gang, id, job, limited, queue, size, step};
+use crate::fixture::{QUEUE, catalog, gang, id, job, limited, queue, size, step};
 use crate::world::World;
 
 #[test]
@@ -247,3 +248,155 @@
 
     assert_eq!(world.state(id(1)), Some(State::Running));
 }
+
+fn remove_queue(catalog: &mut Catalog) {
+    catalog.queues.remove(QUEUE);
+}
+
+/// A world in which the first of two steps of a job runs.
+fn world_with_two_steps() -> World {
+    let mut world = World::new(2, catalog(queue()), 1);
+    begin_two_steps(&mut world);
+    world
+}
+
+fn begin_two_steps(world: &mut World) {
+    world.work_ms = 1_000;
+    let second = Step { after: vec![0], ..step(2, 1_000) };
+    world.submit(id(1), job(vec![step(2, 1_000), second]));
+    world.run(300);
+}
+
+fn assert_completes(mut world: World) {
+    world.run(3_000);
+
+    assert_eq!(world.state(id(1)), Some(State::Complete), "waits {}", world.describe_waits());
+}
+
+/// The definition of a queue that the configuration no longer has was in the owner's memory only: a
+/// successor never started the second step. The review showed LOST (review/3).
+#[test]
+fn steps_of_a_removed_queue_start_under_a_successor() {
+    let mut world = world_with_two_steps();
+    world.configure(remove_queue);
+    world.run(50);
+    world.assert_same_after_recovery();
+
+    world.take_over();
+
+    assert_completes(world);
+}
+
+/// Guards against a definition that is lost with the page that holds it, or by the second takeover.
+#[test]
+fn the_definition_of_a_removed_queue_survives_compaction_and_further_takeovers() {
+    let mut world = world_with_two_steps();
+    world.configure(remove_queue);
+
+    for _ in 0..3 {
+        world.take_over();
+        world.run(50);
+        world.compact();
+        world.assert_same_after_recovery();
+    }
+
+    assert_completes(world);
+}
+
+/// Guards against a successor that uses an earlier definition than the owner: one with more attempts
+/// breaks BUDGET.
+#[test]
+fn the_last_definition_of_a_removed_queue_decides_under_a_successor() {
+    let mut world = World::new(2, catalog(queue()), 1);
+    world.failure_share = 1.0;
+    world.work_ms = 1_000;
+    world.submit(id(1), job(vec![step(1, 1_000)]));
+    world.run(300);
+    world.oracle.max_attempts = 1;
+    world.configure(|catalog| catalog.queues.get_mut(QUEUE).expect("a queue").max_attempts = 1);
+    world.run(50);
+    world.configure(remove_queue);
+    world.assert_same_after_recovery();
+
+    world.take_over();
+    world.run(5_000);
+
+    assert_eq!(world.state(id(1)), Some(State::Failed));
+    assert_eq!(world.oracle.starts, 1);
+}
+
+/// A process that doesn't know the newest configuration yet accepts jobs for a queue that the owner
+/// knows from an earlier one. Guards against definitions that are logged at their removal only.
+#[test]
+fn a_job_that_is_accepted_after_the_removal_starts_under_a_successor() {
+    let mut world = World::new(2, catalog(queue()), 1);
+    world.configure(remove_queue);
+    begin_two_steps(&mut world);
+
+    world.take_over();
+
+    assert_completes(world);
+}
+
+/// The log of an older build has no definitions. Guards against a new owner that logs them for jobs
+/// of its own only.
+#[test]
+fn a_successor_logs_the_definitions_that_an_older_build_has_not() {
+    let mut world = world_with_two_steps();
+    world.drop_logged_queues();
+    world.take_over();
+    world.run(50);
+    world.configure(remove_queue);
+    world.assert_same_after_recovery();
+
+    world.take_over();
+
+    assert_completes(world);
+}
+
+/// A successor that has an older configuration than the owner does not know the teams of the newer
+/// one. Guards against starts without the limits that came with a queue (QUOTA).
+#[test]
+fn a_newer_definition_is_not_used_before_its_configuration_is_known() {
+    let mut world = World::new(2, catalog(queue()), 1);
+    world.configure(remove_queue);
+    let older = world.catalog.clone();
+    world.configure(|catalog| {
+        catalog.queues.insert(QUEUE.into(), Queue { priority: 1, ..queue() });
+    });
+    begin_two_steps(&mut world);
+    let newer = std::mem::replace(&mut world.catalog, older);
+
+    world.take_over();
+    world.run(2_000);
+    let early = world.oracle.starts;
+    world.catalog = newer;
+    world.configure(remove_queue);
+
+    assert_eq!(early, 2);
+    assert_completes(world);
+}
+
+/// Guards against a log that keeps the definitions of all queues for ever, and against one that lacks
+/// the definition once the queue has jobs again.
+#[test]
+fn definitions_leave_the_log_with_the_last_job_of_their_queue() {
+    let mut world = World::new(2, catalog(queue()), 1);
+    world.timing.status_retention_ms = 1_000;
+    world.take_over();
+    world.submit(id(2), job(vec![step(2, 1_000)]));
+    world.run(100);
+    world.compact();
+    let used = world.logged_queues();
+    world.run(2_000);
+    world.compact();
+    let unused = world.logged_queues();
+    begin_two_steps(&mut world);
+    world.configure(remove_queue);
+
+    world.take_over();
+    world.run(2_000);
+
+    assert_eq!((used.len(), unused.len()), (1, 0));
+    assert_eq!(world.state(id(1)), Some(State::Complete));
+}
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -8,7 +8,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use sycamore_graph::catalog::Catalog;
+use sycamore_graph::catalog::{Catalog, Queue};
 use sycamore_graph::job::{Id, Spec, State};
 use sycamore_graph::{
     Action, Advise, Answer, DomainLoad, Ended, Engine, Event, HostEntry, HostLoss, LastCall,
@@ -112,6 +112,8 @@
     submissions: BTreeMap<u64, Id>,
     /// The queue of each job.
     queues: BTreeMap<Id, Name>,
+    /// Newest definition of each queue of this and earlier catalogs.
+    definitions: BTreeMap<Name, Queue>,
     /// Time at which each run ended, by worker, task and attempt.
     ended_ms: BTreeMap<(Name, TaskId, u32), u64>,
     pub random: SmallRng,
@@ -126,6 +128,7 @@
         let mut oracle = Oracle::default();
         oracle.max_attempts = catalog.queues[QUEUE].max_attempts;
         oracle.set_limit(catalog.teams[TEAM].limit);
+        let definitions = catalog.queues.clone();
         let mut world = World {
             now_ms: 0,
             workers,
@@ -167,6 +170,7 @@
             tickets: BTreeMap::new(),
             submissions: BTreeMap::new(),
             queues: BTreeMap::new(),
+            definitions,
             ended_ms: BTreeMap::new(),
             random: SmallRng::seed_from_u64(seed),
         };
@@ -183,6 +187,15 @@
         self.run(100);
     }
 
+    /// Changes the configuration, and passes it to the engine.
+    pub fn configure(&mut self, change: impl FnOnce(&mut Catalog)) {
+        change(&mut self.catalog);
+        self.catalog.version += 1;
+        let queues = self.catalog.queues.iter();
+        self.definitions.extend(queues.map(|(name, queue)| (name.clone(), queue.clone())));
+        self.handle(Event::Configured(self.catalog.clone()));
+    }
+
     /// Adds a worker and lists it.
     pub fn add_worker(&mut self, entry: HostEntry) {
         self.workers.push(Worker::new(entry));
@@ -292,7 +305,9 @@
         let mut recovered = Recovered::default();
         self.log.iter().cloned().for_each(|record| recovered.apply(record));
         let (timing, catalog) = (self.timing.clone(), self.catalog.clone());
-        let successor = Engine::new(self.moment(), timing, catalog, recovered).settled_jobs();
+        let successor = Engine::new(self.moment(), timing, catalog, recovered);
+        let queues = (self.engine.queues_of_open_jobs(), successor.queues_of_open_jobs());
+        let successor = successor.settled_jobs();
         for (job, settled) in self.engine.settled_jobs() {
             let found = successor.get(&job);
             assert_eq!(
@@ -302,6 +317,7 @@
                 self.now_ms
             );
         }
+        assert_eq!(queues.1, queues.0, "queues differ for a successor at {} ms", self.now_ms);
     }
 
     /// Evacuates these failure domains and no others.
@@ -318,9 +334,11 @@
         self.durable_records = self.log.len();
     }
 
-    /// Replaces the log by one snapshot of each job and host, as log compaction does.
+    /// Replaces the log by one snapshot of each job, host and queue, as log compaction does.
     pub fn compact(&mut self) {
-        let mut snapshots = Vec::new();
+        let names: Vec<Name> = self.definitions.keys().cloned().collect();
+        let mut snapshots: Vec<Record> =
+            names.iter().filter_map(|name| self.engine.queue_snapshot(name)).collect();
         for job in self.oracle.jobs.keys() {
             snapshots.extend(self.engine.job_records(*job));
         }
@@ -331,6 +349,21 @@
         self.durable_records = self.log.len();
     }
 
+    /// Returns the queues whose definitions are in the log.
+    pub fn logged_queues(&self) -> BTreeSet<Name> {
+        let name = |record: &Record| match record {
+            Record::QueueDefined(defined) => Some(defined.name.clone()),
+            _ => None,
+        };
+        self.log.iter().filter_map(name).collect()
+    }
+
+    /// Removes the definitions of queues from the log, which older builds don't write.
+    pub fn drop_logged_queues(&mut self) {
+        self.log.retain(|record| !matches!(record, Record::QueueDefined(_)));
+        self.durable_records = self.log.len();
+    }
+
     pub fn run(&mut self, ms: u64) {
         let until = self.now_ms + ms;
         while self.now_ms < until {
@@ -573,7 +606,7 @@
                 self.preemptions += 1;
                 self.preempted.insert((host.clone(), task, attempt));
                 self.most_reclaimed_cpu = self.most_reclaimed_cpu.max(self.reclaimed_cpu());
-                let priority = |job: Id| self.catalog.queues[&self.queues[&job]].priority;
+                let priority = |job: Id| self.definitions[&self.queues[&job]].priority;
                 let (victim, other) = (priority(task.step.job), priority(beneficiary.job));
                 assert!(other < victim, "{beneficiary:?} takes the room of {task:?} on {host}");
                 self.oracle.check_preemption(task, self.epoch);
@@ -814,7 +847,7 @@
 
 impl World {
     fn is_advised(&self, job: Id) -> bool {
-        self.catalog.queues[&self.queues[&job]].advice.is_some()
+        self.definitions[&self.queues[&job]].advice.is_some()
     }
 
     /// Returns whether advice allows a worker for the steps of a job.
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -205,12 +205,19 @@
                 self.callers.insert(self.last_token, respond);
                 self.handle_event(to_event(request, self.last_token));
             }
-            Input::Snapshots { jobs, hosts, with_team_use, respond } => {
+            Input::Snapshots { jobs, hosts, queues, with_team_use, respond } => {
+                let queue_snapshots: Vec<_> =
+                    queues.iter().filter_map(|name| self.engine.queue_snapshot(name)).collect();
                 let job_snapshots = jobs.into_iter().flat_map(|id| self.engine.job_records(id));
                 let host_snapshots =
                     hosts.iter().filter_map(|name| self.engine.host_snapshot(name));
                 let team_use = with_team_use.then(|| self.engine.team_use_record()).flatten();
-                let snapshots = job_snapshots.chain(host_snapshots).chain(team_use).collect();
+                let snapshots = queue_snapshots
+                    .into_iter()
+                    .chain(job_snapshots)
+                    .chain(host_snapshots)
+                    .chain(team_use)
+                    .collect();
                 // Without a receiver the journal has ended, and the owner ends with it.
                 let _ = respond.send(snapshots);
             }
--- a/crates/node/src/owner/handle.rs
+++ b/crates/node/src/owner/handle.rs
@@ -29,11 +29,12 @@
         request: CallerRequest,
         respond: oneshot::Sender<RequestOutcome>,
     },
-    /// Asks for records that replace all earlier log records of some jobs and workers, and of the
-    /// past use of the teams if that is wanted.
+    /// Asks for records that replace all earlier log records of some jobs, workers and queues, and
+    /// of the past use of the teams if that is wanted.
     Snapshots {
         jobs: Vec<job::Id>,
         hosts: Vec<Name>,
+        queues: Vec<Name>,
         with_team_use: bool,
         respond: oneshot::Sender<Vec<Record>>,
     },
@@ -110,16 +111,17 @@
         answer.await.unwrap_or(RequestOutcome::Unknown)
     }
 
-    /// Returns records that replace all earlier log records of some jobs and workers, and of the
-    /// past use of the teams if that is wanted. Empty when the control thread has ended.
+    /// Returns records that replace all earlier log records of some jobs, workers and queues, and of
+    /// the past use of the teams if that is wanted. Empty when the control thread has ended.
     pub(super) async fn snapshots(
         &self,
         jobs: Vec<job::Id>,
         hosts: Vec<Name>,
+        queues: Vec<Name>,
         with_team_use: bool,
     ) -> Vec<Record> {
         let (respond, answer) = oneshot::channel();
-        let input = Input::Snapshots { jobs, hosts, with_team_use, respond };
+        let input = Input::Snapshots { jobs, hosts, queues, with_team_use, respond };
         if self.control.send(input).is_err() {
             return Vec::new();
         }
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -3,7 +3,8 @@
 //! A page is one key of the store with a batch of records. Each write is a transaction
 //! with two conditions: the owner record is unchanged, so that a replaced owner can't
 //! append to the log, and the page does not exist, so that a write whose reply was lost
-//! can be repeated safely.
+//! can be repeated safely. The transaction also writes the definitions of queues that belong beside
+//! the page.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -11,7 +12,7 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesOrdered;
-use sycamore_graph::{Event, Record, job};
+use sycamore_graph::{Event, QueueDefined, Record, job};
 use sycamore_platform::site::{Store, StoreError, Transaction};
 use sycamore_types::Name;
 use tokio::sync::mpsc;
@@ -49,7 +50,7 @@
 /// Number of jobs above which no further old page is carried over into a new page.
 const CARRY_OVER_JOBS_LIMIT: usize = 400;
 
-/// A page of the log, with the jobs and workers that its records are about.
+/// A page of the log, with the jobs, workers and queues that its records are about.
 #[derive(Debug)]
 pub(crate) struct Page {
     number: u64,
@@ -57,6 +58,8 @@
     written_at: Instant,
     jobs: Vec<job::Id>,
     hosts: Vec<Name>,
+    /// Queues whose definitions are stored beside it.
+    queues: Vec<Name>,
     /// It has a record of the past use of the teams.
     has_team_use: bool,
 }
@@ -70,7 +73,20 @@
         hosts.sort_unstable();
         hosts.dedup();
         let has_team_use = records.iter().any(page::is_team_use);
-        Page { number, written_at: Instant::now(), jobs, hosts, has_team_use }
+        let (written_at, queues) = (Instant::now(), Vec::new());
+        Page { number, written_at, jobs, hosts, queues, has_team_use }
+    }
+
+    /// Adds the definitions of queues that are stored beside the page.
+    pub fn with_queues(mut self, definitions: &[QueueDefined]) -> Page {
+        self.queues = definitions.iter().map(|definition| definition.name.clone()).collect();
+        self.queues.sort_unstable();
+        self.queues.dedup();
+        self
+    }
+
+    pub fn number(&self) -> u64 {
+        self.number
     }
 }
 
@@ -160,16 +176,24 @@
         let new_records = batch.len() as u64;
         let (mut records, dropped) = self.carry_over().await;
         records.extend(batch);
+        let (definitions, records) = page::split_off_queues(records);
         let key = page::key(self.next_page);
         let mut transaction = Transaction::default()
             .expect(OWNER_KEY, self.writer.shared.owner_rev)
             .expect(&key, 0)
             .put(&key, &page::encode(&records)?);
-        for number in &dropped {
-            transaction = transaction.remove(&page::key(*number));
+        if !definitions.is_empty() {
+            let value = page::encode_queues(&definitions)?;
+            transaction = transaction.put(&page::queues_key(self.next_page), &value);
+        }
+        for page in self.pages.iter().filter(|page| dropped.contains(&page.number)) {
+            transaction = transaction.remove(&page::key(page.number));
+            if !page.queues.is_empty() {
+                transaction = transaction.remove(&page::queues_key(page.number));
+            }
         }
         self.pages.retain(|page| !dropped.contains(&page.number));
-        let page = Page::of(self.next_page, &records);
+        let page = Page::of(self.next_page, &records).with_queues(&definitions);
         self.next_page += 1;
         Ok((PageWrite { page, new_records }, transaction))
     }
@@ -187,6 +211,7 @@
         let excess = self.pages.len().saturating_sub(MAX_PAGES).min(2);
         let mut jobs = Vec::new();
         let mut hosts = Vec::new();
+        let mut queues = Vec::new();
         let mut has_team_use = false;
         let mut dropped = Vec::new();
         for page in self.pages.iter().take(excess) {
@@ -195,13 +220,14 @@
             }
             jobs.extend(page.jobs.iter().copied());
             hosts.extend(page.hosts.iter().cloned());
+            queues.extend(page.queues.iter().cloned());
             has_team_use |= page.has_team_use;
             dropped.push(page.number);
         }
         if dropped.is_empty() {
             return (Vec::new(), dropped);
         }
-        (self.handle.snapshots(jobs, hosts, has_team_use).await, dropped)
+        (self.handle.snapshots(jobs, hosts, queues, has_team_use).await, dropped)
     }
 }
 
--- a/crates/node/src/owner/recover.rs
+++ b/crates/node/src/owner/recover.rs
@@ -4,7 +4,7 @@
 //! jobs without its records.
 
 use displaydoc::Display;
-use sycamore_graph::Recovered;
+use sycamore_graph::{Record, Recovered};
 use sycamore_platform::site::{MalformedRow, Store, StoreError};
 
 use super::journal::Page;
@@ -47,6 +47,9 @@
             return Err(ReadError::Row(row));
         }
         for item in &found.items {
+            if let Some(number) = page::number_of_queues(&item.key) {
+                read_queues(number, &item.value, &mut recovered, &mut pages);
+            }
             let Some(number) = page::number(&item.key) else { continue };
             let records = page::decode(&item.value).map_err(ReadError::Page)?;
             pages.push(Page::of(number, &records));
@@ -58,3 +61,22 @@
         }
     }
 }
+
+/// Reads the definitions of queues that are stored beside a page. Without them the jobs of removed queues
+/// wait, while all other jobs are served.
+fn read_queues(number: u64, value: &[u8], recovered: &mut Recovered, pages: &mut Vec<Page>) {
+    let definitions = match page::decode_queues(value) {
+        Ok(definitions) => definitions,
+        Err(error) => {
+            log::error!(target: "store", page = number, error:%; "definitions of queues not read");
+            return;
+        }
+    };
+    // The key follows that of the page, which an older build may have removed without this one.
+    if let Some(page) = pages.pop_if(|page| page.number() == number) {
+        pages.push(page.with_queues(&definitions));
+    }
+    definitions
+        .into_iter()
+        .for_each(|definition| recovered.apply(Record::QueueDefined(definition)));
+}
--- a/crates/node/src/owner/tests/mod.rs
+++ b/crates/node/src/owner/tests/mod.rs
@@ -5,5 +5,6 @@
 mod advice_failure;
 mod evacuation;
 pub(in crate::owner) mod fixture;
+mod page;
 mod skipped;
 mod write_timeout;
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -9,6 +9,7 @@
 mod explain;
 mod platform;
 mod process;
+mod removed_queue;
 mod slow_links;
 
 use std::time::Duration;
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -152,6 +152,20 @@
         self.store.configure(&fenced::with_queues(config(), version, prefixes));
     }
 
+    /// Writes a configuration that has another queue in place of the usual one.
+    pub fn replace_queue(&self, version: u64) {
+        let mut config = config();
+        config["version"] = version.into();
+        config["routes"][0]["name"] = "others".into();
+        config["routes"][0]["prefix"] = "/others/".into();
+        self.store.configure(&config);
+    }
+
+    /// Returns the keys of the log under which definitions of queues are stored.
+    pub fn definition_keys(&self) -> Vec<String> {
+        self.store.keys("sycamore/log/", ".queues")
+    }
+
     pub fn set_store_unavailable(&self, is_unavailable: bool) {
         self.store.set_mode(if is_unavailable { Mode::Unavailable } else { Mode::Normal });
     }
--- a/crates/standin/src/fenced/kv.rs
+++ b/crates/standin/src/fenced/kv.rs
@@ -70,6 +70,10 @@
         self.item(key).map_or((404, json!({})), |item| (200, item))
     }
 
+    pub fn keys(&self) -> impl Iterator<Item = &str> {
+        self.items.keys().map(String::as_str)
+    }
+
     /// Returns the keys with a prefix that sort after `after`.
     pub fn range(&self, prefix: &str, after: &str) -> (u16, Value) {
         let keys = self.items.keys().filter(|key| key.starts_with(prefix) && key.as_str() > after);
--- a/crates/standin/src/fenced/store.rs
+++ b/crates/standin/src/fenced/store.rs
@@ -128,6 +128,13 @@
         self.state().kv.forget_history();
     }
 
+    /// Returns the keys with a prefix and a suffix.
+    pub fn keys(&self, prefix: &str, suffix: &str) -> Vec<String> {
+        let state = self.state();
+        let is_asked = |key: &&str| key.starts_with(prefix) && key.ends_with(suffix);
+        state.kv.keys().filter(is_asked).map(str::to_string).collect()
+    }
+
     /// Overwrites the value of a key, as a faulty writer would.
     pub fn overwrite(&self, key: &str, value: &[u8]) {
         self.state().kv.put(key, &STANDARD.encode(value));
