--- a/crates/node/src/owner/tests/mod.rs
+++ b/crates/node/src/owner/tests/mod.rs
@@ -6,5 +6,6 @@
 mod confirmation;
 mod evacuation;
 pub(in crate::owner) mod fixture;
+mod page;
 mod skipped;
 mod write_timeout;
