Clear a host of best-effort runs for tasks with a latency objective

Cause: a task with a latency objective never shares a host with a best-effort task, best-effort tasks are spread over all hosts without such a task, and nothing stopped or moved them.

Change: where a step with an objective has found no such room for 500 ms, the host where the least work is lost is cleared: its best-effort runs are stopped and wait again, its room is reserved for the step for up to 3 s, and no best-effort task starts there meanwhile. A tenth of the hosts is kept at a time, and one at least; a gang may take one for each member. Disruption budgets hold. A task gets no further host for 5 s after it has started on a cleared one. Needs no setting of preemption. Room on hosts beside best-effort tasks that are cleared for one step is used by others, too.

--- a/crates/graph/src/decision.rs
+++ b/crates/graph/src/decision.rs
@@ -56,7 +56,8 @@
     },
     /// A job reached its final state.
     Closed(job::Id, State),
-    /// A run is stopped to give room to a step of a more urgent queue.
+    /// A run is stopped to give room to a step of a more urgent queue. A best-effort run is stopped so
+    /// that its host may run a step with a latency objective.
     Preempted {
         /// Task of the run.
         task: TaskId,
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -393,6 +393,11 @@
         }
     }
 
+    /// Keeps best-effort tasks off the host for the rest of the pass.
+    pub fn close_to_best_effort(&mut self) {
+        self.has_latency_task = true;
+    }
+
     /// Updates the kinds of tasks on the host after one was placed there.
     pub fn add_task(&mut self, demand: &Demand) {
         self.has_latency_task |= demand.has_objective;
@@ -495,6 +500,8 @@
     is_isolated: bool,
     /// Hosts without room now are included.
     includes_full: bool,
+    /// Best-effort tasks keep no task with a latency objective off their host.
+    ignores_best_effort: bool,
     /// Tasks of the step that each host has, if their number is limited.
     placed: FxHashMap<Name, u32>,
 }
@@ -510,8 +517,17 @@
         let placed =
             if step.max_per_host > 0 { runs_per_host(progress) } else { FxHashMap::default() };
         let (footprint, is_isolated) = (step.footprint(), isolation.is_isolated());
-        let includes_full = step.is_gang;
-        Search { views, step, progress, service, footprint, is_isolated, includes_full, placed }
+        Search {
+            views,
+            step,
+            progress,
+            service,
+            footprint,
+            is_isolated,
+            includes_full: step.is_gang,
+            ignores_best_effort: false,
+            placed,
+        }
     }
 
     /// Returns the candidates among all hosts, the most free CPU first.
@@ -528,6 +544,18 @@
         self.views.most_cpu_first(0).filter_map(move |(_, index)| search.candidate(index))
     }
 
+    /// Returns the candidates among all hosts, including those that have best-effort tasks or no
+    /// room now, the most free CPU first.
+    pub fn with_best_effort(&self) -> impl Iterator<Item = Candidate> {
+        let search = Search {
+            includes_full: true,
+            ignores_best_effort: true,
+            placed: self.placed.clone(),
+            ..*self
+        };
+        self.views.most_cpu_first(0).filter_map(move |(_, index)| search.candidate(index))
+    }
+
     /// Returns how many more tasks of the step a candidate's host may get.
     pub fn tasks_left(&self, candidate: &Candidate) -> u32 {
         let placed = self.placed.get(&self.views[candidate.index].host).copied().unwrap_or(0);
@@ -613,8 +641,9 @@
             return None;
         }
         // Best-effort tasks slow down latency-sensitive ones by an unpredictable amount.
+        let has_best_effort_task = view.has_best_effort_task && !self.ignores_best_effort;
         let is_compatible = !(step.is_best_effort && view.has_latency_task
-            || step.latency_objective_ms > 0 && view.has_best_effort_task);
+            || step.latency_objective_ms > 0 && has_best_effort_task);
         let mut fits_now = tasks_that_fit(&self.footprint, &view.free);
         if !is_compatible || fits_now == 0 && !self.includes_full {
             return None;
@@ -650,7 +679,7 @@
 }
 
 /// Returns how many tasks of a size fit into a capacity, at most [`job::MAX_TASKS`].
-fn tasks_that_fit(size: &Resources, capacity: &Resources) -> u32 {
+pub(super) fn tasks_that_fit(size: &Resources, capacity: &Resources) -> u32 {
     let pairs = [
         (size.cpu_millis, capacity.cpu_millis),
         (size.memory_mib, capacity.memory_mib),
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -113,6 +113,7 @@
         }
         if !demand.is_gang && !views.may_fit(&demand.footprint) {
             self.take_room(&demand, position.rank, views);
+            self.clear_hosts(&demand, views);
             return Some(views.no_room_reason(&demand.footprint));
         }
         if let Some(reason) = self.advice_wait_reason(&demand) {
@@ -203,6 +204,7 @@
         let is_placed = is_durable && self.place_tasks(demand, position, ready, views);
         if is_durable {
             self.take_room(demand, position.rank, views);
+            self.clear_hosts(demand, views);
         }
         if demand.is_gang && !is_placed && self.reservations.tasks(step_id) == 0 {
             self.reserve_capacity(demand, views);
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -25,6 +25,7 @@
 mod broken_gangs;
 mod bulkhead;
 mod candidates;
+mod clearing;
 mod close;
 mod demand;
 mod dispatch;
--- a/crates/graph/src/engine/reclaim.rs
+++ b/crates/graph/src/engine/reclaim.rs
@@ -6,6 +6,7 @@
 use sycamore_types::resources::Resources;
 
 use super::candidates::{Candidate, HostViews, Search};
+use super::clearing;
 use super::demand::Demand;
 use super::preemption::{
     Claim, Occupant, Room, Taking, Victim, cost_core_ms, footprints, is_worth_it, may_take, plan,
@@ -14,6 +15,7 @@
 use super::reservations::Reservation;
 use super::{Engine, Rank};
 use crate::host::{Phase, Run};
+use crate::progress::StepProgress;
 use crate::timing::PreemptionTiming;
 use crate::{Action, StepId, TaskId, Verdict};
 
@@ -44,9 +46,6 @@
     /// Begins a pass: drops the reservations that have ended, and withholds the room of the
     /// others.
     pub(super) fn hold_reservations(&mut self, views: &mut HostViews) {
-        if self.timing.preemption.is_none() {
-            return;
-        }
         let now_ms = self.now.monotonic_ms;
         let jobs = &self.jobs;
         let is_gang = |step_id: StepId| {
@@ -56,14 +55,16 @@
         };
         let is_valid = |step_id: StepId, one: &Reservation| {
             let step = jobs.get(&step_id.job).and_then(|job| job.step(step_id));
-            views.index_of(one.number).is_some()
-                && step.is_some_and(|step| !step.waiting.is_empty())
+            let is_wanted = |step: &StepProgress| {
+                !step.waiting.is_empty() && !step.advice.denied.contains(&one.number)
+            };
+            views.index_of(one.number).is_some() && step.is_some_and(is_wanted)
         };
         let expired = self.reservations.retain(now_ms, is_gang, is_valid);
         for (step, host) in expired {
             self.actions.push(Action::ReportUnusedReservation { step, host });
         }
-        self.reservations.begin_pass(now_ms, MAX_SEARCHES, views);
+        self.reservations.begin_pass(now_ms, MAX_SEARCHES, clearing::MAX_SEARCHES, views);
     }
 
     /// Stops runs of less urgent queues to make room for a step that found none.
@@ -177,7 +178,7 @@
     }
 
     /// Returns for how many tasks of a step room is to be taken. `None` if there is none.
-    fn tasks_without_room(&self, demand: &Demand) -> Option<u32> {
+    pub(super) fn tasks_without_room(&self, demand: &Demand) -> Option<u32> {
         let step_id = demand.step_id;
         let job = self.jobs.get(&step_id.job)?;
         let waiting = job.step(step_id)?.waiting.len() as u32;
@@ -243,8 +244,8 @@
         for taking in plan {
             let view = &views[taking.index];
             let (host, number) = (view.host.clone(), view.number);
-            for victim in taking.victims {
-                self.stop_victim(demand.step_id, &host, &victim);
+            for victim in &taking.victims {
+                self.stop_victim(demand.step_id, &host, victim);
             }
             let footprint = demand.footprint;
             reserved.push(Reservation::new(host, number, taking.tasks, footprint, until_ms));
@@ -254,7 +255,7 @@
         }
     }
 
-    fn stop_victim(&mut self, beneficiary: StepId, host: &Name, victim: &Victim) {
+    pub(super) fn stop_victim(&mut self, beneficiary: StepId, host: &Name, victim: &Victim) {
         let now_ms = self.now.monotonic_ms;
         let (task, attempt) = victim.run;
         let requested_ms = self
--- a/crates/graph/src/engine/reservations.rs
+++ b/crates/graph/src/engine/reservations.rs
@@ -1,7 +1,8 @@
 //! Room on hosts that is kept for the step for which runs were stopped.
 //!
 //! Without a reservation, small tasks would take each part of the room as soon as one of the
-//! stopped runs has ended. A host has room reserved for one step at a time.
+//! stopped runs has ended. Preemption reserves room on a host for one step at a time. Steps for
+//! which a host is cleared of best-effort runs may share it.
 
 use std::collections::BTreeMap;
 
@@ -24,6 +25,8 @@
     pub footprint: Resources,
     /// Time at which the reservation ends, in milliseconds.
     pub until_ms: u64,
+    /// No best-effort task may start on the host meanwhile.
+    is_cleared: bool,
     /// Free capacity that the current pass withholds from other steps.
     held: Resources,
 }
@@ -40,11 +43,19 @@
     pauses: FxHashMap<StepId, u64>,
     /// Searches for runs to stop that the current pass may still make.
     pub searches_left: u32,
+    /// Searches for hosts to clear that the current pass may still make.
+    pub clearings_left: u32,
 }
 
 impl Reservation {
     pub fn new(host: Name, number: u32, tasks: u32, footprint: Resources, until_ms: u64) -> Self {
-        Reservation { host, number, tasks, footprint, until_ms, held: Resources::default() }
+        let held = Resources::default();
+        Reservation { host, number, tasks, footprint, until_ms, is_cleared: false, held }
+    }
+
+    /// Keeps best-effort tasks off the host as well.
+    pub fn without_best_effort(self) -> Self {
+        Reservation { is_cleared: true, ..self }
     }
 
     /// Returns the resources of all tasks.
@@ -58,6 +69,9 @@
         let wanted = self.total();
         let held = wanted.minus(&wanted.minus(&views[at].free));
         views[at].free = views[at].free.minus(&held);
+        if self.is_cleared {
+            views[at].close_to_best_effort();
+        }
         self.held = held;
     }
 
@@ -70,8 +84,15 @@
 
 impl Reservations {
     /// Begins a pass: withholds the reserved room from all steps.
-    pub fn begin_pass(&mut self, now_ms: u64, searches: u32, views: &mut HostViews) {
+    pub fn begin_pass(
+        &mut self,
+        now_ms: u64,
+        searches: u32,
+        clearings: u32,
+        views: &mut HostViews,
+    ) {
         self.searches_left = searches;
+        self.clearings_left = clearings;
         self.pauses.retain(|_, until_ms| now_ms < *until_ms);
         for reservation in self.by_step.values_mut().flatten() {
             reservation.hold(views);
@@ -134,12 +155,30 @@
         }
     }
 
-    /// Counts a task of a step that starts on a host.
-    pub fn use_for(&mut self, step_id: StepId, host: &Name) {
-        let all = self.by_step.get_mut(&step_id).into_iter().flatten();
-        if let Some(one) = all.into_iter().find(|one| one.host == *host) {
-            one.tasks = one.tasks.saturating_sub(1);
-        }
+    /// Counts a task of a step that starts on a host. Returns whether the host was cleared for it.
+    pub fn use_for(&mut self, step_id: StepId, host: &Name) -> bool {
+        let mut all = self.by_step.get_mut(&step_id).into_iter().flatten();
+        let Some(one) = all.find(|one| one.host == *host && one.tasks > 0) else { return false };
+        one.tasks -= 1;
+        one.is_cleared
+    }
+
+    /// Returns the numbers of the hosts that are kept free of best-effort tasks.
+    pub fn cleared_hosts(&self) -> FxHashSet<u32> {
+        let cleared = self.by_step.values().flatten().filter(|one| one.is_cleared);
+        cleared.map(|one| one.number).collect()
+    }
+
+    /// Returns the reserved resources of a host that the current pass does not withhold.
+    pub fn outstanding(&self, number: u32) -> Resources {
+        let on_host = self.by_step.values().flatten().filter(|one| one.number == number);
+        on_host.fold(Resources::default(), |sum, one| sum.plus(&one.total().minus(&one.held)))
+    }
+
+    /// Returns the number of tasks of a step for which room is reserved on a host.
+    pub fn tasks_on(&self, step_id: StepId, number: u32) -> u32 {
+        let of_step = self.by_step.get(&step_id).into_iter().flatten();
+        of_step.filter(|one| one.number == number).map(|one| one.tasks).sum()
     }
 
     /// Returns whether another step has room reserved on a host.
--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -37,8 +37,10 @@
         let ticket =
             step_progress.advice.allowed.get(&host_number).map(|ticket| ticket.token.clone());
         step_progress.waiting.remove(&task.index);
-        self.reservations.use_for(task.step, name);
         let task_progress = &mut step_progress.tasks[task.index as usize];
+        if self.reservations.use_for(task.step, name) {
+            task_progress.cleared_ms = Some(now_ms);
+        }
         task_progress.attempt = attempt;
         task_progress.runs.push((name.clone(), attempt));
         let Some(host) = self.hosts.get_mut(name) else { return };
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -28,6 +28,9 @@
     pub yields: u32,
     /// Estimate of the work that the runs had saved that were stopped for others, in milliseconds.
     pub saved_ms: u64,
+    /// Time of the last start on a host that was cleared of best-effort runs for it, in milliseconds.
+    /// Not in the log.
+    pub cleared_ms: Option<u64>,
     /// Host of the last failed run, to be avoided by the next attempt if possible.
     pub avoided_host: Option<Name>,
 }
@@ -90,6 +93,11 @@
     /// Why tasks of the step waited in the last dispatch pass that reached it.
     pub wait_reason: Option<WaitReason>,
     pub wait_times: WaitTimes,
+    /// Time since which only best-effort tasks have kept the waiting tasks off all hosts with room, in
+    /// milliseconds.
+    pub crowded_since_ms: Option<u64>,
+    /// Time before which no host is cleared for the step, in milliseconds.
+    pub clearing_not_before_ms: u64,
     /// Indices of the tasks that wait to be started.
     pub waiting: BTreeSet<u32>,
 }
@@ -115,6 +123,8 @@
             has_survivor: false,
             wait_reason: None,
             wait_times: WaitTimes::default(),
+            crowded_since_ms: None,
+            clearing_not_before_ms: 0,
             waiting: (0..tasks).collect(),
         }
     }
--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod broken_gangs;
 mod capacity;
+mod clearing;
 mod crashes;
 mod evacuation;
 mod fixture;
--- a/crates/graph/tests/engine/oracle.rs
+++ b/crates/graph/tests/engine/oracle.rs
@@ -6,8 +6,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use sycamore_graph::job::{Id, Spec, State};
+use sycamore_graph::job::{Id, Spec, State, Step};
 use sycamore_graph::{RunEnd, StepId, TaskId};
+use sycamore_types::Name;
 use sycamore_types::resources::Resources;
 
 use crate::worker::Worker;
@@ -97,6 +98,39 @@
             workers.iter().filter(|worker| worker.is_alive).map(Worker::used_cpu).sum();
         let fits = self.limit_cpu == 0 || running <= self.limit_cpu;
         assert!(fits, "QUOTA: {running} running, {} allowed", self.limit_cpu);
+        let runs_beside = |is_kind: fn(&Step) -> bool| {
+            worker.runs.keys().any(|(other, _)| is_kind(self.step(other.step)))
+        };
+        let is_shared = runs_beside(|step| step.latency_objective_ms > 0)
+            && runs_beside(|step| step.is_best_effort);
+        assert!(!is_shared, "HARM: {task:?} shares {}", worker.entry.id);
+    }
+
+    pub fn step(&self, step_id: StepId) -> &Step {
+        &self.jobs[&step_id.job].steps[usize::from(step_id.index)]
+    }
+
+    /// Checks that a best-effort run may be stopped for a task with a latency objective, beside the
+    /// runs whose stop was decided before.
+    pub fn check_clearing(
+        &self,
+        task: TaskId,
+        workers: &[Worker],
+        cleared: &[(Name, TaskId, u32)],
+    ) {
+        let step = self.step(task.step);
+        let Some(most) = step.max_unavailable else { return };
+        let is_at_work = |other: TaskId| {
+            let alive = workers.iter().filter(|worker| worker.is_alive);
+            let runs =
+                alive.flat_map(|worker| worker.runs.keys().map(|key| (&worker.entry.id, key)));
+            let mut runs = runs.filter(|(_, (of, _))| *of == other);
+            runs.any(|(name, (_, attempt))| !cleared.contains(&(name.clone(), other, *attempt)))
+        };
+        let others = (0..step.tasks).filter(|index| *index != task.index);
+        let absent =
+            others.filter(|index| !is_at_work(TaskId { step: task.step, index: *index })).count();
+        assert!(absent < most as usize, "AVAIL: {task:?} is stopped, {absent} others are away");
     }
 
     /// Checks the acknowledgement of a run end. Skipped if the lease expired in between, as
--- a/crates/graph/tests/engine/worker.rs
+++ b/crates/graph/tests/engine/worker.rs
@@ -27,6 +27,8 @@
     pub checkpoint_ms: u64,
     /// Time at which a run that was told to stop ends, in milliseconds.
     pub stop_ms: Option<u64>,
+    /// The task is at work from its start on, which is shown as 100 percent.
+    pub is_service: bool,
 }
 
 impl Run {
@@ -42,6 +44,9 @@
 
     /// Returns the progress, in whole percent.
     fn percent(&self, now_ms: u64) -> u8 {
+        if self.is_service {
+            return 100;
+        }
         let whole_ms = (self.until_ms - self.started_ms).max(1);
         ((now_ms - self.started_ms).min(whole_ms) * 99 / whole_ms) as u8
     }
@@ -57,6 +62,7 @@
     pub restore_ms: u64,
     /// Time between two checkpoints, in milliseconds. Zero if the task saves none.
     pub checkpoint_ms: u64,
+    pub is_service: bool,
 }
 
 #[derive(Debug)]
@@ -196,6 +202,7 @@
             restore_ms,
             checkpoint_ms: work.checkpoint_ms,
             stop_ms: None,
+            is_service: work.is_service,
         };
         self.runs.insert(key, run);
         StartOutcome::Started
--- a/crates/graph/tests/engine/world.rs
+++ b/crates/graph/tests/engine/world.rs
@@ -87,6 +87,9 @@
     preempted: BTreeSet<(Name, TaskId, u32)>,
     /// Most CPU of such runs that had not ended yet, in thousandths of a core.
     pub most_reclaimed_cpu: u32,
+    /// The best-effort runs that were stopped for steps with a latency objective: worker, task and
+    /// attempt, in order.
+    pub cleared: Vec<(Name, TaskId, u32)>,
     /// Reservations that expired.
     pub unused_reservations: u64,
     /// Time at which each job was complete, in milliseconds.
@@ -149,6 +152,7 @@
             preemptions: 0,
             preempted: BTreeSet::new(),
             most_reclaimed_cpu: 0,
+            cleared: Vec::new(),
             unused_reservations: 0,
             finished_ms: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -569,6 +573,14 @@
 
     fn check_decision(&mut self, verdict: Verdict) {
         match verdict {
+            Verdict::Preempted { task, attempt, host, beneficiary, .. }
+                if self.oracle.step(task.step).is_best_effort =>
+            {
+                let has_objective = self.oracle.step(beneficiary).latency_objective_ms > 0;
+                assert!(has_objective, "{beneficiary:?} clears {host} of {task:?}");
+                self.oracle.check_clearing(task, &self.workers, &self.cleared);
+                self.cleared.push((host, task, attempt));
+            }
             Verdict::Preempted { task, attempt, host, beneficiary, .. } => {
                 self.preemptions += 1;
                 self.preempted.insert((host.clone(), task, attempt));
@@ -723,6 +735,7 @@
             will_fail,
             restore_ms: preemption.map_or(0, |timing| timing.restore_ms),
             checkpoint_ms: preemption.map_or(0, |timing| timing.checkpoint_ms),
+            is_service: spec.is_service,
         };
         let has_ticket =
             !self.is_advised(task.step.job)
