Play best-effort tasks and latency objectives under random faults

Cause: the random tests had neither kind of task, so that stops of best-effort runs never crossed with losses, late starts and new owners.

A failing service has to be started in the end.

--- a/crates/graph/tests/engine/clearing.rs
+++ b/crates/graph/tests/engine/clearing.rs
@@ -413,6 +413,7 @@
     let starts = world.oracle.starts;
     assert!(starts > 20, "{starts} starts");
     assert!(world.cleared.len() <= 21, "{} stops: {:?}", world.cleared.len(), world.cleared);
+    run_until(&mut world, SERVING, 1, RESTART_MS);
 }
 
 /// A task under which a worker has crashed starts apart from others, and needs a cleared worker, too.
--- a/crates/graph/tests/engine/fuzz.rs
+++ b/crates/graph/tests/engine/fuzz.rs
@@ -103,6 +103,34 @@
     world.preemptions
 }
 
+/// The same with tasks that have a latency objective beside best-effort tasks that take long. Returns
+/// the number of best-effort runs that were stopped.
+fn run_clearing_case(seed: u64, is_advised: bool) -> usize {
+    let catalog = catalog(random_queue(seed, is_advised));
+    let mut world = World::new(HOSTS, limited(catalog, size(15_000, 0)), seed);
+    world.takes_estimate = true;
+    let stop_ms = world.random.random_range(0..400);
+    world.workers.iter_mut().for_each(|worker| worker.stop_ms = stop_ms);
+    play(&mut world, seed, |world| {
+        let steps = random_job(world);
+        let kind = world.random.random_range(0..4);
+        let has_budget = world.random.random_bool(0.2);
+        let change = |step: Step| match kind {
+            0 => Step { latency_objective_ms: 100, max_per_host: 2, ..step },
+            1 => Step { latency_objective_ms: 100, ..step },
+            2 => Step {
+                is_best_effort: true,
+                estimate_ms: 5_000,
+                max_unavailable: has_budget.then_some(2),
+                ..step
+            },
+            _ => step,
+        };
+        (QUEUE, steps.into_iter().map(change).collect())
+    });
+    world.cleared.len()
+}
+
 fn play(world: &mut World, seed: u64, next: impl Fn(&mut World) -> (&'static str, Vec<Step>)) {
     world.late_start_share = world.random.random_range(0.0..0.2);
     world.failure_share = world.random.random_range(0.0..0.2);
@@ -178,6 +206,20 @@
     fn every_rule_holds_with_preemption(seed in any::<u64>(), is_advised in any::<bool>()) {
         run_preempting_case(seed, is_advised);
     }
+
+    /// Stops of best-effort runs cross with losses, late starts and new owners.
+    #[test]
+    fn every_rule_holds_with_cleared_hosts(seed in any::<u64>(), is_advised in any::<bool>()) {
+        run_clearing_case(seed, is_advised);
+    }
+}
+
+/// Guards against cases that check nothing, as no host is ever cleared.
+#[test]
+fn random_faults_meet_cleared_hosts() {
+    let cleared: usize = (0..8).map(|seed| run_clearing_case(seed, false)).sum();
+
+    assert!(cleared >= 8, "{cleared} runs were stopped");
 }
 
 /// Guards against cases that check nothing, as no run is ever stopped for another.
