Ask every process that may be the owner, and never rest on the consent of nobody

The former owner was in no list of its successor; an empty list counted as consent; a vacant record of a newer epoch too. Change: a claim records the previous owner as a member; without members, or with a newer record of any kind, nothing is extended. At most four processes read the owner record a round, and the first that knows ends it. A call may take 1.2 s, as the connection may be new. A start request is valid for no longer than the longest lease. The monotonic clock starts at an hour, so that a suspension longer than the life of the process counts in full.

--- a/crates/graph/src/engine/confirmation.rs
+++ b/crates/graph/src/engine/confirmation.rs
@@ -33,6 +33,11 @@
 
     /// Returns whether tasks may be started now. A start request grants a lease, too.
     pub(super) fn may_start_tasks(&self) -> bool {
-        self.max_lease_ms() >= self.timing.start_ttl_ms
+        self.max_lease_ms() >= self.timing.start_ttl_ms.min(self.timing.lease_ms / 2)
+    }
+
+    /// Returns for how long a start request that is sent now is valid, in milliseconds.
+    pub(super) fn start_ttl_ms(&self) -> u64 {
+        self.timing.start_ttl_ms.min(self.max_lease_ms())
     }
 }
--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -24,7 +24,7 @@
         attempt: u32,
         isolation: Isolation,
     ) {
-        let now_ms = self.now.monotonic_ms;
+        let (now_ms, ttl_ms) = (self.now.monotonic_ms, self.start_ttl_ms());
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let spec = job.spec.clone();
         let step = &spec.steps[usize::from(task.step.index)];
@@ -44,7 +44,7 @@
         task_progress.attempt = attempt;
         task_progress.runs.push((name.clone(), attempt));
         let Some(host) = self.hosts.get_mut(name) else { return };
-        let deadline_ms = host.grant(now_ms, self.timing.start_ttl_ms, &self.timing);
+        let deadline_ms = host.grant(now_ms, ttl_ms, &self.timing);
         let run = Run {
             phase: Phase::Requested,
             is_confirmed: false,
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -5,6 +5,10 @@
 use nix::time::{ClockId, clock_gettime};
 use sycamore_graph::Moment;
 
+/// Time of the monotonic clock at the start of the process, in milliseconds, so that it can express
+/// times before.
+const START_MS: u64 = 3_600_000;
+
 /// Reads the monotonic and the wall clock together.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Clock {
@@ -18,7 +22,7 @@
 
     /// Returns a time as [`Moment::monotonic_ms`], rounded down.
     pub fn monotonic_ms(&self, at: Instant) -> u64 {
-        millis(at.saturating_duration_since(self.origin))
+        START_MS + millis(at.saturating_duration_since(self.origin))
     }
 
     /// Returns the time since the host booted, in milliseconds. Unlike [`Instant`] it includes the
@@ -30,7 +34,7 @@
 
     pub fn now(&self) -> Moment {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-        Moment { monotonic_ms: millis(self.origin.elapsed()), unix_ms: millis(unix) }
+        Moment { monotonic_ms: START_MS + millis(self.origin.elapsed()), unix_ms: millis(unix) }
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -213,20 +213,22 @@
         self.lock_members().list(Instant::now())
     }
 
-    /// Returns what this process knows about the owner with an epoch, for that owner.
+    /// Returns what this process knows about the owner with an epoch, for that owner. Reads the owner
+    /// record if it may.
     ///
-    /// If another process or this one becomes the owner meanwhile, it does so after the question.
-    pub async fn owner_status(&self, epoch: u64) -> OwnerStatus {
+    /// The owner relies on this: the engine of a newer owner in this process, which waits for leases
+    /// from its creation, is created after every reply that did not name it.
+    pub async fn owner_status(&self, epoch: u64, may_read: bool) -> OwnerStatus {
         let newer = || self.ownership.newest_owner().filter(|owner| owner.epoch > epoch);
         if let Some(owner) = newer() {
             return OwnerStatus::Superseded(owner);
         }
-        if !self.configs.is_store_answering() {
+        if !may_read || !self.configs.is_store_answering() {
             return OwnerStatus::Unopposed;
         }
         let record = OwnerRecord::read(&self.store).await.ok().and_then(|(record, _)| record);
-        match record.filter(|record| !record.is_vacant) {
-            Some(record) if record.epoch == epoch => OwnerStatus::Confirmed,
+        match record {
+            Some(record) if record.epoch == epoch && !record.is_vacant => OwnerStatus::Confirmed,
             Some(record) if record.epoch > epoch => {
                 self.ownership.record_owner(&record.owner());
                 OwnerStatus::Superseded(record.owner())
--- a/crates/node/src/owner/confirm.rs
+++ b/crates/node/src/owner/confirm.rs
@@ -4,11 +4,13 @@
 //! the store does not reply, it asks the other processes, which may reach the store or have become the
 //! owner themselves.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use futures::future::join_all;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use sycamore_types::Name;
 use sycamore_wire::ConnectionKind;
 use tokio::time::MissedTickBehavior;
@@ -25,6 +27,10 @@
 /// Most processes without a reply that a log line names.
 const MAX_LOGGED_PROCESSES: usize = 10;
 
+/// Most processes that read the owner record at a time. One that reaches the store is enough, and all
+/// share the store's limit on reads.
+const MAX_READERS: usize = 4;
+
 /// What the other processes say about this owner.
 #[derive(Debug)]
 enum Answer {
@@ -43,8 +49,10 @@
     let mut interval = tokio::time::interval(CONFIRM_INTERVAL);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last_log: Option<Instant> = None;
+    let mut round = 0;
     loop {
         interval.tick().await;
+        round += 1;
         let age = shared.confirmation.age();
         if age < CONFIRM_INTERVAL {
             if last_log.take().is_some() {
@@ -55,8 +63,9 @@
         let by_store = shared.confirm(&node.store);
         // One failed read is no reason to bother the others.
         let is_overdue = age >= 2 * CONFIRM_INTERVAL;
-        let by_peers =
-            async { if is_overdue { Some(ask_peers(node, shared, epoch).await) } else { None } };
+        let by_peers = async {
+            if is_overdue { Some(ask_peers(node, shared, epoch, round).await) } else { None }
+        };
         let (by_store, by_peers) = tokio::join!(by_store, by_peers);
         if matches!(by_store, Ok(false)) {
             return EndReason::Deposed;
@@ -98,35 +107,48 @@
     }
 }
 
-/// Asks all other processes whether one of them is or knows a newer owner. Returns the time that the
-/// answer is about, too.
-async fn ask_peers(node: &Arc<Node>, shared: &Shared, epoch: u64) -> (u64, Answer) {
+/// Asks all other processes whether one of them is or knows a newer owner, some of which also read the
+/// owner record. `round` selects these. Returns the time that the answer is about, too.
+async fn ask_peers(node: &Arc<Node>, shared: &Shared, epoch: u64, round: usize) -> (u64, Answer) {
     let asked_ms = shared.confirmation.begin();
-    let calls = node.members().into_iter().map(|(name, address)| {
-        let node = node.clone();
-        async move { (name, ask(&node, address, epoch).await) }
-    });
-    let mut silent = Vec::new();
-    let mut is_confirmed = false;
-    for (name, status) in join_all(calls).await {
+    let members = node.members();
+    // The ownership can't rest on the consent of nobody.
+    if members.is_empty() {
+        return (asked_ms, Answer::Silent(Vec::new()));
+    }
+    let first_reader = round.wrapping_mul(MAX_READERS) % members.len();
+    let mut silent: BTreeSet<Name> = members.iter().map(|(name, _)| name.clone()).collect();
+    let mut calls: FuturesUnordered<_> = members
+        .iter()
+        .enumerate()
+        .map(|(at, (name, address))| {
+            let place = (at + members.len() - first_reader) % members.len();
+            async move { (name, ask(node, *address, epoch, place < MAX_READERS).await) }
+        })
+        .collect();
+    while let Some((name, status)) = calls.next().await {
         match status {
             Some(OwnerStatus::Superseded(owner)) => return (asked_ms, Answer::Superseded(owner)),
-            Some(OwnerStatus::Confirmed) => is_confirmed = true,
-            Some(OwnerStatus::Unopposed) => {}
-            None => silent.push(name),
+            Some(OwnerStatus::Confirmed) => return (asked_ms, Answer::Confirmed),
+            Some(OwnerStatus::Unopposed) => {
+                silent.remove(name);
+            }
+            None => {}
         }
     }
-    let answer = match silent {
-        _ if is_confirmed => Answer::Confirmed,
-        silent if silent.is_empty() => Answer::Unopposed,
-        silent => Answer::Silent(silent),
-    };
+    let silent: Vec<Name> = silent.into_iter().collect();
+    let answer = if silent.is_empty() { Answer::Unopposed } else { Answer::Silent(silent) };
     (asked_ms, answer)
 }
 
 /// Asks one process. Earlier versions don't know the call, and count as silent.
-async fn ask(node: &Arc<Node>, address: SocketAddr, epoch: u64) -> Option<OwnerStatus> {
-    let (kind, command) = (ConnectionKind::Control, Command::ConfirmOwner { epoch });
+async fn ask(
+    node: &Arc<Node>,
+    address: SocketAddr,
+    epoch: u64,
+    may_read: bool,
+) -> Option<OwnerStatus> {
+    let (kind, command) = (ConnectionKind::Control, Command::ConfirmOwner { epoch, may_read });
     match node.pool.call_within(address, kind, &command, CONFIRM_TIMEOUT).await {
         Ok(Reply::OwnerStatus(status)) => Some(status),
         _ => None,
--- a/crates/node/src/ownership/follow.rs
+++ b/crates/node/src/ownership/follow.rs
@@ -302,8 +302,9 @@
         tokio::time::sleep(PING_INTERVAL).await;
         return;
     }
-    let previous_address = record.as_ref().map(|record| record.address);
-    let epoch = record.map_or(0, |record| record.epoch) + 1;
+    let epoch = record.as_ref().map_or(0, |record| record.epoch) + 1;
+    // A record that can't be used names no host.
+    let previous = record.map(|record| record.owner()).filter(|owner| !owner.host.is_empty());
     let own = OwnerRecord {
         epoch,
         host: node.settings.host.clone(),
@@ -318,8 +319,9 @@
             node.meters.claims.with_label_values(&[why, "won"]).inc();
             log::info!(target: "lead", epoch, why; "claimed ownership");
             node.ownership.record_owner(&own.owner());
-            if let Some(address) = previous_address.filter(|address| *address != own.address) {
-                notify_previous_owner(node, address);
+            if let Some(previous) = previous.filter(|previous| previous.address != own.address) {
+                notify_previous_owner(node, previous.address);
+                node.record_members(&[(previous.host, previous.address)]);
             }
             owner::run(node, own, rev, claimed_ms).await;
         }
--- a/crates/node/src/peer/message.rs
+++ b/crates/node/src/peer/message.rs
@@ -35,6 +35,8 @@
     /// Asks whether the owner with this epoch may have been replaced. Earlier versions can't decode it.
     ConfirmOwner {
         epoch: u64,
+        /// The receiver may read the owner record.
+        may_read: bool,
     },
 }
 
@@ -64,7 +66,7 @@
     Confirmed,
     /// Another process has become the owner.
     Superseded(Owner),
-    /// The sender is not a newer owner and knows of none. It does not reach the store either.
+    /// The sender is not a newer owner and knows of none. The store has not told it either.
     Unopposed,
 }
 
--- a/crates/node/src/peer/serve.rs
+++ b/crates/node/src/peer/serve.rs
@@ -78,7 +78,9 @@
             Some(current) => return Ok(current.reply.clone()),
             None => Reply::Config(None),
         },
-        Command::ConfirmOwner { epoch } => Reply::OwnerStatus(node.owner_status(*epoch).await),
+        Command::ConfirmOwner { epoch, may_read } => {
+            Reply::OwnerStatus(node.owner_status(*epoch, *may_read).await)
+        }
         Command::QueryOwner | Command::Execute => {
             Reply::Owner(node.ownership.recently_heard_owner())
         }
--- a/crates/node/src/timing.rs
+++ b/crates/node/src/timing.rs
@@ -89,8 +89,8 @@
 pub(crate) const CONFIRM_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time within which another process replies whether it knows a newer owner. It may read the owner
-/// record first, within [`OWNER_RECORD_TIMEOUT`].
-pub(crate) const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
+/// record first, within [`OWNER_RECORD_TIMEOUT`], and the connection to it may be new.
+pub(crate) const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Interval at which the owner reads the list of workers.
 pub(crate) const WORKER_LIST_INTERVAL: Duration = Duration::from_millis(500);
