Log the room that is kept for waiting gangs

Steps behind waiting gangs were logged as waiting for advice, or as finding no worker with room, so that a site with most of its room free could not be told from a full one. Steps now have an obstacle of their own for room that is kept for gangs, and a pause after a search without a result keeps the reason of that search. The load line gives the free CPU and the part of it that is kept; the wait line says whether the step is a gang, and how many tasks wait.

--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -9,7 +9,7 @@
 use sycamore_types::Name;
 
 use super::Engine;
-use super::candidates::{Candidate, Room, Sample, Search};
+use super::candidates::{Candidate, HostViews, Room, Sample, Search};
 use super::demand::Demand;
 use super::placement::has_capacity_for;
 use crate::catalog::AdviceCost;
@@ -68,7 +68,11 @@
 impl Engine {
     /// Returns why a step can neither start with its tickets nor request new ones now.
     /// `None` if it may be able to, or if its queue needs no advice.
-    pub(super) fn advice_wait_reason(&mut self, demand: &Demand) -> Option<WaitReason> {
+    pub(super) fn advice_wait_reason(
+        &mut self,
+        demand: &Demand,
+        views: &HostViews,
+    ) -> Option<WaitReason> {
         let job = self.jobs.get(&demand.step_id.job)?;
         let cost = self.queues.get(&job.queue)?.advice?;
         let advice = &job.step(demand.step_id)?.advice;
@@ -77,9 +81,14 @@
         if advice.allowed.values().any(|ticket| ticket.expires_ms > min_expiry_ms) {
             return None;
         }
-        if advice.calls_in_flight > 0 || now_ms < advice.not_before_ms {
+        if advice.calls_in_flight > 0 {
             return Some(WaitReason::AdvicePending);
         }
+        if now_ms < advice.not_before_ms {
+            let has_failed = advice.failures() > 0;
+            let no_room = || views.no_room_reason(&demand.footprint);
+            return Some(if has_failed { WaitReason::AdvicePending } else { no_room() });
+        }
         if self.may_call(demand, cost) {
             return None;
         }
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -88,6 +88,9 @@
     undated: usize,
     /// Indices of hosts that a pass has modified and that the next one has to restore.
     modified: Vec<usize>,
+    /// Free capacity that each host had before the pass kept some of it for waiting gangs, by
+    /// index.
+    free_before_gangs: FxHashMap<usize, Resources>,
     /// Times in milliseconds at which the usability of hosts may change without an event, with
     /// the index of the host.
     timers: BTreeSet<(u64, usize)>,
@@ -258,7 +261,32 @@
     pub fn no_room_reason(&self, footprint: &Resources) -> WaitReason {
         let mut undated = self.all.iter().filter(|view| view.is_undated);
         let may_fit = self.undated > 0 && undated.any(|view| footprint.fits_in(&view.free));
-        if may_fit { WaitReason::ListTooOld } else { WaitReason::NoRoom }
+        let is_kept = |(at, free): (&usize, &Resources)| {
+            footprint.fits_in(free) && !footprint.fits_in(&self.all[*at].free)
+        };
+        match () {
+            () if may_fit => WaitReason::ListTooOld,
+            () if self.free_before_gangs.iter().any(is_kept) => WaitReason::KeptForGangs,
+            () => WaitReason::NoRoom,
+        }
+    }
+
+    /// Keeps room on a host for a waiting gang, as far as it is free.
+    pub fn keep_for_gang(&mut self, index: usize, footprint: &Resources, tasks: u32) {
+        let free = self.all[index].free;
+        self.free_before_gangs.entry(index).or_insert(free);
+        let view = &mut self[index];
+        view.free = (0..tasks).fold(free, |free, _| free.minus(footprint));
+    }
+
+    /// Returns the free CPU of all usable hosts at the start of the pass and the part of it that
+    /// the pass has kept for waiting gangs, in thousandths of a core.
+    pub fn free_and_kept_cpu(&self) -> (u64, u64) {
+        let free = self.by_free_cpu.iter().map(|(cpu, _)| u64::from(*cpu)).sum();
+        let kept = |(at, free): (&usize, &Resources)| {
+            u64::from(free.cpu_millis.saturating_sub(self.all[*at].free.cpu_millis))
+        };
+        (free, self.free_before_gangs.iter().map(kept).sum())
     }
 
     /// Returns whether all hosts are left out because their capacities are too old.
@@ -410,6 +438,7 @@
         let mut views = std::mem::take(&mut self.views);
         let time = self.view_time();
         views.refresh(&mut self.hosts, time);
+        views.free_before_gangs.clear();
         self.seal_hosts(&mut views);
         (views.isolated_hosts, views.prime_hosts) = self.isolated_hosts();
         views.limits = self.isolation_limits();
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -115,7 +115,7 @@
             self.take_room(&demand, position.rank, views);
             return Some(views.no_room_reason(&demand.footprint));
         }
-        if let Some(reason) = self.advice_wait_reason(&demand) {
+        if let Some(reason) = self.advice_wait_reason(&demand, views) {
             if demand.is_gang {
                 *failed_searches += 1;
                 self.reserve_capacity(&demand, views);
@@ -345,10 +345,7 @@
             }
             let tasks = found.fits_idle.min(wanted);
             wanted -= tasks;
-            let view = &mut views[found.index];
-            for _ in 0..tasks {
-                view.free = view.free.minus(&demand.footprint);
-            }
+            views.keep_for_gang(found.index, &demand.footprint, tasks);
         }
     }
 }
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -363,6 +363,12 @@
         self.hosts.values().filter(|host| host.is_avoided(now_ms)).count()
     }
 
+    /// Returns the free CPU of all usable hosts before the last pass and the part of it that the pass
+    /// kept for waiting gangs, in thousandths of a core.
+    pub fn free_and_kept_cpu(&self) -> (u64, u64) {
+        self.views.free_and_kept_cpu()
+    }
+
     /// Returns the number of steps with tasks that wait to be started.
     pub fn waiting_steps(&self) -> usize {
         self.backlog.len()
@@ -388,8 +394,19 @@
                 is_answered: call.failures == 0,
             });
             let spent_ms = step.wait_times.longest_first();
-            let step = *step_id;
-            Some(WaitingStep { step, age_ms, reason, spent_ms, allowed, denied, last_call })
+            let is_gang = job.spec.steps.get(usize::from(step_id.index))?.is_gang;
+            let (tasks, step) = (step.waiting.len(), *step_id);
+            Some(WaitingStep {
+                step,
+                age_ms,
+                is_gang,
+                tasks,
+                reason,
+                spent_ms,
+                allowed,
+                denied,
+                last_call,
+            })
         };
         self.backlog.steps().filter_map(wait).filter(|wait| wait.age_ms >= min_age_ms).collect()
     }
--- a/crates/graph/src/waiting.rs
+++ b/crates/graph/src/waiting.rs
@@ -40,6 +40,9 @@
     /// No host that may run the tasks has enough free capacity.
     #[displaydoc("no worker with room may run it")]
     NoRoom,
+    /// Hosts have enough free capacity, but it is kept for gangs of higher rank that wait.
+    #[displaydoc("the room for it is kept for gangs that go first")]
+    KeptForGangs,
     /// Hosts of an evacuated failure domain have free capacity for the tasks, and no other host
     /// that may run them has.
     #[displaydoc("the workers with room for it are in a failure domain that is evacuated")]
@@ -92,6 +95,10 @@
     pub step: StepId,
     /// Time since the step's occurrence became due, in milliseconds.
     pub age_ms: u64,
+    /// Whether the tasks have to run at the same time.
+    pub is_gang: bool,
+    /// Number of tasks that wait.
+    pub tasks: usize,
     /// Why the tasks wait.
     pub reason: WaitReason,
     /// How long they have waited for each reason in milliseconds, the longest first. Passes look at
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -139,12 +139,13 @@
         }
         self.last_load_log = Instant::now();
         let load = std::mem::take(&mut self.load);
+        let (free_cpu_millis, kept_cpu_millis) = self.engine.free_and_kept_cpu();
         log::info!(
             target: "load", running = self.engine.running_tasks(),
             waiting_steps = self.engine.waiting_steps(),
             hopeless_steps = self.engine.hopeless_steps(),
             isolated_runs = self.engine.isolated_runs(),
-            avoided_workers = self.engine.avoided_hosts(), events = load.events,
+            avoided_workers = self.engine.avoided_hosts(), free_cpu_millis, kept_cpu_millis, events = load.events,
             events_ms = millis(load.event_time), passes = load.passes,
             passes_ms = millis(load.pass_time), longest_pass_ms = millis(load.longest_pass);
             "load of the control thread"
@@ -157,15 +158,15 @@
         others.truncate(MAX_OTHER_LOGGED_WAITS);
         self.last_logged_wait = others.last().map(|wait| wait.step);
         for wait in waits.into_iter().chain(others) {
-            let WaitingStep { step, age_ms, reason, spent_ms, allowed, denied, last_call } = wait;
-            let spent = spent_ms.iter().map(|(reason, ms)| format!("{reason}: {ms} ms"));
+            let WaitingStep { step, age_ms, reason, allowed, denied, last_call, .. } = wait;
+            let spent = wait.spent_ms.iter().map(|(reason, ms)| format!("{reason}: {ms} ms"));
             let spent = spent.collect::<Vec<String>>().join("; ");
             let last_call_ms = last_call.map(|call| call.age_ms);
             let last_call =
                 last_call.map(|call| if call.is_answered { "answered" } else { "failed" });
             log::info!(
                 target: "wait", job:% = step.job, occurrence = step.occurrence,
-                step = step.index, age_ms, obstacle:% = reason, spent, allowed_workers = allowed,
+                step = step.index, age_ms, gang = wait.is_gang, tasks = wait.tasks, obstacle:% = reason, spent, allowed_workers = allowed,
                 denied_workers = denied, last_call, last_call_ms, waiting_steps = total; "waiting"
             );
         }
