Split the confirmation of the ownership, and test an owner that knows no other process

Cause: the loop mixed what confirms with what is logged; the case of an owner without known processes, found by the review, had no test.

--- a/crates/node/src/owner/confirm.rs
+++ b/crates/node/src/owner/confirm.rs
@@ -38,7 +38,7 @@
     Confirmed,
     /// One of them knows a newer owner.
     Superseded(Owner),
-    /// None of them is or knows a newer owner, and none reaches the store.
+    /// None of them is or knows a newer owner, and the store has told none.
     Unopposed,
     /// These have not replied, and may have become the owner.
     Silent(Vec<Name>),
@@ -73,40 +73,44 @@
         let store = if by_store.is_ok() { "confirmed" } else { "failed" };
         node.meters.confirmations.with_label_values(&["store", store]).inc();
         let Some((asked_ms, answer)) = by_peers else { continue };
-        let (is_confirmed, outcome, silent) = match answer {
+        let outcome = match &answer {
             Answer::Confirmed => {
                 shared.confirmation.record(asked_ms);
-                (true, "confirmed", Vec::new())
+                "confirmed"
             }
             Answer::Superseded(owner) => {
                 log::info!(
                     target: "lead", epoch, newer = owner.epoch, owner:% = owner.host;
                     "a peer knows a newer owner"
                 );
-                node.ownership.record_owner(&owner);
+                node.ownership.record_owner(owner);
                 return EndReason::Deposed;
             }
-            Answer::Unopposed => {
-                let is_extended = shared.confirmation.extend(asked_ms, node.settings.lease_ms);
-                (is_extended, if is_extended { "unopposed" } else { "too_late" }, Vec::new())
+            Answer::Unopposed if shared.confirmation.extend(asked_ms, node.settings.lease_ms) => {
+                "unopposed"
             }
-            Answer::Silent(silent) => (false, "silent", silent),
+            Answer::Unopposed => "too_late",
+            Answer::Silent(_) => "silent",
         };
         node.meters.confirmations.with_label_values(&["peers", outcome]).inc();
-        let is_log_due = last_log.is_none_or(|at| at.elapsed() >= LOG_INTERVAL);
-        if by_store.is_err() && !is_confirmed && is_log_due {
+        let is_confirmed = by_store.is_ok() || matches!(outcome, "confirmed" | "unopposed");
+        if !is_confirmed && last_log.is_none_or(|at| at.elapsed() >= LOG_INTERVAL) {
             last_log = Some(Instant::now());
-            let (total, age_ms) = (silent.len(), millis(shared.confirmation.age()));
-            let named = silent.iter().take(MAX_LOGGED_PROCESSES).map(|name| name.to_string());
-            let silent = named.collect::<Vec<String>>().join(" ");
-            log::warn!(
-                target: "lead", epoch, confirmed_ms_ago = age_ms, outcome, silent, total;
-                "ownership is not confirmed; leases end with the last confirmation"
-            );
+            log_unconfirmed(shared, epoch, outcome, &answer);
         }
     }
 }
 
+fn log_unconfirmed(shared: &Shared, epoch: u64, outcome: &str, answer: &Answer) {
+    let silent: &[Name] = if let Answer::Silent(silent) = answer { silent } else { &[] };
+    let named: Vec<&str> = silent.iter().take(MAX_LOGGED_PROCESSES).map(|name| &**name).collect();
+    log::warn!(
+        target: "lead", epoch, confirmed_ms_ago = millis(shared.confirmation.age()), outcome,
+        silent = named.join(" "), total = silent.len();
+        "ownership is not confirmed; leases end with the last confirmation"
+    );
+}
+
 /// Asks all other processes whether one of them is or knows a newer owner, some of which also read the
 /// owner record. `round` selects these. Returns the time that the answer is about, too.
 async fn ask_peers(node: &Arc<Node>, shared: &Shared, epoch: u64, round: usize) -> (u64, Answer) {
--- a/crates/node/tests/path/absent_store.rs
+++ b/crates/node/tests/path/absent_store.rs
@@ -16,6 +16,11 @@
 async fn start_with_long_job(platform: &Platform, job: &str) -> (Process, Process) {
     let owner = start_serving(platform, "one", "00000000000000a1").await;
     let follower = start_serving(platform, "two", "00000000000000a2").await;
+    submit_long_job(platform, &owner, job).await;
+    (owner, follower)
+}
+
+async fn submit_long_job(platform: &Platform, owner: &Process, job: &str) {
     let accepted = || async {
         let step =
             Step { tasks: 1, cpu_millis: 1_000, memory_mib: 10, estimate_ms: 100, after: vec![] };
@@ -24,7 +29,6 @@
     };
     until("a long job is accepted", accepted).await;
     until("its task starts", || async { platform.has_started(job) }).await;
-    (owner, follower)
 }
 
 /// Guards against an end of all work by owners that go on only while the store confirms them.
@@ -68,3 +72,22 @@
     owner.kill().await;
     follower.kill().await;
 }
+
+/// An owner that knew of no other process took that for the consent of all. Found by a review of the fix
+/// of issue 44.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_knows_no_other_process_rests_on_the_store_alone() {
+    let platform = Platform::start().await;
+    let owner = start_serving(&platform, "one", "00000000000000a1").await;
+    submit_long_job(&platform, &owner, "00000000000000a3").await;
+
+    platform.set_store_unavailable(true);
+    tokio::time::sleep(ABSENCE).await;
+    let lapsed = platform.lapsed_runs();
+    platform.set_store_unavailable(false);
+
+    assert_eq!(lapsed, 1);
+    until("the long job completes", || is_complete(&owner, "00000000000000a3")).await;
+    assert_eq!(platform.duplicate_starts(), 0);
+    owner.kill().await;
+}
