Configure the world of a clearing test as the other tests do

Cause: the simulation keeps the definitions of queues since the merge of the queues in the log; a test that replaced the catalog by hand had none of its new queue. Change: the test uses World::configure, which also passes the configuration to the engine.

--- a/crates/graph/tests/engine/clearing.rs
+++ b/crates/graph/tests/engine/clearing.rs
@@ -442,10 +442,9 @@
     let mut world = World::new(6, catalog(crate::fixture::advised_queue()), 1);
     world.takes_estimate = true;
     world.allowed_share = 0.4;
-    let mut catalog = world.catalog.clone();
-    catalog.version += 1;
-    catalog.queues.insert("bulk".into(), queue());
-    world.catalog = catalog;
+    world.configure(|catalog| {
+        catalog.queues.insert("bulk".into(), queue());
+    });
     world.take_over();
     world.submit_to("bulk", FILLING, job(vec![filling(6)]));
     world.run(1_000);
