--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -184,7 +184,8 @@
                 last_call.map(|call| if call.is_answered { "answered" } else { "failed" });
             log::info!(
                 target: "wait", job:% = step.job, occurrence = step.occurrence,
-                step = step.index, age_ms, gang = wait.is_gang, tasks = wait.tasks, obstacle:% = reason, spent, allowed_workers = allowed,
+                step = step.index, age_ms, gang = wait.is_gang, tasks = wait.tasks,
+                obstacle:% = reason, spent, allowed_workers = allowed,
                 denied_workers = denied, last_call, last_call_ms, waiting_steps = total; "waiting"
             );
         }
