Log how busy the hosts that call for advice are while steps wait for a call

The `load` line now has `callers`, `callers_busy_percent`, `calls_in_flight`, `call_limits`, `steps_without_call` and `longest_wait_for_call_ms`; `advice` lines have `class` and `waited_ms`. The same as metrics: advice_hosts, advice_busy_milliseconds_total, advice_waiting_steps, advice_wait_seconds.

--- a/crates/graph/src/action.rs
+++ b/crates/graph/src/action.rs
@@ -65,6 +65,8 @@
     pub hosts: Vec<Name>,
     /// Expected duration of the call, in milliseconds.
     pub cost_ms: f64,
+    /// Time for which the step has waited since its last call, in milliseconds.
+    pub waited_ms: u64,
 }
 
 /// Reply to a caller.
--- a/crates/graph/src/call_class.rs
+++ b/crates/graph/src/call_class.rs
@@ -29,6 +29,15 @@
     /// Number of classes.
     pub const COUNT: usize = 3;
 
+    /// Returns the name of the class in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            CallClass::Short => "short",
+            CallClass::Middle => "middle",
+            CallClass::Long => "long",
+        }
+    }
+
     /// Returns the class of a call with an expected duration, in milliseconds.
     pub fn of(cost_ms: f64) -> CallClass {
         if cost_ms <= SHORT_MS {
--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -206,8 +206,9 @@
             };
             self.advice_calls[class as usize] += 1;
             step.advice.calls_in_flight += 1;
-            let hosts = part.to_vec();
-            self.actions.push(Action::Advise(Advise { step: step_id, class, hosts, cost_ms }));
+            let waited_ms = now_ms.saturating_sub(step.uncalled_since_ms().unwrap_or(now_ms));
+            let (step, hosts) = (step_id, part.to_vec());
+            self.actions.push(Action::Advise(Advise { step, class, hosts, cost_ms, waited_ms }));
         }
     }
 
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -269,9 +269,13 @@
                 self.start_run(&host, task, attempt, demand.isolation);
             }
         }
-        let step = self.jobs.get(&demand.step_id.job).and_then(|job| job.step(demand.step_id));
-        if step.is_none_or(|step| step.waiting.is_empty()) {
+        let job = self.jobs.get_mut(&demand.step_id.job);
+        let step = job.and_then(|job| job.step_mut(demand.step_id));
+        if step.as_ref().is_none_or(|step| step.waiting.is_empty()) {
             self.backlog.remove(demand.step_id);
+            if let Some(step) = step {
+                step.waiting_since_ms = None;
+            }
         }
         true
     }
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -64,8 +64,8 @@
 use crate::job;
 use crate::progress::Job;
 use crate::{
-    Action, Answer, CallClass, Decision, Event, LastCall, Moment, Record, StepId, TaskId, Timing,
-    Verdict, WaitingStep,
+    Action, Answer, CallClass, CallLoad, Decision, Event, LastCall, Moment, Record, StepId, TaskId,
+    Timing, Verdict, WaitReason, WaitingStep,
 };
 
 use backlog::Backlog;
@@ -430,6 +430,25 @@
         self.backlog.steps().filter_map(wait).filter(|wait| wait.age_ms >= min_age_ms).collect()
     }
 
+    /// Returns the calls for advice in flight and the steps that wait for a free one.
+    pub fn call_load(&self) -> CallLoad {
+        let mut load = CallLoad {
+            in_flight: self.advice_calls,
+            limits: self.advice_limits,
+            ..CallLoad::default()
+        };
+        let step = |step_id: &StepId| self.jobs.get(&step_id.job)?.step(*step_id);
+        for step in self.backlog.steps().filter_map(step) {
+            if step.wait_reason == Some(WaitReason::AdviceBusy) {
+                let since_ms = step.uncalled_since_ms().unwrap_or(self.now.monotonic_ms);
+                load.waiting_steps += 1;
+                load.longest_wait_ms =
+                    load.longest_wait_ms.max(self.now.monotonic_ms.saturating_sub(since_ms));
+            }
+        }
+        load
+    }
+
     /// Returns whether hosts of the previous owner may still have runs that no report has
     /// shown.
     pub fn is_recovering(&self) -> bool {
--- a/crates/graph/src/engine/requests.rs
+++ b/crates/graph/src/engine/requests.rs
@@ -126,9 +126,14 @@
         let Some(job) = self.jobs.get(&step_id.job) else { return };
         let has_tasks = job.step(step_id).is_some_and(|step| !step.waiting.is_empty());
         if job.closed.is_none() && has_tasks && job.is_ready(step_id) {
+            let now_ms = self.now.monotonic_ms;
             // Without its queue, which a later configuration may bring, the step has no rank.
             if let Some(urgency) = self.urgency(step_id) {
                 self.backlog.insert(step_id, urgency);
+                let step = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id));
+                if let Some(step) = step {
+                    step.waiting_since_ms.get_or_insert(now_ms);
+                }
             }
             self.needs_dispatch = true;
         }
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -34,4 +34,4 @@
 pub use record::{Closed, Ended, QueueDefined, Record, Snapshot, TeamUse};
 pub use task::{StepId, TaskId};
 pub use timing::{PreemptionTiming, Timing};
-pub use waiting::{LastCall, WaitReason, WaitingStep};
+pub use waiting::{CallLoad, LastCall, WaitReason, WaitingStep};
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -100,6 +100,8 @@
     pub clearing_not_before_ms: u64,
     /// Indices of the tasks that wait to be started.
     pub waiting: BTreeSet<u32>,
+    /// Time since which tasks wait to be started, in milliseconds. `None` if they can't be yet.
+    pub waiting_since_ms: Option<u64>,
 }
 
 impl TaskProgress {
@@ -126,9 +128,17 @@
             crowded_since_ms: None,
             clearing_not_before_ms: 0,
             waiting: (0..tasks).collect(),
+            waiting_since_ms: None,
         }
     }
 
+    /// Returns the time since which the step has waited without a call for advice that ended, in
+    /// milliseconds. `None` if its tasks can't be started yet.
+    pub fn uncalled_since_ms(&self) -> Option<u64> {
+        let last_ms = self.advice.last_call.map_or(0, |call| call.at_ms);
+        self.waiting_since_ms.map(|since_ms| since_ms.max(last_ms))
+    }
+
     pub fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
     }
--- a/crates/graph/src/waiting.rs
+++ b/crates/graph/src/waiting.rs
@@ -5,7 +5,7 @@
 
 use displaydoc::Display;
 
-use crate::StepId;
+use crate::{CallClass, StepId};
 
 /// Why a step's tasks are not started yet.
 #[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
@@ -123,3 +123,16 @@
     /// Whether the advice service answered.
     pub is_answered: bool,
 }
+
+/// Calls for advice, and the steps that wait for one.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct CallLoad {
+    /// Calls in flight, by class.
+    pub in_flight: [u32; CallClass::COUNT],
+    /// Most calls that may be in flight, by class.
+    pub limits: [u32; CallClass::COUNT],
+    /// Number of steps that wait for a free call.
+    pub waiting_steps: usize,
+    /// Longest time for which one of them has waited since its last call, in milliseconds.
+    pub longest_wait_ms: u64,
+}
--- a/crates/graph/tests/engine/advice.rs
+++ b/crates/graph/tests/engine/advice.rs
@@ -1,9 +1,11 @@
 //! The advice service is slow: the engine asks about as few workers as it can, and only
 //! when the answer can be used.
 
+use sycamore_graph::Event;
+use sycamore_graph::catalog::{AdviceCost, Queue};
 use sycamore_graph::job::State;
 
-use crate::fixture::{advised_queue, catalog, host, id, job, step};
+use crate::fixture::{advised_queue, catalog, host, id, job, queue, step};
 use crate::world::World;
 
 #[test]
@@ -73,3 +75,20 @@
     assert!(!last_call.is_answered);
     assert!(last_call.age_ms <= 200, "{last_call:?}");
 }
+
+/// Failure: nothing tells how many steps wait for a free call, and for how long.
+#[test]
+fn steps_that_wait_for_a_free_call_are_counted_with_their_wait() {
+    let advice = AdviceCost { base_ms: 700.0, per_host_ms: 8.0, valid_ms: 1_500 };
+    let mut world = World::new(8, catalog(Queue { advice: Some(advice), ..queue() }), 1);
+    world.handle(Event::AdviceConcurrency([1, 1, 1]));
+    world.submit(id(1), job(vec![step(1, 1_000)]));
+    world.run(100);
+
+    world.submit(id(2), job(vec![step(1, 1_000)]));
+    world.run(500);
+
+    let load = world.call_load();
+    assert_eq!((load.in_flight, load.limits, load.waiting_steps), ([0, 0, 1], [1; 3], 1));
+    assert!((450..=550).contains(&load.longest_wait_ms), "{load:?}");
+}
--- a/crates/graph/tests/engine/world/mod.rs
+++ b/crates/graph/tests/engine/world/mod.rs
@@ -13,9 +13,9 @@
 use sycamore_graph::catalog::{Catalog, Queue};
 use sycamore_graph::job::{Id, Spec, State};
 use sycamore_graph::{
-    Action, Advise, Answer, DomainLoad, Ended, Engine, Event, ExpiredLease, HostEntry, HostLoss,
-    LastCall, Moment, Poll, PreemptionTiming, Reading, Record, Recovered, Report, RunEnd, Start,
-    StartOutcome, TaskId, Timing, Verdict, WaitReason, WaitingStep,
+    Action, Advise, Answer, CallLoad, DomainLoad, Ended, Engine, Event, ExpiredLease, HostEntry,
+    HostLoss, LastCall, Moment, Poll, PreemptionTiming, Reading, Record, Recovered, Report, RunEnd,
+    Start, StartOutcome, TaskId, Timing, Verdict, WaitReason, WaitingStep,
 };
 use sycamore_types::Name;
 
@@ -699,7 +699,7 @@
                 allowed.push((name.clone(), ticket));
             }
         }
-        let Advise { step, class, hosts: asked, cost_ms } = advise;
+        let Advise { step, class, hosts: asked, cost_ms, .. } = advise;
         let issued_ms = self.now_ms + cost_ms as u64;
         let is_rejected = asked.iter().any(|name| self.rejected_hosts.contains(name));
         let allowed = (!is_rejected).then_some(allowed);
@@ -961,6 +961,11 @@
         self.engine.long_waits(0).iter().map(|wait| wait.last_call).collect()
     }
 
+    /// Returns the calls for advice in flight, and the steps that wait for one.
+    pub fn call_load(&self) -> CallLoad {
+        self.engine.call_load()
+    }
+
     /// Returns what the engine knows of the workers in a failure domain.
     pub fn domain_load(&self, domain: &str) -> DomainLoad {
         self.engine.domain_load(domain)
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -56,6 +56,14 @@
     pub advice: IntCounterVec,
     /// Failed calls to the advice service, by cause.
     pub advice_failures: IntCounterVec,
+    /// Hosts that can make calls to the advice service.
+    pub advice_hosts: IntGauge,
+    /// Time that hosts spend on calls to the advice service, by class of the call.
+    pub advice_busy_ms: IntCounterVec,
+    /// Steps that wait for a free call.
+    pub advice_waiting_steps: IntGauge,
+    /// Time since a step's last call when it makes one, by class of the call.
+    pub advice_wait_s: HistogramVec,
     /// Log writes, by outcome.
     pub log_writes: IntCounterVec,
     /// Time until a page of the log is durable.
@@ -142,6 +150,20 @@
                 "Failed calls for advice.",
                 &["cause"],
             ),
+            advice_hosts: all.gauge("advice_hosts", "Hosts that can make calls for advice."),
+            advice_busy_ms: all.counters(
+                "advice_busy_milliseconds_total",
+                "Time that hosts spend on calls for advice.",
+                &["class"],
+            ),
+            advice_waiting_steps: all
+                .gauge("advice_waiting_steps", "Steps that wait for a free call for advice."),
+            advice_wait_s: all.histograms(
+                "advice_wait_seconds",
+                "Time for which a step has waited since its last call for advice.",
+                &["class"],
+                &BUCKETS,
+            ),
             log_writes: all.counters("log_writes_total", "Writes of the log.", &["outcome"]),
             log_write_s: all.histograms(
                 "log_write_seconds",
--- a/crates/node/src/owner/advice/assigner.rs
+++ b/crates/node/src/owner/advice/assigner.rs
@@ -56,13 +56,21 @@
 /// What the calls of a host have shown.
 #[derive(Debug, Default)]
 struct Record {
-    is_busy: bool,
+    /// Call that the host makes.
+    call: Option<Call>,
     /// Number of its last call among all calls. 0 before the first.
     last_call: u64,
     /// Set from a failed call until an answered one.
     failure: Option<Failure>,
 }
 
+#[derive(Debug)]
+struct Call {
+    class: CallClass,
+    /// Time up to which the call is part of [`Assigner::busy`].
+    counted_until: Instant,
+}
+
 #[derive(Debug)]
 struct Failure {
     passed_over_until: Instant,
@@ -103,6 +111,8 @@
     records: FxHashMap<Name, Record>,
     /// Number of calls given to hosts so far.
     calls: u64,
+    /// Time that hosts have spent on calls, by class, since it was last taken.
+    busy: [Duration; CallClass::COUNT],
 }
 
 impl Assigner {
@@ -117,7 +127,9 @@
     /// Marks a host as free again.
     pub fn on_call_ended(&mut self, host: &Name, end: CallEnd, now: Instant) {
         let Some(record) = self.records.get_mut(host) else { return };
-        record.is_busy = false;
+        if let Some(call) = record.call.take() {
+            self.busy[call.class as usize] += now.saturating_duration_since(call.counted_until);
+        }
         match end {
             CallEnd::Answered => {
                 // What ended may have been an outage of the service for all hosts. The first
@@ -139,9 +151,12 @@
 
     /// Takes the calls that can be made now, each with the host that is to make it.
     pub fn assign(&mut self, live: &[Name], now: Instant) -> Vec<(Name, Advise)> {
-        self.records.retain(|name, record| record.is_busy || live.binary_search(name).is_ok());
+        self.records
+            .retain(|name, record| record.call.is_some() || live.binary_search(name).is_ok());
         let mut free = self.servers(live, now);
-        free.retain(|server| !self.records.get(server.name).is_some_and(|record| record.is_busy));
+        free.retain(|server| {
+            !self.records.get(server.name).is_some_and(|record| record.call.is_some())
+        });
         free.sort_by_key(|server| {
             let record = self.records.get(server.name);
             let has_failed = record.is_some_and(|record| record.failure.is_some());
@@ -154,7 +169,7 @@
             let Some(advise) = next else { continue };
             self.calls += 1;
             let record = self.records.entry(server.name.clone()).or_default();
-            record.is_busy = true;
+            record.call = Some(Call { class: advise.class, counted_until: now });
             record.last_call = self.calls;
             assigned.push((server.name.clone(), advise));
         }
@@ -169,6 +184,15 @@
             .map(|class| servers.iter().filter(|server| server.serves(class)).count() as u32 + 1)
     }
 
+    /// Returns the time that hosts have spent on calls since this was last asked, by class.
+    pub fn take_busy_time(&mut self, now: Instant) -> [Duration; CallClass::COUNT] {
+        for call in self.records.values_mut().filter_map(|record| record.call.as_mut()) {
+            self.busy[call.class as usize] += now.saturating_duration_since(call.counted_until);
+            call.counted_until = now;
+        }
+        std::mem::take(&mut self.busy)
+    }
+
     /// Returns the hosts that are not passed over, or all if there is no other, each with the
     /// longest class that it serves. Fewer hosts than classes serve all.
     fn servers<'a>(&self, live: &'a [Name], now: Instant) -> Vec<Server<'a>> {
--- a/crates/node/src/owner/advice/mod.rs
+++ b/crates/node/src/owner/advice/mod.rs
@@ -9,6 +9,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use sycamore_graph::{Advise, CallClass, Event};
@@ -30,6 +31,15 @@
 /// Workers that may run a step, each with a ticket.
 type Allowed = Vec<(Name, Name)>;
 
+/// The hosts that make calls for advice, for the control thread's log.
+#[derive(Debug, Default)]
+pub(super) struct Callers {
+    /// Number of hosts that can make calls.
+    pub hosts: AtomicUsize,
+    /// Time that all hosts together have spent on calls so far, in milliseconds.
+    pub busy_ms: AtomicU64,
+}
+
 /// Queues calls for advice and makes them through free hosts.
 #[derive(Debug)]
 pub(super) struct AdviceDispatcher {
@@ -68,6 +78,7 @@
     /// calls that wait for a host that has come or is no longer passed over.
     pub fn update(&mut self) {
         let hosts = self.hosts();
+        self.record_use(hosts.len());
         let concurrency = self.assigner.concurrency(&names(&hosts), Instant::now());
         if concurrency != self.concurrency {
             self.concurrency = concurrency;
@@ -76,6 +87,20 @@
         self.dispatch();
     }
 
+    /// Counts the time that hosts have spent on calls since the last update.
+    fn record_use(&mut self, hosts: usize) {
+        let callers = self.handle.callers();
+        callers.hosts.store(hosts, Ordering::Relaxed);
+        let meters = &self.node.meters;
+        meters.advice_hosts.set(hosts as i64);
+        for (class, busy) in
+            CallClass::ALL.into_iter().zip(self.assigner.take_busy_time(Instant::now()))
+        {
+            callers.busy_ms.fetch_add(millis(busy), Ordering::Relaxed);
+            meters.advice_busy_ms.with_label_values(&[class.name()]).inc_by(millis(busy));
+        }
+    }
+
     /// Returns all hosts in order of their names.
     fn hosts(&self) -> Vec<(Name, SocketAddr)> {
         let mut hosts = self.node.live_peers();
@@ -140,22 +165,26 @@
     spent_ms: u64,
     epoch: u64,
 ) {
-    let Advise { step, hosts, cost_ms, .. } = advise;
+    let Advise { step, hosts, cost_ms, waited_ms, .. } = advise;
     let (asked, expected_ms) = (hosts.len(), *cost_ms as u64);
     let outcome = if answer.is_ok() { "answered" } else { "failed" };
+    let class = advise.class.name();
     node.meters.advice.with_label_values(&[outcome]).inc();
+    let waited_s = *waited_ms as f64 / 1_000.0;
+    node.meters.advice_wait_s.with_label_values(&[class]).observe(waited_s);
     match answer {
         Ok(allowed) => log::info!(
             target: "advice", job:% = step.job, step = step.index, epoch, through:% = through,
-            asked, granted = allowed.len(), outcome, expected_ms, spent_ms; "advice"
+            class, asked, granted = allowed.len(), outcome, waited_ms, expected_ms, spent_ms;
+            "advice"
         ),
         Err(failure) => {
             let cause = failure.cause();
             node.meters.advice_failures.with_label_values(&[cause]).inc();
             log::info!(
                 target: "advice", job:% = step.job, step = step.index, epoch,
-                through:% = through, asked, granted = 0, outcome, cause, error:% = failure,
-                expected_ms, spent_ms; "advice"
+                through:% = through, class, asked, granted = 0, outcome, cause, error:% = failure,
+                waited_ms, expected_ms, spent_ms; "advice"
             );
         }
     }
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -4,6 +4,7 @@
 //! they run at a bounded rate and cover all events that arrived in between.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,8 @@
 use super::evacuation::EvacuationLog;
 use super::handle::Input;
 use crate::clock::{Clock, millis};
+use crate::metrics::Meters;
+use crate::node::Node;
 use crate::peer::{CallerRequest, RequestOutcome};
 use crate::timing::TICK_INTERVAL;
 
@@ -54,11 +57,14 @@
     /// Time spent on all passes.
     pass_time: Duration,
     longest_pass: Duration,
+    /// Time that hosts had spent on calls for advice at the begin, in milliseconds.
+    callers_busy_ms: u64,
 }
 
 struct Control {
     engine: Engine,
     clock: Clock,
+    meters: Meters,
     shared: Arc<Shared>,
     /// Times of the last confirmations of the ownership that the engine knows, in milliseconds: any,
     /// and by the store.
@@ -83,11 +89,12 @@
 /// Starts the control thread. It ends on [`Input::Stop`] or when all senders are dropped.
 pub(super) fn spawn(
     engine: Engine,
-    clock: Clock,
+    node: &Node,
     actions: mpsc::UnboundedSender<Action>,
     shared: Arc<Shared>,
 ) -> std::io::Result<Sender<Input>> {
     let (sender, inputs) = channel();
+    let (clock, meters) = (node.clock, node.meters.clone());
     std::thread::Builder::new().name("control".to_string()).spawn(move || {
         let callers = FxHashMap::default();
         let next_dispatch = Instant::now();
@@ -96,6 +103,7 @@
         let mut control = Control {
             engine,
             clock,
+            meters,
             shared,
             confirmed_ms: None,
             actions,
@@ -150,11 +158,20 @@
 
     /// Logs the thread's load and the steps that wait longest, at a bounded rate.
     fn log_load(&mut self) {
-        if self.last_load_log.elapsed() < LOAD_LOG_INTERVAL {
+        let interval = self.last_load_log.elapsed();
+        if interval < LOAD_LOG_INTERVAL {
             return;
         }
         self.last_load_log = Instant::now();
-        let load = std::mem::take(&mut self.load);
+        let callers = &self.shared.callers;
+        let callers_busy_ms = callers.busy_ms.load(Ordering::Relaxed);
+        let load = Load { callers_busy_ms, ..Load::default() };
+        let load = std::mem::replace(&mut self.load, load);
+        let callers_busy_ms = callers_busy_ms - load.callers_busy_ms;
+        let callers = callers.hosts.load(Ordering::Relaxed) as u64;
+        let callers_busy_percent = 100 * callers_busy_ms / (callers * millis(interval)).max(1);
+        let calls = self.engine.call_load();
+        self.meters.advice_waiting_steps.set(calls.waiting_steps as i64);
         let (free_cpu_millis, kept_cpu_millis) = self.engine.free_and_kept_cpu();
         log::info!(
             target: "load", running = self.engine.running_tasks(),
@@ -164,7 +181,11 @@
             avoided_workers = self.engine.avoided_hosts(), free_cpu_millis, kept_cpu_millis,
             confirmed_ms_ago = millis(self.shared.confirmation.age()), events = load.events,
             events_ms = millis(load.event_time), passes = load.passes,
-            passes_ms = millis(load.pass_time), longest_pass_ms = millis(load.longest_pass);
+            passes_ms = millis(load.pass_time), longest_pass_ms = millis(load.longest_pass),
+            callers, callers_busy_percent,
+            calls_in_flight:? = calls.in_flight, call_limits:? = calls.limits,
+            steps_without_call = calls.waiting_steps,
+            longest_wait_for_call_ms = calls.longest_wait_ms;
             "load of the control thread"
         );
         self.log_awaited_hosts();
--- a/crates/node/src/owner/handle.rs
+++ b/crates/node/src/owner/handle.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 
 use super::Shared;
+use super::advice::Callers;
 use super::listing::Addresses;
 use crate::config::Evacuated;
 use crate::node::Node;
@@ -57,6 +58,11 @@
         Handle { epoch, addresses: Arc::default(), control, shared }
     }
 
+    /// Returns the hosts that make calls for advice.
+    pub(super) fn callers(&self) -> &Callers {
+        &self.shared.callers
+    }
+
     /// Sends an event to the engine. Has no effect once the control thread has ended.
     pub(super) fn send(&self, event: Event) {
         let _ = self.control.send(Input::Event(event));
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -35,6 +35,7 @@
 use sycamore_platform::site::{Settings, Store, StoreError};
 use tokio::sync::mpsc;
 
+use advice::Callers;
 use confirmation::Confirmation;
 pub(crate) use handle::Handle;
 
@@ -56,6 +57,8 @@
     owner_rev: u64,
     /// When the record last certainly had that revision.
     confirmation: Confirmation,
+    /// The hosts that make calls for advice.
+    callers: Callers,
 }
 
 /// Why this process stops being the owner.
@@ -109,7 +112,7 @@
     };
     let engine = Engine::new(node.clock.now(), timing, catalog, recovered);
     let (actions, received) = mpsc::unbounded_channel();
-    let control = match control::spawn(engine, node.clock, actions, shared.clone()) {
+    let control = match control::spawn(engine, node, actions, shared.clone()) {
         Ok(control) => control,
         Err(error) => {
             log::error!("control thread failed to start: {error}");
@@ -229,7 +232,8 @@
     /// it sent at `confirmed_ms` of [`Clock::uptime_ms`].
     fn new(owner_rev: u64, clock: Clock, confirmed_ms: u64) -> Shared {
         let confirmation = Confirmation::new(clock, confirmed_ms);
-        Shared { is_store_unavailable: AtomicBool::new(false), owner_rev, confirmation }
+        let (is_store_unavailable, callers) = (AtomicBool::new(false), Callers::default());
+        Shared { is_store_unavailable, owner_rev, confirmation, callers }
     }
 
     /// Returns whether this process was certainly the owner, by the store, within a time before now.
--- a/crates/node/src/owner/tests/advice.rs
+++ b/crates/node/src/owner/tests/advice.rs
@@ -26,7 +26,8 @@
     fn enqueue(&mut self, step: u16, class: CallClass) {
         let job = job::Id(u64::from(step));
         let step = StepId { job, occurrence: 0, index: 0 };
-        self.assigner.enqueue(Advise { step, class, hosts: Vec::new(), cost_ms: 20.0 });
+        let (hosts, cost_ms, waited_ms) = (Vec::new(), 20.0, 0);
+        self.assigner.enqueue(Advise { step, class, hosts, cost_ms, waited_ms });
     }
 
     /// Assigns the waiting calls. Returns the numbers of their hosts.
@@ -204,3 +205,22 @@
 
     assert_eq!(fixture.assign(), [0, 1]);
 }
+
+/// Failure: nothing tells whether hosts are idle while calls wait for one.
+#[test]
+fn the_time_that_hosts_spend_on_calls_is_counted_once() {
+    let second = Duration::from_secs(1);
+    let mut fixture = Fixture::new(1);
+    fixture.enqueue(1, CallClass::Long);
+    fixture.assign();
+
+    fixture.now += second;
+    let of_running = fixture.assigner.take_busy_time(fixture.now);
+    fixture.now += second;
+    fixture.end(0, CallEnd::Answered);
+    fixture.now += second;
+    let of_ended = fixture.assigner.take_busy_time(fixture.now);
+
+    let expected = [Duration::ZERO, Duration::ZERO, second];
+    assert_eq!([of_running, of_ended], [expected; 2]);
+}
--- a/crates/node/src/owner/tests/advice_dispatch.rs
+++ b/crates/node/src/owner/tests/advice_dispatch.rs
@@ -53,7 +53,8 @@
     fn enqueue(&mut self) {
         let step = StepId { job: job::Id(1), occurrence: 0, index: 0 };
         let hosts = vec![Name::from("worker-1")];
-        self.dispatcher.enqueue(Advise { step, class: CallClass::Short, hosts, cost_ms: CALL_MS });
+        let (class, cost_ms, waited_ms) = (CallClass::Short, CALL_MS, 0);
+        self.dispatcher.enqueue(Advise { step, class, hosts, cost_ms, waited_ms });
     }
 
     /// Waits for the end of a call, and passes it on.
