--- /dev/null
+++ b/crates/graph/tests/engine/call_turns.rs
@@ -0,0 +1,112 @@
+//! Whose turn it is to call for advice while calls are scarce.
+
+use sycamore_graph::Event;
+use sycamore_graph::catalog::{AdviceCost, Catalog, Queue};
+use sycamore_graph::job::{Id, State};
+
+use crate::fixture::{QUEUE, catalog, gang, id, job, queue, step};
+use crate::world::World;
+
+/// Time until the jobs of these tests are so late that completing them has no value any more: three
+/// times their objective of 2 x 500 + 1000 ms.
+const LATE_MS: u64 = 6_100;
+
+/// Calls for advice of 700 ms and more.
+fn long_calls() -> Queue {
+    let advice = AdviceCost { base_ms: 700.0, per_host_ms: 1.0, valid_ms: 1_500 };
+    Queue { advice: Some(advice), ..queue() }
+}
+
+/// A world with enough room for all jobs, in which no call may be made yet.
+fn world_without_calls(catalog: Catalog) -> World {
+    let mut world = World::new(24, catalog, 1);
+    world.work_ms = 100;
+    world.handle(Event::AdviceConcurrency([0; 3]));
+    world
+}
+
+fn complete(world: &mut World, jobs: impl Iterator<Item = Id>) -> usize {
+    jobs.filter(|job| world.state(*job) == Some(State::Complete)).count()
+}
+
+/// Accepted gangs that were late waited for a call although hosts that can make one were idle: two
+/// calls in flight were left to other steps, of which there were none. Rule LOST was broken on the
+/// first Sialkot site (waiting-gangs.toml, 66 s of traffic, seed 11).
+#[test]
+fn late_steps_use_all_callers_while_no_other_step_calls() {
+    let mut world = world_without_calls(catalog(long_calls()));
+    for number in 0..40 {
+        world.submit(id(number), job(vec![gang(2, 1_000)]));
+    }
+    world.run(LATE_MS);
+
+    // Three hosts, and one call that waits for the first free one.
+    world.handle(Event::AdviceConcurrency([4; 3]));
+    world.run(100);
+
+    assert!(world.call_load().in_flight[2] >= 3, "{:?}", world.call_load());
+}
+
+/// Accepted steps that were late had no call for 60 s, as steps that were not late took all calls as
+/// soon as they were free. Rule LOST was broken on the first Sialkot site (waiting-gangs.toml, 66 s of
+/// traffic, seed 11).
+#[test]
+fn late_steps_get_calls_beside_a_stream_of_others() {
+    let mut world = world_without_calls(catalog(long_calls()));
+    let late = || (0..12).map(id);
+    for job_id in late() {
+        world.submit(job_id, job(vec![gang(2, 1_000)]));
+    }
+    world.run(LATE_MS);
+
+    world.handle(Event::AdviceConcurrency([4; 3]));
+    // Ten steps a second, where five calls a second can be made.
+    for number in 0..130 {
+        world.submit(id(1_000 + number), job(vec![step(1, 1_000)]));
+        world.run(100);
+    }
+
+    // One call of four is theirs: 12 calls of 750 ms, one after the other, take 9 s.
+    assert_eq!(complete(&mut world, late()), 12, "{}", world.describe_waits());
+}
+
+/// A late step got no further call as long as other late steps had a higher rank, by the priority of
+/// their queue or the past use of their team. Rule LOST was broken on the first Sialkot site
+/// (waiting-gangs.toml, 66 s of traffic, seed 11): the gang that had waited for 70 s had had its last
+/// call 28 s before.
+#[test]
+fn late_steps_take_turns_whatever_their_rank() {
+    let mut catalog = catalog(long_calls());
+    catalog.queues.insert("later".into(), Queue { priority: 1, ..long_calls() });
+    let mut world = world_without_calls(catalog);
+    world.submit_to("later", id(1), job(vec![gang(2, 1_000)]));
+    world.run(100);
+    for number in 0..60 {
+        world.submit_to(QUEUE, id(100 + number), job(vec![gang(2, 1_000)]));
+    }
+    world.run(LATE_MS);
+
+    world.handle(Event::AdviceConcurrency([4; 3]));
+    world.run(2_000);
+
+    assert_eq!(world.state(id(1)), Some(State::Complete), "{}", world.describe_waits());
+}
+
+/// A step in its turn keeps its place until its tickets have expired, so that the room that it asked
+/// about is not kept for the steps whose turn is next.
+#[test]
+fn a_late_gang_starts_with_the_answer_to_its_call() {
+    let mut world = world_without_calls(catalog(long_calls()));
+    for number in 0..8 {
+        // Each needs two thirds of the workers, for 100 ms.
+        world.submit(id(number), job(vec![gang(16, 4_000)]));
+    }
+    world.run(LATE_MS);
+
+    world.handle(Event::AdviceConcurrency([2; 3]));
+    world.run(8 * 850);
+
+    // One call at a time, and each is followed by a start.
+    assert_eq!(complete(&mut world, (0..8).map(id)), 8, "{}", world.describe_waits());
+    assert!(world.advice_calls <= 9, "{} calls", world.advice_calls);
+}
--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod broken_gangs;
+mod call_turns;
 mod capacity;
 mod clearing;
 mod crashes;
--- a/crates/node/src/owner/tests/mod.rs
+++ b/crates/node/src/owner/tests/mod.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod advice_dispatch;
 mod advice_failure;
+mod advice_load;
 mod confirmation;
 mod evacuation;
 pub(in crate::owner) mod fixture;
