Let late steps use all hosts that call for advice while nobody else does

Cause: steps whose start has no value any more left two calls in flight to others that may come. They now leave one, which is the one that waits for the first free host. A step that still has value then waits for the first call to end at most. Where such a step had to wait within the last two seconds, half of the calls are left to them as before.

--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -40,8 +40,9 @@
 /// Factor by which a sum in one order has to exceed a limit so that the sum in any order does.
 const ROUNDING_FACTOR: f64 = 1.000_001;
 
-/// Calls in flight that steps whose start has no value any more leave to others that may come.
-const RESERVED_CALLS: u32 = 2;
+/// Calls in flight that steps whose start has no value any more leave to others that may come: the one
+/// that waits for the first free host. All hosts may call for these steps, then.
+const RESERVED_CALLS: u32 = 1;
 
 /// Divisor of the limit of calls in flight for those steps while others have to wait for a free
 /// call.
