Let late steps take turns to call for advice

Cause: whose turn it is had no bound. Late steps got a call only while fewer than half of all calls were in flight, so none as long as others took them; and among themselves they went by share, priority and past use of their team.

Change: a late step that has waited for 3 s since its last turn goes before late steps that have not, the longest wait first, and while one had to wait for a free call, one call is left to them. Its turn ends when its tickets have expired, or after two requests. The wait is then bounded by the calls of the late steps that have waited for longer.

--- a/crates/audit/src/explain.rs
+++ b/crates/audit/src/explain.rs
@@ -94,6 +94,11 @@
     if let Some(factor) = grounds.usage_factor.filter(|factor| *factor < 1.0) {
         text.push_str(&format!("; it was due {factor:.2} of what it had used in the past"));
     }
+    if let Some(wait_ms) = grounds.turn_wait_ms {
+        text.push_str(&format!(
+            "; it went before other late steps as it had waited {wait_ms} ms for its turn"
+        ));
+    }
     if let Some(left_ms) = grounds.ticket_left_ms {
         text.push_str(&format!("; its ticket was good for {left_ms} ms"));
     }
--- a/crates/audit/tests/tampering.rs
+++ b/crates/audit/tests/tampering.rs
@@ -153,6 +153,7 @@
             report_age_ms: 20,
             ticket_left_ms: None,
             usage_factor: Some(sequence as f64 / 4_001.0),
+            turn_wait_ms: None,
         };
         let verdict = Verdict::Placed { host: "h".into(), attempt: 1, grounds };
         Decision { verdict, ..decision(sequence) }
--- a/crates/graph/src/decision.rs
+++ b/crates/graph/src/decision.rs
@@ -94,4 +94,7 @@
     pub report_age_ms: u64,
     /// Remaining lifetime of the advice ticket, in milliseconds, if one was needed.
     pub ticket_left_ms: Option<u64>,
+    /// Time for which the step had waited for its turn to call for advice, in milliseconds. `None` if
+    /// its rank decided its place.
+    pub turn_wait_ms: Option<u64>,
 }
--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -5,6 +5,7 @@
 //! calls only when none of its calls is in flight; the calls of a gang go out together.
 
 use std::cmp::Reverse;
+use std::collections::hash_map::Entry;
 
 use sycamore_types::Name;
 
@@ -113,7 +114,11 @@
 
     fn has_free_call(&self, demand: &Demand, class: CallClass) -> bool {
         let limit = self.advice_limits[class as usize];
-        let limit = if demand.is_hopeless { self.hopeless_limit(class, limit) } else { limit };
+        let limit = match demand.is_hopeless {
+            true if demand.is_in_turn && !self.has_late_call(class) => limit,
+            true => self.hopeless_limit(class, limit),
+            false => limit.saturating_sub(self.calls_left_to_late_steps(class)),
+        };
         self.advice_calls[class as usize] < limit
     }
 
@@ -127,12 +132,14 @@
 
     /// Records that a step has to wait for a free call.
     fn record_refused_call(&mut self, demand: &Demand, cost: AdviceCost) {
-        if demand.is_hopeless {
-            return;
-        }
+        let refused_ms = match (demand.is_hopeless, demand.is_in_turn) {
+            (false, _) => &mut self.live_call_refused_ms,
+            (true, true) => &mut self.late_call_refused_ms,
+            (true, false) => return,
+        };
         let shortest = CallClass::of(cost.call_ms(1)) as usize;
         let longest = CallClass::of(cost.call_ms(MAX_HOSTS_PER_CALL)) as usize;
-        self.live_call_refused_ms[shortest..=longest].fill(Some(self.now.monotonic_ms));
+        refused_ms[shortest..=longest].fill(Some(self.now.monotonic_ms));
     }
 
     /// Returns the time that a ticket's expiry has to exceed to be used now, in
@@ -190,6 +197,9 @@
             }
             return;
         }
+        if let Some(step) = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id)) {
+            step.advice.turn.begin_request();
+        }
         // The answers come sooner, at the cost of a call's fixed duration.
         let is_split = demand.is_gang && self.has_idle_callers(cost.call_ms(hosts.len()));
         let calls = if is_split { hosts.len().div_ceil(HOSTS_PER_PARALLEL_CALL) } else { 1 };
@@ -206,6 +216,9 @@
                 return;
             };
             self.advice_calls[class as usize] += 1;
+            if demand.is_hopeless {
+                self.late_calls.entry(step_id).or_default()[class as usize] += 1;
+            }
             step.advice.calls_in_flight += 1;
             let waited_ms = now_ms.saturating_sub(step.uncalled_since_ms().unwrap_or(now_ms));
             let (step, hosts) = (step_id, part.to_vec());
@@ -225,6 +238,13 @@
         self.needs_dispatch = true;
         // The call no longer counts as in flight, even if its step is gone.
         self.advice_calls[class as usize] = self.advice_calls[class as usize].saturating_sub(1);
+        if let Entry::Occupied(mut late) = self.late_calls.entry(step_id) {
+            let calls = late.get_mut();
+            calls[class as usize] = calls[class as usize].saturating_sub(1);
+            if *calls == [0; CallClass::COUNT] {
+                late.remove();
+            }
+        }
         let Some(job) = self.jobs.get_mut(&step_id.job) else { return };
         let queue = job.queue.clone();
         let valid_ms = self.queues.get(&queue).and_then(|queue| queue.advice).map(|a| a.valid_ms);
@@ -238,6 +258,9 @@
             return;
         };
         let expires_ms = issued_ms + valid_ms.unwrap_or(0);
+        if !allowed.is_empty() {
+            step.advice.turn.extend(expires_ms);
+        }
         let rate = self.allow_rate.entry(queue).or_insert(INITIAL_ALLOW_RATE);
         for name in &asked {
             let Some(number) = self.hosts.get(name).map(|host| host.number) else { continue };
--- a/crates/graph/src/engine/backlog.rs
+++ b/crates/graph/src/engine/backlog.rs
@@ -13,6 +13,7 @@
 use sycamore_types::Name;
 
 use super::Rank;
+use super::turns::Turns;
 use crate::{StepId, job};
 
 /// What the rank of a waiting step depends on. Changes only with the configuration.
@@ -53,6 +54,8 @@
     places: BTreeMap<StepId, Place>,
     /// Last hopeless step that a pass has looked at.
     cursor: Option<Place>,
+    /// The hopeless steps that need calls for advice.
+    pub turns: Turns,
 }
 
 impl Urgency {
@@ -104,6 +107,7 @@
         if let Some(place) = self.places.remove(&step_id) {
             self.hopeless.remove(&place);
         }
+        self.turns.remove(step_id);
     }
 
     pub fn remove_job(&mut self, job: job::Id) {
@@ -113,19 +117,32 @@
         steps.into_iter().for_each(|step_id| self.remove(step_id));
     }
 
-    /// Moves the steps that have become hopeless behind the others.
-    pub fn expire(&mut self, now_unix_ms: u64) {
-        while let Some((at, step_id)) = self.expiring.first().copied() {
-            if now_unix_ms as i64 <= at {
-                return;
-            }
+    /// Moves the steps that have become hopeless behind the others, and returns them.
+    pub fn expire(&mut self, now_unix_ms: u64) -> Vec<StepId> {
+        let mut expired = Vec::new();
+        while let Some((at, step_id)) = self.expiring.first().copied()
+            && at < now_unix_ms as i64
+        {
             self.expiring.pop_first();
+            expired.push(step_id);
             if let Some(urgency) = self.live.remove(&step_id) {
                 let place = (urgency.priority, urgency.latest_start_unix_ms, step_id);
                 self.places.insert(step_id, place);
                 self.hopeless.insert(place, urgency);
             }
         }
+        expired
+    }
+
+    /// Returns the rank of a hopeless step.
+    pub fn hopeless_rank(
+        &self,
+        step_id: StepId,
+        now_unix_ms: u64,
+        shares: &Shares,
+    ) -> Option<Rank> {
+        let urgency = self.hopeless.get(self.places.get(&step_id)?)?;
+        Some(urgency.rank(now_unix_ms, shares))
     }
 
     /// Returns the steps whose start still has value, the most urgent first.
--- a/crates/graph/src/engine/demand.rs
+++ b/crates/graph/src/engine/demand.rs
@@ -18,6 +18,8 @@
     pub isolation: Isolation,
     /// Completing the job has no value any more.
     pub is_hopeless: bool,
+    /// The wait of the step for a call for advice decides its place among such steps.
+    pub is_in_turn: bool,
     /// Tasks that wait to be started.
     pub waiting: u32,
     /// Most tasks that the team's limit allows to start now.
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -5,10 +5,12 @@
 //! steps whose start still has value, and at a slice of the others.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 
 use sycamore_types::Name;
 use sycamore_types::resources::Resources;
 
+use super::backlog::Shares;
 use super::candidates::{Candidate, HostViews, Search};
 use super::demand::Demand;
 use super::isolation::suspects;
@@ -38,6 +40,9 @@
     waiting: u32,
     /// Total capacity of the listed hosts.
     capacity: Resources,
+    /// Time for which the step has waited for its turn to call for advice, if that decided its place, in
+    /// milliseconds.
+    turn_wait_ms: Option<u64>,
 }
 
 /// Returns the waiting tasks of a step that may start now, in order: only the suspects if the step is
@@ -61,18 +66,19 @@
             return;
         }
         let now_unix_ms = self.now.unix_ms;
-        self.backlog.expire(now_unix_ms);
+        let late = self.backlog.expire(now_unix_ms);
+        self.add_to_turns(late);
         let mut views = self.host_views();
         let evacuated = self.evacuated_views();
         self.hold_reservations(&mut views);
         let capacity = self.listed_capacity();
         let shares = self.shares(&capacity);
-        let mut order = self.backlog.ranked(now_unix_ms, &shares);
-        order.extend(self.backlog.next_hopeless(HOPELESS_SLICE, now_unix_ms, &shares));
+        let order = self.pass_order(&shares);
         let waiting = self.backlog.len() as u32;
         let mut failed_searches = 0;
-        for (at, (rank, step_id)) in order.into_iter().enumerate() {
-            let position = PassPosition { rank, place: at as u32 + 1, waiting, capacity };
+        for (at, (rank, step_id, turn_wait_ms)) in order.into_iter().enumerate() {
+            let place = at as u32 + 1;
+            let position = PassPosition { rank, place, waiting, capacity, turn_wait_ms };
             self.reservations.release(step_id, &mut views);
             let reason = self.start_step(step_id, &position, &mut views, &mut failed_searches);
             let reason = match reason {
@@ -93,6 +99,24 @@
         self.keep_host_views(views);
     }
 
+    /// Returns the steps that a pass looks at, in order: all whose start still has value, the late ones
+    /// whose wait for a call decides their place, with that wait in milliseconds, and a slice of the
+    /// other late ones.
+    fn pass_order(&mut self, shares: &Shares) -> Vec<(Rank, StepId, Option<u64>)> {
+        let now_unix_ms = self.now.unix_ms;
+        let turns = self.next_turns();
+        let in_turn: BTreeSet<StepId> = turns.iter().map(|(step_id, _)| *step_id).collect();
+        let others = self.backlog.next_hopeless(HOPELESS_SLICE, now_unix_ms, shares);
+        let others = others.into_iter().filter(|(_, step_id)| !in_turn.contains(step_id));
+        let live = self.backlog.ranked(now_unix_ms, shares).into_iter();
+        let turns = turns.into_iter().filter_map(|(step_id, wait_ms)| {
+            let rank = self.backlog.hopeless_rank(step_id, now_unix_ms, shares)?;
+            Some((rank, step_id, Some(wait_ms)))
+        });
+        let by_rank = |(rank, step_id)| (rank, step_id, None);
+        live.map(by_rank).chain(turns).chain(others.map(by_rank)).collect()
+    }
+
     /// Starts as many tasks of a step as possible. Returns why the others wait.
     ///
     /// Cheap checks that reject most waiting steps come before any search of the hosts:
@@ -178,6 +202,7 @@
             is_best_effort: spec.is_best_effort,
             isolation,
             is_hopeless: position.rank.is_hopeless,
+            is_in_turn: position.turn_wait_ms.is_some(),
             waiting,
             within_limit,
         }))
@@ -306,6 +331,7 @@
             free_cpu_millis: free.cpu_millis,
             report_age_ms: now_ms.saturating_sub(host.reported_ms),
             ticket_left_ms: ticket.map(|ticket| ticket.expires_ms.saturating_sub(now_ms)),
+            turn_wait_ms: position.turn_wait_ms,
         };
         self.record_decision(team, Verdict::Placed { task, attempt, host: name.clone(), grounds });
     }
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -51,6 +51,7 @@
 mod reservations;
 mod run_ends;
 mod runs;
+mod turns;
 mod unreported_ends;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -80,6 +81,7 @@
 pub use rank::Rank;
 pub use recover::Recovered;
 use reservations::Reservations;
+pub(crate) use turns::Turn;
 use unreported_ends::UnreportedEnd;
 
 /// An effect that is deferred until all records appended before it are durable.
@@ -162,6 +164,10 @@
     /// When a step whose start has value last had to wait for a free call, by class, in
     /// milliseconds.
     live_call_refused_ms: [Option<u64>; CallClass::COUNT],
+    /// When a late step whose turn it is last had to wait for a free call, by class, in milliseconds.
+    late_call_refused_ms: [Option<u64>; CallClass::COUNT],
+    /// Calls in flight for late steps, by class.
+    late_calls: FxHashMap<StepId, [u32; CallClass::COUNT]>,
     /// Number of records appended so far.
     appended_records: u64,
     /// Number of records that are known to be durable.
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -272,6 +272,8 @@
             advice_limits: [INITIAL_ADVICE_CALLS; CallClass::COUNT],
             advice_calls: [0; CallClass::COUNT],
             live_call_refused_ms: [None; CallClass::COUNT],
+            late_call_refused_ms: [None; CallClass::COUNT],
+            late_calls: FxHashMap::default(),
             appended_records: 0,
             durable_records: 0,
             deferred: VecDeque::new(),
--- /dev/null
+++ b/crates/graph/src/engine/turns.rs
@@ -0,0 +1,142 @@
+//! In which order late steps get calls for advice.
+//!
+//! Calls are scarce, and by their rank alone some late steps would get none for as long as others have
+//! a higher rank. So a late step that has waited for [`MAX_WAIT_MS`] goes before the late steps that
+//! have not, the longest wait first, and one call at a time is left to such steps while others have
+//! to wait for a free call, too. The wait of a step is bounded by the calls of the late steps that have
+//! waited for longer.
+//!
+//! A step keeps its place during its turn, which lasts until its tickets have expired. Otherwise the
+//! room that it asked about would be kept for steps whose turn is next. It has to begin to wait anew
+//! after some requests, as the room for it may be taken again and again.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::Engine;
+use crate::progress::StepAdvice;
+use crate::{CallClass, StepId};
+
+/// Time after which the wait of a late step decides its place, in milliseconds: the one within which
+/// accepted work has to start while there is room for it.
+const MAX_WAIT_MS: u64 = 3_000;
+
+/// Requests for advice in one turn: one that finds the hosts that may run the step, and one that renews
+/// their tickets once they have room.
+const MAX_REQUESTS: u32 = 2;
+
+/// Most steps whose place in a pass is decided by their wait.
+const MAX_STEPS: usize = 100;
+
+/// Time for which a call is left to late steps after one had to wait for it, in milliseconds. At least
+/// two passes fall into it.
+const CALL_LEFT_MS: u64 = 100;
+
+/// The turn of a step, from its first request until the last tickets have expired.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Turn {
+    /// Number of requests for advice.
+    requests: u32,
+    /// Time at which the last ticket expires, in milliseconds.
+    tickets_expire_ms: u64,
+}
+
+impl Turn {
+    /// Records a request for advice, of one or several calls.
+    pub fn begin_request(&mut self) {
+        self.requests += 1;
+    }
+
+    /// Records the answer to a request.
+    pub fn extend(&mut self, tickets_expire_ms: u64) {
+        self.tickets_expire_ms = self.tickets_expire_ms.max(tickets_expire_ms);
+    }
+
+    fn has_ended(&self, advice: &StepAdvice, now_ms: u64) -> bool {
+        let is_used =
+            advice.calls_in_flight > 0 || advice.failures() > 0 || now_ms < self.tickets_expire_ms;
+        self.requests > MAX_REQUESTS || self.requests > 0 && !is_used
+    }
+}
+
+/// Late steps that need calls, by the time since which they have waited for their turn.
+#[derive(Debug, Default)]
+pub(super) struct Turns {
+    order: BTreeSet<(u64, StepId)>,
+    since_ms: BTreeMap<StepId, u64>,
+}
+
+impl Turns {
+    /// Adds a step, or moves it to another place.
+    pub fn insert(&mut self, step_id: StepId, since_ms: u64) {
+        self.remove(step_id);
+        self.since_ms.insert(step_id, since_ms);
+        self.order.insert((since_ms, step_id));
+    }
+
+    pub fn remove(&mut self, step_id: StepId) {
+        if let Some(since_ms) = self.since_ms.remove(&step_id) {
+            self.order.remove(&(since_ms, step_id));
+        }
+    }
+}
+
+impl Engine {
+    /// Returns the steps whose place among the late ones is decided by their wait, in order, each with
+    /// its wait in milliseconds.
+    pub(super) fn next_turns(&mut self) -> Vec<(StepId, u64)> {
+        self.end_turns();
+        let now_ms = self.now.monotonic_ms;
+        let waits = self.backlog.turns.order.iter().take(MAX_STEPS);
+        let waits = waits.map(|(since_ms, step_id)| (*step_id, now_ms.saturating_sub(*since_ms)));
+        waits.take_while(|(_, wait_ms)| *wait_ms >= MAX_WAIT_MS).collect()
+    }
+
+    /// Moves the steps behind all others whose turn has ended.
+    fn end_turns(&mut self) {
+        let now_ms = self.now.monotonic_ms;
+        let first: Vec<StepId> =
+            self.backlog.turns.order.iter().take(MAX_STEPS).map(|(_, step_id)| *step_id).collect();
+        for step_id in first {
+            let step = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id));
+            if let Some(step) = step
+                && step.advice.turn.has_ended(&step.advice, now_ms)
+            {
+                let since_ms = step.advice.turn.tickets_expire_ms.min(now_ms);
+                let since_ms = since_ms.max(step.uncalled_since_ms().unwrap_or(now_ms));
+                step.advice.turn = Turn::default();
+                self.backlog.turns.insert(step_id, since_ms);
+            }
+        }
+    }
+
+    /// Adds steps that have become late and need advice. Their wait counts from their last call.
+    pub(super) fn add_to_turns(&mut self, late: Vec<StepId>) {
+        let now_ms = self.now.monotonic_ms;
+        for step_id in late {
+            let Some(job) = self.jobs.get_mut(&step_id.job) else { continue };
+            let needs_advice =
+                self.queues.get(&job.queue).is_some_and(|queue| queue.advice.is_some());
+            if let Some(step) = job.step_mut(step_id)
+                && needs_advice
+            {
+                if step.advice.turn.has_ended(&step.advice, now_ms) {
+                    step.advice.turn = Turn::default();
+                }
+                self.backlog.turns.insert(step_id, step.uncalled_since_ms().unwrap_or(now_ms));
+            }
+        }
+    }
+
+    /// Returns the number of calls of a class that steps which are not late leave to late ones.
+    pub(super) fn calls_left_to_late_steps(&self, class: CallClass) -> u32 {
+        let at = class as usize;
+        let is_awaited = self.late_call_refused_ms[at]
+            .is_some_and(|refused_ms| self.now.monotonic_ms < refused_ms + CALL_LEFT_MS);
+        u32::from(is_awaited && !self.has_late_call(class) && self.advice_limits[at] > 1)
+    }
+
+    /// Returns whether a call of a class is in flight for a late step.
+    pub(super) fn has_late_call(&self, class: CallClass) -> bool {
+        self.late_calls.values().any(|calls| calls[class as usize] > 0)
+    }
+}
--- a/crates/graph/src/progress/mod.rs
+++ b/crates/graph/src/progress/mod.rs
@@ -5,5 +5,5 @@
 mod suspicion;
 
 pub(crate) use job::Job;
-pub(crate) use step::{EndedCall, StepProgress, TaskProgress, Ticket};
+pub(crate) use step::{EndedCall, StepAdvice, StepProgress, TaskProgress, Ticket};
 pub(crate) use suspicion::{ISOLATE_AFTER, Suspicion};
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -9,6 +9,7 @@
 use sycamore_types::Name;
 
 use crate::WaitReason;
+use crate::engine::Turn;
 use crate::waiting::WaitTimes;
 
 /// Progress of one task.
@@ -57,6 +58,7 @@
     pub not_before_ms: u64,
     /// The call that ended last.
     pub last_call: Option<EndedCall>,
+    pub turn: Turn,
 }
 
 impl StepAdvice {
--- a/crates/graph/tests/engine/call_turns.rs
+++ b/crates/graph/tests/engine/call_turns.rs
@@ -91,6 +91,8 @@
     world.run(2_000);
 
     assert_eq!(world.state(id(1)), Some(State::Complete), "{}", world.describe_waits());
+    // The record tells why it went before steps of a higher rank.
+    assert!(world.turn_waits_ms[&id(1)] >= LATE_MS, "{:?}", world.turn_waits_ms);
 }
 
 /// A step in its turn keeps its place until its tickets have expired, so that the room that it asked
--- a/crates/graph/tests/engine/world/mod.rs
+++ b/crates/graph/tests/engine/world/mod.rs
@@ -98,6 +98,9 @@
     /// The best-effort runs that were stopped for steps with a latency objective: worker, task and
     /// attempt, in order.
     pub cleared: Vec<(Name, TaskId, u32)>,
+    /// Time for which jobs waited whose place was decided by it, as recorded with their last start, in
+    /// milliseconds.
+    pub turn_waits_ms: BTreeMap<Id, u64>,
     /// Reservations that expired.
     pub unused_reservations: u64,
     /// Time at which each job was complete, in milliseconds.
@@ -172,6 +175,7 @@
             preempted: BTreeSet::new(),
             most_reclaimed_cpu: 0,
             cleared: Vec::new(),
+            turn_waits_ms: BTreeMap::new(),
             unused_reservations: 0,
             finished_ms: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -659,6 +663,11 @@
             Verdict::Closed(job, State::Complete) => {
                 self.finished_ms.entry(job).or_insert(self.now_ms);
             }
+            Verdict::Placed { task, grounds, .. } => {
+                if let Some(wait_ms) = grounds.turn_wait_ms {
+                    self.turn_waits_ms.insert(task.step.job, wait_ms);
+                }
+            }
             _ => {}
         }
     }
--- a/crates/node/src/owner/records.rs
+++ b/crates/node/src/owner/records.rs
@@ -202,6 +202,7 @@
         report_age_ms: grounds.report_age_ms,
         ticket_left_ms: grounds.ticket_left_ms,
         usage_factor: grounds.usage_factor,
+        turn_wait_ms: grounds.turn_wait_ms,
     }
 }
 
