Look at hopeless steps behind those that can use no call

Cause: a pass looked at the hundred hopeless steps with the longest wait. While these had no use for a call, as no worker may run them or their team is at its limit, none behind them was in its turn, and other steps took all calls.

A pass now looks at the fifty with the longest wait, and at fifty of the others in turn. A change of the configuration keeps the wait of the steps.

call_turns::hopeless_steps_behind_many_without_a_worker_get_calls fails without the slice (no call within 5 s beside 300 such steps) and passes.

--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -115,9 +115,9 @@
     fn has_free_call(&self, demand: &Demand, class: CallClass) -> bool {
         let limit = self.advice_limits[class as usize];
         let limit = match demand.is_hopeless {
-            true if demand.is_in_turn && !self.has_late_call(class) => limit,
+            true if demand.is_in_turn && !self.has_hopeless_call(class) => limit,
             true => self.hopeless_limit(class, limit),
-            false => limit.saturating_sub(self.calls_left_to_late_steps(class)),
+            false => limit.saturating_sub(self.calls_left_to_hopeless_steps(class)),
         };
         self.advice_calls[class as usize] < limit
     }
@@ -134,7 +134,7 @@
     fn record_refused_call(&mut self, demand: &Demand, cost: AdviceCost) {
         let refused_ms = match (demand.is_hopeless, demand.is_in_turn) {
             (false, _) => &mut self.live_call_refused_ms,
-            (true, true) => &mut self.late_call_refused_ms,
+            (true, true) => &mut self.hopeless_call_refused_ms,
             (true, false) => return,
         };
         let shortest = CallClass::of(cost.call_ms(1)) as usize;
@@ -217,7 +217,7 @@
             };
             self.advice_calls[class as usize] += 1;
             if demand.is_hopeless {
-                self.late_calls.entry(step_id).or_default()[class as usize] += 1;
+                self.hopeless_calls.entry(step_id).or_default()[class as usize] += 1;
             }
             step.advice.calls_in_flight += 1;
             let waited_ms = now_ms.saturating_sub(step.uncalled_since_ms().unwrap_or(now_ms));
@@ -238,11 +238,11 @@
         self.needs_dispatch = true;
         // The call no longer counts as in flight, even if its step is gone.
         self.advice_calls[class as usize] = self.advice_calls[class as usize].saturating_sub(1);
-        if let Entry::Occupied(mut late) = self.late_calls.entry(step_id) {
-            let calls = late.get_mut();
+        if let Entry::Occupied(mut entry) = self.hopeless_calls.entry(step_id) {
+            let calls = entry.get_mut();
             calls[class as usize] = calls[class as usize].saturating_sub(1);
             if *calls == [0; CallClass::COUNT] {
-                late.remove();
+                entry.remove();
             }
         }
         let Some(job) = self.jobs.get_mut(&step_id.job) else { return };
--- a/crates/graph/src/engine/backlog.rs
+++ b/crates/graph/src/engine/backlog.rs
@@ -95,19 +95,23 @@
 
     /// Adds a step, or replaces its urgency.
     pub fn insert(&mut self, step_id: StepId, urgency: Urgency) {
-        self.remove(step_id);
+        self.remove_urgency(step_id);
         self.expiring.insert((urgency.hopeless_unix_ms, step_id));
         self.live.insert(step_id, urgency);
     }
 
     pub fn remove(&mut self, step_id: StepId) {
+        self.remove_urgency(step_id);
+        self.turns.remove(step_id);
+    }
+
+    fn remove_urgency(&mut self, step_id: StepId) {
         if let Some(urgency) = self.live.remove(&step_id) {
             self.expiring.remove(&(urgency.hopeless_unix_ms, step_id));
         }
         if let Some(place) = self.places.remove(&step_id) {
             self.hopeless.remove(&place);
         }
-        self.turns.remove(step_id);
     }
 
     pub fn remove_job(&mut self, job: job::Id) {
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -66,8 +66,8 @@
             return;
         }
         let now_unix_ms = self.now.unix_ms;
-        let late = self.backlog.expire(now_unix_ms);
-        self.add_to_turns(late);
+        let expired = self.backlog.expire(now_unix_ms);
+        self.add_to_turns(expired);
         let mut views = self.host_views();
         let evacuated = self.evacuated_views();
         self.hold_reservations(&mut views);
@@ -99,9 +99,9 @@
         self.keep_host_views(views);
     }
 
-    /// Returns the steps that a pass looks at, in order: all whose start still has value, the late ones
+    /// Returns the steps that a pass looks at, in order: all whose start still has value, the hopeless ones
     /// whose wait for a call decides their place, with that wait in milliseconds, and a slice of the
-    /// other late ones.
+    /// other hopeless ones.
     fn pass_order(&mut self, shares: &Shares) -> Vec<(Rank, StepId, Option<u64>)> {
         let now_unix_ms = self.now.unix_ms;
         let turns = self.next_turns();
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -164,10 +164,10 @@
     /// When a step whose start has value last had to wait for a free call, by class, in
     /// milliseconds.
     live_call_refused_ms: [Option<u64>; CallClass::COUNT],
-    /// When a late step whose turn it is last had to wait for a free call, by class, in milliseconds.
-    late_call_refused_ms: [Option<u64>; CallClass::COUNT],
-    /// Calls in flight for late steps, by class.
-    late_calls: FxHashMap<StepId, [u32; CallClass::COUNT]>,
+    /// When a hopeless step whose turn it is last had to wait for a free call, by class, in milliseconds.
+    hopeless_call_refused_ms: [Option<u64>; CallClass::COUNT],
+    /// Calls in flight for hopeless steps, by class.
+    hopeless_calls: FxHashMap<StepId, [u32; CallClass::COUNT]>,
     /// Number of records appended so far.
     appended_records: u64,
     /// Number of records that are known to be durable.
--- a/crates/graph/src/engine/turns.rs
+++ b/crates/graph/src/engine/turns.rs
@@ -1,22 +1,26 @@
-//! In which order late steps get calls for advice.
+//! In which order hopeless steps get calls for advice.
 //!
-//! Calls are scarce, and by their rank alone some late steps would get none for as long as others have
-//! a higher rank. So a late step that has waited for [`MAX_WAIT_MS`] goes before the late steps that
-//! have not, the longest wait first, and one call at a time is left to such steps while others have
-//! to wait for a free call, too. The wait of a step is bounded by the calls of the late steps that have
-//! waited for longer.
+//! Calls are scarce, and by their rank alone some hopeless steps would get none for as long as others
+//! have a higher rank. So a hopeless step that has waited for [`MAX_WAIT_MS`] goes before those that
+//! have not, the longest wait first, and one call at a time is left to such steps while others have to
+//! wait for a free call, too. The wait of a step is bounded by the calls of the hopeless steps that
+//! have waited for longer.
 //!
 //! A step keeps its place during its turn, which lasts until its tickets have expired. Otherwise the
 //! room that it asked about would be kept for steps whose turn is next. It has to begin to wait anew
 //! after some requests, as the room for it may be taken again and again.
+//!
+//! Steps that wait for room keep their place, too. A pass also looks at a slice of those behind them,
+//! so that they leave calls that they have no use for to others.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 use super::Engine;
 use crate::progress::StepAdvice;
 use crate::{CallClass, StepId};
 
-/// Time after which the wait of a late step decides its place, in milliseconds: the one within which
+/// Time after which the wait of a hopeless step decides its place, in milliseconds: the one within which
 /// accepted work has to start while there is room for it.
 const MAX_WAIT_MS: u64 = 3_000;
 
@@ -24,10 +28,13 @@
 /// their tickets once they have room.
 const MAX_REQUESTS: u32 = 2;
 
-/// Most steps whose place in a pass is decided by their wait.
-const MAX_STEPS: usize = 100;
+/// Steps with the longest wait that each pass looks at.
+const FIRST_STEPS: usize = 50;
+
+/// Steps behind them that each pass looks at, in turn.
+const OTHER_STEPS: usize = 50;
 
-/// Time for which a call is left to late steps after one had to wait for it, in milliseconds. At least
+/// Time for which a call is left to hopeless steps after one had to wait for it, in milliseconds. At least
 /// two passes fall into it.
 const CALL_LEFT_MS: u64 = 100;
 
@@ -58,16 +65,18 @@
     }
 }
 
-/// Late steps that need calls, by the time since which they have waited for their turn.
+/// Hopeless steps that need calls, by the time since which they have waited for their turn.
 #[derive(Debug, Default)]
 pub(super) struct Turns {
     order: BTreeSet<(u64, StepId)>,
     since_ms: BTreeMap<StepId, u64>,
+    /// Last step of the last slice.
+    cursor: Option<(u64, StepId)>,
 }
 
 impl Turns {
     /// Adds a step, or moves it to another place.
-    pub fn insert(&mut self, step_id: StepId, since_ms: u64) {
+    fn insert(&mut self, step_id: StepId, since_ms: u64) {
         self.remove(step_id);
         self.since_ms.insert(step_id, since_ms);
         self.order.insert((since_ms, step_id));
@@ -78,41 +87,58 @@
             self.order.remove(&(since_ms, step_id));
         }
     }
+
+    /// Returns the steps with the longest wait and the next slice of the others, in order, each with
+    /// the time since which it has waited. The slice after the last one begins anew.
+    fn next(&mut self) -> Vec<(u64, StepId)> {
+        let mut next: Vec<(u64, StepId)> = self.order.iter().take(FIRST_STEPS).copied().collect();
+        let Some(last) = next.last().copied() else { return next };
+        let start = self.cursor.map_or(last, |cursor| cursor.max(last));
+        let others = self.order.range((Bound::Excluded(start), Bound::Unbounded)).take(OTHER_STEPS);
+        let others: Vec<(u64, StepId)> = others.copied().collect();
+        self.cursor = others.last().copied().filter(|_| others.len() == OTHER_STEPS);
+        next.extend(others);
+        next
+    }
 }
 
 impl Engine {
-    /// Returns the steps whose place among the late ones is decided by their wait, in order, each with
-    /// its wait in milliseconds.
+    /// Returns the steps whose place among the hopeless ones is decided by their wait, in order, each
+    /// with its wait in milliseconds.
     pub(super) fn next_turns(&mut self) -> Vec<(StepId, u64)> {
-        self.end_turns();
         let now_ms = self.now.monotonic_ms;
-        let waits = self.backlog.turns.order.iter().take(MAX_STEPS);
-        let waits = waits.map(|(since_ms, step_id)| (*step_id, now_ms.saturating_sub(*since_ms)));
-        waits.take_while(|(_, wait_ms)| *wait_ms >= MAX_WAIT_MS).collect()
+        let mut turns = Vec::new();
+        for (since_ms, step_id) in self.backlog.turns.next() {
+            let wait_ms = now_ms.saturating_sub(since_ms);
+            if wait_ms >= MAX_WAIT_MS && !self.end_turn(step_id) {
+                turns.push((step_id, wait_ms));
+            }
+        }
+        turns
     }
 
-    /// Moves the steps behind all others whose turn has ended.
-    fn end_turns(&mut self) {
+    /// Lets a step begin to wait anew if its turn has ended. Returns whether it has.
+    fn end_turn(&mut self, step_id: StepId) -> bool {
         let now_ms = self.now.monotonic_ms;
-        let first: Vec<StepId> =
-            self.backlog.turns.order.iter().take(MAX_STEPS).map(|(_, step_id)| *step_id).collect();
-        for step_id in first {
-            let step = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id));
-            if let Some(step) = step
-                && step.advice.turn.has_ended(&step.advice, now_ms)
-            {
-                let since_ms = step.advice.turn.tickets_expire_ms.min(now_ms);
-                let since_ms = since_ms.max(step.uncalled_since_ms().unwrap_or(now_ms));
-                step.advice.turn = Turn::default();
-                self.backlog.turns.insert(step_id, since_ms);
-            }
+        let step = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id));
+        let Some(step) = step else { return false };
+        if !step.advice.turn.has_ended(&step.advice, now_ms) {
+            return false;
         }
+        let ended_ms = step.advice.turn.tickets_expire_ms.min(now_ms);
+        let since_ms = ended_ms.max(step.uncalled_since_ms().unwrap_or(now_ms));
+        step.advice.turn = Turn::default();
+        self.backlog.turns.insert(step_id, since_ms);
+        true
     }
 
-    /// Adds steps that have become late and need advice. Their wait counts from their last call.
-    pub(super) fn add_to_turns(&mut self, late: Vec<StepId>) {
+    /// Adds steps that have become hopeless and need advice. Their wait counts from their last call.
+    pub(super) fn add_to_turns(&mut self, steps: Vec<StepId>) {
         let now_ms = self.now.monotonic_ms;
-        for step_id in late {
+        for step_id in steps {
+            if self.backlog.turns.since_ms.contains_key(&step_id) {
+                continue;
+            }
             let Some(job) = self.jobs.get_mut(&step_id.job) else { continue };
             let needs_advice =
                 self.queues.get(&job.queue).is_some_and(|queue| queue.advice.is_some());
@@ -127,16 +153,16 @@
         }
     }
 
-    /// Returns the number of calls of a class that steps which are not late leave to late ones.
-    pub(super) fn calls_left_to_late_steps(&self, class: CallClass) -> u32 {
+    /// Returns the number of calls of a class that steps which are not hopeless leave to hopeless ones.
+    pub(super) fn calls_left_to_hopeless_steps(&self, class: CallClass) -> u32 {
         let at = class as usize;
-        let is_awaited = self.late_call_refused_ms[at]
+        let is_awaited = self.hopeless_call_refused_ms[at]
             .is_some_and(|refused_ms| self.now.monotonic_ms < refused_ms + CALL_LEFT_MS);
-        u32::from(is_awaited && !self.has_late_call(class) && self.advice_limits[at] > 1)
+        u32::from(is_awaited && !self.has_hopeless_call(class) && self.advice_limits[at] > 1)
     }
 
-    /// Returns whether a call of a class is in flight for a late step.
-    pub(super) fn has_late_call(&self, class: CallClass) -> bool {
-        self.late_calls.values().any(|calls| calls[class as usize] > 0)
+    /// Returns whether a call of a class is in flight for a hopeless step.
+    pub(super) fn has_hopeless_call(&self, class: CallClass) -> bool {
+        self.hopeless_calls.values().any(|calls| calls[class as usize] > 0)
     }
 }
--- a/crates/graph/tests/engine/call_turns.rs
+++ b/crates/graph/tests/engine/call_turns.rs
@@ -2,7 +2,7 @@
 
 use sycamore_graph::Event;
 use sycamore_graph::catalog::{AdviceCost, Catalog, Queue};
-use sycamore_graph::job::{Id, State};
+use sycamore_graph::job::{Id, State, Step};
 
 use crate::fixture::{QUEUE, catalog, gang, id, job, queue, step};
 use crate::world::World;
@@ -10,7 +10,7 @@
 /// Time until the jobs of these tests are so late that completing them has no value any more, three
 /// times their objective of 2 x 500 + 1000 ms, and until that they had to wait for calls before is of
 /// no account any more.
-const LATE_MS: u64 = 8_100;
+const HOPELESS_MS: u64 = 8_100;
 
 /// Calls for advice of 700 ms and more.
 fn long_calls() -> Queue {
@@ -30,16 +30,16 @@
     jobs.filter(|job| world.state(*job) == Some(State::Complete)).count()
 }
 
-/// Accepted gangs that were late waited for a call although hosts that can make one were idle: two
+/// Accepted gangs that were too late to have value waited for a call although hosts that can make one were idle: two
 /// calls in flight were left to other steps, of which there were none. Rule LOST was broken on the
 /// first Sialkot site (waiting-gangs.toml, 66 s of traffic, seed 11).
 #[test]
-fn late_steps_use_all_callers_while_no_other_step_calls() {
+fn hopeless_steps_use_all_callers_while_no_other_step_calls() {
     let mut world = world_without_calls(catalog(long_calls()));
     for number in 0..40 {
         world.submit(id(number), job(vec![gang(2, 1_000)]));
     }
-    world.run(LATE_MS);
+    world.run(HOPELESS_MS);
 
     // Three hosts, and one call that waits for the first free one.
     world.handle(Event::AdviceConcurrency([4; 3]));
@@ -48,17 +48,17 @@
     assert!(world.call_load().in_flight[2] >= 3, "{:?}", world.call_load());
 }
 
-/// Accepted steps that were late had no call for 60 s, as steps that were not late took all calls as
+/// Accepted steps that were too late to have value had no call for 60 s, as other steps took all calls as
 /// soon as they were free. Rule LOST was broken on the first Sialkot site (waiting-gangs.toml, 66 s of
 /// traffic, seed 11).
 #[test]
-fn late_steps_get_calls_beside_a_stream_of_others() {
+fn hopeless_steps_get_calls_beside_a_stream_of_others() {
     let mut world = world_without_calls(catalog(long_calls()));
-    let late = || (0..12).map(id);
-    for job_id in late() {
+    let hopeless = || (0..12).map(id);
+    for job_id in hopeless() {
         world.submit(job_id, job(vec![gang(2, 1_000)]));
     }
-    world.run(LATE_MS);
+    world.run(HOPELESS_MS);
 
     world.handle(Event::AdviceConcurrency([4; 3]));
     // Ten steps a second, where five calls a second can be made.
@@ -68,15 +68,15 @@
     }
 
     // One call of four is theirs: 12 calls of 750 ms, one after the other, take 9 s.
-    assert_eq!(complete(&mut world, late()), 12, "{}", world.describe_waits());
+    assert_eq!(complete(&mut world, hopeless()), 12, "{}", world.describe_waits());
 }
 
-/// A late step got no further call as long as other late steps had a higher rank, by the priority of
+/// A hopeless step got no further call as long as other hopeless steps had a higher rank, by the priority of
 /// their queue or the past use of their team. Rule LOST was broken on the first Sialkot site
 /// (waiting-gangs.toml, 66 s of traffic, seed 11): the gang that had waited for 70 s had had its last
 /// call 28 s before.
 #[test]
-fn late_steps_take_turns_whatever_their_rank() {
+fn hopeless_steps_take_turns_whatever_their_rank() {
     let mut catalog = catalog(long_calls());
     catalog.queues.insert("later".into(), Queue { priority: 1, ..long_calls() });
     let mut world = world_without_calls(catalog);
@@ -85,26 +85,26 @@
     for number in 0..60 {
         world.submit_to(QUEUE, id(100 + number), job(vec![gang(2, 1_000)]));
     }
-    world.run(LATE_MS);
+    world.run(HOPELESS_MS);
 
     world.handle(Event::AdviceConcurrency([4; 3]));
     world.run(2_000);
 
     assert_eq!(world.state(id(1)), Some(State::Complete), "{}", world.describe_waits());
     // The record tells why it went before steps of a higher rank.
-    assert!(world.turn_waits_ms[&id(1)] >= LATE_MS, "{:?}", world.turn_waits_ms);
+    assert!(world.turn_waits_ms[&id(1)] >= HOPELESS_MS, "{:?}", world.turn_waits_ms);
 }
 
 /// A step in its turn keeps its place until its tickets have expired, so that the room that it asked
 /// about is not kept for the steps whose turn is next.
 #[test]
-fn a_late_gang_starts_with_the_answer_to_its_call() {
+fn a_hopeless_gang_starts_with_the_answer_to_its_call() {
     let mut world = world_without_calls(catalog(long_calls()));
     for number in 0..8 {
         // Each needs two thirds of the workers, for 100 ms.
         world.submit(id(number), job(vec![gang(16, 4_000)]));
     }
-    world.run(LATE_MS);
+    world.run(HOPELESS_MS);
 
     world.handle(Event::AdviceConcurrency([2; 3]));
     world.run(8 * 850);
@@ -113,3 +113,28 @@
     assert_eq!(complete(&mut world, (0..8).map(id)), 8, "{}", world.describe_waits());
     assert!(world.advice_calls <= 9, "{} calls", world.advice_calls);
 }
+
+/// Failure: the steps that have waited longest can use no call, as no worker may run them, and those
+/// behind them get none.
+#[test]
+fn hopeless_steps_behind_many_without_a_worker_get_calls() {
+    let mut world = world_without_calls(catalog(long_calls()));
+    for number in 0..300 {
+        let without_worker = Step { required_label: Some("none".into()), ..gang(2, 1_000) };
+        world.submit(id(1_000 + number), job(vec![without_worker]));
+    }
+    world.run(100);
+    world.submit(id(1), job(vec![gang(2, 1_000)]));
+    world.run(HOPELESS_MS);
+
+    // These take all calls that are free at first.
+    (0..10).for_each(|number| _ = world.submit(id(3_000 + number), job(vec![step(1, 1_000)])));
+    world.handle(Event::AdviceConcurrency([4; 3]));
+    // Ten steps a second, where five calls a second can be made.
+    for number in 0..50 {
+        world.submit(id(2_000 + number), job(vec![step(1, 1_000)]));
+        world.run(100);
+    }
+
+    assert_eq!(world.state(id(1)), Some(State::Complete), "{:?}", world.call_load());
+}
