--- a/crates/graph/tests/engine/call_turns.rs
+++ b/crates/graph/tests/engine/call_turns.rs
@@ -113,3 +113,148 @@
     assert_eq!(complete(&mut world, (0..8).map(id)), 8, "{}", world.describe_waits());
     assert!(world.advice_calls <= 9, "{} calls", world.advice_calls);
 }
+
+/// Failure: late steps that can't use a call, as no worker has room for them, take up all turns, so that
+/// the others get none.
+#[test]
+fn late_steps_without_room_leave_their_turns_to_others() {
+    let mut catalog = catalog(long_calls());
+    catalog.queues.insert("plain".into(), queue());
+    let mut world = world_without_calls(catalog);
+    // One run on each worker, which leaves 1.5 of its 4 cores free.
+    world.work_ms = 60_000;
+    world.submit_to("plain", id(5_000), job(vec![step(24, 2_500)]));
+    world.run(1_000);
+    assert_eq!(world.running(), 24);
+    world.work_ms = 100;
+    for number in 0..100 {
+        world.submit(id(2_000 + number), job(vec![step(1, 2_000)]));
+    }
+    world.run(100);
+    let late = || (0..12).map(id);
+    for job_id in late() {
+        world.submit(job_id, job(vec![gang(2, 1_000)]));
+    }
+    world.run(LATE_MS);
+
+    world.handle(Event::AdviceConcurrency([4; 3]));
+    for number in 0..130 {
+        world.submit(id(10_000 + number), job(vec![step(1, 1_000)]));
+        world.run(100);
+    }
+
+    // As without the steps that no worker has room for.
+    assert_eq!(complete(&mut world, late()), 12, "{}", world.describe_waits());
+}
+
+/// Failure: no call is left to a late step that needs a long call if its queue has short calls, too, as
+/// a free short call hides that it has to wait.
+#[test]
+fn late_steps_get_long_calls_while_short_calls_are_free() {
+    // The calls of each name all workers and take 490 ms. The second queue has short calls, too.
+    for (base_ms, per_host_ms) in [(490.0, 0.0), (10.0, 20.0)] {
+        let advice = AdviceCost { base_ms, per_host_ms, valid_ms: 1_500 };
+        let mut catalog = catalog(Queue { advice: Some(advice), ..queue() });
+        catalog.queues.insert("long".into(), long_calls());
+        let mut world = world_without_calls(catalog);
+        let late = || (0..8).map(id);
+        for job_id in late() {
+            world.submit(job_id, job(vec![gang(6, 4_000)]));
+        }
+        world.run(LATE_MS);
+
+        world.handle(Event::AdviceConcurrency([4; 3]));
+        // None of these is late before the end.
+        for number in 0..50 {
+            world.submit_to("long", id(1_000 + number), job(vec![step(1, 1_000)]));
+            world.run(100);
+        }
+
+        let context = format!("{per_host_ms} ms: {}", world.describe_waits());
+        assert_eq!(complete(&mut world, late()), 8, "{context}");
+    }
+}
+
+/// Failure: no call is left to late steps if passes are 100 ms apart, as they are when one takes 25 ms
+/// (control.rs pauses for three times as long).
+#[test]
+fn late_steps_get_calls_beside_a_stream_of_others_in_slow_passes() {
+    let mut world = world_without_calls(catalog(long_calls()));
+    let late = || (0..12).map(id);
+    for job_id in late() {
+        world.submit(job_id, job(vec![gang(2, 1_000)]));
+    }
+    world.run(LATE_MS);
+
+    world.pass_interval_ms = 120;
+    world.handle(Event::AdviceConcurrency([4; 3]));
+    for number in 0..150 {
+        world.submit(id(1_000 + number), job(vec![step(1, 1_000)]));
+        world.run(100);
+    }
+
+    // 12 calls of 750 ms and up to two passes each, one after the other, take 12 s.
+    assert_eq!(complete(&mut world, late()), 12, "{}", world.describe_waits());
+}
+
+/// Failure: a step that has missed its objective, but whose completion has value still, gets no call as
+/// long as others that are in time take all.
+#[test]
+fn steps_that_are_late_and_have_value_get_calls_beside_a_stream_of_others() {
+    let queue = Queue { objective_ms: 20_000, ..long_calls() };
+    let mut world = world_without_calls(catalog(queue));
+    let late = || (0..12).map(id);
+    for job_id in late() {
+        world.submit(job_id, job(vec![gang(2, 1_000)]));
+    }
+    world.run(23_000);
+
+    world.handle(Event::AdviceConcurrency([4; 3]));
+    for number in 0..130 {
+        world.submit(id(1_000 + number), job(vec![step(1, 1_000)]));
+        world.run(100);
+    }
+
+    assert_eq!(complete(&mut world, late()), 12, "{}", world.describe_waits());
+}
+
+/// Failure: a pass ends before the late steps, after 300 gangs that wait for a call.
+#[test]
+fn late_steps_get_calls_beside_hundreds_of_gangs_that_wait() {
+    let mut world = world_without_calls(catalog(long_calls()));
+    let late = || (0..12).map(id);
+    for job_id in late() {
+        world.submit(job_id, job(vec![gang(2, 1_000)]));
+    }
+    world.run(LATE_MS);
+
+    world.handle(Event::AdviceConcurrency([4; 3]));
+    for number in 0..130 {
+        for part in 0..8 {
+            world.submit(id(1_000 + 8 * number + part), job(vec![gang(2, 1_000)]));
+        }
+        world.run(100);
+    }
+
+    assert_eq!(complete(&mut world, late()), 12, "{}", world.describe_waits());
+}
+
+/// Failure: a new owner gives the first turns to the lowest job ids, not to the longest waits.
+#[test]
+fn late_steps_take_turns_by_their_wait_after_a_takeover() {
+    let mut catalog = catalog(long_calls());
+    catalog.queues.insert("later".into(), Queue { priority: 1, ..long_calls() });
+    let mut world = world_without_calls(catalog);
+    world.submit_to("later", id(1_000), job(vec![gang(2, 1_000)]));
+    world.run(100);
+    for number in 0..40 {
+        world.submit_to(QUEUE, id(100 + number), job(vec![gang(2, 1_000)]));
+    }
+    world.run(LATE_MS);
+
+    world.take_over();
+    world.handle(Event::AdviceConcurrency([4; 3]));
+    world.run(5_000);
+
+    assert_eq!(world.state(id(1_000)), Some(State::Complete), "{}", world.describe_waits());
+}
--- a/crates/graph/tests/engine/world/mod.rs
+++ b/crates/graph/tests/engine/world/mod.rs
@@ -101,6 +101,9 @@
     /// Time for which jobs waited whose place was decided by it, as recorded with their last start, in
     /// milliseconds.
     pub turn_waits_ms: BTreeMap<Id, u64>,
+    /// Time from the begin of a pass to the begin of the next one at least, in milliseconds.
+    pub pass_interval_ms: u64,
+    last_pass_ms: u64,
     /// Reservations that expired.
     pub unused_reservations: u64,
     /// Time at which each job was complete, in milliseconds.
@@ -176,6 +179,8 @@
             most_reclaimed_cpu: 0,
             cleared: Vec::new(),
             turn_waits_ms: BTreeMap::new(),
+            pass_interval_ms: 0,
+            last_pass_ms: 0,
             unused_reservations: 0,
             finished_ms: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -423,12 +428,22 @@
                 self.handle(Event::Tick);
                 self.handle_as_former(Event::Tick);
             }
-            let actions = self.engine.dispatch(self.moment());
+            let actions = self.dispatch_if_due();
             self.assert_no_stale_result();
             self.execute(actions);
         }
     }
 
+    fn dispatch_if_due(&mut self) -> Vec<Action> {
+        if self.now_ms < self.last_pass_ms + self.pass_interval_ms {
+            return Vec::new();
+        }
+        if self.engine.needs_dispatch() {
+            self.last_pass_ms = self.now_ms;
+        }
+        self.engine.dispatch(self.moment())
+    }
+
     /// Advances the runs on all workers, and ends those that are due or whose lease has
     /// expired.
     fn advance_workers(&mut self) {
@@ -581,7 +596,7 @@
     pub fn handle(&mut self, event: Event) {
         let mut actions = self.engine.handle(self.moment(), event);
         self.assert_no_stale_result();
-        actions.extend(self.engine.dispatch(self.moment()));
+        actions.extend(self.dispatch_if_due());
         self.assert_no_stale_result();
         self.execute(actions);
     }
--- a/crates/node/src/owner/tests/advice_load.rs
+++ b/crates/node/src/owner/tests/advice_load.rs
@@ -142,3 +142,21 @@
         assert!(calls[2] > 0, "{context}");
     }
 }
+
+/// Failure: hosts are lent to long calls in a pause of the short ones, and the next burst finds one host.
+#[test]
+fn short_calls_in_bursts_find_a_free_host_beside_a_backlog_of_long_ones() {
+    for (hosts, burst) in [(7, 8), (97, 40)] {
+        let mut simulation = Simulation::new(hosts);
+        simulation.run(5_000, 0, 0);
+
+        for _ in 0..4 {
+            (0..burst).for_each(|_| simulation.enqueue(CallClass::Short));
+            simulation.run(2_000, 0, 0);
+
+            let wait_ms = simulation.longest_wait_ms(CallClass::Short);
+            let context = format!("{hosts} hosts: {:?}", simulation.calls);
+            assert!(wait_ms <= MAX_SHORT_WAIT_MS, "{wait_ms} ms, {context}");
+        }
+    }
+}
