Let passes reach all waiting steps, and keep the turns of hopeless steps in slow ones

- A pass ended after 300 unsuccessful searches by rank, so that 300 gangs that wait kept hopeless steps from being looked at, as any steps behind them.
It now looks at steps by rank until 200 searches are in vain, then at 50 of the others in turn, and always at its slices of the hopeless ones (hopeless_steps_get_calls_beside_hundreds_of_gangs_that_wait: 7 of 12 before, 12 of 12 now).
- A call was left to hopeless steps for 100 ms after one had to wait.
Passes that take 25 ms are 100 ms apart, so that it was gone by the next one.
It is now left for as many passes as look at all of them (..._in_slow_passes: 1 of 12 before, 12 of 12 now).
- Where a queue has short and long calls, a free short call hid that a long one had to be waited for (hopeless_steps_get_long_calls_while_short_calls_are_free: 3 of 8, 8 of 8).
A request counts in the turn only once a call goes out.
- After a takeover the turns went by job id.
Waits now count from when the job was due (hopeless_steps_take_turns_by_their_wait_after_a_takeover).

Not mended: steps_that_are_late_and_have_value_get_calls_beside_a_stream_of_others. Such a step waits until it is hopeless, at three times its objective.

--- a/crates/graph/src/engine/advice.rs
+++ b/crates/graph/src/engine/advice.rs
@@ -130,16 +130,21 @@
         if is_shared { shared } else { shared.max(limit.saturating_sub(RESERVED_CALLS)) }
     }
 
-    /// Records that a step has to wait for a free call.
+    /// Records that a step has to wait for a free call, of any length that its queue has.
     fn record_refused_call(&mut self, demand: &Demand, cost: AdviceCost) {
-        let refused_ms = match (demand.is_hopeless, demand.is_in_turn) {
-            (false, _) => &mut self.live_call_refused_ms,
-            (true, true) => &mut self.hopeless_call_refused_ms,
-            (true, false) => return,
-        };
-        let shortest = CallClass::of(cost.call_ms(1)) as usize;
-        let longest = CallClass::of(cost.call_ms(MAX_HOSTS_PER_CALL)) as usize;
-        refused_ms[shortest..=longest].fill(Some(self.now.monotonic_ms));
+        let shortest = CallClass::of(cost.call_ms(1));
+        let longest = CallClass::of(cost.call_ms(MAX_HOSTS_PER_CALL));
+        let classes =
+            CallClass::ALL.into_iter().filter(|class| (shortest..=longest).contains(class));
+        classes.for_each(|class| self.record_refused_class(demand, class));
+    }
+
+    fn record_refused_class(&mut self, demand: &Demand, class: CallClass) {
+        if !demand.is_hopeless {
+            self.live_call_refused_ms[class as usize] = Some(self.now.monotonic_ms);
+        } else if demand.is_in_turn {
+            self.record_refused_turn(class);
+        }
     }
 
     /// Returns the time that a ticket's expiry has to exceed to be used now, in
@@ -197,9 +202,6 @@
             }
             return;
         }
-        if let Some(step) = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id)) {
-            step.advice.turn.begin_request();
-        }
         // The answers come sooner, at the cost of a call's fixed duration.
         let is_split = demand.is_gang && self.has_idle_callers(cost.call_ms(hosts.len()));
         let calls = if is_split { hosts.len().div_ceil(HOSTS_PER_PARALLEL_CALL) } else { 1 };
@@ -209,6 +211,7 @@
             // Steps are handled in order of rank, so the most urgent ones get the available
             // calls.
             if !self.has_free_call(demand, class) {
+                self.record_refused_class(demand, class);
                 return;
             }
             let Some(step) = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id))
@@ -219,6 +222,9 @@
             if demand.is_hopeless {
                 self.hopeless_calls.entry(step_id).or_default()[class as usize] += 1;
             }
+            if step.advice.calls_in_flight == 0 {
+                step.advice.turn.begin_request();
+            }
             step.advice.calls_in_flight += 1;
             let waited_ms = now_ms.saturating_sub(step.uncalled_since_ms().unwrap_or(now_ms));
             let (step, hosts) = (step_id, part.to_vec());
--- a/crates/graph/src/engine/backlog.rs
+++ b/crates/graph/src/engine/backlog.rs
@@ -54,6 +54,8 @@
     places: BTreeMap<StepId, Place>,
     /// Last hopeless step that a pass has looked at.
     cursor: Option<Place>,
+    /// Last live step that a pass has looked at in turn.
+    live_cursor: Option<StepId>,
     /// The hopeless steps that need calls for advice.
     pub turns: Turns,
 }
@@ -158,6 +160,26 @@
         order
     }
 
+    /// Returns at most `count` of some live steps in turn, in their order.
+    pub fn next_unreached(
+        &mut self,
+        steps: &[(Rank, StepId)],
+        count: usize,
+    ) -> Vec<(Rank, StepId)> {
+        if steps.is_empty() {
+            return Vec::new();
+        }
+        let mut ids: Vec<StepId> = steps.iter().map(|(_, step_id)| *step_id).collect();
+        ids.sort_unstable();
+        let start =
+            self.live_cursor.map_or(0, |last| ids.partition_point(|step_id| *step_id <= last));
+        ids.rotate_left(start);
+        ids.truncate(count);
+        self.live_cursor = ids.last().copied();
+        let ids: BTreeSet<StepId> = ids.into_iter().collect();
+        steps.iter().filter(|(_, step_id)| ids.contains(step_id)).copied().collect()
+    }
+
     /// Returns the next slice of at most `count` hopeless steps, the most urgent first. The
     /// slice after the last one begins anew.
     pub fn next_hopeless(
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -19,9 +19,13 @@
 use crate::progress::{Job, StepProgress};
 use crate::{Grounds, StepId, TaskId, Verdict, WaitReason};
 
-/// Unsuccessful searches of all hosts after which a pass ends. With hundreds of hosts, a
-/// longer pass would make callers wait for the control thread.
-const MAX_FAILED_SEARCHES: u32 = 300;
+/// Unsuccessful searches of all hosts after which a pass looks at no further step by rank. With
+/// hundreds of hosts, a longer pass would make callers wait for the control thread.
+const MAX_FAILED_SEARCHES: u32 = 200;
+
+/// Steps that a pass looks at in turn of those that it has not reached by rank. Otherwise the first ones
+/// could keep all others from hosts that only these may use.
+const UNREACHED_SLICE: usize = 50;
 
 /// Hopeless steps that a pass looks at. At 20 passes a second, the least that ticks cause,
 /// a thousand are looked at each second.
@@ -31,6 +35,20 @@
 /// platform takes a job for lost that waits for 3 s while less than half of the capacity is in use.
 const MAX_SHARE_KEPT_FOR_GANGS: f64 = 0.4;
 
+/// One pass over the waiting steps.
+struct Pass {
+    /// Number of waiting steps.
+    waiting: u32,
+    /// Total capacity of the listed hosts.
+    capacity: Resources,
+    /// Number of steps looked at so far.
+    place: u32,
+    /// The hosts of evacuated failure domains.
+    evacuated: HostViews,
+    /// Number of unsuccessful searches so far.
+    failed_searches: u32,
+}
+
 /// Position of a step within one pass, kept for the audit records.
 struct PassPosition {
     rank: Rank,
@@ -73,48 +91,66 @@
         self.hold_reservations(&mut views);
         let capacity = self.listed_capacity();
         let shares = self.shares(&capacity);
-        let order = self.pass_order(&shares);
+        self.count_pass_of_refusals();
+        let live = self.backlog.ranked(now_unix_ms, &shares);
+        let hopeless = self.hopeless_order(&shares);
         let waiting = self.backlog.len() as u32;
-        let mut failed_searches = 0;
-        for (at, (rank, step_id, turn_wait_ms)) in order.into_iter().enumerate() {
-            let place = at as u32 + 1;
-            let position = PassPosition { rank, place, waiting, capacity, turn_wait_ms };
-            self.reservations.release(step_id, &mut views);
-            let reason = self.start_step(step_id, &position, &mut views, &mut failed_searches);
-            let reason = match reason {
-                Some(WaitReason::NoRoom) => Some(self.room_wait_reason(step_id, &evacuated)),
-                other => other,
-            };
-            self.reservations.settle(step_id, reason.is_some(), &mut views);
-            if let Some(step) =
-                self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id))
-            {
-                step.wait_reason = reason;
-                step.wait_times.record(reason, self.now.monotonic_ms);
-            }
-            if failed_searches >= MAX_FAILED_SEARCHES {
+        let mut pass = Pass { waiting, capacity, place: 0, evacuated, failed_searches: 0 };
+        let mut looked_at = 0;
+        for (rank, step_id) in &live {
+            if pass.failed_searches >= MAX_FAILED_SEARCHES {
                 break;
             }
+            looked_at += 1;
+            self.look_at(*step_id, *rank, None, &mut pass, &mut views);
+        }
+        for (rank, step_id) in self.backlog.next_unreached(&live[looked_at..], UNREACHED_SLICE) {
+            self.look_at(step_id, rank, None, &mut pass, &mut views);
+        }
+        for (rank, step_id, turn_wait_ms) in hopeless {
+            self.look_at(step_id, rank, turn_wait_ms, &mut pass, &mut views);
         }
         self.keep_host_views(views);
     }
 
-    /// Returns the steps that a pass looks at, in order: all whose start still has value, the hopeless ones
-    /// whose wait for a call decides their place, with that wait in milliseconds, and a slice of the
-    /// other hopeless ones.
-    fn pass_order(&mut self, shares: &Shares) -> Vec<(Rank, StepId, Option<u64>)> {
+    /// Starts as many tasks of a step as possible, and records why the others wait.
+    fn look_at(
+        &mut self,
+        step_id: StepId,
+        rank: Rank,
+        turn_wait_ms: Option<u64>,
+        pass: &mut Pass,
+        views: &mut HostViews,
+    ) {
+        pass.place += 1;
+        let Pass { waiting, capacity, place, .. } = *pass;
+        let position = PassPosition { rank, place, waiting, capacity, turn_wait_ms };
+        self.reservations.release(step_id, views);
+        let reason = self.start_step(step_id, &position, views, &mut pass.failed_searches);
+        let reason = match reason {
+            Some(WaitReason::NoRoom) => Some(self.room_wait_reason(step_id, &pass.evacuated)),
+            other => other,
+        };
+        self.reservations.settle(step_id, reason.is_some(), views);
+        if let Some(step) = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id)) {
+            step.wait_reason = reason;
+            step.wait_times.record(reason, self.now.monotonic_ms);
+        }
+    }
+
+    /// Returns the hopeless steps that a pass looks at, in order: those whose wait for a call decides
+    /// their place, with that wait in milliseconds, and a slice of the others.
+    fn hopeless_order(&mut self, shares: &Shares) -> Vec<(Rank, StepId, Option<u64>)> {
         let now_unix_ms = self.now.unix_ms;
         let turns = self.next_turns();
         let in_turn: BTreeSet<StepId> = turns.iter().map(|(step_id, _)| *step_id).collect();
         let others = self.backlog.next_hopeless(HOPELESS_SLICE, now_unix_ms, shares);
         let others = others.into_iter().filter(|(_, step_id)| !in_turn.contains(step_id));
-        let live = self.backlog.ranked(now_unix_ms, shares).into_iter();
         let turns = turns.into_iter().filter_map(|(step_id, wait_ms)| {
             let rank = self.backlog.hopeless_rank(step_id, now_unix_ms, shares)?;
             Some((rank, step_id, Some(wait_ms)))
         });
-        let by_rank = |(rank, step_id)| (rank, step_id, None);
-        live.map(by_rank).chain(turns).chain(others.map(by_rank)).collect()
+        turns.chain(others.map(|(rank, step_id)| (rank, step_id, None))).collect()
     }
 
     /// Starts as many tasks of a step as possible. Returns why the others wait.
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -164,8 +164,9 @@
     /// When a step whose start has value last had to wait for a free call, by class, in
     /// milliseconds.
     live_call_refused_ms: [Option<u64>; CallClass::COUNT],
-    /// When a hopeless step whose turn it is last had to wait for a free call, by class, in milliseconds.
-    hopeless_call_refused_ms: [Option<u64>; CallClass::COUNT],
+    /// Number of passes for which calls are left to hopeless steps, after one whose turn it is had to wait
+    /// for a free call, by class.
+    hopeless_refusal_passes: [u32; CallClass::COUNT],
     /// Calls in flight for hopeless steps, by class.
     hopeless_calls: FxHashMap<StepId, [u32; CallClass::COUNT]>,
     /// Number of records appended so far.
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -272,7 +272,7 @@
             advice_limits: [INITIAL_ADVICE_CALLS; CallClass::COUNT],
             advice_calls: [0; CallClass::COUNT],
             live_call_refused_ms: [None; CallClass::COUNT],
-            hopeless_call_refused_ms: [None; CallClass::COUNT],
+            hopeless_refusal_passes: [0; CallClass::COUNT],
             hopeless_calls: FxHashMap::default(),
             appended_records: 0,
             durable_records: 0,
--- a/crates/graph/src/engine/turns.rs
+++ b/crates/graph/src/engine/turns.rs
@@ -1,14 +1,14 @@
 //! In which order hopeless steps get calls for advice.
 //!
 //! Calls are scarce, and by their rank alone some hopeless steps would get none for as long as others
-//! have a higher rank. So a hopeless step that has waited for [`MAX_WAIT_MS`] goes before those that
+//! have a higher rank. So a hopeless step that has waited for [`MIN_TURN_WAIT_MS`] goes before those that
 //! have not, the longest wait first, and one call at a time is left to such steps while others have to
 //! wait for a free call, too. The wait of a step is bounded by the calls of the hopeless steps that
 //! have waited for longer.
 //!
 //! A step keeps its place during its turn, which lasts until its tickets have expired. Otherwise the
-//! room that it asked about would be kept for steps whose turn is next. It has to begin to wait anew
-//! after some requests, as the room for it may be taken again and again.
+//! room that it asked about would be kept for steps whose turn is next. With its third request it begins
+//! to wait anew, as the room for it may be taken again and again.
 //!
 //! Steps that wait for room keep their place, too. A pass also looks at a slice of those behind them,
 //! so that they leave calls that they have no use for to others.
@@ -22,7 +22,7 @@
 
 /// Time after which the wait of a hopeless step decides its place, in milliseconds: the one within which
 /// accepted work has to start while there is room for it.
-const MAX_WAIT_MS: u64 = 3_000;
+const MIN_TURN_WAIT_MS: u64 = 3_000;
 
 /// Requests for advice in one turn: one that finds the hosts that may run the step, and one that renews
 /// their tickets once they have room.
@@ -34,10 +34,6 @@
 /// Steps behind them that each pass looks at, in turn.
 const OTHER_STEPS: usize = 50;
 
-/// Time for which a call is left to hopeless steps after one had to wait for it, in milliseconds. At least
-/// two passes fall into it.
-const CALL_LEFT_MS: u64 = 100;
-
 /// The turn of a step, from its first request until the last tickets have expired.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Turn {
@@ -110,7 +106,7 @@
         let mut turns = Vec::new();
         for (since_ms, step_id) in self.backlog.turns.next() {
             let wait_ms = now_ms.saturating_sub(since_ms);
-            if wait_ms >= MAX_WAIT_MS && !self.end_turn(step_id) {
+            if wait_ms >= MIN_TURN_WAIT_MS && !self.end_turn(step_id) {
                 turns.push((step_id, wait_ms));
             }
         }
@@ -142,22 +138,41 @@
             let Some(job) = self.jobs.get_mut(&step_id.job) else { continue };
             let needs_advice =
                 self.queues.get(&job.queue).is_some_and(|queue| queue.advice.is_some());
+            let is_recovered = job.is_recovered;
+            let age_ms = self.now.unix_ms.saturating_sub(job.due_unix_ms(step_id.occurrence));
             if let Some(step) = job.step_mut(step_id)
                 && needs_advice
             {
                 if step.advice.turn.has_ended(&step.advice, now_ms) {
                     step.advice.turn = Turn::default();
                 }
-                self.backlog.turns.insert(step_id, step.uncalled_since_ms().unwrap_or(now_ms));
+                let since_ms = match step.advice.last_call {
+                    // The calls of an earlier owner are not known.
+                    None if is_recovered => now_ms.saturating_sub(age_ms),
+                    _ => step.uncalled_since_ms().unwrap_or(now_ms),
+                };
+                self.backlog.turns.insert(step_id, since_ms);
             }
         }
     }
 
+    /// Begins a pass: calls are left to hopeless steps for as many passes as look at all of them.
+    pub(super) fn count_pass_of_refusals(&mut self) {
+        for passes in &mut self.hopeless_refusal_passes {
+            *passes = passes.saturating_sub(1);
+        }
+    }
+
+    /// Records that a hopeless step whose turn it is has to wait for a free call of a class.
+    pub(super) fn record_refused_turn(&mut self, class: CallClass) {
+        let passes = self.backlog.turns.order.len().div_ceil(OTHER_STEPS) as u32 + 1;
+        self.hopeless_refusal_passes[class as usize] = passes;
+    }
+
     /// Returns the number of calls of a class that steps which are not hopeless leave to hopeless ones.
     pub(super) fn calls_left_to_hopeless_steps(&self, class: CallClass) -> u32 {
         let at = class as usize;
-        let is_awaited = self.hopeless_call_refused_ms[at]
-            .is_some_and(|refused_ms| self.now.monotonic_ms < refused_ms + CALL_LEFT_MS);
+        let is_awaited = self.hopeless_refusal_passes[at] > 0;
         u32::from(is_awaited && !self.has_hopeless_call(class) && self.advice_limits[at] > 1)
     }
 
