Keep an eighth of the hosts for short calls and one for middle calls

Middle calls after a pause waited for up to 609 ms.

Now an eighth of the hosts makes short calls only, and as many middle and short ones, at least one of each. advice_load::short_calls_in_bursts_find_a_free_host_beside_a_backlog_of_ long_ones failed and passes. hosts_for_shorter_calls_make_long_ones_while_there_are_none expects five of seven hosts for long calls instead of six, for that reason; before the fix three made them.

--- a/crates/node/src/owner/advice/assigner.rs
+++ b/crates/node/src/owner/advice/assigner.rs
@@ -3,7 +3,8 @@
 //! - Short calls must not queue behind long ones. Each host has a class that it serves first. It
 //!   serves shorter calls, which end soon, if none of its class waits.
 //! - A host makes longer calls, too, while the shorter ones of the last seconds leave it idle, as the
-//!   steps that need longer calls may not wait for it in vain. One host is always kept for short calls.
+//!   steps that need longer calls may not wait for it in vain. Some hosts are always kept for short and
+//!   for middle calls, so that one that comes after a pause finds a free host.
 //! - A host whose call failed is passed over for a time that doubles with each further failure,
 //!   so that the retry of a step goes through another host. The classes are spread over the other
 //!   hosts meanwhile: the only host for long calls may be the one that fails.
@@ -34,8 +35,9 @@
 /// sites' price lists.
 const NO_LONG_FRACTION: f64 = 0.55;
 
-/// Hosts that make short calls only, also while there are none.
-const MIN_SHORT_HOSTS: usize = 1;
+/// Fraction of the hosts that make short calls only, also while there are none, and of those that make
+/// short and middle calls only.
+const MIN_KEPT_FRACTION: f64 = 0.125;
 
 /// Returns the class that a host serves first, by its position among all hosts between
 /// 0 and 1.
@@ -234,8 +236,10 @@
             let all = |name| Server { name, first: None, longest: CallClass::Long };
             return names.into_iter().map(all).collect();
         }
-        let short = self.demand.hosts(CallClass::Short, now).unwrap_or(count).max(MIN_SHORT_HOSTS);
-        let middle = self.demand.hosts(CallClass::Middle, now).unwrap_or(count).max(short);
+        let kept = (count as f64 * MIN_KEPT_FRACTION).ceil() as usize;
+        let needed = |class| self.demand.hosts(class, now).unwrap_or(count);
+        let short = needed(CallClass::Short).max(kept);
+        let middle = needed(CallClass::Middle).max(short + kept);
         let server = |(at, name)| {
             let first = first_class_at((at as f64 + 0.5) / count as f64);
             let unneeded = match at {
