Count runs of closed jobs against their team's limit under a new owner

What callers saw: QUOTA. A successor started tasks of a team beside runs of a cancelled or failed job that were still being stopped, up to the whole size of these runs above the limit.

Cause: a successor knew the team of a closed job from the log, but adopted its runs with no team and no size. The specification was dropped with the final state, so the size was not known. The same cause in other places: runs of a closed job that a silent leaving worker had were not adopted at all; runs that outlast the retention time of their job (a worker that takes no stops but replies to polls) belonged to no known job; log compaction left only the final state.

Change: a closed job keeps the steps of its specification for as long as it has runs or a run may yet be reported. A run of a closed job takes its team and size from there. Where a log of an older build has no sizes, the run counts as much as its worker has. Each count ends with the run: with the report of its end, or with the lease of the worker. A stop for a worker that is known only from the log waits until the worker is listed.

Limits: a worker that is known only from an older build's leaving record has no known capacity either, and its runs of closed jobs count as nothing. The CPU of best-effort tasks may exceed the capacity of a worker, so that bound does not cover them.

--- a/crates/graph/src/engine/close.rs
+++ b/crates/graph/src/engine/close.rs
@@ -33,8 +33,9 @@
         };
         job.occurrences = Vec::new();
         job.suspicions.clear();
-        job.spec = Default::default();
+        job.keep_steps_only();
         self.closed_jobs.push_back((self.now.unix_ms + self.timing.status_retention_ms, id));
+        self.drop_spec_without_runs(id);
         self.backlog.remove_job(id);
         self.record_decision(closed.team.clone(), Verdict::Closed(id, state));
         self.append(Record::Closed(closed));
@@ -44,6 +45,24 @@
         }
     }
 
+    /// Drops the specification of a closed job that has no runs. A successor needs the sizes of the
+    /// others, as they count against the team's limit until they have ended.
+    pub(super) fn drop_spec_without_runs(&mut self, id: Id) {
+        // A run that no report has shown yet may be one of the job.
+        if self.is_recovering || self.job_runs.contains_key(&id) {
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&id).filter(|job| job.closed.is_some()) {
+            job.spec = Default::default();
+        }
+    }
+
+    /// The same for all closed jobs.
+    pub(super) fn drop_specs_without_runs(&mut self) {
+        let closed: Vec<Id> = self.closed_jobs.iter().map(|(_, id)| *id).collect();
+        closed.into_iter().for_each(|id| self.drop_spec_without_runs(id));
+    }
+
     fn stop_job_runs(&mut self, host: &str, id: Id) {
         let Some(entry) = self.hosts.get(host) else { return };
         let of_job = |(task, _): &&(TaskId, u32)| task.step.job == id;
@@ -98,11 +117,18 @@
         }
     }
 
+    /// Forgets the jobs whose retention time is over, except those with runs: these count against the
+    /// limit of a team that only the job tells a successor.
     pub(super) fn forget_closed_jobs(&mut self) {
-        while self.closed_jobs.front().is_some_and(|(at, _)| *at <= self.now.unix_ms) {
-            if let Some((_, id)) = self.closed_jobs.pop_front()
-                && let Some(job) = self.jobs.remove(&id)
-            {
+        let now_ms = self.now.unix_ms;
+        while !self.is_recovering
+            && let Some((at_ms, id)) = self.closed_jobs.front().copied()
+            && at_ms <= now_ms
+        {
+            self.closed_jobs.pop_front();
+            if self.job_runs.contains_key(&id) {
+                self.closed_jobs.push_back((now_ms + self.timing.status_retention_ms.max(1), id));
+            } else if let Some(job) = self.jobs.remove(&id) {
                 self.queues.remove_job(&job.queue);
             }
         }
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -275,6 +275,7 @@
             self.is_recovering = false;
             self.needs_dispatch = true;
             self.stop_partial_gangs();
+            self.drop_specs_without_runs();
         }
     }
 
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -134,6 +134,8 @@
     last_host_number: u32,
     /// Resources used by the runs of each team.
     team_usage: FxHashMap<Name, Resources>,
+    /// Number of runs that exist or may exist, by job.
+    job_runs: FxHashMap<job::Id, u32>,
     /// Use of the teams in the past.
     past_use: PastUse,
     /// Steps with tasks that wait to be started.
@@ -458,17 +460,7 @@
     /// Returns the records that replace all earlier ones of a job: none if the job is unknown
     /// or forgotten.
     pub fn job_records(&self, id: job::Id) -> Vec<Record> {
-        let Some(job) = self.jobs.get(&id) else { return Vec::new() };
-        match job.closed {
-            Some(state) => vec![Record::Closed(crate::Closed {
-                job: id,
-                queue: job.queue.clone(),
-                team: job.team.clone(),
-                state,
-                at_unix_ms: job.closed_unix_ms,
-            })],
-            None => job.records(),
-        }
+        self.jobs.get(&id).map(Job::records).unwrap_or_default()
     }
 
     /// Returns the record that replaces all earlier ones of a host, or `None` if the log
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -21,7 +21,7 @@
 use super::reservations::Reservations;
 use crate::catalog::Catalog;
 use crate::host::{Host, LogState, RunEnd};
-use crate::job::Id;
+use crate::job::{Id, State};
 use crate::progress::{ISOLATE_AFTER, Job, Suspicion};
 use crate::{
     CallClass, Ended, HostEntry, Moment, QueueDefined, Record, Snapshot, StepId, TaskId, TeamUse,
@@ -65,8 +65,11 @@
             Record::Ended(ended) => self.apply_end(&ended),
             Record::Closed(closed) => {
                 let id = closed.job;
+                let spec = self.jobs.remove(&id).map(|job| job.spec).unwrap_or_default();
                 let mut job =
                     Job::new(id, closed.queue, closed.team, Default::default(), closed.at_unix_ms);
+                job.spec = spec;
+                job.keep_steps_only();
                 job.closed = Some(closed.state);
                 job.is_close_durable = true;
                 job.is_durable = true;
@@ -259,6 +262,7 @@
             totals: HostTotals::default(),
             last_host_number,
             team_usage: FxHashMap::default(),
+            job_runs: FxHashMap::default(),
             past_use,
             backlog: Backlog::default(),
             bulkheads: Bulkheads::default(),
@@ -287,17 +291,23 @@
             engine.adopt_logged_run(&host, task, attempt);
         }
         engine.close_exhausted_jobs();
+        engine.drop_specs_without_runs();
         engine.totals.update(&mut engine.hosts);
         engine
     }
 
     /// Adopts a run that was on a host when the log recorded that it gets no new work.
     fn adopt_logged_run(&mut self, name: &Name, task: TaskId, attempt: u32) {
-        let job = self.jobs.get(&task.step.job).filter(|job| job.closed.is_none());
-        let step = job.and_then(|job| job.step(task.step));
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        let step = job.step(task.step);
         let task_progress = step.and_then(|step| step.tasks.get(task.index as usize));
-        // A run of a finished task, or of no known job, doesn't need to be waited for.
-        if task_progress.is_some_and(|task_progress| !task_progress.is_done) {
+        let may_run = match job.closed {
+            // It was stopped with the job, but counts against the team's limit until it has ended.
+            Some(state) => state != State::Complete,
+            // A run of a finished task doesn't need to be waited for.
+            None => task_progress.is_some_and(|task_progress| !task_progress.is_done),
+        };
+        if may_run {
             self.adopt_run(name, task, attempt);
         }
     }
@@ -311,7 +321,6 @@
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             if job.closed.is_some() {
                 self.closed_jobs.push_back((closed_unix_ms + self.timing.status_retention_ms, id));
-                job.spec = Arc::default();
                 continue;
             }
             let mut step_ids = Vec::new();
--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -9,6 +9,7 @@
 use super::Engine;
 use super::isolation::{Isolation, isolation_ms};
 use crate::host::{Phase, Run, RunEnd};
+use crate::job::Id;
 use crate::{Action, Start, StartOutcome, Stop, TaskId};
 
 /// Time for which a host gets no new work after it rejected a start for lack of capacity that
@@ -88,6 +89,7 @@
         host.best_effort_runs += u32::from(run.is_best_effort);
         let usage = self.team_usage.entry(run.team.clone()).or_default();
         *usage = usage.plus(&run.size);
+        *self.job_runs.entry(task.step.job).or_default() += 1;
         let is_isolated = run.isolated_until_ms.is_some();
         host.runs.insert((task, attempt), run);
         if is_isolated {
@@ -109,9 +111,19 @@
         if run.isolated_until_ms.is_some() {
             self.forget_isolated_run(name, task.step.job);
         }
+        self.count_removed_run(task.step.job);
         Some(run)
     }
 
+    fn count_removed_run(&mut self, id: Id) {
+        let Some(runs) = self.job_runs.get_mut(&id) else { return };
+        *runs -= 1;
+        if *runs == 0 {
+            self.job_runs.remove(&id);
+            self.drop_spec_without_runs(id);
+        }
+    }
+
     pub(super) fn handle_start_result(
         &mut self,
         name: &Name,
@@ -201,6 +213,10 @@
         let Some(host) = self.hosts.get_mut(name) else { return };
         let Some(run) = host.runs.get_mut(&(task, attempt)) else { return };
         run.is_stopping = true;
+        // A host that is known only from the log has no address yet.
+        if host.entry.incarnation == 0 {
+            return;
+        }
         // The stop could overtake a start request in flight. The run is stopped once the
         // outcome of that is known.
         if run.phase == Phase::Requested || run.is_stop_sent || run.stop_accepted_at_poll.is_some()
@@ -257,7 +273,7 @@
     pub(super) fn adopt_run(&mut self, name: &Name, task: TaskId, attempt: u32) {
         let (now_ms, last_poll) = (self.now.monotonic_ms, self.last_poll);
         let Some(host) = self.hosts.get(name) else { return };
-        let capacity = host.entry.capacity;
+        let (capacity, largest_capacity) = (host.entry.capacity, host.largest_capacity());
         let mut run = Run {
             phase: Phase::Running,
             is_confirmed: false,
@@ -265,7 +281,8 @@
             requested_ms: now_ms,
             checkpoint_ms: now_ms,
             is_partial: true,
-            // Its size is unknown if the job is; the run then takes up the whole host.
+            // Its size is unknown if the specification of the job is. The run then takes up the whole
+            // host, and counts as much against the limit of its team.
             footprint: capacity,
             size: Resources::default(),
             team: Name::from(""),
@@ -284,9 +301,13 @@
             last_progress_ms: now_ms,
         };
         let mut is_wanted = false;
-        if let Some(job) = self.jobs.get_mut(&task.step.job)
-            && job.closed.is_none()
-            && let Some(step) = job.spec.clone().steps.get(usize::from(task.step.index))
+        let job = self.jobs.get_mut(&task.step.job);
+        if let Some(job) = &job {
+            run.team = job.team.clone();
+            run.size = largest_capacity;
+        }
+        if let Some(job) = &job
+            && let Some(step) = job.spec.steps.get(usize::from(task.step.index))
         {
             run.footprint = step.footprint();
             run.size = step.size;
@@ -294,7 +315,11 @@
             run.is_best_effort = step.is_best_effort;
             run.is_service = step.is_service;
             run.estimate_ms = step.estimate_ms;
-            run.team = job.team.clone();
+        }
+        if let Some(job) = job
+            && job.closed.is_none()
+            && usize::from(task.step.index) < job.spec.steps.len()
+        {
             if job.needs_isolation(task) {
                 run.isolated_until_ms = Some(now_ms + isolation_ms(job, task));
             }
--- a/crates/graph/src/progress/job.rs
+++ b/crates/graph/src/progress/job.rs
@@ -11,7 +11,7 @@
 use super::{ISOLATE_AFTER, StepProgress, Suspicion};
 use crate::host::RunEnd;
 use crate::job::{Id, Spec, State};
-use crate::{Ended, Record, Snapshot, StepId, TaskId};
+use crate::{Closed, Ended, Record, Snapshot, StepId, TaskId};
 
 /// A job and the progress of its occurrences.
 #[derive(Debug)]
@@ -19,6 +19,7 @@
     pub id: Id,
     pub queue: Name,
     pub team: Name,
+    /// Only the steps once the job is closed, and nothing once it is closed and has no runs left.
     pub spec: Arc<Spec>,
     /// Time of acceptance, in milliseconds since 1970.
     pub at_unix_ms: u64,
@@ -78,6 +79,13 @@
         })
     }
 
+    /// Drops all of the specification but the steps, which tell the sizes of the runs that are left.
+    pub fn keep_steps_only(&mut self) {
+        let spec = Arc::make_mut(&mut self.spec);
+        spec.payload = Name::from("");
+        spec.schedule = None;
+    }
+
     /// Adds the next occurrence. Returns its index.
     pub fn begin_occurrence(&mut self) -> u32 {
         self.occurrences.push(self.spec.steps.iter().map(|s| StepProgress::new(s.tasks)).collect());
@@ -188,9 +196,22 @@
     }
 
     /// Returns the records that replace all earlier ones of the job: a snapshot, and the losses
-    /// of hosts that count against its tasks.
+    /// of hosts that count against its tasks or the final state. A closed job without runs needs no
+    /// snapshot.
     pub fn records(&self) -> Vec<Record> {
-        let mut records = vec![Record::Snapshot(self.snapshot())];
+        let mut records = Vec::new();
+        if self.closed.is_none() || !self.spec.steps.is_empty() {
+            records.push(Record::Snapshot(self.snapshot()));
+        }
+        if let Some(state) = self.closed {
+            records.push(Record::Closed(Closed {
+                job: self.id,
+                queue: self.queue.clone(),
+                team: self.team.clone(),
+                state,
+                at_unix_ms: self.closed_unix_ms,
+            }));
+        }
         for (task, suspicion) in &self.suspicions {
             records.extend(suspicion.attempts().filter_map(|attempt| {
                 let (how, checkpoint) = (suspicion.logged_loss(attempt)?, Name::from(""));
--- a/crates/graph/tests/engine/takeover.rs
+++ b/crates/graph/tests/engine/takeover.rs
@@ -5,6 +5,7 @@
 use sycamore_graph::job::{State, Step};
 
 use crate::fixture::{QUEUE, catalog, gang, id, job, limited, queue, size, step};
+use crate::worker::Worker;
 use crate::world::World;
 
 #[test]
@@ -98,6 +99,136 @@
     assert!(world.running() <= 6);
 }
 
+/// A world in which a job has all of its team's limit while another one waits. Workers take a while to
+/// stop runs.
+fn world_with_used_up_limit() -> World {
+    let mut world = World::new(4, limited(catalog(queue()), size(6_000, 0)), 1);
+    use_up_limit(&mut world);
+    world
+}
+
+fn use_up_limit(world: &mut World) {
+    world.workers.iter_mut().for_each(|worker| worker.stop_ms = 300);
+    world.work_ms = 60_000;
+    world.submit(id(1), job(vec![step(6, 1_000)]));
+    world.run(300);
+    assert_eq!(world.running(), 6);
+    world.submit(id(2), job(vec![step(6, 1_000)]));
+    world.run(50);
+}
+
+/// Cancels the first job and waits until that is in the log.
+fn cancel_first(world: &mut World) {
+    world.cancel(id(1));
+    world.run(20);
+}
+
+/// Runs until the second job has all of the limit. The oracle checks that no start exceeds it.
+fn assert_second_starts_within(mut world: World, ms: u64) {
+    world.run(ms);
+
+    let of_second =
+        |worker: &Worker| worker.runs.keys().filter(|(task, _)| task.step.job == id(2)).count();
+    assert_eq!(world.workers.iter().map(of_second).sum::<usize>(), 6, "{}", world.describe_waits());
+}
+
+/// Runs of a cancelled job that were still being stopped counted for no team under a new owner, so
+/// that the team's next tasks started beside them. Found by fuzzing (QUOTA).
+#[test]
+fn a_limit_holds_beside_runs_of_a_cancelled_job_that_are_being_stopped() {
+    let mut world = world_with_used_up_limit();
+    cancel_first(&mut world);
+
+    world.take_over();
+
+    assert_second_starts_within(world, 1_000);
+}
+
+/// The same with a log of which only the final state of the cancelled job is left. Guards against a
+/// log that loses the sizes of its tasks while they run.
+#[test]
+fn a_limit_holds_beside_runs_of_a_cancelled_job_after_compaction() {
+    let mut world = world_with_used_up_limit();
+    cancel_first(&mut world);
+    world.compact();
+    world.take_over();
+    world.run(5);
+    // The successor has no more than that either.
+    world.compact();
+
+    world.take_over();
+
+    assert_second_starts_within(world, 1_000);
+}
+
+/// The log of an older build has no sizes of the tasks of a closed job. Guards against a successor that
+/// counts nothing for them.
+#[test]
+fn a_limit_holds_beside_runs_of_unknown_size() {
+    let mut world = world_with_used_up_limit();
+    cancel_first(&mut world);
+    world.compact();
+    world.drop_logged_specs_of_closed_jobs();
+
+    world.take_over();
+
+    assert_second_starts_within(world, 1_000);
+}
+
+/// A successor counted no runs of a cancelled job on a silent worker that gets no new work.
+#[test]
+fn a_limit_holds_beside_runs_of_a_cancelled_job_on_a_silent_leaving_worker() {
+    let mut world = world_with_used_up_limit();
+    let at = busy_worker(&world);
+    world.workers[at].entry.is_draining = true;
+    world.list_hosts();
+    world.run(100);
+    world.workers[at].is_unreachable = true;
+    cancel_first(&mut world);
+
+    world.take_over();
+
+    // The lease of the silent worker has expired by then.
+    assert_second_starts_within(world, 8_000);
+}
+
+/// A worker that takes no stops but replies to polls runs its tasks for longer than the state of their
+/// job is kept. Guards against an owner that forgets whose tasks these are.
+#[test]
+fn a_limit_holds_beside_runs_that_outlast_the_state_of_their_job() {
+    let mut world = World::new(4, limited(catalog(queue()), size(6_000, 0)), 1);
+    world.timing.status_retention_ms = 500;
+    world.take_over();
+    use_up_limit(&mut world);
+    world.workers.iter_mut().for_each(|worker| worker.resets_connections = true);
+    cancel_first(&mut world);
+    world.run(3_000);
+    world.compact();
+
+    world.workers.iter_mut().for_each(|worker| worker.resets_connections = false);
+    world.take_over();
+
+    assert_second_starts_within(world, 3_000);
+}
+
+/// Guards against a log that keeps the sizes of tasks of closed jobs for longer than they run.
+#[test]
+fn sizes_of_closed_jobs_leave_the_log_with_their_last_run() {
+    let mut world = world_with_used_up_limit();
+    cancel_first(&mut world);
+    world.compact();
+    let while_stopping = world.logged_specs_of_closed_jobs();
+    world.run(1_000);
+    world.compact();
+    let afterwards = world.logged_specs_of_closed_jobs();
+    world.take_over();
+    world.run(1_000);
+    world.compact();
+
+    assert_eq!((while_stopping, afterwards), (1, 0));
+    assert_eq!(world.logged_specs_of_closed_jobs(), 0);
+}
+
 #[test]
 fn a_partially_started_gang_is_restarted() {
     let mut world = World::new(4, catalog(queue()), 1);
--- a/crates/graph/tests/engine/world/mod.rs
+++ b/crates/graph/tests/engine/world/mod.rs
@@ -396,6 +396,27 @@
         self.durable_records = self.log.len();
     }
 
+    /// Removes the specifications of closed jobs from the log, which older builds don't write.
+    pub fn drop_logged_specs_of_closed_jobs(&mut self) {
+        let closed = self.logged_closed_jobs();
+        self.log.retain(|record| !is_snapshot_of(record, &closed));
+        self.durable_records = self.log.len();
+    }
+
+    /// Returns the number of closed jobs whose specification is in the log.
+    pub fn logged_specs_of_closed_jobs(&self) -> usize {
+        let closed = self.logged_closed_jobs();
+        self.log.iter().filter(|record| is_snapshot_of(record, &closed)).count()
+    }
+
+    fn logged_closed_jobs(&self) -> BTreeSet<Id> {
+        let closed = |record: &Record| match record {
+            Record::Closed(closed) => Some(closed.job),
+            _ => None,
+        };
+        self.log.iter().filter_map(closed).collect()
+    }
+
     pub fn run(&mut self, ms: u64) {
         let until = self.now_ms + ms;
         while self.now_ms < until {
@@ -880,6 +901,10 @@
     }
 }
 
+fn is_snapshot_of(record: &Record, jobs: &BTreeSet<Id>) -> bool {
+    matches!(record, Record::Snapshot(snapshot) if jobs.contains(&snapshot.job))
+}
+
 /// Returns the reply to a request that was meant for an earlier incarnation at the address of a
 /// worker. `None` if it was meant for this one.
 fn reply_of_successor(action: &Action, name: &Name) -> Option<Event> {
