Add failing tests of accepted steps that wait although workers are idle

- A dispatch pass ends after 300 failed searches, and the next one begins with the same steps.
Steps behind them in rank are never looked at: 320 steps that want one busy worker keep a step from eight idle ones, 320 gangs that wait for a call for advice keep a step that needs none, and late steps are passed over, as their slice moves on without a look at them.
- The first gang that waits may keep all free room of a service, for as long as it waits: for services, which don't end, and for tasks of a minute.
Three quarters of the capacity are free meanwhile.

--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -20,6 +20,7 @@
 mod rebirth;
 mod regression;
 mod replaced_owner;
+mod shares;
 mod silence;
 mod takeover;
 mod worker;
