Count no room that services take up as room that a gang may wait for

Accepted jobs did not start although three quarters of the capacity were free. The first gang that waits keeps free room on its hosts beyond the limit for all others, as long as it would fit on idle hosts. A service never leaves its host idle, so a gang that needs that part waits without end, and so does all that comes after it.

A candidate's `fits_idle` now leaves out the room of services. Best-effort services still count as releasable, as a host may be cleared of them. Such a gang keeps no room, asks for no advice about these hosts, and starts once the services are cancelled or moved. Preemption never stops services, so that its plans stay the same.

Evidence: shares::a_gang_that_waits_for_lasting_tasks_does_not_keep_all_room failed before (the job waited for 3.3 s with the reason KeptForGangs) and passes.

--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -42,6 +42,8 @@
     service: Name,
     labels: Arc<[Name]>,
     capacity: Resources,
+    /// Part of the capacity that becomes free when all tasks that end have ended.
+    releasable: Resources,
     is_slow: bool,
     /// Whether other hosts are preferred, because starts have not arrived here.
     is_avoided: bool,
@@ -399,7 +401,7 @@
     pub index: usize,
     /// Tasks that fit now.
     pub fits_now: u32,
-    /// Tasks that fit when the host is idle.
+    /// Tasks that fit when the host is idle but for services.
     pub fits_idle: u32,
     /// Free CPU, in thousandths of a core.
     pub free_cpu: u32,
@@ -459,6 +461,7 @@
             service: host.entry.service.clone(),
             labels: host.entry.labels.clone(),
             capacity: host.entry.capacity,
+            releasable: host.entry.capacity.minus(&host.lasting_use),
             is_slow: host.speed.is_slow(),
             is_avoided: host.is_avoided(time.now_ms),
             has_isolated_run: !host.isolated_runs.is_empty(),
@@ -728,7 +731,7 @@
         }
         let is_suitable = view.service == *self.service
             && step.required_label.as_ref().is_none_or(|label| view.has_label(label));
-        let mut fits_idle = tasks_that_fit(&self.footprint, &view.capacity);
+        let mut fits_idle = tasks_that_fit(&self.footprint, &view.releasable);
         if !is_suitable || fits_idle == 0 {
             return None;
         }
--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -84,6 +84,7 @@
     pub(super) fn add_run(&mut self, name: &Name, task: TaskId, attempt: u32, run: Run) {
         let Some(host) = self.hosts.get_mut(name) else { return };
         host.used = host.used.plus(&run.footprint);
+        host.lasting_use = host.lasting_use.plus(&run.lasting_use());
         host.latency_runs += u32::from(run.has_objective);
         host.best_effort_runs += u32::from(run.is_best_effort);
         let usage = self.team_usage.entry(run.team.clone()).or_default();
@@ -101,6 +102,7 @@
         let run = host.runs.remove(&(task, attempt))?;
         self.reservations.forget_run((task, attempt));
         host.used = host.used.minus(&run.footprint);
+        host.lasting_use = host.lasting_use.minus(&run.lasting_use());
         host.latency_runs -= u32::from(run.has_objective);
         host.best_effort_runs -= u32::from(run.is_best_effort);
         if let Some(usage) = self.team_usage.get_mut(&run.team) {
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -84,6 +84,9 @@
     pub logged_capacity: Resources,
     /// Resources allocated to the runs.
     pub used: Resources,
+    /// Part of them that does not become free by itself: that of services, except best-effort ones,
+    /// which may be stopped for other tasks.
+    pub lasting_use: Resources,
     /// Runs that exist or may exist, by task and attempt.
     pub runs: BTreeMap<(TaskId, u32), Run>,
     /// Number of runs with a latency objective.
@@ -162,6 +165,7 @@
             log: LogState::Unused,
             logged_capacity: Resources::default(),
             used: Resources::default(),
+            lasting_use: Resources::default(),
             runs: BTreeMap::new(),
             latency_runs: 0,
             best_effort_runs: 0,
--- a/crates/graph/src/host/run.rs
+++ b/crates/graph/src/host/run.rs
@@ -98,6 +98,12 @@
 }
 
 impl Run {
+    /// Returns the resources that stay in use until the job is cancelled or the run is moved.
+    pub fn lasting_use(&self) -> Resources {
+        let is_lasting = self.is_service && !self.is_best_effort;
+        if is_lasting { self.footprint } else { Resources::default() }
+    }
+
     /// Returns whether the reported progress of the run is expected to increase.
     pub fn should_progress(&self) -> bool {
         self.phase == Phase::Running && !self.is_stopping && !self.is_service && self.percent < 100
