Add a failing test of innocent tasks that wait to be isolated

Half of twelve workers crash, each with twenty small tasks that it has just started. Each of the 120 tasks is a suspect that may crash its worker again, and starts apart from those of other jobs: seven workers at first may have such runs, one each, for 0.3 s and twice the age of the lost run. With an eighth of the capacity in use, 15 tasks still wait when the workers have been back for 7 s, 3 s longer than the calm that the bound presupposes.

The wait is bounded by the number of suspects, but not by the target. Tasks that crash their workers must not take more of them, so that the limits stay as they are.

--- a/crates/graph/tests/engine/shares.rs
+++ b/crates/graph/tests/engine/shares.rs
@@ -14,6 +14,12 @@
 /// there is room for it twice over, in milliseconds.
 const START_BOUND_MS: u64 = 3_000;
 
+/// Time for which crashed workers are down, in milliseconds.
+const CRASH_MS: u64 = 3_000;
+
+/// Time without a disruption before the bound holds, in milliseconds.
+const CALM_MS: u64 = 4_000;
+
 const LABEL: &str = "rare";
 
 /// Returns a step whose objective lasts longer than the tests.
@@ -170,3 +176,24 @@
 
     assert_eq!(world.state(id(3)), Some(State::Complete), "{} steps wait", world.waits().len());
 }
+
+/// Tasks that had just started on workers that crashed waited for one of the workers that may have
+/// isolated runs, one task on each, while an eighth of the capacity was in use: rule LOST.
+#[test]
+fn innocent_tasks_of_crashed_workers_start_while_most_workers_are_idle() {
+    let mut world = World::new(12, catalog(queue()), 1);
+    world.work_ms = 2_000;
+    for number in 0..12 * 20 {
+        world.submit(id(number), job(vec![Step { estimate_ms: 2_000, ..step(1, 200) }]));
+    }
+    while world.running() < 12 * 20 {
+        world.run(5);
+    }
+    world.run(100);
+    (0..6).for_each(|at| world.crash_worker(at, CRASH_MS));
+
+    world.run(CRASH_MS + CALM_MS + START_BOUND_MS);
+
+    let waits = world.waits();
+    assert_eq!(waits.len(), 0, "{} tasks run, {:?}", world.running(), waits.first());
+}
