Add a failing test of steps that get no search for a worker to clear

A pass makes 8 searches for workers to clear of best-effort tasks, in order of rank, and a step pauses for 100 ms after one that found none. If passes are further apart than that, as on large sites where they take up to 92 ms and are followed by three times as long a pause, the same 8 steps use all searches: a step behind 100 others, for which no worker can be cleared, waits for as long as best-effort tasks run. With a pass for each event it doesn't.

The simulation can keep its passes apart now.

--- a/crates/graph/tests/engine/shares.rs
+++ b/crates/graph/tests/engine/shares.rs
@@ -144,10 +144,9 @@
     assert_eq!(world.state(id(2)), Some(State::Complete), "{}", world.describe_waits());
 }
 
-/// Guards against steps of higher rank, for which no worker can be cleared, that use all searches of
-/// each pass: the step behind them would wait for as long as the best-effort tasks run.
-#[test]
-fn a_step_behind_many_that_find_no_host_to_clear_gets_a_search() {
+/// Submits a step that waits for a worker without best-effort tasks behind 100 others, for which no
+/// worker can be cleared.
+fn assert_searches_take_turns(dispatch_interval_ms: u64) {
     let mut catalog = catalog(queue());
     catalog.queues.insert("later".into(), Queue { priority: 1, ..queue() });
     let mut world = World::new(8, catalog, 1);
@@ -167,6 +166,7 @@
         let blocked = Step { required_label: bound(), latency_objective_ms: 50, ..long(1, 1_000) };
         world.submit(id(100 + number), job(vec![blocked]));
     }
+    world.dispatch_interval_ms = dispatch_interval_ms;
     world.run(1_000);
     world.work_ms = 200;
 
@@ -177,6 +177,20 @@
     assert_eq!(world.state(id(3)), Some(State::Complete), "{} steps wait", world.waits().len());
 }
 
+/// Guards against steps of higher rank, for which no worker can be cleared, that use all searches of
+/// each pass: the step behind them would wait for as long as the best-effort tasks run.
+#[test]
+fn a_step_behind_many_that_find_no_host_to_clear_gets_a_search() {
+    assert_searches_take_turns(0);
+}
+
+/// The same on a large site, where passes follow each other after 100 ms and more: the pauses of the
+/// same eight steps were over by then.
+#[test]
+fn searches_for_hosts_to_clear_take_turns_in_rare_passes() {
+    assert_searches_take_turns(120);
+}
+
 /// Tasks that had just started on workers that crashed waited for one of the workers that may have
 /// isolated runs, one task on each, while an eighth of the capacity was in use: rule LOST.
 #[test]
--- a/crates/graph/tests/engine/world/mod.rs
+++ b/crates/graph/tests/engine/world/mod.rs
@@ -104,6 +104,10 @@
     pub finished_ms: BTreeMap<Id, u64>,
     pub answers: BTreeMap<u64, Answer>,
     pub timing: Timing,
+    /// Time from one dispatch pass to the next at least, in milliseconds. Without it, one follows each
+    /// event.
+    pub dispatch_interval_ms: u64,
+    last_dispatch_ms: u64,
     /// Further entries of the list, which another writer has left.
     pub foreign_entries: Vec<HostEntry>,
     /// Entries of the last list that the engine received.
@@ -176,6 +180,8 @@
             finished_ms: BTreeMap::new(),
             answers: BTreeMap::new(),
             timing,
+            dispatch_interval_ms: 0,
+            last_dispatch_ms: 0,
             foreign_entries: Vec::new(),
             listed: BTreeMap::new(),
             evacuated: BTreeSet::new(),
@@ -419,7 +425,7 @@
                 self.handle(Event::Tick);
                 self.handle_as_former(Event::Tick);
             }
-            let actions = self.engine.dispatch(self.moment());
+            let actions = self.dispatch();
             self.assert_no_stale_result();
             self.execute(actions);
         }
@@ -574,10 +580,18 @@
         counted.map(members).sum::<usize>() as u32 == tasks
     }
 
+    fn dispatch(&mut self) -> Vec<Action> {
+        if self.now_ms < self.last_dispatch_ms + self.dispatch_interval_ms {
+            return Vec::new();
+        }
+        self.last_dispatch_ms = self.now_ms;
+        self.engine.dispatch(self.moment())
+    }
+
     pub fn handle(&mut self, event: Event) {
         let mut actions = self.engine.handle(self.moment(), event);
         self.assert_no_stale_result();
-        actions.extend(self.engine.dispatch(self.moment()));
+        actions.extend(self.dispatch());
         self.assert_no_stale_result();
         self.execute(actions);
     }
