Use services as the best-effort work of the tests of cleared workers

The best-effort tasks of these two tests last 600 s by the simulation and showed no progress for seconds, so that the engine took their workers for hung and stopped them: the step behind the others started without a cleared worker. Services are not expected to make progress. Both tests now also check that a worker was cleared, which is stricter.

--- a/crates/graph/tests/engine/shares.rs
+++ b/crates/graph/tests/engine/shares.rs
@@ -156,11 +156,12 @@
     world.run(100);
     world.work_ms = 600_000;
     let bound = || Some(Name::from(LABEL));
+    let best_effort = |tasks| Step { is_best_effort: true, is_service: true, ..long(tasks, 1_000) };
     // No run of this step may be stopped.
-    let fixed = Step { required_label: bound(), max_unavailable: Some(0), ..long(1, 1_000) };
-    world.submit(id(1), job(vec![Step { is_best_effort: true, ..fixed }]));
+    let fixed = Step { required_label: bound(), max_unavailable: Some(0), ..best_effort(1) };
+    world.submit(id(1), job(vec![fixed]));
     world.run(100);
-    world.submit(id(2), job(vec![Step { is_best_effort: true, ..long(32, 1_000) }]));
+    world.submit(id(2), job(vec![best_effort(32)]));
     world.run(100);
     for number in 0..100 {
         let blocked = Step { required_label: bound(), latency_objective_ms: 50, ..long(1, 1_000) };
@@ -175,6 +176,7 @@
     world.run(START_BOUND_MS + 300);
 
     assert_eq!(world.state(id(3)), Some(State::Complete), "{} steps wait", world.waits().len());
+    assert!(!world.cleared.is_empty());
 }
 
 /// Guards against steps of higher rank, for which no worker can be cleared, that use all searches of
