Let steps take turns with the searches for workers to clear

A step with a latency objective waited for as long as best-effort tasks ran on all workers, although one could have been cleared for it. A pass makes 8 searches in order of rank, and the pause of 100 ms after one that found nothing is shorter than the time between passes of a large site, so that the same 8 steps used all of them.

A step whose search found nothing gets no further one until a pass has had searches left over, that is, until each step that waits for one has had it. With a pass for each event little changes, as the pause is longer than such a round.

--- a/crates/graph/src/engine/clearing.rs
+++ b/crates/graph/src/engine/clearing.rs
@@ -106,13 +106,13 @@
         }
         let since_ms = *step.crowded_since_ms.get_or_insert(now_ms);
         if now_ms < (since_ms + CLEARING_DELAY_MS).max(step.clearing_not_before_ms)
-            || self.reservations.clearings_left == 0
+            || !self.reservations.take_clearing(step_id)
         {
             return;
         }
-        self.reservations.clearings_left -= 1;
         let plan = self.plan_clearing(demand, tasks, views).unwrap_or_default();
         if plan.is_empty() {
+            self.reservations.add_not_cleared(step_id);
             let step = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id));
             if let Some(step) = step {
                 step.clearing_not_before_ms = now_ms + FRUITLESS_SEARCH_PAUSE_MS;
--- a/crates/graph/src/engine/reservations.rs
+++ b/crates/graph/src/engine/reservations.rs
@@ -44,7 +44,9 @@
     /// Searches for runs to stop that the current pass may still make.
     pub searches_left: u32,
     /// Searches for hosts to clear that the current pass may still make.
-    pub clearings_left: u32,
+    clearings_left: u32,
+    /// Steps whose search for a host to clear found none since a pass had such searches left.
+    not_cleared: FxHashSet<StepId>,
 }
 
 impl Reservation {
@@ -91,6 +93,9 @@
         clearings: u32,
         views: &mut HostViews,
     ) {
+        if self.clearings_left > 0 {
+            self.not_cleared.clear();
+        }
         self.searches_left = searches;
         self.clearings_left = clearings;
         self.pauses.retain(|_, until_ms| now_ms < *until_ms);
@@ -211,6 +216,21 @@
         self.yielding.values().fold(Resources::default(), |sum, one| sum.plus(one))
     }
 
+    /// Takes one of the searches for hosts to clear. Returns `false` if the pass has none left, or if
+    /// the last one of the step found none and steps that have had none since wait for one.
+    pub fn take_clearing(&mut self, step_id: StepId) -> bool {
+        if self.clearings_left == 0 || self.not_cleared.contains(&step_id) {
+            return false;
+        }
+        self.clearings_left -= 1;
+        true
+    }
+
+    /// Records that a search found no host to clear.
+    pub fn add_not_cleared(&mut self, step_id: StepId) {
+        self.not_cleared.insert(step_id);
+    }
+
     pub fn is_paused(&self, step_id: StepId) -> bool {
         self.pauses.contains_key(&step_id)
     }
