--- a/crates/graph/tests/engine/call_turns.rs
+++ b/crates/graph/tests/engine/call_turns.rs
@@ -211,7 +211,7 @@
     }
     world.run(HOPELESS_MS);
 
-    world.pass_interval_ms = 120;
+    world.dispatch_interval_ms = 120;
     world.handle(Event::AdviceConcurrency([4; 3]));
     for number in 0..150 {
         world.submit(id(1_000 + number), job(vec![step(1, 1_000)]));
--- a/crates/graph/tests/engine/world/mod.rs
+++ b/crates/graph/tests/engine/world/mod.rs
@@ -106,15 +106,16 @@
     /// Time for which jobs waited whose place was decided by it, as recorded with their last start, in
     /// milliseconds.
     pub turn_waits_ms: BTreeMap<Id, u64>,
-    /// Time from the begin of a pass to the begin of the next one at least, in milliseconds.
-    pub pass_interval_ms: u64,
-    last_pass_ms: u64,
     /// Reservations that expired.
     pub unused_reservations: u64,
     /// Time at which each job was complete, in milliseconds.
     pub finished_ms: BTreeMap<Id, u64>,
     pub answers: BTreeMap<u64, Answer>,
     pub timing: Timing,
+    /// Time from one dispatch pass to the next at least, in milliseconds. Without it, one follows each
+    /// event.
+    pub dispatch_interval_ms: u64,
+    last_dispatch_ms: u64,
     /// Further entries of the list, which another writer has left.
     pub foreign_entries: Vec<HostEntry>,
     /// Entries of the last list that the engine received.
@@ -184,12 +185,12 @@
             most_reclaimed_cpu: 0,
             cleared: Vec::new(),
             turn_waits_ms: BTreeMap::new(),
-            pass_interval_ms: 0,
-            last_pass_ms: 0,
             unused_reservations: 0,
             finished_ms: BTreeMap::new(),
             answers: BTreeMap::new(),
             timing,
+            dispatch_interval_ms: 0,
+            last_dispatch_ms: 0,
             foreign_entries: Vec::new(),
             listed: BTreeMap::new(),
             evacuated: BTreeSet::new(),
@@ -454,22 +455,12 @@
                 self.handle(Event::Tick);
                 self.handle_as_former(Event::Tick);
             }
-            let actions = self.dispatch_if_due();
+            let actions = self.dispatch();
             self.assert_no_stale_result();
             self.execute(actions);
         }
     }
 
-    fn dispatch_if_due(&mut self) -> Vec<Action> {
-        if self.now_ms < self.last_pass_ms + self.pass_interval_ms {
-            return Vec::new();
-        }
-        if self.engine.needs_dispatch() {
-            self.last_pass_ms = self.now_ms;
-        }
-        self.engine.dispatch(self.moment())
-    }
-
     /// Advances the runs on all workers, and ends those that are due or whose lease has
     /// expired.
     fn advance_workers(&mut self) {
@@ -629,10 +620,18 @@
         counted.map(members).sum::<usize>() as u32 == tasks
     }
 
+    fn dispatch(&mut self) -> Vec<Action> {
+        if self.now_ms < self.last_dispatch_ms + self.dispatch_interval_ms {
+            return Vec::new();
+        }
+        self.last_dispatch_ms = self.now_ms;
+        self.engine.dispatch(self.moment())
+    }
+
     pub fn handle(&mut self, event: Event) {
         let mut actions = self.engine.handle(self.moment(), event);
         self.assert_no_stale_result();
-        actions.extend(self.dispatch_if_due());
+        actions.extend(self.dispatch());
         self.assert_no_stale_result();
         self.execute(actions);
     }
