Count losses of hosts that drain and are gone before they announced to be

Cause: a loss with the cause Drained counted as no crash, however soon after the announcement the host was out of reach, and the log told it as `Stopped`.

A draining worker's entry contains `remaining-ms`, the least time left. It was checked and dropped. The owner's list now hands it to the engine with the date of the entry (`Reading::remaining_ms`), and a host keeps the latest time until which it has announced to go on. If it was out of reach before that, the loss is uncertain for its runs, as one behind a cut is: logged as `LeaseExpired`, withdrawn by a run that survives, and the fourth without one gives the job up. A host that leaves when it has announced to, one that announces no time and one in an evacuated failure domain count for nothing, as before. No record is new; successors and older builds read the verdict from the log.

The simulated workers announced no time, against the protocol. They do now in the random tests (2 s, the platform's drain-ms) and in `a_task_that_crashes_draining_workers_is_given_up`, whose assertions are unchanged. New: `a_task_whose_workers_leave_as_announced_is_not_given_up` (six departures, four ages of the run, a successor after them) and `reads_the_time_left_of_a_draining_worker`.

Tried and dropped: all runs younger than 2 s on a draining host uncertain, without the announcement. `the_end_of_drained_workers_blames_nobody` and `the_end_of_a_drained_incarnation_counts_for_no_owner` failed, with an innocent job given up.

--- a/crates/bench/src/site/simulation.rs
+++ b/crates/bench/src/site/simulation.rs
@@ -190,7 +190,12 @@
     /// Returns the readings of each `stride`-th worker from the worker `first` on.
     fn readings(&self, first: usize, stride: usize) -> Vec<Reading> {
         let written_ms = self.now_us / 1_000;
-        let reading = |host: &Name| Reading { host: host.clone(), incarnation: 1, written_ms };
+        let reading = |host: &Name| Reading {
+            host: host.clone(),
+            incarnation: 1,
+            written_ms,
+            remaining_ms: 0,
+        };
         self.names.iter().skip(first).step_by(stride).map(reading).collect()
     }
 
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -75,7 +75,8 @@
         }
     }
 
-    /// Records when hosts wrote the entries that are known. An older date changes nothing, nor does
+    /// Records when hosts wrote the entries that are known, and until when draining ones have announced
+    /// to go on. An older date changes nothing, nor does
     /// one of another incarnation.
     pub(super) fn date_capacities(&mut self, readings: Vec<Reading>) {
         let (now_ms, max_age_ms) = (self.now.monotonic_ms, self.timing.capacity_max_age_ms);
@@ -87,6 +88,10 @@
             };
             self.needs_dispatch |= !host.has_current_capacity(now_ms, max_age_ms);
             host.capacity_written_ms = host.capacity_written_ms.max(Some(reading.written_ms));
+            if reading.remaining_ms > 0 {
+                let until_ms = reading.written_ms.saturating_add(reading.remaining_ms);
+                host.serves_until_ms = host.serves_until_ms.max(until_ms);
+            }
         }
     }
 
@@ -131,6 +136,7 @@
             host.entry.incarnation = incarnation;
             host.is_listed = false;
             host.capacity_written_ms = None;
+            host.serves_until_ms = 0;
             host.speed = Speed::default();
             host.lost_suspects.clear();
             host.logged_capacity = Resources::default();
--- a/crates/graph/src/engine/losses.rs
+++ b/crates/graph/src/engine/losses.rs
@@ -54,8 +54,8 @@
     Collateral,
     /// The host may have crashed, the run may not have been there, or another one is likelier.
     Uncertain { is_isolated: bool },
-    /// The host is silent and the run has ended, so that it may have crashed, perhaps because of
-    /// the task.
+    /// The host may have crashed, perhaps because of the task: it is silent and the run has ended, or
+    /// it was out of reach before it had announced to leave.
     Unconfirmed { is_isolated: bool },
     /// The host crashed, perhaps because of the task.
     Suspect { is_isolated: bool, is_prime: bool },
@@ -160,6 +160,7 @@
         let youngest = all.iter().min_by_key(|run| (!run.was_there, run.age_ms)).copied();
         let Some(youngest) = youngest else { return };
         let is_mass_loss = self.bulkheads.is_mass_loss(lost_ms);
+        let is_early = lost_ms < host.serves_until_ms;
         let isolated_runs = all.iter().filter(|run| run.is_isolated);
         host.lost_suspects.extend(isolated_runs.map(|run| run.task.step.job));
         let mut suspects = host.lost_suspects.clone();
@@ -175,6 +176,7 @@
             youngest_age_ms: youngest.age_ms,
             youngest_unisolated_ms,
             is_mass_loss,
+            is_early,
         };
         let (mut isolated, mut kept) = (0, 0);
         let mut given_up = Vec::new();
@@ -332,6 +334,8 @@
     /// Age of the youngest run that was not isolated. `None` if there was none.
     youngest_unisolated_ms: Option<u64>,
     is_mass_loss: bool,
+    /// The host was out of reach at a time until which it had announced to go on.
+    is_early: bool,
 }
 
 impl Crash<'_> {
@@ -340,6 +344,8 @@
         let is_young = run.age_ms <= self.youngest_age_ms.saturating_add(SUSPECT_WINDOW_MS);
         let blame = match self.cause {
             _ if !run.was_there => Blame::None,
+            // It crashed, or was cut off until it left as announced.
+            LossCause::Drained if self.is_early => Blame::Unconfirmed { is_isolated: false },
             LossCause::Drained => Blame::None,
             LossCause::LeaseExpired => Blame::Uncertain { is_isolated: false },
             _ if self.suspects.is_empty() => {
--- a/crates/graph/src/event.rs
+++ b/crates/graph/src/event.rs
@@ -48,7 +48,7 @@
     pub is_draining: bool,
 }
 
-/// A lower bound of the time at which a host last wrote its entry.
+/// A lower bound of the time at which a host last wrote its entry, and for how long it goes on.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Reading {
     /// Name of the host.
@@ -58,6 +58,9 @@
     /// The entry was not written before this time of [`Moment::monotonic_ms`], in milliseconds.
     /// A time and not an age, because the event may wait before it is handled.
     pub written_ms: u64,
+    /// Shortest time for which the host goes on after it has written the entry, in milliseconds.
+    /// Zero unless it drains and has announced one.
+    pub remaining_ms: u64,
 }
 
 /// A host's reply to a poll.
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -73,6 +73,9 @@
     /// Lower bound of the time at which this incarnation last wrote its entry, in milliseconds.
     /// `None` if unknown.
     pub capacity_written_ms: Option<u64>,
+    /// Time until which this incarnation has announced to go on while it drains, in milliseconds. Zero
+    /// if it has announced none.
+    pub serves_until_ms: u64,
     /// The failure domain of the host is evacuated.
     pub is_evacuated: bool,
     /// The host has replied to a poll with this owner's fencing token and has not been
@@ -157,6 +160,7 @@
             number,
             is_listed: true,
             capacity_written_ms: None,
+            serves_until_ms: 0,
             is_evacuated: false,
             has_reported: false,
             log: LogState::Unused,
--- a/crates/graph/tests/engine/crashes.rs
+++ b/crates/graph/tests/engine/crashes.rs
@@ -399,6 +399,7 @@
 fn a_task_that_crashes_draining_workers_is_given_up() {
     let mut world = world_with_deadly_task(8);
     (world.work_ms, world.crash_after_ms) = (2_000, 300);
+    world.drain_ms = 2_000;
     world.submit(id(1), job(vec![step(1, 1_000)]));
 
     for _ in 0..600 {
@@ -414,3 +415,39 @@
     // The oracle checks the number of starts after the third crash.
     assert_eq!(world.state(id(1)), Some(State::Failed));
 }
+
+/// Workers that announce to leave and do so later take no blame to a task, however young its run was
+/// when they announced it and however often that happens. Guards against an innocent job that is
+/// failed for planned departures (LOST).
+#[test]
+fn a_task_whose_workers_leave_as_announced_is_not_given_up() {
+    for age_ms in [10, 300, 1_000, 2_500] {
+        let mut world = World::new(3, catalog(queue()), 1);
+        (world.work_ms, world.drain_ms) = (400_000, 2_000);
+        world.submit(id(1), job(vec![Step { is_service: true, ..step(1, 1_000) }]));
+
+        for _ in 0..6 {
+            let busy =
+                |world: &World| world.workers.iter().position(|worker| !worker.runs.is_empty());
+            let until_ms = world.now_ms + 10_000;
+            while busy(&world).is_none() && world.now_ms < until_ms {
+                world.run(5);
+            }
+            let at = busy(&world).expect("a worker has the run");
+            world.run(age_ms);
+            world.workers[at].entry.is_draining = true;
+            world.list_hosts();
+            world.run(2_000);
+            world.workers[at].entry.is_draining = false;
+            world.leave_worker(at, 500);
+            world.run(600);
+            world.assert_same_after_recovery();
+        }
+        let starts = world.oracle.starts;
+        world.take_over();
+        world.run(5_000);
+
+        assert_eq!((starts, world.losses.len()), (7, 6), "left after {age_ms} ms");
+        assert_eq!(world.state(id(1)), Some(State::Running), "left after {age_ms} ms");
+    }
+}
--- a/crates/graph/tests/engine/fuzz.rs
+++ b/crates/graph/tests/engine/fuzz.rs
@@ -17,6 +17,9 @@
 /// Time for which the former capacity of a worker that has shrunk may be used, in milliseconds.
 const CAPACITY_GRACE_MS: u64 = 4_500;
 
+/// Time for which workers that begin to drain announce to go on, in milliseconds: the platform's.
+const DRAIN_MS: u64 = 2_000;
+
 /// Number of jobs submitted in one case.
 const ROUNDS: usize = 40;
 
@@ -228,6 +231,7 @@
     inject: impl Fn(&mut World),
     next: impl Fn(&mut World) -> (&'static str, Vec<Step>),
 ) {
+    world.drain_ms = DRAIN_MS;
     world.late_start_share = world.random.random_range(0.0..0.2);
     world.failure_share = world.random.random_range(0.0..0.2);
     world.allowed_share = world.random.random_range(0.5..1.0);
--- a/crates/graph/tests/engine/large_site.rs
+++ b/crates/graph/tests/engine/large_site.rs
@@ -36,7 +36,7 @@
     engine.handle(now, Event::AdviceConcurrency([1_000; CallClass::COUNT]));
     let reading = |entry: &HostEntry| {
         let (host, incarnation) = (entry.id.clone(), entry.incarnation);
-        Reading { host, incarnation, written_ms: now.monotonic_ms }
+        Reading { host, incarnation, written_ms: now.monotonic_ms, remaining_ms: 0 }
     };
     let readings = hosts.iter().map(reading).collect();
     let polls = engine.handle(now, Event::Listed(hosts));
--- a/crates/graph/tests/engine/past_use.rs
+++ b/crates/graph/tests/engine/past_use.rs
@@ -110,7 +110,7 @@
             self.now_ms += 50;
             let entry = host(0);
             let (host, incarnation) = (entry.id, entry.incarnation);
-            let reading = Reading { host, incarnation, written_ms: self.now_ms };
+            let reading = Reading { host, incarnation, written_ms: self.now_ms, remaining_ms: 0 };
             self.handle(Event::Dated(vec![reading]));
             let at_ms = self.now_ms;
             self.handle(Event::Confirmed { at_ms, by_store_ms: at_ms });
--- a/crates/graph/tests/engine/regression.rs
+++ b/crates/graph/tests/engine/regression.rs
@@ -280,7 +280,8 @@
     engine.handle(moment(0), Event::Confirmed { at_ms: 0, by_store_ms: 0 });
     let mut starts = Vec::new();
     let entry = host(0);
-    let written = Reading { host: entry.id.clone(), incarnation: 1, written_ms: 0 };
+    let written =
+        Reading { host: entry.id.clone(), incarnation: 1, written_ms: 0, remaining_ms: 0 };
     let (job, queue, team) = (job(vec![gang(3, 1_000)]), Name::from(QUEUE), Name::from(TEAM));
     let submit = Event::Submit { token: 1, job: id(1), queue, team, spec: job };
     let mut events =
--- a/crates/graph/tests/engine/worker.rs
+++ b/crates/graph/tests/engine/worker.rs
@@ -96,6 +96,8 @@
     pub former_names: Vec<Name>,
     /// Time at which a crashed worker is back, in milliseconds.
     pub back_ms: Option<u64>,
+    /// Time until which a draining worker has announced to go on, in milliseconds.
+    pub serves_until_ms: Option<u64>,
     /// Capacity before the last time that it shrank, and until when that may still be used.
     pub former_capacity: Option<(Resources, u64)>,
     /// Polls that may wait get lost, as on a connection that has gone silent. Other requests
@@ -131,6 +133,7 @@
             slowness: 1,
             former_names: Vec::new(),
             back_ms: None,
+            serves_until_ms: None,
             former_capacity: None,
             loses_long_polls: false,
             resets_connections: false,
@@ -164,6 +167,11 @@
         self.entry.capacity.cpu_millis = cpu_millis;
     }
 
+    /// Returns the time left that a draining worker announces, in milliseconds. Zero if none.
+    pub fn remaining_ms(&self, now_ms: u64) -> u64 {
+        self.serves_until_ms.map_or(0, |until_ms| until_ms.saturating_sub(now_ms))
+    }
+
     /// Returns the CPU that its runs may take up.
     pub fn cpu_limit(&self, now_ms: u64) -> u32 {
         let former = self.former_capacity.filter(|(_, until_ms)| now_ms < *until_ms);
--- a/crates/graph/tests/engine/world/mod.rs
+++ b/crates/graph/tests/engine/world/mod.rs
@@ -43,8 +43,8 @@
 /// Wall clock at the start of the simulation, in milliseconds since 1970.
 pub const START_UNIX_MS: u64 = 1_000_000;
 
-fn reading(entry: &HostEntry, written_ms: u64) -> Reading {
-    Reading { host: entry.id.clone(), incarnation: entry.incarnation, written_ms }
+fn reading(entry: &HostEntry, written_ms: u64, remaining_ms: u64) -> Reading {
+    Reading { host: entry.id.clone(), incarnation: entry.incarnation, written_ms, remaining_ms }
 }
 
 /// A message or log write in flight.
@@ -79,6 +79,9 @@
     pub start_requests: u64,
     /// Time after which deadly tasks crash their worker, in milliseconds.
     pub crash_after_ms: u64,
+    /// Time for which workers that begin to drain announce to go on, in milliseconds. Zero if they
+    /// announce none.
+    pub drain_ms: u64,
     /// Number of crashes that deadly tasks caused.
     pub crashes: u32,
     /// The store is away: no record becomes durable, and the list of workers is not read.
@@ -163,6 +166,7 @@
             polls: 0,
             start_requests: 0,
             crash_after_ms: 10,
+            drain_ms: 0,
             crashes: 0,
             is_store_away: false,
             is_unconfirmed: false,
@@ -235,6 +239,7 @@
         if self.is_store_away {
             return;
         }
+        self.announce_drains();
         // The entry of a crashed worker outlives it.
         let is_listed = |worker: &&Worker| {
             (worker.is_alive || worker.back_ms.is_some()) && !worker.is_unreachable
@@ -244,9 +249,21 @@
         entries.extend(self.foreign_entries.iter().cloned());
         self.handle(Event::Listed(entries.clone()));
         self.listed = entries.iter().map(|entry| (entry.id.clone(), entry.clone())).collect();
-        self.handle(Event::Dated(
-            entries.iter().map(|entry| reading(entry, self.now_ms)).collect(),
-        ));
+        let readings = entries.iter().map(|entry| {
+            let worker = self.workers.iter().find(|worker| worker.entry.id == entry.id);
+            let remaining_ms = worker.map_or(0, |worker| worker.remaining_ms(self.now_ms));
+            reading(entry, self.now_ms, remaining_ms)
+        });
+        self.handle(Event::Dated(readings.collect()));
+    }
+
+    /// Notes until when workers go on that have begun to drain.
+    fn announce_drains(&mut self) {
+        let until_ms = self.now_ms + self.drain_ms;
+        for worker in &mut self.workers {
+            let announced_ms = worker.serves_until_ms.unwrap_or(until_ms);
+            worker.serves_until_ms = worker.entry.is_draining.then_some(announced_ms);
+        }
     }
 
     /// Passes to the engine which workers have written the listed entries again at this time. An
@@ -260,8 +277,10 @@
         };
         let written = self.workers.iter().enumerate();
         let written = written.filter(|(at, worker)| is_due(*at) && is_current(worker));
-        let readings: Vec<Reading> =
-            written.map(|(_, worker)| reading(&worker.entry, self.now_ms)).collect();
+        let now_ms = self.now_ms;
+        let readings: Vec<Reading> = written
+            .map(|(_, worker)| reading(&worker.entry, now_ms, worker.remaining_ms(now_ms)))
+            .collect();
         if !readings.is_empty() {
             self.handle(Event::Dated(readings));
         }
@@ -524,6 +543,12 @@
         self.stop_worker(at);
     }
 
+    /// Ends a worker that leaves as planned, which is no crash. Another one has its address after a time.
+    pub fn leave_worker(&mut self, at: usize, restart_ms: u64) {
+        self.workers[at].back_ms = Some(self.now_ms + restart_ms);
+        self.stop_worker(at);
+    }
+
     /// Stops a worker for good. The other members of the gangs that it ran are broken off.
     pub fn lose_worker(&mut self, at: usize) {
         self.stop_worker(at);
--- a/crates/node/src/owner/listing.rs
+++ b/crates/node/src/owner/listing.rs
@@ -17,7 +17,7 @@
 
 use rustc_hash::FxHashMap;
 use sycamore_graph::{Event, HostEntry, Reading};
-use sycamore_platform::site::{EntryError, StoreError, key, parse_worker_entry};
+use sycamore_platform::site::{EntryError, StoreError, WorkerEntry, key, parse_worker_entry};
 use sycamore_types::Name;
 
 use super::Handle;
@@ -68,6 +68,9 @@
     rev: u64,
     /// Lower bound of the time at which it was written.
     written: Option<Instant>,
+    /// Least time left before the worker leaves when it was written, in milliseconds. Zero if the worker
+    /// does not drain.
+    remaining_ms: u64,
 }
 
 /// When the list was last read, for the log.
@@ -155,6 +158,7 @@
             host: name.clone(),
             incarnation: now.entry.incarnation,
             written_ms: clock.monotonic_ms(written),
+            remaining_ms: now.remaining_ms,
         })
     };
     listed.iter().filter_map(reading).collect()
@@ -178,13 +182,14 @@
         node.configs.revisions.record(sent, page.as_of);
         for item in &page.items {
             let id = item.key.strip_prefix(key::WORKER_PREFIX).unwrap_or(&item.key);
-            let (entry, address) = match parse_worker_entry(id, &item.value) {
-                Ok(parsed) => parsed,
-                Err(error) => {
-                    skipped.add(id, error.reason(), &error);
-                    continue;
-                }
-            };
+            let WorkerEntry { host: entry, address, remaining_ms } =
+                match parse_worker_entry(id, &item.value) {
+                    Ok(parsed) => parsed,
+                    Err(error) => {
+                        skipped.add(id, error.reason(), &error);
+                        continue;
+                    }
+                };
             let name = entry.id.clone();
             // The runs of a worker whose service is dropped still need it.
             let is_named = config.as_ref().is_none_or(|now| now.config.has_service(&entry.service));
@@ -195,7 +200,7 @@
             let current = match known.get(&name) {
                 Some(was) if was.rev > item.rev => was.clone(),
                 Some(was) if was.rev == item.rev => Known { entry, ..was.clone() },
-                _ => Known { entry, rev: item.rev, written: None },
+                _ => Known { entry, rev: item.rev, written: None, remaining_ms },
             };
             // A later response may bound the time of the same write more closely.
             let written = current.written.max(node.configs.revisions.written_after(current.rev));
--- a/crates/platform/src/site/entry.rs
+++ b/crates/platform/src/site/entry.rs
@@ -45,14 +45,14 @@
     }
 }
 
-/// A number that is only checked: neither negative nor too large, whole or not.
-struct Amount;
+/// A number that is neither negative nor too large, whole or not.
+struct Amount(f64);
 
 impl<'de> Deserialize<'de> for Amount {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Amount, D::Error> {
         let number = f64::deserialize(deserializer)?;
         if (0.0..=MAX_NUMBER as f64).contains(&number) {
-            Ok(Amount)
+            Ok(Amount(number))
         } else {
             Err(de::Error::custom(format_args!("the number {number} is out of range")))
         }
@@ -81,8 +81,8 @@
     _slots: Option<Amount>,
     #[serde(rename = "cold-left-ms")]
     _cold_left_ms: Option<Amount>,
-    #[serde(rename = "remaining-ms")]
-    _remaining_ms: Option<Amount>,
+    /// Least time left before a draining worker leaves, in milliseconds.
+    remaining_ms: Option<Amount>,
     #[serde(rename = "clock-ms")]
     _clock_ms: Option<Amount>,
     #[serde(rename = "seq")]
@@ -99,13 +99,25 @@
     gpu: u32,
 }
 
-/// Parses the entry of the worker `id` into its description and address.
+/// What a worker's entry tells.
+#[derive(Debug)]
+pub struct WorkerEntry {
+    /// Description of the worker.
+    pub host: HostEntry,
+    /// Address of the worker.
+    pub address: SocketAddr,
+    /// Least time left when the entry was written before a draining worker leaves, in milliseconds.
+    /// Zero if it does not drain or names no time.
+    pub remaining_ms: u64,
+}
+
+/// Parses the entry of the worker `id`.
 ///
 /// # Errors
 ///
 /// Returns an error if the entry names no worker to use: it is malformed, or the worker is neither
 /// ready nor draining, or can't be called.
-pub fn parse_worker_entry(id: &str, value: &[u8]) -> Result<(HostEntry, SocketAddr), EntryError> {
+pub fn parse_worker_entry(id: &str, value: &[u8]) -> Result<WorkerEntry, EntryError> {
     // Each call to the worker names it in a header.
     if id.is_empty() || id.len() > MAX_KEY_BYTES || HeaderValue::from_str(id).is_err() {
         return Err(EntryError::Id);
@@ -143,5 +155,7 @@
         failure_domain: entry.zone,
         is_draining,
     };
-    Ok((host, entry.addr))
+    let remaining_ms = entry.remaining_ms.filter(|_| is_draining);
+    let remaining_ms = remaining_ms.map_or(0, |Amount(number)| number as u64);
+    Ok(WorkerEntry { host, address: entry.addr, remaining_ms })
 }
--- a/crates/platform/src/site/mod.rs
+++ b/crates/platform/src/site/mod.rs
@@ -17,7 +17,7 @@
 
 pub use advice::{AdviceClient, AdviceError};
 pub use config::{Config, ConfigError, Limits, Route};
-pub use entry::{EntryError, parse_worker_entry};
+pub use entry::{EntryError, WorkerEntry, parse_worker_entry};
 pub use job::{JobError, parse_job, render_count, render_state};
 pub use row::MalformedRow;
 pub use settings::{Settings, SettingsError};
--- a/crates/platform/tests/site/worker.rs
+++ b/crates/platform/tests/site/worker.rs
@@ -1,13 +1,14 @@
 //! Parsing of the workers' entries, with the example of the platform's documentation.
 
-use sycamore_platform::site::{parse_report, parse_worker_entry};
+use sycamore_platform::site::{WorkerEntry, parse_report, parse_worker_entry};
 use yare::parameterized;
 
 const ENTRY: &str = r#"{"service":"desk","addr":"10.128.0.9:8080","zone":"a","version":"v1","slots":8,"state":"ready","cold-left-ms":0,"capacity":{"cpu":16000,"mem-mb":32768,"gpu":1},"labels":["a","r1-3"],"clock-ms":482113,"seq":4,"born":17}"#;
 
 #[test]
 fn parses_the_documented_entry() {
-    let (entry, address) = parse_worker_entry("i-7f", ENTRY.as_bytes()).unwrap();
+    let WorkerEntry { host: entry, address, .. } =
+        parse_worker_entry("i-7f", ENTRY.as_bytes()).unwrap();
 
     assert_eq!(&*entry.id, "i-7f");
     assert_eq!((entry.incarnation, &*entry.rack, entry.is_draining), (17, "r1-3", false));
@@ -21,7 +22,22 @@
 fn recognizes_a_draining_worker() {
     let text = ENTRY.replace("\"ready\"", "\"draining\"");
 
-    assert!(parse_worker_entry("i", text.as_bytes()).unwrap().0.is_draining);
+    assert!(parse_worker_entry("i", text.as_bytes()).unwrap().host.is_draining);
+}
+
+/// Failure: a crash of a draining worker is taken for its planned end, as the time that it has
+/// announced is not read.
+#[parameterized(
+    draining = { "draining", ",\"remaining-ms\":1812.5", 1_812 },
+    draining_without_a_time = { "draining", "", 0 },
+    ready = { "ready", ",\"remaining-ms\":1812", 0 },
+)]
+fn reads_the_time_left_of_a_draining_worker(state: &str, field: &str, expected_ms: u64) {
+    let text = ENTRY.replace("\"ready\"", &format!("\"{state}\"{field}"));
+
+    let entry = parse_worker_entry("i", text.as_bytes()).unwrap();
+
+    assert_eq!(entry.remaining_ms, expected_ms);
 }
 
 #[parameterized(
