Clear no task by a run that has made no progress on a stalled host

Callers saw BUDGET in the random tests beside replaced owners: a deadly task started again after four and five crashes.

Cause: an isolated run that lasts 300 ms and twice the age of the last crash clears its task of all losses. On a hung host the runs stand still, so that a deadly one doesn't crash it, survives and withdraws the losses in the log.

A run that has shown no progress, or whose progress may be that of an earlier run or owner, now has to last 3 s (MAX_ISOLATION_MS). Services report no progress and clear their task as before. The price: an innocent suspect that takes longer than 30 s for its first percent per 300 ms stays isolated for up to 3 s; no play has measured what that costs.

--- a/crates/graph/src/engine/isolation.rs
+++ b/crates/graph/src/engine/isolation.rs
@@ -20,7 +20,8 @@
 const MIN_ISOLATION_MS: u64 = 300;
 
 /// Time for which a run stays isolated at most, in milliseconds. The hosts for isolated runs are
-/// few.
+/// few. It exceeds the time after which the runs of a stalled host are stopped, unless they are
+/// declared to take longer than a minute.
 const MAX_ISOLATION_MS: u64 = 3_000;
 
 /// Multiple of the longest time to a crash that a run has to survive.
@@ -87,6 +88,16 @@
     (MIN_ISOLATION_MS + SURVIVAL_FACTOR * max_age_ms).min(MAX_ISOLATION_MS)
 }
 
+/// Returns whether a run that is there has lasted longer than its isolation. The runs of a stalled
+/// host do nothing that could crash it, so that one without progress has to last longer: until then
+/// they are stopped (see [`super::health`]).
+pub(super) fn has_survived(run: &Run, now_ms: u64) -> bool {
+    // The progress of an earlier run or of one that was adopted says nothing about this host.
+    let has_progressed = run.is_service || (run.percent > 0 && !run.is_partial);
+    let is_proven = has_progressed || now_ms >= run.requested_ms + MAX_ISOLATION_MS;
+    is_proven && run.isolated_until_ms.is_some_and(|until_ms| now_ms >= until_ms)
+}
+
 /// Returns the waiting tasks of a step that have to be isolated.
 pub(super) fn suspects(job: &Job, step_id: StepId, progress: &StepProgress) -> Vec<u32> {
     let is_suspect = |index: &u32| job.needs_isolation(TaskId { step: step_id, index: *index });
--- a/crates/graph/src/engine/polls.rs
+++ b/crates/graph/src/engine/polls.rs
@@ -5,6 +5,7 @@
 
 use sycamore_types::Name;
 
+use super::isolation::has_survived;
 use super::{Effect, Engine};
 use crate::host::{Host, LogState, Phase, Run};
 use crate::{Action, Poll, Record, Report, TaskId};
@@ -220,7 +221,7 @@
                     run.phase = Phase::Running;
                     run.visible_after_poll = visible_after_poll;
                 }
-                if run.isolated_until_ms.is_some_and(|until_ms| now_ms >= until_ms) {
+                if has_survived(run, now_ms) {
                     self.clear_survivor(name, task, attempt);
                 }
             }
--- a/crates/graph/tests/engine/crashes.rs
+++ b/crates/graph/tests/engine/crashes.rs
@@ -451,3 +451,29 @@
         assert_eq!(world.state(id(1)), Some(State::Running), "left after {age_ms} ms");
     }
 }
+
+/// A run on a hung worker does nothing that could crash it. It survived its isolation all the same and
+/// cleared its task of all crashes, so that a deadly task was started again without a bound. Found by
+/// fuzzing beside replaced owners, seeds 1, 2 and 5 (BUDGET).
+#[test]
+fn a_run_on_a_hung_worker_clears_no_task() {
+    let mut world = world_with_deadly_task(4);
+    world.submit(id(1), job(vec![step(1, 1_000)]));
+
+    // Every second run meets hung workers.
+    for starts in 1..=8 {
+        let is_hung = starts % 2 == 0;
+        world.workers.iter_mut().for_each(|worker| worker.is_hung = is_hung);
+        let until_ms = world.now_ms + 10_000;
+        while world.oracle.starts < starts && world.now_ms < until_ms {
+            world.run(5);
+        }
+        let until_ms = world.now_ms + 10_000;
+        while world.running() > 0 && world.now_ms < until_ms {
+            world.run(5);
+        }
+    }
+
+    assert_eq!(world.state(id(1)), Some(State::Failed));
+    assert_eq!(world.oracle.crashes_under(task(id(1), 0)), 2);
+}
