Test accepted work after an absence of the store

Two tests hold what passes today: once the store is back, and has not confirmed the owner for 12 s, all workers are used again within 3 s, by the same owner and by a new one, also for work that was submitted while the store was away.

--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -21,6 +21,7 @@
 mod regression;
 mod replaced_owner;
 mod silence;
+mod store_outage;
 mod takeover;
 mod worker;
 mod world;
