--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -22,6 +22,7 @@
 mod replaced_owner;
 mod shares;
 mod silence;
+mod store_outage;
 mod takeover;
 mod worker;
 mod world;
