Review: after one crash, submissions that began together start again a few at a time

Cause: all runs that started within 50 ms of the youngest one on a crashed worker are suspects, each starts alone on a worker for up to 3 s, and nothing bounds how long one waits.

--- a/review/rig-2/src/cases.rs
+++ b/review/rig-2/src/cases.rs
@@ -30,6 +30,7 @@
         "done" => done,
         "flood" => flood,
         "gang" => gang,
+        "innocent" => innocent,
         _ => return None,
     })
 }
@@ -269,6 +270,57 @@
     }))
 }
 
+/// Many submissions that began together lose their worker once.
+fn innocent(has_trouble: bool, record: Record, children: Children) -> Result<Option<String>> {
+    let mut site = Site::start(&plan(vec![("a", 16_000); 8]), record, children)?;
+    sleep_ms(1_500);
+    let ids: Vec<String> = (0..60).map(|at| format!("1c0000000000{at:04x}")).collect();
+    let site_ref = &site;
+    std::thread::scope(|scope| {
+        for id in &ids {
+            let body = submission("ms=70000", vec![step(1, 100, 70_000, [])]);
+            scope.spawn(move || site_ref.submit(id, KEY, &body));
+        }
+    });
+    let all_run = |site: &Site| ids.iter().all(|id| !site.record.runs(id).is_empty());
+    if !site.wait_for(Duration::from_secs(10), all_run) {
+        return Err("the tasks don't start".to_string());
+    }
+    sleep_ms(3_000);
+    if !has_trouble {
+        sleep_ms(20_000);
+        let are_there = ids.iter().all(|id| site.worker_of(id).is_some());
+        return Ok((!are_there).then(|| "tasks don't run".to_string()));
+    }
+    let lost = site.worker_of(&ids[30]).ok_or("a task does not run")?;
+    let hit: Vec<&String> = ids.iter().filter(|id| site.workers[lost].runs(id)).collect();
+    let crash_ms = site.record.now_ms();
+    site.workers[lost].crash();
+    std::thread::sleep(DOWN);
+    site.workers[lost].start(&format!("i-w{lost}-2"), "a").map_err(|e| e.to_string())?;
+    let back_ms = site.record.now_ms();
+    sleep_ms(25_000);
+    let end_ms = site.record.now_ms();
+    // 4 s without disruption, and then 3 s without a run.
+    let due_ms = back_ms + 4_000 + 3_000;
+    let mut late = Vec::new();
+    for id in &hit {
+        let again = site.record.runs(id).get(1).map_or(end_ms, |run| run.started_ms);
+        site.record.note(&format!("{id} had nothing running for {} ms", again - crash_ms));
+        if again > due_ms {
+            late.push(again - crash_ms);
+        }
+    }
+    let most = late.iter().max().copied().unwrap_or(0);
+    Ok((!late.is_empty()).then(|| {
+        format!(
+            "LOST: {} of {} submissions that lost their worker have nothing running 7 s after it is back, up to {most} ms after the crash, beside idle workers",
+            late.len(),
+            hit.len()
+        )
+    }))
+}
+
 /// A submission that fills loses its worker while each other one runs a task with a goal.
 fn fills(has_trouble: bool, record: Record, children: Children) -> Result<Option<String>> {
     let mut site = Site::start(&plan(vec![("a", 16_000); 8]), record, children)?;
