Bound the memory of all bodies of callers' requests together

Callers saw a process end: it ran out of memory while clients sent many large bodies of legal size, most of which stopped just short of their end and stayed open.

Cause: `max-body-bytes` bounds one body; nothing bounded all of them together, and the machine's `memory-mb` was not read. Besides, each chunk or piece was kept as a handle on the read buffer it came in, so that a byte in a chunk of its own took more than ten.

Change: `api::body::Budget` grants all bodies a quarter of `memory-mb`, less when the whole process is short of memory. A body is copied into one buffer as it arrives. When the budget is full, the largest body that is not complete gets 503 with `Retry-After` at once, so that small requests never wait for bodies that don't arrive; one that certainly doesn't fit is refused before it is read. A complete submission keeps its reservation until it is answered and is not refused any more. What still arrives of a refused body is read and dropped, so that its sender sees the response instead of a reset.

--- a/crates/graph/src/job/spec.rs
+++ b/crates/graph/src/job/spec.rs
@@ -77,6 +77,16 @@
 }
 
 impl Spec {
+    /// Returns the memory that the specification takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let step = |step: &Step| {
+            let names = [&step.required_label, &step.data_rack, &step.image];
+            let names: usize = names.into_iter().flatten().map(|name| name.len()).sum();
+            size_of::<Step>() + names + size_of::<u16>() * step.after.len()
+        };
+        size_of::<Spec>() + self.payload.len() + self.steps.iter().map(step).sum::<usize>()
+    }
+
     /// Returns, for each step, the declared duration of the longest path through the graph
     /// that begins with it, in milliseconds.
     pub fn remaining_path_ms(&self) -> Vec<u64> {
--- a/crates/node/examples/executor_cost.rs
+++ b/crates/node/examples/executor_cost.rs
@@ -60,6 +60,8 @@
         let callers = ports[0].on(Ipv4Addr::LOCALHOST);
         let text = fenced::settings(&ProcessSettings {
             evacuation_ms: None,
+            memory_mb: None,
+            max_fds: None,
             host: name.to_string(),
             address: "127.0.0.1".to_string(),
             peer_port: ports[1].number(),
--- a/crates/node/src/api/mod.rs
+++ b/crates/node/src/api/mod.rs
@@ -1,11 +1,13 @@
 //! HTTP API for callers and readiness probes: checks keys and limits, finds the queue of a
 //! request, and forwards the request to the owner.
 
+mod body;
 mod forward;
 mod listener;
 mod readiness;
 mod request;
 mod response;
 
+pub(crate) use body::Budget;
 pub(crate) use listener::{Server, serve};
 pub(crate) use readiness::serve_readiness;
--- a/crates/node/src/api/request.rs
+++ b/crates/node/src/api/request.rs
@@ -5,12 +5,12 @@
 use std::time::{Duration, Instant};
 
 use http::{Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use sycamore_graph::job::Id;
+use sycamore_graph::job::{Id, Spec};
 use sycamore_platform::site::{Config, Route, header as site_header, parse_job};
 use sycamore_types::Name;
 
+use super::body::{self, Reservation, receive};
 use super::forward::forward_to_owner;
 use super::response::{ApiResponse, RETRY_SOON_S, error_response, from_outcome, retry_later};
 use crate::clock::millis;
@@ -52,7 +52,8 @@
     started: Instant,
 ) -> (ApiResponse, Option<RequestOutcome>) {
     match parse(node, request, started).await {
-        Ok((caller_request, deadline)) => {
+        // The request's memory stays reserved until it is answered.
+        Ok((caller_request, deadline, _reservation)) => {
             let outcome = forward_to_owner(node, caller_request, deadline).await;
             (from_outcome(outcome, node.configs.is_store_reachable()), Some(outcome))
         }
@@ -60,13 +61,13 @@
     }
 }
 
-/// Parses a request. Returns it with the time by which the response must be sent, or the
-/// error response.
+/// Parses a request. Returns it with the time by which the response must be sent and the memory
+/// that is reserved for a submission, or the error response.
 async fn parse(
     node: &Arc<Node>,
     request: Request<Incoming>,
     started: Instant,
-) -> Result<(CallerRequest, Instant), ApiResponse> {
+) -> Result<(CallerRequest, Instant, Option<Reservation>), ApiResponse> {
     let Some(current) = node.configs.current() else {
         return Err(retry_later(RETRY_SOON_S, "no configuration yet"));
     };
@@ -81,7 +82,7 @@
     let deadline = started + response_timeout(route, &request);
     let name = &path[route.prefix.len()..];
     if name.is_empty() && request.method() == Method::GET {
-        return Ok((CallerRequest::Count { queue: route.queue.clone() }, deadline));
+        return Ok((CallerRequest::Count { queue: route.queue.clone() }, deadline, None));
     }
     let Ok(job) = name.parse::<Id>() else {
         return Err(error_response(
@@ -92,10 +93,15 @@
     let caller_request = match *request.method() {
         Method::GET => CallerRequest::Query { job, team },
         Method::DELETE => CallerRequest::Cancel { job, team },
-        Method::POST => parse_submission(config, request, job, route, team, deadline).await?,
+        Method::POST => {
+            let (spec, reservation) = receive_spec(node, config, request, deadline).await?;
+            let queue = route.queue.clone();
+            let submission = CallerRequest::Submit { job, queue, team, spec };
+            return Ok((submission, deadline, Some(reservation)));
+        }
         _ => return Err(error_response(StatusCode::METHOD_NOT_ALLOWED, "method not allowed")),
     };
-    Ok((caller_request, deadline))
+    Ok((caller_request, deadline, None))
 }
 
 fn find_route<'a>(
@@ -135,25 +141,30 @@
     timeout - RESPONSE_MARGIN.min(timeout / RESPONSE_MARGIN_DIVISOR)
 }
 
-async fn parse_submission(
+/// Receives and parses the body of a submission. Returns the job and the memory that is reserved
+/// for it.
+async fn receive_spec(
+    node: &Node,
     config: &Config,
     request: Request<Incoming>,
-    job: Id,
-    route: &Route,
-    team: Name,
     deadline: Instant,
-) -> Result<CallerRequest, ApiResponse> {
-    let body = Limited::new(request.into_body(), config.limits.max_body_bytes).collect();
-    let bytes = match tokio::time::timeout_at(deadline.into(), body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(error_response(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
+) -> Result<(Spec, Reservation), ApiResponse> {
+    let max_bytes = config.limits.max_body_bytes.min(node.bodies.max_bytes());
+    let received = receive(&node.bodies, request.into_body(), max_bytes, deadline).await;
+    let (bytes, reservation) = received.map_err(|error| match error {
+        body::Error::TooLarge => error_response(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
+        body::Error::NoMemory => retry_later(RETRY_SOON_S, "no memory for the body"),
+        body::Error::BrokenOff => error_response(StatusCode::BAD_REQUEST, "body broken off"),
+        body::Error::Timeout => {
+            error_response(StatusCode::REQUEST_TIMEOUT, "body not sent in time")
         }
-        Ok(Err(_)) => return Err(error_response(StatusCode::BAD_REQUEST, "body broken off")),
-        Err(_) => return Err(error_response(StatusCode::REQUEST_TIMEOUT, "body not sent in time")),
-    };
-    match parse_job(&bytes) {
-        Ok(spec) => Ok(CallerRequest::Submit { job, queue: route.queue.clone(), team, spec }),
-        Err(error) => Err(error_response(StatusCode::BAD_REQUEST, &error.to_string())),
+    })?;
+    let spec = parse_job(&bytes)
+        .map_err(|error| error_response(StatusCode::BAD_REQUEST, &error.to_string()))?;
+    drop(bytes);
+    // The message to the owner holds a copy.
+    if reservation.resize(2 * spec.memory_bytes()).is_err() {
+        return Err(retry_later(RETRY_SOON_S, "no memory for the job"));
     }
+    Ok((spec, reservation))
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod backoff;
 mod clock;
 mod config;
+mod memory;
 mod metrics;
 mod node;
 mod options;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -28,6 +28,10 @@
     pub requests: IntCounterVec,
     /// Time from a request to its response, by method.
     pub request_s: HistogramVec,
+    /// Memory that the bodies of callers' requests hold, in bytes.
+    pub body_bytes: IntGauge,
+    /// Requests that were refused as there was no memory for their body.
+    pub refused_bodies: IntCounter,
     /// Start requests to workers, by outcome.
     pub starts: IntCounterVec,
     /// Lost workers that had runs, by cause.
@@ -107,6 +111,14 @@
         Meters {
             requests: all.counters("requests_total", "Answers to callers.", &["method", "status"]),
             request_s: all.histograms("request_seconds", "Time to answer.", &["method"], &BUCKETS),
+            body_bytes: all.gauge(
+                "caller_body_bytes",
+                "Memory that the bodies of callers' requests hold, in bytes.",
+            ),
+            refused_bodies: all.counter(
+                "caller_bodies_refused_total",
+                "Requests that were refused as there was no memory for their body.",
+            ),
             starts: all.counters("starts_total", "Orders to start a task.", &["outcome"]),
             host_losses: all.counters(
                 "worker_losses_total",
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,6 +14,7 @@
 use sycamore_wire::Pool;
 use tokio::sync::{Mutex, Notify};
 
+use crate::api::Budget;
 use crate::clock::Clock;
 use crate::config::Configs;
 use crate::metrics::Meters;
@@ -45,6 +46,8 @@
     /// Output stream of the decision records.
     pub decision_log: LineSender,
     pub meters: Meters,
+    /// Memory that callers' bodies share.
+    pub bodies: Arc<Budget>,
     pub workers: WorkerConnections,
     pub pool: Pool,
     pub configs: Configs,
@@ -85,6 +88,7 @@
                 Some(_) => configs.with_evacuations(),
                 None => configs,
             },
+            bodies: Arc::new(Budget::new(settings.memory_bytes, meters.clone())),
             meters,
             ownership: Ownership::default(),
             must_resign: Notify::new(),
--- a/crates/node/src/owner/tests/fixture.rs
+++ b/crates/node/src/owner/tests/fixture.rs
@@ -21,6 +21,8 @@
     let unused = SocketAddr::from(([127, 0, 0, 1], 9));
     let text = fenced::settings(&ProcessSettings {
         evacuation_ms: None,
+        memory_mb: None,
+        max_fds: None,
         host: name.to_string(),
         address: peers.ip().to_string(),
         peer_port: peers.port(),
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -15,7 +15,7 @@
 use crate::node::Node;
 use crate::options::Options;
 use crate::timing::{DRAIN_DELAY, EXIT_MARGIN, LAST_RESPONSE_MARGIN, SETTINGS_CHECK_INTERVAL};
-use crate::{api, metrics, ownership, peer};
+use crate::{api, memory, metrics, ownership, peer};
 
 /// Returned when the process can't start.
 #[derive(Debug, Display)]
@@ -59,8 +59,15 @@
         None => None,
     };
     log::info!(
-        target: "process", host:% = settings.host, domain:% = settings.failure_domain; "start"
+        target: "process", host:% = settings.host, domain:% = settings.failure_domain,
+        memory_bytes = settings.memory_bytes, descriptors = settings.max_descriptors; "start"
     );
+    if memory::resident_bytes().is_none() {
+        log::warn!(
+            target: "process", memory_bytes = settings.memory_bytes;
+            "can't read the memory in use, so bodies may take their largest share at any time"
+        );
+    }
     let grace = Duration::from_millis(settings.grace_ms);
     let metrics = match options.metrics_port() {
         Some(port) => Some(listen(SocketAddr::new(peer_address.ip(), port)).await?),
--- a/crates/node/tests/path/addresses.rs
+++ b/crates/node/tests/path/addresses.rs
@@ -31,6 +31,8 @@
         cores: 1.0,
         link_mbps: 1_000.0,
         evacuation_ms: None,
+        memory_mb: None,
+        max_fds: None,
     });
     let name = format!("sycamore-options-{}-{}.toml", std::process::id(), callers.number());
     let settings = std::env::temp_dir().join(name);
--- a/crates/node/tests/path/platform.rs
+++ b/crates/node/tests/path/platform.rs
@@ -82,6 +82,15 @@
         self.store.configure(&config);
     }
 
+    /// Sets the time limit of callers' requests, in milliseconds.
+    #[allow(dead_code, reason = "used by the tests in `clients`")]
+    pub fn set_request_timeout(&self, version: u64, timeout_ms: u64) {
+        let mut config = config();
+        config["version"] = version.into();
+        config["routes"][0]["timeout-ms"] = timeout_ms.into();
+        self.store.configure(&config);
+    }
+
     /// Starts the worker again under another id, at the same address, if a task has crashed it.
     pub async fn restart_crashed_worker(&self) {
         if !self.lock_worker().has_crashed() {
--- a/crates/node/tests/path/process.rs
+++ b/crates/node/tests/path/process.rs
@@ -46,12 +46,25 @@
     pub advice: Option<SocketAddr>,
     /// Time after which no task starts in an evacuated failure domain, in milliseconds.
     pub evacuation_ms: Option<u64>,
+    /// Memory that the settings grant the process, in MiB, if they name it.
+    pub memory_mb: Option<u32>,
+    /// Descriptors that the settings grant the process, if they name them.
+    pub max_fds: Option<u32>,
 }
 
 impl Host<'_> {
     /// A host that may own at once.
     pub fn strong(name: &str, store: SocketAddr) -> Host<'_> {
-        Host { name, cores: 1.0, link_mbps: 1_000.0, store, advice: None, evacuation_ms: None }
+        Host {
+            name,
+            cores: 1.0,
+            link_mbps: 1_000.0,
+            store,
+            advice: None,
+            evacuation_ms: None,
+            memory_mb: None,
+            max_fds: None,
+        }
     }
 }
 
@@ -93,6 +106,8 @@
             cores: host.cores,
             link_mbps: host.link_mbps,
             evacuation_ms: host.evacuation_ms,
+            memory_mb: host.memory_mb,
+            max_fds: host.max_fds,
         });
         let settings =
             std::env::temp_dir().join(format!("sycamore-{}-{callers}.toml", std::process::id()));
@@ -127,7 +142,16 @@
     }
 
     pub fn address(&self, path: &str) -> String {
-        format!("http://{}{path}", self.callers)
+        format!("http://{}{path}", self.callers())
+    }
+
+    /// Returns the address for callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id().expect("the process runs")
     }
 
     /// Returns the address for peers that the settings state.
@@ -141,7 +165,7 @@
 
     /// Sends a signal, by the name that `kill` knows.
     pub async fn signal(&self, name: &str) {
-        let id = self.child.id().expect("the process runs").to_string();
+        let id = self.id().to_string();
         let sent = Command::new("kill").arg(format!("-{name}")).arg(id).status().await;
         assert!(sent.is_ok_and(|status| status.success()));
     }
--- a/crates/platform/src/site/settings.rs
+++ b/crates/platform/src/site/settings.rs
@@ -34,6 +34,10 @@
     pub cores: f64,
     /// Bandwidth of the host's network link, in Mbit/s. Infinite if the file sets no limit.
     pub link_mbps: f64,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: usize,
+    /// Descriptors that the process may have open.
+    pub max_descriptors: usize,
     /// Longest lease that a worker grants, in milliseconds.
     pub lease_ms: u64,
     /// Time for which the state of a closed job can be queried, in milliseconds.
@@ -109,6 +113,8 @@
     /// Speed of that core, in cores of unit speed.
     cores: Option<f64>,
     link_mbps: Option<f64>,
+    memory_mb: Option<f64>,
+    max_fds: Option<usize>,
 }
 
 #[derive(Deserialize)]
@@ -160,6 +166,22 @@
     1 << 20
 }
 
+/// Memory of the process if the file names none, in MiB.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
+
+/// Least memory that the file may name, in MiB. The process needs most of it to start.
+const MIN_MEMORY_MB: f64 = 16.0;
+
+/// Largest memory that the file may name, in MiB: one that fits into all address spaces.
+const MAX_MEMORY_MB: f64 = 1_048_576.0;
+
+/// Least number of descriptors that the file may name. The process itself needs some of them for
+/// the store, its peers and its workers.
+const MIN_FDS: usize = 64;
+
+/// Descriptors of the process if the file names none: the usual soft limit.
+const DEFAULT_MAX_FDS: usize = 1_024;
+
 impl Settings {
     /// Reads the settings file at a path.
     ///
@@ -183,6 +205,14 @@
         let address = |text: &str, field| text.parse().map_err(|_| SettingsError::Field(field));
         let port = file.internal_ports.first().ok_or(SettingsError::Field("internal-ports"))?;
         let readiness = file.listen.ready.as_deref();
+        let memory_mb = file.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+        if !(MIN_MEMORY_MB..=MAX_MEMORY_MB).contains(&memory_mb) {
+            return Err(SettingsError::Field("limits.memory-mb"));
+        }
+        let max_fds = file.limits.max_fds.unwrap_or(DEFAULT_MAX_FDS);
+        if max_fds < MIN_FDS {
+            return Err(SettingsError::Field("limits.max-fds"));
+        }
         Ok(Settings {
             callers: address(&file.listen.front, "listen.front")?,
             readiness: readiness.map(|text| address(text, "listen.ready")).transpose()?,
@@ -198,6 +228,8 @@
             failure_domain: file.zone,
             cores: file.limits.cpu_share.unwrap_or(1.0) * file.limits.cores.unwrap_or(1.0),
             link_mbps: file.limits.link_mbps.unwrap_or(f64::INFINITY),
+            memory_bytes: (memory_mb * f64::from(1 << 20)) as usize,
+            max_descriptors: max_fds,
             lease_ms: file.bounds.hold_max_ms,
             status_ms: (file.bounds.status_s * 1_000.0) as u64,
             stability_ms: file.bounds.stability_ms,
--- a/crates/platform/tests/site/settings.rs
+++ b/crates/platform/tests/site/settings.rs
@@ -84,6 +84,39 @@
     assert_eq!(settings.advice, None);
 }
 
+#[test]
+fn parses_the_limits_of_the_process() {
+    let limits = "[limits]\nmemory-mb = 120\nmax-fds = 3075\n[bounds]";
+
+    let settings = Settings::parse(&FILE.replace("[bounds]", limits)).unwrap();
+
+    assert_eq!((settings.memory_bytes, settings.max_descriptors), (120 << 20, 3_075));
+}
+
+/// Without defaults, a file that leaves the limits out would let callers take all that there is.
+#[test]
+fn limits_that_are_not_named_have_defaults() {
+    let settings = Settings::parse(FILE).unwrap();
+
+    assert_eq!((settings.memory_bytes, settings.max_descriptors), (256 << 20, 1_024));
+}
+
+#[parameterized(
+    no_memory = { "memory-mb = 0" },
+    negative_memory = { "memory-mb = -5" },
+    endless_memory = { "memory-mb = inf" },
+    memory_that_is_no_number = { "memory-mb = nan" },
+    no_descriptors = { "max-fds = 0" },
+)]
+fn names_the_limit_that_is_out_of_range(limit: &str) {
+    let text = FILE.replace("[bounds]", &format!("[limits]\n{limit}\n[bounds]"));
+
+    let error = Settings::parse(&text).unwrap_err().to_string();
+
+    let (name, _) = limit.split_once(" = ").unwrap();
+    assert!(error.contains(&format!("limits.{name}")), "{error}");
+}
+
 #[parameterized(
     invalid_toml = { "node = ", "malformed" },
     no_ports = { "internal-ports = []", "internal-ports" },
--- a/crates/soak/src/round.rs
+++ b/crates/soak/src/round.rs
@@ -132,6 +132,8 @@
             cores: HOST_CORES,
             link_mbps: usual_link.mbps(),
             evacuation_ms: None,
+            memory_mb: None,
+            max_fds: None,
         };
         let addresses = format!("--source-address {ip} --peer-listen {inner_peer_address}");
         let arguments = addresses.split(' ').map(str::to_string).collect();
--- a/crates/standin/src/fenced/documents.rs
+++ b/crates/standin/src/fenced/documents.rs
@@ -81,6 +81,10 @@
     /// Time after which no task starts in an evacuated failure domain, in milliseconds. `None`
     /// where evacuations are not in use.
     pub evacuation_ms: Option<u64>,
+    /// Memory that the process may use, in MiB. `None` leaves the setting out.
+    pub memory_mb: Option<u32>,
+    /// Descriptors that the process may have open. `None` leaves the setting out.
+    pub max_fds: Option<u32>,
 }
 
 /// Builds the body with which a job is submitted.
@@ -153,10 +157,13 @@
     let seeds: Vec<String> = process.seeds.iter().map(|seed| format!("\"{seed}:1\"")).collect();
     let evacuation = process.evacuation_ms.map(|ms| format!("evac-ms = {ms}\n"));
     let advice = process.advice_address.map(|address| address.to_string()).unwrap_or_default();
+    let memory = process.memory_mb.map(|mb| format!("memory-mb = {mb}\n")).unwrap_or_default();
+    let descriptors =
+        process.max_fds.map(|count| format!("max-fds = {count}\n")).unwrap_or_default();
     format!(
         "node = \"{}\"\nip = \"{}\"\nzone = \"a\"\ninternal-ports = [{}, 1]\nseeds = [{}]\n\
          hint = \"{advice}\"\n[listen]\nfront = \"{}\"\n[bounds]\nhold-max-ms = 6000\ngrace-s = {}\n{}\
-         [limits]\ncpu-share = {:?}\nlink-mbps = {:?}\n[platform]\naddr = \"{}\"\n",
+         [limits]\ncpu-share = {:?}\nlink-mbps = {:?}\n{memory}{descriptors}[platform]\naddr = \"{}\"\n",
         process.host,
         process.address,
         process.peer_port,
