Bound callers' connections and leave descriptors to the process itself

Callers waited up to 15 s to be accepted while a crowd of silent connections was open, and a process that had used up its descriptors could call neither the store nor its workers, nor read its settings file.

Cause: nothing bounded the number of callers' connections, and `max-fds` was not read. The kernel was also free to enlarge the receive buffer of each, up to 6 MB with the usual settings, for requests that are not read yet.

Evidence: `tests/clients/connections.rs`, with crowd and bounds fixed first, on: 300 connections that say nothing, stop in the head, stop in a small body or don't read their answers, where 200 descriptors are granted: 318 or 319 descriptors open, all four tests failed.

Change: `api::connection::Registry` admits callers' connections up to half of the sockets, or what a quarter of the memory pays for. When it is full, a new connection takes the place of the one whose last request or answer is the oldest, so that nobody waits to be accepted; a connection whose request is with the owner is not closed. While the process is short of memory the number doesn't grow beyond an eighth. The receive buffer has a fixed size.

Measured after: all four tests pass, jobs are accepted and run while each crowd is open.

--- a/crates/node/src/api/body/budget.rs
+++ b/crates/node/src/api/body/budget.rs
@@ -122,6 +122,12 @@
         state.held
     }
 
+    /// Returns whether the process uses so much memory that it should take on no more.
+    pub fn is_process_short(&self) -> bool {
+        let mut state = self.lock();
+        self.is_short(&mut state, 0)
+    }
+
     /// Begins to receive a body of at most `max_bytes`. Its memory is reserved as it arrives.
     ///
     /// # Errors
@@ -213,9 +219,14 @@
         if total > self.max_bytes() {
             return false;
         }
-        let Some(reading) = self.reading(state) else { return true };
-        let resident = (reading.resident + total).saturating_sub(reading.held);
-        resident <= self.memory_bytes - self.memory_bytes / MARGIN_DIVISOR
+        !self.is_short(state, more)
+    }
+
+    /// Returns whether the process would be short of memory if the bodies held this much more.
+    fn is_short(&self, state: &mut State, more: usize) -> bool {
+        let Some(reading) = self.reading(state) else { return false };
+        let resident = (reading.resident + state.held + more).saturating_sub(reading.held);
+        resident > self.memory_bytes - self.memory_bytes / MARGIN_DIVISOR
     }
 
     fn reading(&self, state: &mut State) -> Option<Reading> {
--- /dev/null
+++ b/crates/node/src/api/connection/mod.rs
@@ -0,0 +1,12 @@
+//! Bounds the connections that callers keep open.
+//!
+//! When there are as many as the process can afford, a new connection takes the place of the one
+//! that has gone longest without a request being answered. A connection whose request is with the
+//! owner is never closed for another one.
+
+mod registry;
+#[cfg(test)]
+mod tests;
+
+pub(super) use registry::Connection;
+pub(crate) use registry::{Limit, Registry};
--- /dev/null
+++ b/crates/node/src/api/connection/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the registry of connections.
+
+mod registry;
--- a/crates/node/src/api/listener.rs
+++ b/crates/node/src/api/listener.rs
@@ -1,22 +1,32 @@
-//! Accepts callers' connections and, when the process stops, closes each of them after its
-//! current request.
+//! Accepts callers' connections, as many as the process can afford, and, when the process stops,
+//! closes each of them after its current request.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use sycamore_platform::site::Limits;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
+use super::connection::{Connection, Limit, Registry};
 use super::request::handle;
 use crate::node::Node;
 
 /// Delay after a failed accept, so that a lack of file descriptors causes no busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Receive buffer of a caller's connection, in bytes. What a caller has sent and the process has
+/// not read counts as memory of the process, so that the kernel must not enlarge the buffer.
+const RECEIVE_BUFFER_BYTES: usize = 32 * 1_024;
+
+/// Connections that the kernel holds until they are accepted.
+const BACKLOG: u32 = 1_024;
+
 /// Interval at which a stopping process checks whether all connections have closed.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -24,6 +34,7 @@
 #[derive(Debug)]
 pub(crate) struct Server {
     node: Arc<Node>,
+    connections: Arc<Registry>,
     /// Set to `true` when connections are to close after their current request. Each open
     /// connection holds a receiver.
     closing: watch::Sender<bool>,
@@ -31,7 +42,14 @@
 
 impl Server {
     pub fn new(node: Arc<Node>) -> Server {
-        Server { node, closing: watch::Sender::new(false) }
+        let (settings, meters) = (&node.settings, &node.meters);
+        let connection_bytes = RECEIVE_BUFFER_BYTES + Limits::default().max_header_bytes;
+        let limit =
+            Limit::of_callers(settings.max_descriptors, settings.memory_bytes, connection_bytes);
+        let (open, evicted) =
+            (meters.caller_connections.clone(), meters.evicted_connections.clone());
+        let connections = Arc::new(Registry::new(limit, open, evicted));
+        Server { node, connections, closing: watch::Sender::new(false) }
     }
 
     /// Closes each connection after its current request, and waits until all are closed or
@@ -45,12 +63,28 @@
     }
 }
 
+/// Listens for callers.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be listened on.
+pub(crate) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit it.
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Accepts callers' connections until the process exits.
 pub(crate) async fn serve(server: Arc<Server>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((socket, _)) => {
-                tokio::spawn(serve_connection(server.clone(), socket));
+                let is_short_of_memory = || server.node.bodies.is_process_short();
+                let connection = server.connections.admit(is_short_of_memory).await;
+                tokio::spawn(serve_connection(server.clone(), Arc::new(connection), socket));
             }
             Err(error) => {
                 log::warn!(target: "sycamore_node::door::listener", "can't accept a caller's connection: {error}");
@@ -60,7 +94,17 @@
     }
 }
 
-async fn serve_connection(server: Arc<Server>, socket: TcpStream) {
+/// Serves a connection until it ends or has to be closed for another one.
+async fn serve_connection(server: Arc<Server>, connection: Arc<Connection>, socket: TcpStream) {
+    tokio::select! {
+        // A request whose connection is to be closed must not be passed on to the owner.
+        biased;
+        () = connection.evicted() => {}
+        () = serve_requests(server, connection.clone(), socket) => {}
+    }
+}
+
+async fn serve_requests(server: Arc<Server>, connection: Arc<Connection>, socket: TcpStream) {
     if let Err(error) = socket.set_nodelay(true) {
         log::debug!("can't set TCP_NODELAY on a caller's connection: {error}");
     }
@@ -68,24 +112,24 @@
     let limits = limits.unwrap_or_default();
     let node = server.node.clone();
     let service = service_fn(move |request| {
-        let node = node.clone();
-        async move { Ok::<_, Infallible>(handle(node, request).await) }
+        let (node, connection) = (node.clone(), connection.clone());
+        async move { Ok::<_, Infallible>(handle(node, &connection, request).await) }
     });
-    let connection = http1::Builder::new()
+    let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(
             limits.header_timeout_ms.max(limits.idle_timeout_ms),
         ))
         .max_buf_size(limits.max_header_bytes.max(8_192))
         .serve_connection(TokioIo::new(socket), service);
-    let mut connection = std::pin::pin!(connection);
+    let mut serving = std::pin::pin!(serving);
     let mut closing = server.closing.subscribe();
     tokio::select! {
-        ended = connection.as_mut() => log_end(ended),
+        ended = serving.as_mut() => log_end(ended),
         // Changes only once, from `false` to `true`.
         _ = closing.changed() => {
-            connection.as_mut().graceful_shutdown();
-            log_end(connection.await);
+            serving.as_mut().graceful_shutdown();
+            log_end(serving.await);
         }
     }
 }
--- a/crates/node/src/api/mod.rs
+++ b/crates/node/src/api/mod.rs
@@ -2,6 +2,7 @@
 //! request, and forwards the request to the owner.
 
 mod body;
+mod connection;
 mod forward;
 mod listener;
 mod readiness;
@@ -9,5 +10,5 @@
 mod response;
 
 pub(crate) use body::Budget;
-pub(crate) use listener::{Server, serve};
+pub(crate) use listener::{Server, listen, serve};
 pub(crate) use readiness::serve_readiness;
--- a/crates/node/src/api/request.rs
+++ b/crates/node/src/api/request.rs
@@ -11,6 +11,7 @@
 use sycamore_types::Name;
 
 use super::body::{self, Reservation, receive};
+use super::connection::Connection;
 use super::forward::forward_to_owner;
 use super::response::{ApiResponse, RETRY_SOON_S, error_response, from_outcome, retry_later};
 use crate::clock::millis;
@@ -25,11 +26,16 @@
 const RESPONSE_MARGIN_DIVISOR: u32 = 4;
 
 /// Answers one request of a caller, and counts and logs the response.
-pub(super) async fn handle(node: Arc<Node>, request: Request<Incoming>) -> ApiResponse {
+pub(super) async fn handle(
+    node: Arc<Node>,
+    connection: &Connection,
+    request: Request<Incoming>,
+) -> ApiResponse {
     let started = Instant::now();
+    connection.begin_request();
     let method = request.method().clone();
     let path = request.uri().path().to_string();
-    let (response, outcome) = serve(&node, request, started).await;
+    let (response, outcome) = serve(&node, connection, request, started).await;
     let job = path.rsplit('/').next().unwrap_or_default();
     let status = response.status().as_u16();
     let verdict = outcome.map_or_else(|| "None".to_string(), |outcome| format!("{outcome:?}"));
@@ -48,12 +54,14 @@
 /// Returns the response and, for a request that was forwarded to the owner, its outcome.
 async fn serve(
     node: &Arc<Node>,
+    connection: &Connection,
     request: Request<Incoming>,
     started: Instant,
 ) -> (ApiResponse, Option<RequestOutcome>) {
     match parse(node, request, started).await {
         // The request's memory stays reserved until it is answered.
         Ok((caller_request, deadline, _reservation)) => {
+            let _answering = connection.begin_answer();
             let outcome = forward_to_owner(node, caller_request, deadline).await;
             (from_outcome(outcome, node.configs.is_store_reachable()), Some(outcome))
         }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -28,6 +28,10 @@
     pub requests: IntCounterVec,
     /// Time from a request to its response, by method.
     pub request_s: HistogramVec,
+    /// Open connections of callers.
+    pub caller_connections: IntGauge,
+    /// Connections of callers that were closed to make room for others.
+    pub evicted_connections: IntCounter,
     /// Memory that the bodies of callers' requests hold, in bytes.
     pub body_bytes: IntGauge,
     /// Requests that were refused as there was no memory for their body.
@@ -111,6 +115,11 @@
         Meters {
             requests: all.counters("requests_total", "Answers to callers.", &["method", "status"]),
             request_s: all.histograms("request_seconds", "Time to answer.", &["method"], &BUCKETS),
+            caller_connections: all.gauge("caller_connections", "Open connections of callers."),
+            evicted_connections: all.counter(
+                "caller_connections_evicted_total",
+                "Connections of callers that were closed to make room for others.",
+            ),
             body_bytes: all.gauge(
                 "caller_body_bytes",
                 "Memory that the bodies of callers' requests hold, in bytes.",
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -52,7 +52,8 @@
             .map_err(|error| Error::SourceAddress(address, error))?;
     }
     let peer_address = options.peer_listen().unwrap_or(settings.peers);
-    let callers = listen(settings.callers).await?;
+    let callers =
+        api::listen(settings.callers).map_err(|error| Error::Listen(settings.callers, error))?;
     let peers = listen(peer_address).await?;
     let readiness = match settings.readiness {
         Some(address) => Some(listen(address).await?),
--- a/crates/node/tests/clients/crowd.rs
+++ b/crates/node/tests/clients/crowd.rs
@@ -2,6 +2,7 @@
 //! before they have sent all.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use futures::future::join_all;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -12,6 +13,9 @@
 /// Largest body that the platform's documentation allows, in bytes.
 pub const MAX_BODY_BYTES: usize = 262_144;
 
+/// Time after which a client stops sending to a process that doesn't read.
+const SEND_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// How a client sends the body of a request.
 #[derive(Clone, Copy, Debug)]
 pub enum Body {
@@ -38,6 +42,18 @@
         Crowd(join_all((0..clients).map(client)).await.into_iter().flatten().collect())
     }
 
+    /// Opens connections on which this text is sent and nothing else.
+    pub async fn of_connections(clients: usize, address: SocketAddr, text: &str) -> Crowd {
+        let client = |_| async {
+            let mut socket = connect(address).await?;
+            // The process may stop reading before the text has ended.
+            let sent = socket.write_all(text.as_bytes());
+            let _ = tokio::time::timeout(SEND_TIMEOUT, sent).await;
+            Some(socket)
+        };
+        Crowd(join_all((0..clients).map(client)).await.into_iter().flatten().collect())
+    }
+
     /// Reads until the process has closed all connections. Returns the status of each answer.
     pub async fn into_answers(self) -> Vec<u16> {
         let answer = |mut socket: TcpStream| async move {
--- a/crates/node/tests/clients/main.rs
+++ b/crates/node/tests/clients/main.rs
@@ -5,6 +5,7 @@
 //! time, in a test program of their own, so that no other load adds to what they measure.
 
 mod bodies;
+mod connections;
 mod crowd;
 #[allow(dead_code, reason = "shared with the tests in `path`, which use more of it")]
 #[path = "../path/platform.rs"]
