Begin due occurrences a few at a time, and forget those that are over

Callers saw the owner end, and each of its successors: one submission of 100 bytes with `times` = 1,000,000, `interval-ms` = 1 and a start in the past was accepted and took gigabytes.

Cause: `start_occurrences` began all due occurrences in one recursion, each with a state of its own, and the states were kept until the job was closed. As the submission is in the log, each successor did the same.

Change: `progress::Occurrences` keeps the occurrences that are not over; of those that have begun and are over only the number is left. At most 64 are open, and 10,000 tasks in all, but one at least; the others wait as a number and begin as occurrences end, so all accepted work runs. Runs and ends that a host reports of an occurrence that the new owner has not begun yet begin it, as the owner before did; they had been stopped or ignored where the clock of the new owner was behind.

The time of an occurrence no longer overflows.

--- a/crates/graph/src/engine/close.rs
+++ b/crates/graph/src/engine/close.rs
@@ -5,7 +5,7 @@
 use super::losses::GIVE_UP_AFTER;
 use super::{Effect, Engine};
 use crate::job::{self, Id, State};
-use crate::progress::{StepProgress, TaskProgress};
+use crate::progress::{Occurrences, StepProgress, TaskProgress};
 use crate::{Closed, Record, TaskId, Verdict};
 
 impl Engine {
@@ -20,7 +20,7 @@
         let runs: Vec<_> = job
             .occurrences
             .iter()
-            .flatten()
+            .flat_map(|(_, steps)| steps)
             .flat_map(|step| &step.tasks)
             .flat_map(|task| task.runs.clone())
             .collect();
@@ -31,7 +31,7 @@
             state,
             at_unix_ms: job.closed_unix_ms,
         };
-        job.occurrences = Vec::new();
+        job.occurrences = Occurrences::default();
         job.suspicions.clear();
         job.keep_steps_only();
         self.closed_jobs.push_back((self.now.unix_ms + self.timing.status_retention_ms, id));
@@ -95,7 +95,7 @@
                 !step.is_service && progress.tasks.iter().any(is_used_up)
             };
             let mut steps =
-                job.occurrences.iter().flat_map(|steps| job.spec.steps.iter().zip(steps));
+                job.occurrences.iter().flat_map(|(_, steps)| job.spec.steps.iter().zip(steps));
             if steps.any(is_exhausted) {
                 exhausted.push(job.id);
             }
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -110,17 +110,10 @@
         );
         let mut job = recovered_job(job);
         job.has_started = snapshot.has_started;
-        for (step_id, index, is_done, failures, attempt, checkpoint) in snapshot.tasks {
-            add_occurrences_up_to(&mut job, step_id);
-            let Some(step) = job.step_mut(step_id) else { continue };
-            if is_done {
-                step.mark_done(index);
-            }
-            if let Some(task) = step.tasks.get_mut(index as usize) {
-                task.failed_attempts = failures;
-                task.attempt = attempt;
-                task.checkpoint = (!checkpoint.is_empty()).then_some(checkpoint);
-            }
+        for row in snapshot.tasks {
+            let occurrence = row.0.occurrence;
+            job.apply_row(row);
+            job.occurrences.forget_if_over(occurrence);
         }
         self.jobs.insert(snapshot.job, job);
     }
@@ -131,7 +124,7 @@
             return;
         };
         job.has_started = true;
-        add_occurrences_up_to(job, step_id);
+        job.begin_occurrences_up_to(step_id.occurrence);
         let Some(is_gang) = job.spec.steps.get(usize::from(step_id.index)).map(|s| s.is_gang)
         else {
             return;
@@ -161,6 +154,7 @@
             _ => {}
         }
         job.clear_done_suspects(step_id);
+        job.occurrences.forget_if_over(step_id.occurrence);
     }
 
     /// Returns the number of known jobs.
@@ -207,13 +201,10 @@
     }
 }
 
-/// Adds occurrences up to that of a step.
-fn add_occurrences_up_to(job: &mut Job, step_id: StepId) {
-    while job.occurrences.len() as u32 <= step_id.occurrence
-        && (job.occurrences.len() as u32) < job.total_occurrences()
-    {
-        job.begin_occurrence();
-    }
+/// Skips attempt numbers of the tasks of an occurrence that the previous owner may have begun.
+pub(super) fn skip_attempts(job: &mut Job, occurrence: u32) {
+    let steps = job.occurrences.get_mut(occurrence).into_iter().flatten();
+    steps.flat_map(|step| &mut step.tasks).for_each(|task| task.attempt += ATTEMPT_GAP);
 }
 
 impl Engine {
@@ -300,6 +291,7 @@
 
     /// Adopts a run that was on a host when the log recorded that it gets no new work.
     fn adopt_logged_run(&mut self, name: &Name, task: TaskId, attempt: u32) {
+        self.start_reported_occurrences(task.step);
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let step = job.step(task.step);
         let task_progress = step.and_then(|step| step.tasks.get(task.index as usize));
@@ -326,14 +318,10 @@
                 continue;
             }
             let mut step_ids = Vec::new();
-            for (occurrence, steps) in job.occurrences.iter_mut().enumerate() {
+            for (occurrence, steps) in job.occurrences.iter_mut() {
                 for (index, step) in steps.iter_mut().enumerate() {
                     step.tasks.iter_mut().for_each(|task| task.attempt += ATTEMPT_GAP);
-                    step_ids.push(StepId {
-                        job: id,
-                        occurrence: occurrence as u32,
-                        index: index as u16,
-                    });
+                    step_ids.push(StepId { job: id, occurrence, index: index as u16 });
                 }
             }
             for step_id in step_ids {
--- a/crates/graph/src/engine/requests.rs
+++ b/crates/graph/src/engine/requests.rs
@@ -5,8 +5,9 @@
 
 use sycamore_types::Name;
 
+use super::recover::skip_attempts;
 use super::{Effect, Engine};
-use crate::job::{Id, Spec, State};
+use crate::job::{Id, MAX_TASKS, Spec, State};
 use crate::progress::Job;
 use crate::{Answer, Record, StepId, Verdict};
 
@@ -72,26 +73,58 @@
         self.answer(token, Answer::Count(waiting as u64));
     }
 
-    /// Starts all due occurrences of a job and schedules the next one.
+    /// Starts the due occurrences of a job, a limited number at a time, and schedules the next one.
     pub(super) fn start_occurrences(&mut self, id: Id) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if job.closed.is_some() {
             return;
         }
-        let started = job.occurrences.len() as u32;
-        if started >= job.total_occurrences() {
+        let started = job.occurrences.begun();
+        if started >= job.total_occurrences() || job.has_many_open_occurrences() {
             return;
         }
         if job.spec.schedule.is_some() && job.due_unix_ms(started) > self.now.unix_ms {
             self.next_occurrences.insert((job.due_unix_ms(started), id));
             return;
         }
+        self.begin_occurrence(id);
+        self.start_occurrences(id);
+    }
+
+    /// Starts the occurrences of a job up to one that an earlier owner has started, as a host reports
+    /// a run or an end of it.
+    pub(super) fn start_reported_occurrences(&mut self, step_id: StepId) {
+        let wanted = |job: &Job| {
+            let begun = job.occurrences.begun();
+            // A report that can't be true must not take all memory.
+            let is_plausible = step_id.occurrence < begun.saturating_add(MAX_TASKS);
+            job.closed.is_none()
+                && is_plausible
+                && (begun..job.total_occurrences()).contains(&step_id.occurrence)
+        };
+        while self.jobs.get(&step_id.job).is_some_and(wanted) {
+            self.begin_occurrence(step_id.job);
+        }
+    }
+
+    fn begin_occurrence(&mut self, id: Id) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
         let occurrence = job.begin_occurrence();
+        if job.is_recovered {
+            skip_attempts(job, occurrence);
+        }
         let steps = job.spec.steps.len() as u16;
         for index in 0..steps {
             self.queue_if_ready(StepId { job: id, occurrence, index });
         }
-        self.start_occurrences(id);
+    }
+
+    /// Forgets an occurrence that is over, and starts those that waited for that.
+    pub(super) fn forget_if_over(&mut self, step_id: StepId) {
+        let Some(job) = self.jobs.get_mut(&step_id.job) else { return };
+        if job.occurrences.forget_if_over(step_id.occurrence) {
+            self.start_occurrences(step_id.job);
+        }
     }
 
     pub(super) fn start_due_occurrences(&mut self) {
@@ -109,11 +142,11 @@
     pub(super) fn queue_waiting_steps(&mut self) {
         let mut step_ids = Vec::new();
         for job in self.jobs.values().filter(|job| job.closed.is_none()) {
-            for (occurrence, steps) in job.occurrences.iter().enumerate() {
+            for (occurrence, steps) in job.occurrences.iter() {
                 let waiting = steps.iter().enumerate().filter(|(_, step)| !step.waiting.is_empty());
                 step_ids.extend(waiting.map(|(index, _)| StepId {
                     job: job.id,
-                    occurrence: occurrence as u32,
+                    occurrence,
                     index: index as u16,
                 }));
             }
--- a/crates/graph/src/engine/run_ends.rs
+++ b/crates/graph/src/engine/run_ends.rs
@@ -26,6 +26,7 @@
         if let Some(team) = self.jobs.get(&task.step.job).map(|job| job.team.clone()) {
             self.record_decision(team, Verdict::Ended { task, attempt, host: name.clone(), how });
         }
+        self.start_reported_occurrences(task.step);
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         if job.closed.is_some() {
             return;
@@ -35,6 +36,7 @@
         task_progress.runs.retain(|(host, number)| !(host == name && *number == attempt));
         task_progress.attempt = task_progress.attempt.max(attempt);
         if task_progress.is_done {
+            self.forget_if_over(task.step);
             return;
         }
         if let Some(checkpoint) = &checkpoint {
@@ -135,6 +137,7 @@
             for index in task.step.index + 1..steps {
                 self.queue_if_ready(StepId { job: id, occurrence, index });
             }
+            self.forget_if_over(task.step);
             self.close_if_finished(id);
         }
     }
--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -273,6 +273,7 @@
     /// Adds a run that the host reports, or may have, and that this owner didn't start.
     /// Stops it if it isn't needed.
     pub(super) fn adopt_run(&mut self, name: &Name, task: TaskId, attempt: u32) {
+        self.start_reported_occurrences(task.step);
         let (now_ms, last_poll) = (self.now.monotonic_ms, self.last_poll);
         let Some(host) = self.hosts.get(name) else { return };
         let (capacity, largest_capacity) = (host.entry.capacity, host.largest_capacity());
--- a/crates/graph/src/job/check.rs
+++ b/crates/graph/src/job/check.rs
@@ -28,6 +28,8 @@
     NoTasks(usize),
     /// a job has at most 10000 tasks
     Tasks,
+    /// a job with long-running tasks has at most 10000 tasks at all its times
+    ServiceTasks,
     /// A step depends on itself or on a later step.
     #[displaydoc("step {0} may only come after earlier steps")]
     After(usize),
@@ -59,9 +61,17 @@
                 return Err(SpecError::After(at));
             }
         }
-        if self.steps.iter().map(|step| u64::from(step.tasks)).sum::<u64>() > u64::from(MAX_TASKS) {
+        let occurrences = match self.schedule {
+            // Those of services stay, while others are over at some time.
+            Some(schedule) if self.steps.iter().any(|step| step.is_service) => schedule.occurrences,
+            _ => 1,
+        };
+        if self.tasks() > u64::from(MAX_TASKS) {
             return Err(SpecError::Tasks);
         }
+        if self.tasks() * u64::from(occurrences) > u64::from(MAX_TASKS) {
+            return Err(SpecError::ServiceTasks);
+        }
         match self.schedule {
             Some(schedule) if schedule.occurrences > 1 && schedule.interval_ms == 0 => {
                 Err(SpecError::Interval)
--- a/crates/graph/src/job/spec.rs
+++ b/crates/graph/src/job/spec.rs
@@ -77,6 +77,11 @@
 }
 
 impl Spec {
+    /// Returns the number of tasks of one occurrence.
+    pub fn tasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.tasks)).sum()
+    }
+
     /// Returns the memory that the specification takes, in bytes.
     pub fn memory_bytes(&self) -> usize {
         let step = |step: &Step| {
--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -31,7 +31,7 @@
 pub use event::{Event, HostEntry, Moment, Reading, Report, StartOutcome};
 pub use host::RunEnd;
 pub use loss::{ExpiredLease, HostLoss, LossCause};
-pub use record::{Closed, Ended, QueueDefined, Record, Snapshot, TeamUse};
+pub use record::{Closed, Ended, QueueDefined, Record, Snapshot, TaskRow, TeamUse};
 pub use task::{StepId, TaskId};
 pub use timing::{PreemptionTiming, Timing};
 pub use waiting::{CallLoad, LastCall, WaitReason, WaitingStep};
--- a/crates/graph/src/progress/job.rs
+++ b/crates/graph/src/progress/job.rs
@@ -8,11 +8,19 @@
 
 use sycamore_types::Name;
 
-use super::{ISOLATE_AFTER, StepProgress, Suspicion};
+use super::{ISOLATE_AFTER, Occurrences, StepProgress, Suspicion};
 use crate::host::RunEnd;
-use crate::job::{Id, Spec, State};
+use crate::job::{Id, MAX_TASKS, Spec, State};
+use crate::record::TaskRow;
 use crate::{Closed, Ended, Record, Snapshot, StepId, TaskId};
 
+/// Most occurrences of a job that are open at a time. Due ones beyond it wait as a number.
+const MAX_OPEN_OCCURRENCES: usize = 64;
+
+/// Index in place of a step's in a row of a snapshot: all occurrences up to that of the row are over
+/// but those with further rows.
+const OVER: u16 = u16::MAX;
+
 /// A job and the progress of its occurrences.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -41,8 +49,7 @@
     pub closed_unix_ms: u64,
     /// Tasks under which hosts have crashed.
     pub suspicions: BTreeMap<TaskId, Suspicion>,
-    /// The steps of each occurrence that has become due, in order.
-    pub occurrences: Vec<Vec<StepProgress>>,
+    pub occurrences: Occurrences,
 }
 
 impl Job {
@@ -63,7 +70,7 @@
             is_close_durable: false,
             closed_unix_ms: 0,
             suspicions: BTreeMap::new(),
-            occurrences: Vec::new(),
+            occurrences: Occurrences::default(),
         }
     }
 
@@ -75,7 +82,8 @@
     /// Returns the time at which an occurrence becomes due, in milliseconds since 1970.
     pub fn due_unix_ms(&self, occurrence: u32) -> u64 {
         self.spec.schedule.map_or(self.at_unix_ms, |schedule| {
-            schedule.first_unix_ms + u64::from(occurrence) * schedule.interval_ms
+            let delay_ms = schedule.interval_ms.saturating_mul(u64::from(occurrence));
+            schedule.first_unix_ms.saturating_add(delay_ms)
         })
     }
 
@@ -86,31 +94,45 @@
         spec.schedule = None;
     }
 
-    /// Adds the next occurrence. Returns its index.
+    /// Begins the next occurrence. Returns its index.
     pub fn begin_occurrence(&mut self) -> u32 {
-        self.occurrences.push(self.spec.steps.iter().map(|s| StepProgress::new(s.tasks)).collect());
-        self.occurrences.len() as u32 - 1
+        self.occurrences.begin(&self.spec.steps)
+    }
+
+    /// Begins the next occurrences up to an index that the job has.
+    pub fn begin_occurrences_up_to(&mut self, index: u32) {
+        while self.occurrences.begun() <= index.min(self.total_occurrences() - 1) {
+            self.begin_occurrence();
+        }
+    }
+
+    /// Returns whether the next occurrence has to wait, although it is due, until another one is over.
+    /// Those of services never are; their number is limited.
+    pub fn has_many_open_occurrences(&self) -> bool {
+        let open = self.occurrences.open();
+        let is_service = self.spec.steps.iter().any(|step| step.is_service);
+        (open >= MAX_OPEN_OCCURRENCES && !is_service)
+            || (open > 0 && (open as u64 + 1) * self.spec.tasks() > u64::from(MAX_TASKS))
     }
 
     pub fn step(&self, key: StepId) -> Option<&StepProgress> {
-        self.occurrences.get(key.occurrence as usize)?.get(usize::from(key.index))
+        self.occurrences.get(key.occurrence)?.get(usize::from(key.index))
     }
 
     pub fn step_mut(&mut self, key: StepId) -> Option<&mut StepProgress> {
-        self.occurrences.get_mut(key.occurrence as usize)?.get_mut(usize::from(key.index))
+        self.occurrences.get_mut(key.occurrence)?.get_mut(usize::from(key.index))
     }
 
     /// Returns whether all steps that a step depends on are done.
     pub fn is_ready(&self, key: StepId) -> bool {
-        let Some(steps) = self.occurrences.get(key.occurrence as usize) else { return false };
+        let Some(steps) = self.occurrences.get(key.occurrence) else { return false };
         let after = &self.spec.steps[usize::from(key.index)].after;
         after.iter().all(|at| steps[usize::from(*at)].is_done())
     }
 
     /// Returns whether all steps of all occurrences are done.
     pub fn is_finished(&self) -> bool {
-        self.occurrences.len() as u32 == self.total_occurrences()
-            && self.occurrences.iter().flatten().all(StepProgress::is_done)
+        self.occurrences.begun() == self.total_occurrences() && self.occurrences.are_done()
     }
 
     /// Returns the state that callers may see.
@@ -124,7 +146,7 @@
 
     /// Clears the tasks of a step that are done of all suspicion.
     pub fn clear_done_suspects(&mut self, step_id: StepId) {
-        let Some(step) = self.occurrences.get(step_id.occurrence as usize) else { return };
+        let Some(step) = self.occurrences.get(step_id.occurrence) else { return };
         let Some(step) = step.get(usize::from(step_id.index)) else { return };
         let is_done = |task: &TaskId| {
             task.step == step_id && step.tasks.get(task.index as usize).is_some_and(|t| t.is_done)
@@ -173,8 +195,13 @@
         if let Some(state) = self.closed {
             return format!("{state:?}");
         }
-        let mut rows = Vec::new();
-        for (occurrence, steps) in self.occurrences.iter().enumerate() {
+        let mut rows: Vec<String> =
+            self.occurrences.over().map(|occurrence| format!("{occurrence} over")).collect();
+        for (occurrence, steps) in self.occurrences.iter() {
+            if steps.iter().all(StepProgress::is_done) {
+                rows.push(format!("{occurrence} over"));
+                continue;
+            }
             for (step, progress) in steps.iter().enumerate() {
                 for (index, task) in progress.tasks.iter().enumerate() {
                     let failures = task.failed_attempts.len();
@@ -192,6 +219,7 @@
             format!("{key} lost {} {is_isolated}", suspicion.losses())
         });
         rows.extend(losses);
+        rows.sort_unstable();
         rows.join(", ")
     }
 
@@ -223,11 +251,10 @@
 
     /// Returns what a successor needs to continue the job.
     fn snapshot(&self) -> Snapshot {
-        let mut tasks = Vec::new();
-        for (occurrence, steps) in self.occurrences.iter().enumerate() {
+        let mut tasks = self.rows_of_occurrences_over();
+        for (occurrence, steps) in self.occurrences.iter() {
             for (index, step) in steps.iter().enumerate() {
-                let key =
-                    StepId { job: self.id, occurrence: occurrence as u32, index: index as u16 };
+                let key = StepId { job: self.id, occurrence, index: index as u16 };
                 for (at, task) in step.tasks.iter().enumerate() {
                     let checkpoint = task.checkpoint.clone().unwrap_or_else(|| Name::from(""));
                     if task.is_done || !task.failed_attempts.is_empty() || task.attempt > 0 {
@@ -253,4 +280,48 @@
             tasks,
         }
     }
+
+    /// Returns the rows of a snapshot that tell which occurrences are over: all their tasks are done.
+    /// A row stands for all of them if they have many tasks. Older builds, which would run the tasks
+    /// again, did not survive as many.
+    fn rows_of_occurrences_over(&self) -> Vec<TaskRow> {
+        let over = u64::from(self.occurrences.begun()) - self.occurrences.open() as u64;
+        let row = |step_id, task, is_done| (step_id, task, is_done, vec![], 0, Name::from(""));
+        if over * self.spec.tasks() > u64::from(MAX_TASKS) {
+            let step_id = |occurrence, index| StepId { job: self.id, occurrence, index };
+            let last = step_id(self.occurrences.begun() - 1, OVER);
+            let open = self.occurrences.iter().map(|(occurrence, _)| step_id(occurrence, 0));
+            return std::iter::once(row(last, 0, true))
+                .chain(open.map(|step_id| row(step_id, 0, false)))
+                .collect();
+        }
+        let mut rows = Vec::new();
+        for occurrence in self.occurrences.over() {
+            for (step, index) in self.spec.steps.iter().zip(0..) {
+                let step_id = StepId { job: self.id, occurrence, index };
+                rows.extend((0..step.tasks).map(|task| row(step_id, task, true)));
+            }
+        }
+        rows
+    }
+
+    /// Applies a row of a snapshot.
+    pub fn apply_row(&mut self, (step_id, index, is_done, failures, attempt, checkpoint): TaskRow) {
+        if step_id.index == OVER {
+            return self.occurrences.begin_over(step_id.occurrence);
+        }
+        self.begin_occurrences_up_to(step_id.occurrence);
+        self.occurrences.reopen(step_id.occurrence, &self.spec.steps);
+        let Some(step) = self.step_mut(step_id) else { return };
+        if is_done {
+            step.mark_done(index);
+        }
+        if let Some(task) = step.tasks.get_mut(index as usize) {
+            // The first row of an occurrence that is not over says nothing about its first task.
+            task.failed_attempts.extend(failures);
+            task.attempt = task.attempt.max(attempt);
+            task.checkpoint =
+                (!checkpoint.is_empty()).then_some(checkpoint).or(task.checkpoint.take());
+        }
+    }
 }
--- a/crates/graph/src/record.rs
+++ b/crates/graph/src/record.rs
@@ -109,6 +109,10 @@
     pub at_unix_ms: u64,
 }
 
+/// A task in a snapshot: step, index of the task, whether it is done, failed attempts, last attempt,
+/// checkpoint (empty for none).
+pub type TaskRow = (StepId, u32, bool, Vec<u32>, u32, Name);
+
 /// What a successor needs to continue a job that is not closed.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Snapshot {
@@ -124,7 +128,6 @@
     pub spec: Spec,
     /// A task of the job has started.
     pub has_started: bool,
-    /// Tasks that have been started, failed or done: step, index of the task, whether it is
-    /// done, failed attempts, last attempt, checkpoint (empty for none).
-    pub tasks: Vec<(StepId, u32, bool, Vec<u32>, u32, Name)>,
+    /// Tasks that have been started, failed or done.
+    pub tasks: Vec<TaskRow>,
 }
--- a/crates/graph/tests/engine/fuzz.rs
+++ b/crates/graph/tests/engine/fuzz.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use rand::Rng;
 use sycamore_graph::catalog::Queue;
-use sycamore_graph::job::{Id, State, Step};
+use sycamore_graph::job::{Id, Schedule, Spec, State, Step};
 use sycamore_graph::{PreemptionTiming, StepId, TaskId};
 
 use crate::fixture::{
@@ -103,7 +103,7 @@
 fn run_case(seed: u64, is_advised: bool) {
     let catalog = catalog(random_queue(seed, is_advised));
     let mut world = World::new(HOSTS, limited(catalog, size(11_000, 0)), seed);
-    play(&mut world, seed, |world| (QUEUE, random_job(world)));
+    play(&mut world, seed, |world| (QUEUE, job(random_job(world))));
 }
 
 /// The same with owners that go on after they were replaced. The tasks of some steps outlast a lease.
@@ -116,7 +116,7 @@
         for step in &mut steps {
             step.estimate_ms = if world.random.random_bool(0.3) { 9_000 } else { 300 };
         }
-        (QUEUE, steps)
+        (QUEUE, job(steps))
     });
     end_faults(&mut world);
     // The tasks that last take up to 160 s of all workers, and those that may crash theirs start one
@@ -143,7 +143,7 @@
     play(&mut world, seed, |world| {
         let steps = random_job(world);
         if world.random.random_bool(0.5) {
-            return (QUEUE, steps);
+            return (QUEUE, job(steps));
         }
         let has_budget = world.random.random_bool(0.1);
         let bulk = |step: Step| Step {
@@ -153,7 +153,7 @@
             tasks: if step.is_gang { step.tasks } else { 3 * step.tasks },
             ..step
         };
-        ("bulk", steps.into_iter().map(bulk).collect())
+        ("bulk", job(steps.into_iter().map(bulk).collect()))
     });
     world.preemptions
 }
@@ -170,7 +170,7 @@
         }
         let steps = random_job(world);
         let has_queue = world.catalog.queues.contains_key(QUEUE);
-        (if has_queue { QUEUE } else { "other" }, steps)
+        (if has_queue { QUEUE } else { "other" }, job(steps))
     });
 }
 
@@ -215,12 +215,30 @@
             },
             _ => step,
         };
-        (QUEUE, steps.into_iter().map(change).collect())
+        (QUEUE, job(steps.into_iter().map(change).collect()))
     });
     world.cleared.len()
 }
 
-fn play(world: &mut World, seed: u64, next: impl Fn(&mut World) -> (&'static str, Vec<Step>)) {
+/// The same with jobs of which many occurrences are due at once, more than are begun at a time.
+fn run_scheduled_case(seed: u64, is_advised: bool) {
+    let catalog = catalog(random_queue(seed, is_advised));
+    let mut world = World::new(HOSTS, limited(catalog, size(11_000, 0)), seed);
+    play(&mut world, seed, |world| {
+        let steps = random_job(world);
+        if world.random.random_bool(0.9) {
+            return (QUEUE, job(steps));
+        }
+        let schedule = Schedule {
+            first_unix_ms: world.random.random_range(0..1_010_000),
+            interval_ms: world.random.random_range(1..10),
+            occurrences: world.random.random_range(60..120),
+        };
+        (QUEUE, Spec { schedule: Some(schedule), ..job(vec![step(1, 500)]) })
+    });
+}
+
+fn play(world: &mut World, seed: u64, next: impl Fn(&mut World) -> (&'static str, Spec)) {
     play_rounds(world, inject_fault, next);
     end_faults(world);
     world.run(60_000);
@@ -231,7 +249,7 @@
 fn play_rounds(
     world: &mut World,
     inject: impl Fn(&mut World),
-    next: impl Fn(&mut World) -> (&'static str, Vec<Step>),
+    next: impl Fn(&mut World) -> (&'static str, Spec),
 ) {
     world.drain_ms = DRAIN_MS;
     world.late_start_share = world.random.random_range(0.0..0.2);
@@ -239,13 +257,13 @@
     world.allowed_share = world.random.random_range(0.5..1.0);
     let deadly_share = world.random.random_range(0.0..0.2);
     for round in 0..ROUNDS as u64 {
-        let (queue, steps) = next(world);
+        let (queue, spec) = next(world);
         if world.random.random_bool(deadly_share) {
-            let index = world.random.random_range(0..steps[0].tasks);
+            let index = world.random.random_range(0..spec.steps[0].tasks);
             let step = StepId { job: id(round), occurrence: 0, index: 0 };
             world.oracle.deadly.insert(TaskId { step, index });
         }
-        world.submit_to(queue, id(round), job(steps));
+        world.submit_to(queue, id(round), spec);
         if world.random.random_bool(0.1) {
             let known = id(world.random.random_range(0..=round));
             world.cancel(known);
@@ -321,6 +339,12 @@
         run_changing_case(seed, is_advised);
     }
 
+    /// Occurrences that wait for others cross with losses, late starts and new owners.
+    #[test]
+    fn every_rule_holds_with_many_occurrences(seed in any::<u64>(), is_advised in any::<bool>()) {
+        run_scheduled_case(seed, is_advised);
+    }
+
     /// Stops for preemption cross with losses, late starts and new owners.
     #[test]
     fn every_rule_holds_with_preemption(seed in any::<u64>(), is_advised in any::<bool>()) {
--- a/crates/graph/tests/engine/jobs.rs
+++ b/crates/graph/tests/engine/jobs.rs
@@ -134,6 +134,76 @@
     assert_eq!(world.oracle.starts, 3);
 }
 
+/// Failure: all due occurrences began at once, a million of them by one submission of 100 bytes, and
+/// the owner and each successor ran out of memory.
+#[test]
+fn due_occurrences_begin_a_limited_number_at_a_time() {
+    let mut world = World::new(2, catalog(queue()), 1);
+    let schedule = Schedule { first_unix_ms: 0, interval_ms: 1, occurrences: 1_000_000 };
+
+    world.submit(id(1), Spec { schedule: Some(schedule), ..job(vec![step(1, 1_000)]) });
+    world.run(500);
+    let at_first = world.waits().len();
+    world.run(4_000);
+    let later = world.waits().len();
+    world.compact();
+    world.take_over();
+    world.run(2_000);
+
+    assert!((1..=64).contains(&at_first), "{at_first} wait");
+    assert!((1..=64).contains(&later), "{later} wait");
+    assert!((1..=64).contains(&world.waits().len()), "{} wait", world.waits().len());
+    assert!(world.oracle.starts > 128, "{} starts", world.oracle.starts);
+    assert_eq!(world.state(id(1)), Some(State::Running));
+}
+
+/// Failure: as above, with few occurrences of many tasks.
+#[test]
+fn due_occurrences_with_many_tasks_begin_one_at_a_time() {
+    let mut world = World::new(2, catalog(queue()), 1);
+    let schedule = Schedule { first_unix_ms: 0, interval_ms: 1, occurrences: 1_000 };
+
+    world.submit(id(1), Spec { schedule: Some(schedule), ..job(vec![step(9_000, 1_000)]) });
+    world.run(500);
+
+    assert_eq!(world.waits().len(), 1);
+}
+
+/// Failure: occurrences that are over were kept, in memory and in each compaction of the log.
+#[test]
+fn occurrences_that_are_over_take_no_memory_and_never_run_again() {
+    let mut world = World::new(4, catalog(queue()), 1);
+    world.work_ms = 10;
+    let schedule = Schedule { first_unix_ms: 0, interval_ms: 1, occurrences: 60 };
+    world.submit(id(1), Spec { schedule: Some(schedule), ..job(vec![step(300, 100)]) });
+    while world.oracle.starts < 60 * 300 * 2 / 3 {
+        world.run(500);
+    }
+
+    world.compact();
+    let rows = world.snapshot_rows(id(1));
+    world.take_over();
+    world.run(30_000);
+
+    // Of 18,000 tasks, two thirds of which are done, at most 10,000 have begun and are not over.
+    assert!(rows < 10_100, "{rows} rows");
+    assert_eq!(world.state(id(1)), Some(State::Complete));
+    assert_eq!(world.oracle.starts, 60 * 300);
+}
+
+/// Failure: the time of an occurrence overflowed, so that it was due at once.
+#[test]
+fn an_occurrence_at_the_end_of_time_is_never_due() {
+    let mut world = World::new(2, catalog(queue()), 1);
+    let schedule = Schedule { first_unix_ms: u64::MAX - 1, interval_ms: u64::MAX, occurrences: 3 };
+
+    world.submit(id(1), Spec { schedule: Some(schedule), ..job(vec![step(1, 1_000)]) });
+    world.run(1_000);
+
+    assert_eq!(world.oracle.starts, 0);
+    assert_eq!(world.state(id(1)), Some(State::Queued));
+}
+
 #[test]
 fn failed_service_tasks_are_restarted_without_a_limit() {
     let mut world = World::new(2, catalog(queue()), 1);
--- a/crates/graph/tests/engine/world/mod.rs
+++ b/crates/graph/tests/engine/world/mod.rs
@@ -415,6 +415,15 @@
         self.durable_records = self.log.len();
     }
 
+    /// Returns the number of rows in the snapshot of a job in the log.
+    pub fn snapshot_rows(&self, job: Id) -> usize {
+        let snapshots = self.log.iter().filter_map(|record| match record {
+            Record::Snapshot(snapshot) if snapshot.job == job => Some(snapshot.tasks.len()),
+            _ => None,
+        });
+        snapshots.sum()
+    }
+
     /// Returns the queues whose definitions are in the log.
     pub fn logged_queues(&self) -> BTreeSet<Name> {
         let name = |record: &Record| match record {
--- a/crates/node/tests/clients/main.rs
+++ b/crates/node/tests/clients/main.rs
@@ -13,6 +13,7 @@
 #[allow(dead_code, reason = "shared with the tests in `path`, which use more of it")]
 #[path = "../path/process.rs"]
 mod process;
+mod submissions;
 mod usage;
 
 use platform::Platform;
@@ -45,25 +46,32 @@
         let turn = TURN.lock().await;
         let platform = Platform::start().await;
         platform.set_request_timeout(2, REQUEST_TIMEOUT_MS);
-        let host = Host {
-            memory_mb: Some(memory_mb),
-            max_fds: Some(max_fds),
-            ..Host::strong("one", platform.address)
-        };
-        let process = Process::start_on(&host).await;
+        let process = Process::start_on(&host(&platform, "one", memory_mb, max_fds)).await;
         let site = Site { platform, process, _turn: turn };
         site.serves("00000000000000a1").await;
         site
     }
 
-    /// Waits until an ordinary submission is accepted and complete.
-    async fn serves(&self, id: &str) {
+    /// Kills the process, in whose place the requests go to another one from now on.
+    async fn replace_process(self, successor: Process) -> Site {
+        self.process.kill().await;
+        Site { process: successor, ..self }
+    }
+
+    /// Waits until an ordinary submission is accepted.
+    async fn accepts(&self, id: &str) {
         let url = self.process.url(id);
         let is_accepted = || async {
             let response = call("POST", &url, KEY, &ordinary_job()).await;
             response.is_some_and(|(status, _)| status == 200)
         };
         until("an ordinary submission is accepted", is_accepted).await;
+    }
+
+    /// Waits until an ordinary submission is accepted and complete.
+    async fn serves(&self, id: &str) {
+        self.accepts(id).await;
+        let url = self.process.url(id);
         let is_complete = || async {
             let response = call("GET", &url, KEY, "").await;
             response.is_some_and(|(_, body)| body.contains("complete"))
@@ -72,6 +80,15 @@
     }
 }
 
+/// A host that grants its process limits.
+fn host<'a>(platform: &Platform, name: &'a str, memory_mb: u32, max_fds: u32) -> Host<'a> {
+    Host {
+        memory_mb: Some(memory_mb),
+        max_fds: Some(max_fds),
+        ..Host::strong(name, platform.address)
+    }
+}
+
 fn ordinary_job() -> String {
     let step = Step { tasks: 1, cpu_millis: 100, memory_mib: 10, estimate_ms: 100, after: vec![] };
     fenced::job("work", &[step]).to_string()
--- a/crates/platform/tests/site/job.rs
+++ b/crates/platform/tests/site/job.rs
@@ -44,6 +44,7 @@
     later_step = { r#"{"steps":[{"count":1,"after":[1]},{"count":1}]}"#, "earlier" },
     same_step = { r#"{"steps":[{"count":1,"after":[0]}]}"#, "earlier" },
     too_many = { r#"{"steps":[{"count":10001}]}"#, "10000" },
+    too_many_services = { r#"{"steps":[{"count":5,"long-running":true}],"times":2001,"interval-ms":1}"#, "10000" },
     no_interval = { r#"{"steps":[{"count":1}],"times":2}"#, "interval" },
 )]
 fn rejects_invalid_submissions_with_a_reason(body: &str, expected: &str) {
@@ -52,6 +53,14 @@
     assert!(error.contains(expected), "{error}");
 }
 
+/// The number of times has no limit of its own: occurrences wait as a number.
+#[test]
+fn accepts_any_number_of_occurrences_that_end() {
+    let body = br#"{"steps":[{"count":5}],"times":4294967295,"interval-ms":1}"#;
+
+    assert!(parse_job(body).is_ok());
+}
+
 #[test]
 fn rejects_a_payload_over_the_limit() {
     let body = format!(r#"{{"spec":"{}","steps":[{{"count":1}}]}}"#, "x".repeat(4_001));
