Keep no state for tasks that wait or are done

Callers saw an owner grow without bound: 100 submissions of 100 bytes, each with the 10,000 tasks that are allowed, took more than a megabyte each.

Cause: each task had a state of its own from the submission until its job was closed.

Evidence: `clients/submissions.rs`, 100 submissions with `count` = 10,000, 64 MB granted, before this change (debug build): peak of 137 MiB, about 19 of them at rest.

Change: `progress::Tasks` keeps the state of tasks that have been started and are not done, one bit for each that is done, and one state for all others. Which tasks wait stays a set of numbers (about 6 bytes each). The description of what is settled, which tests compare between two owners, leaves out failures of tasks that are done: nothing depends on them, and they are not kept.

--- a/crates/graph/src/engine/broken_gangs.rs
+++ b/crates/graph/src/engine/broken_gangs.rs
@@ -74,9 +74,9 @@
 
     fn runs_of_attempt(&self, step_id: StepId, attempt: u32) -> Vec<(Name, TaskId)> {
         let step = self.jobs.get(&step_id.job).and_then(|job| job.step(step_id));
-        let tasks = step.map(|step| step.tasks.as_slice()).unwrap_or_default();
+        let tasks = step.into_iter().flat_map(|step| step.tasks.touched());
         let mut runs = Vec::new();
-        for (task, index) in tasks.iter().zip(0..) {
+        for (index, task) in tasks {
             let of_attempt = task.runs.iter().filter(|(_, number)| *number == attempt);
             let task_id = TaskId { step: step_id, index };
             runs.extend(of_attempt.map(|(host, _)| (host.clone(), task_id)));
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -753,7 +753,7 @@
 
 fn runs_per_host(progress: &StepProgress) -> FxHashMap<Name, u32> {
     let mut placed = FxHashMap::default();
-    for (host, _) in progress.tasks.iter().flat_map(|task| &task.runs) {
+    for (host, _) in progress.tasks.touched().flat_map(|(_, task)| &task.runs) {
         *placed.entry(host.clone()).or_default() += 1;
     }
     placed
--- a/crates/graph/src/engine/close.rs
+++ b/crates/graph/src/engine/close.rs
@@ -21,8 +21,8 @@
             .occurrences
             .iter()
             .flat_map(|(_, steps)| steps)
-            .flat_map(|step| &step.tasks)
-            .flat_map(|task| task.runs.clone())
+            .flat_map(|step| step.tasks.touched())
+            .flat_map(|(_, task)| task.runs.clone())
             .collect();
         let closed = Closed {
             job: id,
@@ -92,7 +92,7 @@
                 let is_used_up = |task: &TaskProgress| {
                     task.failed_attempts.len() as u32 >= queue.max_attempts.max(1)
                 };
-                !step.is_service && progress.tasks.iter().any(is_used_up)
+                !step.is_service && progress.tasks.touched().any(|(_, task)| is_used_up(task))
             };
             let mut steps =
                 job.occurrences.iter().flat_map(|(_, steps)| job.spec.steps.iter().zip(steps));
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -311,7 +311,7 @@
         let Some(job) = self.jobs.get(&demand.step_id.job) else { return false };
         let Some(step) = job.step(demand.step_id) else { return false };
         let mut waiting = startable_tasks(job, step, demand);
-        let gang_attempt = step.tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
+        let gang_attempt = step.tasks.last_attempt() + 1;
         for (at, tasks) in plan {
             views.add_isolated(at, demand.isolation);
             views[at].is_sealed |= is_sealed;
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -204,7 +204,7 @@
 /// Skips attempt numbers of the tasks of an occurrence that the previous owner may have begun.
 pub(super) fn skip_attempts(job: &mut Job, occurrence: u32) {
     let steps = job.occurrences.get_mut(occurrence).into_iter().flatten();
-    steps.flat_map(|step| &mut step.tasks).for_each(|task| task.attempt += ATTEMPT_GAP);
+    steps.for_each(|step| step.tasks.skip_attempts(ATTEMPT_GAP));
 }
 
 impl Engine {
@@ -320,7 +320,7 @@
             let mut step_ids = Vec::new();
             for (occurrence, steps) in job.occurrences.iter_mut() {
                 for (index, step) in steps.iter_mut().enumerate() {
-                    step.tasks.iter_mut().for_each(|task| task.attempt += ATTEMPT_GAP);
+                    step.tasks.skip_attempts(ATTEMPT_GAP);
                     step_ids.push(StepId { job: id, occurrence, index: index as u16 });
                 }
             }
--- a/crates/graph/src/engine/run_ends.rs
+++ b/crates/graph/src/engine/run_ends.rs
@@ -36,6 +36,7 @@
         task_progress.runs.retain(|(host, number)| !(host == name && *number == attempt));
         task_progress.attempt = task_progress.attempt.max(attempt);
         if task_progress.is_done {
+            step.tasks.release(task.index);
             self.forget_if_over(task.step);
             return;
         }
@@ -207,10 +208,10 @@
             return;
         };
         let mut members = Vec::new();
-        for (index, member) in step.tasks.iter().enumerate() {
+        for (index, member) in step.tasks.touched() {
             for (host, number) in &member.runs {
                 if *number == attempt {
-                    members.push((host.clone(), TaskId { step: task.step, index: index as u32 }));
+                    members.push((host.clone(), TaskId { step: task.step, index }));
                 }
             }
         }
--- a/crates/graph/src/engine/unreported_ends.rs
+++ b/crates/graph/src/engine/unreported_ends.rs
@@ -38,7 +38,7 @@
     /// Returns how many attempts of a gang have failed or may have failed.
     pub(super) fn possible_failures(&self, step_id: StepId) -> u32 {
         let step = self.jobs.get(&step_id.job).and_then(|job| job.step(step_id));
-        let counted = step.and_then(|step| step.tasks.first());
+        let counted = step.and_then(|step| step.tasks.get(0));
         let failed = counted.map(|gang| gang.failed_attempts.as_slice()).unwrap_or_default();
         let ends = self.unreported_ends.range((step_id, 0)..=(step_id, u32::MAX));
         let unreported = ends.filter(|((_, attempt), _)| !failed.contains(attempt)).count();
--- a/crates/graph/src/progress/job.rs
+++ b/crates/graph/src/progress/job.rs
@@ -21,6 +21,14 @@
 /// but those with further rows.
 const OVER: u16 = u16::MAX;
 
+/// Index in place of a task's in a row of a snapshot: it holds for all tasks of the step without rows.
+const UNTOUCHED: u32 = u32::MAX;
+
+/// Most tasks of a step that have a row each in a snapshot although no owner is known to have started
+/// them. Older builds know no row for all of them, and would start them with attempt numbers that an
+/// earlier owner may have used.
+const MAX_UNTOUCHED_ROWS: usize = 1_000;
+
 /// A job and the progress of its occurrences.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -204,9 +212,10 @@
             }
             for (step, progress) in steps.iter().enumerate() {
                 for (index, task) in progress.tasks.iter().enumerate() {
-                    let failures = task.failed_attempts.len();
-                    if task.is_done || failures > 0 {
-                        let is_done = task.is_done;
+                    let is_done = task.is_done;
+                    // Failures of a task that is done count no more.
+                    let failures = if is_done { 0 } else { task.failed_attempts.len() };
+                    if is_done || failures > 0 {
                         rows.push(format!("{occurrence}.{step}.{index} {is_done} {failures}"));
                     }
                 }
@@ -255,7 +264,15 @@
         for (occurrence, steps) in self.occurrences.iter() {
             for (index, step) in steps.iter().enumerate() {
                 let key = StepId { job: self.id, occurrence, index: index as u16 };
+                let is_large = step.tasks.len() > MAX_UNTOUCHED_ROWS;
+                let attempt = step.tasks.untouched_attempt();
+                if is_large && attempt > 0 {
+                    tasks.push((key, UNTOUCHED, false, vec![], attempt, Name::from("")));
+                }
                 for (at, task) in step.tasks.iter().enumerate() {
+                    if is_large && step.tasks.is_untouched(at) {
+                        continue;
+                    }
                     let checkpoint = task.checkpoint.clone().unwrap_or_else(|| Name::from(""));
                     if task.is_done || !task.failed_attempts.is_empty() || task.attempt > 0 {
                         tasks.push((
@@ -313,11 +330,18 @@
         self.begin_occurrences_up_to(step_id.occurrence);
         self.occurrences.reopen(step_id.occurrence, &self.spec.steps);
         let Some(step) = self.step_mut(step_id) else { return };
+        if index == UNTOUCHED {
+            return step.tasks.set_untouched_attempt(attempt);
+        }
         if is_done {
             step.mark_done(index);
+            return;
+        }
+        // A row may only tell that its occurrence is not over.
+        if attempt == 0 && failures.is_empty() && checkpoint.is_empty() {
+            return;
         }
         if let Some(task) = step.tasks.get_mut(index as usize) {
-            // The first row of an occurrence that is not over says nothing about its first task.
             task.failed_attempts.extend(failures);
             task.attempt = task.attempt.max(attempt);
             task.checkpoint =
--- a/crates/graph/src/progress/occurrences.rs
+++ b/crates/graph/src/progress/occurrences.rs
@@ -81,7 +81,7 @@
     /// whether it did.
     pub fn forget_if_over(&mut self, index: u32) -> bool {
         let is_over = |step: &StepProgress| {
-            step.is_done() && step.tasks.iter().all(|task| task.runs.is_empty())
+            step.is_done() && step.tasks.touched().all(|(_, task)| task.runs.is_empty())
         };
         let is_over = self.open.get(&index).is_some_and(|steps| steps.iter().all(is_over));
         is_over && self.open.remove(&index).is_some()
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -8,12 +8,13 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use sycamore_types::Name;
 
+use super::Tasks;
 use crate::WaitReason;
 use crate::engine::Turn;
 use crate::waiting::WaitTimes;
 
 /// Progress of one task.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct TaskProgress {
     pub is_done: bool,
     /// Attempt number of the last start.
@@ -80,7 +81,7 @@
 /// Progress of one step of one occurrence.
 #[derive(Clone, Debug)]
 pub(crate) struct StepProgress {
-    pub tasks: Vec<TaskProgress>,
+    pub tasks: Tasks,
     /// Number of tasks that are done.
     pub done: u32,
     pub advice: StepAdvice,
@@ -107,6 +108,21 @@
 }
 
 impl TaskProgress {
+    /// Creates the progress of a task without runs.
+    pub const fn new(is_done: bool) -> TaskProgress {
+        TaskProgress {
+            is_done,
+            attempt: 0,
+            failed_attempts: Vec::new(),
+            runs: Vec::new(),
+            checkpoint: None,
+            yields: 0,
+            saved_ms: 0,
+            cleared_ms: None,
+            avoided_host: None,
+        }
+    }
+
     /// Counts a failed attempt. Returns the number of failed attempts.
     pub fn record_failure(&mut self, attempt: u32) -> u32 {
         if !self.failed_attempts.contains(&attempt) {
@@ -119,7 +135,7 @@
 impl StepProgress {
     pub fn new(tasks: u32) -> StepProgress {
         StepProgress {
-            tasks: vec![TaskProgress::default(); tasks as usize],
+            tasks: Tasks::new(tasks),
             done: 0,
             advice: StepAdvice::default(),
             durations: Vec::new(),
@@ -147,11 +163,9 @@
 
     /// Marks a task as done. Returns `true` if it was not done before.
     pub fn mark_done(&mut self, index: u32) -> bool {
-        let Some(task) = self.tasks.get_mut(index as usize) else { return false };
-        if task.is_done {
+        if !self.tasks.mark_done(index) {
             return false;
         }
-        task.is_done = true;
         self.waiting.remove(&index);
         self.done += 1;
         true
--- a/crates/graph/tests/engine/jobs.rs
+++ b/crates/graph/tests/engine/jobs.rs
@@ -191,6 +191,25 @@
     assert_eq!(world.oracle.starts, 60 * 300);
 }
 
+/// Failure: each task that waited had a state of its own, in memory and, under the next owner, in each
+/// compaction of the log.
+#[test]
+fn tasks_that_wait_take_no_rows_in_the_log() {
+    let mut world = World::new(2, catalog(queue()), 1);
+    world.submit(id(1), job(vec![step(3_000, 100)]));
+    world.run(1_000);
+    world.take_over();
+    world.run(1_000);
+
+    world.compact();
+    let rows = world.snapshot_rows(id(1));
+    world.take_over();
+    world.run(60_000);
+
+    assert!(rows < 1_000, "{rows} rows");
+    assert_eq!(world.state(id(1)), Some(State::Complete));
+}
+
 /// Failure: the time of an occurrence overflowed, so that it was due at once.
 #[test]
 fn an_occurrence_at_the_end_of_time_is_never_due() {
--- a/crates/node/tests/clients/submissions.rs
+++ b/crates/node/tests/clients/submissions.rs
@@ -50,3 +50,10 @@
 
     withstands(5, &job.to_string()).await;
 }
+/// Failure: each task that waited had a state of its own, and nothing bounded the accepted jobs.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_with_very_many_tasks() {
+    let step = json!({ "count": 10_000, "cpu": 100, "mem-mb": 10, "est-ms": 100 });
+
+    withstands(100, &json!({ "spec": "work", "steps": [step] }).to_string()).await;
+}
