Bound the memory of the jobs that an owner knows

Callers saw an owner grow until it ended: whatever was accepted was kept, and nothing was ever refused for it. A successor then read the same jobs from the log.

Cause: no limit on the accepted jobs. The recovered state was as large as what one team had submitted.

Change: `engine::job_memory` counts each job with the most that it can take until it is closed, which is known at its submission as waiting tasks take next to nothing, and with the little that it takes until it is forgotten. Together the jobs may take a sixth of `memory-mb`, so that a successor with a third of the memory can recover them; those of one team may take as much as is left, so that a team that submits without end leaves room to the others. A job beyond it gets 503 with a `Retry-After` of 10 s. The engine decides it, after it has looked whether the job is known, so that a repeat of an accepted submission is never refused; nor is a submission whose first try has an unknown outcome.

Five tests of the engine: refusal, other teams, repeats, takeover, closed and forgotten jobs.

--- a/crates/graph/src/action.rs
+++ b/crates/graph/src/action.rs
@@ -85,6 +85,8 @@
     /// The job was refused and has no effect: its queue is restricted, and more jobs wait than it
     /// can start in time.
     Overloaded,
+    /// The job was refused and has no effect: there is no memory for more jobs of its team.
+    NoMemory,
 }
 
 /// Effect that the engine asks its caller to carry out.
--- a/crates/graph/src/engine/close.rs
+++ b/crates/graph/src/engine/close.rs
@@ -15,7 +15,9 @@
         if job.closed.is_some() {
             return;
         }
+        self.job_memory.remove(&job.team, job.memory_bytes());
         job.closed = Some(state);
+        self.job_memory.add(&job.team, job.memory_bytes());
         job.closed_unix_ms = self.now.unix_ms;
         let runs: Vec<_> = job
             .occurrences
@@ -130,6 +132,7 @@
                 self.closed_jobs.push_back((now_ms + self.timing.status_retention_ms.max(1), id));
             } else if let Some(job) = self.jobs.remove(&id) {
                 self.queues.remove_job(&job.queue);
+                self.job_memory.remove(&job.team, job.memory_bytes());
             }
         }
     }
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -36,6 +36,7 @@
 mod host_totals;
 mod hosts;
 mod isolation;
+mod job_memory;
 mod losses;
 mod past_use;
 mod placement;
@@ -76,6 +77,7 @@
 pub use evacuation::DomainLoad;
 use host_map::HostMap;
 use host_totals::HostTotals;
+use job_memory::JobMemory;
 use past_use::PastUse;
 use queues::Queues;
 pub use rank::Rank;
@@ -123,6 +125,8 @@
     /// queue.
     queues: Queues,
     jobs: FxHashMap<job::Id, Job>,
+    /// Memory of these jobs.
+    job_memory: JobMemory,
     hosts: HostMap,
     /// Failure domains on whose hosts no task may start.
     evacuated_domains: BTreeSet<Name>,
@@ -397,6 +401,11 @@
         self.views.free_and_kept_cpu()
     }
 
+    /// Returns the memory that the known jobs are counted with, in bytes.
+    pub fn job_bytes(&self) -> usize {
+        self.job_memory.total()
+    }
+
     /// Returns the number of steps with tasks that wait to be started.
     pub fn waiting_steps(&self) -> usize {
         self.backlog.len()
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -16,6 +16,7 @@
 use super::candidates::HostViews;
 use super::host_map::HostMap;
 use super::host_totals::HostTotals;
+use super::job_memory::JobMemory;
 use super::past_use::PastUse;
 use super::queues::Queues;
 use super::reservations::Reservations;
@@ -238,6 +239,10 @@
         let last_host_number = hosts.len() as u32;
         let queues_of_jobs = recovered.jobs.values().map(|job| &job.queue);
         let queues = Queues::new(recovered.queues, &catalog, queues_of_jobs);
+        let mut job_memory = JobMemory::new(timing.max_job_bytes);
+        for job in recovered.jobs.values() {
+            job_memory.add(&job.team, job.memory_bytes());
+        }
         let mut engine = Engine {
             timing,
             now,
@@ -246,6 +251,7 @@
             queues,
             catalog,
             jobs: recovered.jobs,
+            job_memory,
             hosts,
             evacuated_domains: BTreeSet::new(),
             poll_timers: BTreeSet::new(),
--- a/crates/graph/src/engine/requests.rs
+++ b/crates/graph/src/engine/requests.rs
@@ -5,6 +5,7 @@
 
 use sycamore_types::Name;
 
+use super::job_memory::open_job_bytes;
 use super::recover::skip_attempts;
 use super::{Effect, Engine};
 use crate::job::{Id, MAX_TASKS, Spec, State};
@@ -25,6 +26,12 @@
             self.answer(token, Answer::Overloaded);
             return;
         }
+        let bytes = open_job_bytes(&spec);
+        if !self.job_memory.has_room(&team, bytes) {
+            self.answer(token, Answer::NoMemory);
+            return;
+        }
+        self.job_memory.add(&team, bytes);
         let at_unix_ms = self.now.unix_ms;
         self.queues.add_job(&queue);
         self.log_queue(&queue);
--- a/crates/graph/src/progress/job.rs
+++ b/crates/graph/src/progress/job.rs
@@ -115,12 +115,18 @@
     }
 
     /// Returns whether the next occurrence has to wait, although it is due, until another one is over.
-    /// Those of services never are; their number is limited.
     pub fn has_many_open_occurrences(&self) -> bool {
-        let open = self.occurrences.open();
-        let is_service = self.spec.steps.iter().any(|step| step.is_service);
-        (open >= MAX_OPEN_OCCURRENCES && !is_service)
-            || (open > 0 && (open as u64 + 1) * self.spec.tasks() > u64::from(MAX_TASKS))
+        self.occurrences.open() >= Job::max_open_occurrences(&self.spec)
+    }
+
+    /// Returns the largest number of occurrences of a job that are open at a time. Those of services
+    /// are never over; the number of their tasks is limited.
+    pub fn max_open_occurrences(spec: &Spec) -> usize {
+        let occurrences = spec.schedule.map_or(1, |schedule| schedule.occurrences.max(1)) as usize;
+        let is_service = spec.steps.iter().any(|step| step.is_service);
+        let most = if is_service { usize::MAX } else { MAX_OPEN_OCCURRENCES };
+        let by_tasks = u64::from(MAX_TASKS) / spec.tasks().max(1);
+        most.min(by_tasks.max(1) as usize).min(occurrences)
     }
 
     pub fn step(&self, key: StepId) -> Option<&StepProgress> {
--- a/crates/graph/src/timing.rs
+++ b/crates/graph/src/timing.rs
@@ -1,4 +1,4 @@
-//! Time limits and intervals of the engine.
+//! Time limits, intervals and other limits of the engine.
 //!
 //! The owner must never treat a lease as expired while the host still honours it. The
 //! allowances for clock drift and for messages in flight make it wait longer instead.
@@ -36,6 +36,8 @@
     /// Time for which a closed job stays known to callers, in milliseconds. Setting of the
     /// platform.
     pub status_retention_ms: u64,
+    /// Memory that the known jobs may take, in bytes.
+    pub max_job_bytes: usize,
     /// Time after which the past use of a team counts half, in milliseconds. Zero leaves past use
     /// out of account.
     pub usage_half_life_ms: u64,
@@ -69,6 +71,7 @@
             poll_retry_ms: 100,
             capacity_max_age_ms: 4_000,
             status_retention_ms: 150_000,
+            max_job_bytes: 32 << 20,
             usage_half_life_ms: 0,
             ticket_margin_ms: 60,
             preemption: None,
--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -11,6 +11,7 @@
 mod foreign_entries;
 mod fuzz;
 mod gangs;
+mod job_memory;
 mod jobs;
 mod large_site;
 mod oracle;
--- a/crates/graph/tests/engine/world/mod.rs
+++ b/crates/graph/tests/engine/world/mod.rs
@@ -306,11 +306,15 @@
     }
 
     pub fn submit_to(&mut self, queue: &str, job: Id, spec: Spec) -> u64 {
+        self.submit_as(TEAM, queue, job, spec)
+    }
+
+    pub fn submit_as(&mut self, team: &str, queue: &str, job: Id, spec: Spec) -> u64 {
         self.last_token += 1;
         let token = self.last_token;
         self.oracle.jobs.entry(job).or_insert_with(|| spec.clone());
         self.submissions.insert(token, job);
-        let (queue, team) = (Name::from(queue), Name::from(TEAM));
+        let (queue, team) = (Name::from(queue), Name::from(team));
         self.queues.insert(job, queue.clone());
         self.handle(Event::Submit { token, job, queue, team, spec });
         token
@@ -1068,6 +1072,10 @@
         self.engine.domain_load(domain)
     }
 
+    pub fn job_bytes(&self) -> usize {
+        self.engine.job_bytes()
+    }
+
     /// Describes what is settled about a job (see [`Engine::settled_jobs`]).
     pub fn settled(&self, job: Id) -> String {
         self.engine.settled_jobs().remove(&job).unwrap_or_default()
--- a/crates/node/src/api/forward.rs
+++ b/crates/node/src/api/forward.rs
@@ -35,7 +35,7 @@
             RequestOutcome::Unknown => last = RequestOutcome::Unknown,
             // An earlier attempt may have been logged, so that a refusal would be wrong. The
             // store recovers or the owner is replaced, often before the deadline.
-            RequestOutcome::StoreAway | RequestOutcome::Overloaded
+            RequestOutcome::StoreAway | RequestOutcome::Overloaded | RequestOutcome::NoMemory
                 if last == RequestOutcome::Unknown => {}
             other => return other,
         }
--- a/crates/node/src/api/response.rs
+++ b/crates/node/src/api/response.rs
@@ -21,6 +21,10 @@
 /// those that wait have started.
 const RETRY_RESTRICTED_S: u32 = 2;
 
+/// `Retry-After` while the jobs of a team take all memory that they may, in seconds. Such a backlog
+/// lasts; a caller that returns sooner is refused again.
+const RETRY_BACKLOG_S: u32 = 10;
+
 /// HTTP response to a caller.
 pub(super) type ApiResponse = Response<Full<Bytes>>;
 
@@ -68,6 +72,9 @@
         RequestOutcome::Overloaded => {
             retry_later(RETRY_RESTRICTED_S, "workers crash under jobs of this queue")
         }
+        RequestOutcome::NoMemory => {
+            retry_later(RETRY_BACKLOG_S, "too many jobs of this team are not closed yet")
+        }
         RequestOutcome::Unknown => error_response(StatusCode::GATEWAY_TIMEOUT, "outcome not known"),
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -28,6 +28,8 @@
     pub requests: IntCounterVec,
     /// Time from a request to its response, by method.
     pub request_s: HistogramVec,
+    /// Memory that the jobs known to this owner are counted with, in bytes.
+    pub job_bytes: IntGauge,
     /// Open connections of callers.
     pub caller_connections: IntGauge,
     /// Connections of callers that were closed to make room for others.
@@ -115,6 +117,10 @@
         Meters {
             requests: all.counters("requests_total", "Answers to callers.", &["method", "status"]),
             request_s: all.histograms("request_seconds", "Time to answer.", &["method"], &BUCKETS),
+            job_bytes: all.gauge(
+                "job_bytes",
+                "Memory that the jobs known to this owner are counted with, in bytes.",
+            ),
             caller_connections: all.gauge("caller_connections", "Open connections of callers."),
             evicted_connections: all.counter(
                 "caller_connections_evicted_total",
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -172,12 +172,14 @@
         let callers_busy_percent = 100 * callers_busy_ms / (callers * millis(interval)).max(1);
         let calls = self.engine.call_load();
         self.meters.advice_waiting_steps.set(calls.waiting_steps as i64);
+        let job_bytes = self.engine.job_bytes();
+        self.meters.job_bytes.set(job_bytes as i64);
         let (free_cpu_millis, kept_cpu_millis) = self.engine.free_and_kept_cpu();
         log::info!(
             target: "load", running = self.engine.running_tasks(),
             waiting_steps = self.engine.waiting_steps(),
             hopeless_steps = self.engine.hopeless_steps(),
-            isolated_runs = self.engine.isolated_runs(),
+            isolated_runs = self.engine.isolated_runs(), job_bytes,
             avoided_workers = self.engine.avoided_hosts(), free_cpu_millis, kept_cpu_millis,
             confirmed_ms_ago = millis(self.shared.confirmation.age()), events = load.events,
             events_ms = millis(load.event_time), passes = load.passes,
--- a/crates/node/src/owner/handle.rs
+++ b/crates/node/src/owner/handle.rs
@@ -144,6 +144,7 @@
             Answer::Count(count) => RequestOutcome::Count(count),
             Answer::NoSuchJob => RequestOutcome::NoSuchJob,
             Answer::Overloaded => RequestOutcome::Overloaded,
+            Answer::NoMemory => RequestOutcome::NoMemory,
         }
     }
 }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -48,6 +48,10 @@
 /// milliseconds: clocks of hosts differ, and callers start counting at different moments.
 const STATUS_MARGIN_MS: u64 = 30_000;
 
+/// Part of the process's memory that the jobs known to the owner may take, as a divisor. A successor
+/// with a third of the memory can hold as much beside what it grants callers.
+const JOB_MEMORY_DIVISOR: usize = 6;
+
 /// State shared by the tasks of one owner.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -105,6 +109,7 @@
     let timing = Timing {
         lease_ms: node.settings.lease_ms,
         capacity_max_age_ms: capacity_max_age_ms(&node.settings),
+        max_job_bytes: node.settings.memory_bytes / JOB_MEMORY_DIVISOR,
         usage_half_life_ms: node.options.usage_half_life_ms(),
         preemption: preemption_timing(&node.settings),
         status_retention_ms: node.settings.status_ms + STATUS_MARGIN_MS,
--- a/crates/node/src/peer/message.rs
+++ b/crates/node/src/peer/message.rs
@@ -155,4 +155,7 @@
     Unknown,
     /// The owner refused the job, since its queue is restricted; nothing was done.
     Overloaded,
+    /// The owner refused the job, since it has no memory for more jobs of the team; nothing was done.
+    /// Earlier versions can't decode it, and answer that the outcome is not known.
+    NoMemory,
 }
--- a/crates/node/tests/clients/main.rs
+++ b/crates/node/tests/clients/main.rs
@@ -23,7 +23,7 @@
 
 const KEY: &str = "key-of-clerks";
 
-/// Key of the team that the simulated platform limits.
+/// Key of another team. It may use half a core of the eight.
 const GUEST_KEY: &str = "key-of-guests";
 
 /// Time limit of requests, in milliseconds. Long enough for a slow machine to read what a crowd sends.
@@ -58,11 +58,11 @@
         Site { process: successor, ..self }
     }
 
-    /// Waits until an ordinary submission is accepted.
-    async fn accepts(&self, id: &str) {
+    /// Waits until an ordinary submission with a key is accepted.
+    async fn accepts(&self, id: &str, key: &str) {
         let url = self.process.url(id);
         let is_accepted = || async {
-            let response = call("POST", &url, KEY, &ordinary_job()).await;
+            let response = call("POST", &url, key, &ordinary_job()).await;
             response.is_some_and(|(status, _)| status == 200)
         };
         until("an ordinary submission is accepted", is_accepted).await;
@@ -70,7 +70,7 @@
 
     /// Waits until an ordinary submission is accepted and complete.
     async fn serves(&self, id: &str) {
-        self.accepts(id).await;
+        self.accepts(id, KEY).await;
         let url = self.process.url(id);
         let is_complete = || async {
             let response = call("GET", &url, KEY, "").await;
