Read no more steps of a submission than it may have

Cause: serde read all 80,000 steps, each into a hundred times its text, before `Spec::check` counted them.

Evidence: `clients/parsing.rs`, one body of 80,000 empty steps, 32 MB granted: peak of 35 MiB before (debug build).

Change: the list of steps is read by a visitor that fails at the 257th.

--- a/crates/graph/src/job/check.rs
+++ b/crates/graph/src/job/check.rs
@@ -11,7 +11,7 @@
 const MAX_PAYLOAD_BYTES: usize = 4_000;
 
 /// Largest number of steps of a job. Bounds the memory that one caller can use.
-const MAX_STEPS: usize = 256;
+pub const MAX_STEPS: usize = 256;
 
 /// Largest number of tasks of one occurrence. Bounds the memory that one caller can use.
 pub(crate) const MAX_TASKS: u32 = 10_000;
--- a/crates/graph/src/job/mod.rs
+++ b/crates/graph/src/job/mod.rs
@@ -6,7 +6,7 @@
 mod state;
 
 pub(crate) use check::MAX_TASKS;
-pub use check::SpecError;
+pub use check::{MAX_STEPS, SpecError};
 pub use id::{Id, ParseError};
 pub use spec::{Schedule, Spec, Step};
 pub use state::State;
--- a/crates/node/tests/clients/main.rs
+++ b/crates/node/tests/clients/main.rs
@@ -7,6 +7,7 @@
 mod bodies;
 mod connections;
 mod crowd;
+mod parsing;
 #[allow(dead_code, reason = "shared with the tests in `path`, which use more of it")]
 #[path = "../path/platform.rs"]
 mod platform;
--- a/crates/platform/src/site/job.rs
+++ b/crates/platform/src/site/job.rs
@@ -2,9 +2,12 @@
 //!
 //! A job is checked when it is parsed, so that an invalid one is rejected before it is stored.
 
+use std::fmt;
+
 use displaydoc::Display;
-use serde::Deserialize;
-use sycamore_graph::job::{Schedule, Spec, SpecError, State, Step};
+use serde::de::{Error, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer};
+use sycamore_graph::job::{MAX_STEPS, Schedule, Spec, SpecError, State, Step};
 use sycamore_types::Name;
 use sycamore_types::resources::Resources;
 
@@ -26,7 +29,7 @@
 struct Body {
     #[serde(default)]
     spec: Name,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "at_most_max_steps")]
     steps: Vec<StepBody>,
     #[serde(default)]
     start_at_ms: u64,
@@ -36,6 +39,36 @@
     times: u32,
 }
 
+/// Deserializes steps, and fails once there are more than a job may have. A step takes up to a
+/// hundred times the memory of its text.
+fn at_most_max_steps<'de, D>(deserializer: D) -> Result<Vec<StepBody>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    struct Steps;
+
+    impl<'de> Visitor<'de> for Steps {
+        type Value = Vec<StepBody>;
+
+        fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+            formatter.write_str("a list of steps")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut sequence: A) -> Result<Self::Value, A::Error> {
+            let mut steps = Vec::new();
+            while let Some(step) = sequence.next_element()? {
+                if steps.len() == MAX_STEPS {
+                    return Err(A::Error::custom(SpecError::Steps));
+                }
+                steps.push(step);
+            }
+            Ok(steps)
+        }
+    }
+
+    deserializer.deserialize_seq(Steps)
+}
+
 /// A step. Fields that are zero, false or empty are left out on the wire.
 ///
 /// CPU is in thousandths of a core and memory in MiB.
--- a/crates/platform/tests/site/job.rs
+++ b/crates/platform/tests/site/job.rs
@@ -61,6 +61,18 @@
     assert!(parse_job(body).is_ok());
 }
 
+/// Failure: steps beyond the limit were read as well, at a hundred times the memory of their text.
+#[test]
+fn reads_no_more_steps_than_a_job_may_have() {
+    let steps = |count| vec![r#"{"count":1}"#; count].join(",");
+    let body = |count, end| format!(r#"{{"steps":[{}{end}"#, steps(count));
+
+    let error = parse_job(body(257, "nonsense").as_bytes()).unwrap_err().to_string();
+
+    assert!(error.contains("between 1 and 256 steps"), "{error}");
+    assert!(parse_job(body(256, "]}").as_bytes()).is_ok());
+}
+
 #[test]
 fn rejects_a_payload_over_the_limit() {
     let body = format!(r#"{{"spec":"{}","steps":[{{"count":1}}]}}"#, "x".repeat(4_001));
