Bound the connections of probes and readers of metrics

The same class as callers' connections: whoever reaches the listener for readiness probes or the one for metrics could take all descriptors, and without descriptors the former accepted in a busy loop.

The gauge of open connections counts up and down, as two listeners share one.

--- a/crates/node/src/api/connection/mod.rs
+++ b/crates/node/src/api/connection/mod.rs
@@ -1,4 +1,4 @@
-//! Bounds the connections that callers keep open.
+//! Bounds the connections that callers and others keep open.
 //!
 //! When there are as many as the process can afford, a new connection takes the place of the one
 //! that has gone longest without a request being answered. A connection whose request is with the
--- a/crates/node/src/api/connection/registry.rs
+++ b/crates/node/src/api/connection/registry.rs
@@ -43,7 +43,7 @@
 #[derive(Debug)]
 pub(crate) struct Registry {
     limit: Limit,
-    /// Number of open connections.
+    /// Number of open connections, of this registry and those that share the gauge.
     open: IntGauge,
     /// Connections closed to make room for others.
     evicted: IntCounter,
@@ -134,7 +134,7 @@
         let last_event = state.number_event();
         let entry = Entry { last_event, phase: Phase::Waiting, evict: evict.clone() };
         state.entries.insert(id, entry);
-        self.open.set(state.entries.len() as i64);
+        self.open.inc();
         Some(Connection { registry: self.clone(), id, evict })
     }
 
@@ -198,8 +198,8 @@
     fn drop(&mut self) {
         let mut state = self.registry.lock();
         state.entries.remove(&self.id);
-        self.registry.open.set(state.entries.len() as i64);
         drop(state);
+        self.registry.open.dec();
         self.registry.changed.notify_one();
     }
 }
--- a/crates/node/src/api/mod.rs
+++ b/crates/node/src/api/mod.rs
@@ -4,11 +4,13 @@
 mod body;
 mod connection;
 mod forward;
+mod internal;
 mod listener;
 mod readiness;
 mod request;
 mod response;
 
 pub(crate) use body::Budget;
+pub(crate) use internal::serve_internal;
 pub(crate) use listener::{Server, listen, serve};
 pub(crate) use readiness::serve_readiness;
--- a/crates/node/src/api/readiness.rs
+++ b/crates/node/src/api/readiness.rs
@@ -3,40 +3,22 @@
 //! A process that is alive but can't serve callers is not ready, so that the load balancer
 //! sends them elsewhere.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use sycamore_platform::site::READY_PATH;
 use tokio::net::TcpListener;
 
+use super::internal::serve_internal;
 use crate::node::Node;
 
 /// Accepts connections of readiness probes until the process exits.
 pub(crate) async fn serve_readiness(node: Arc<Node>, listener: TcpListener) {
-    loop {
-        let Ok((socket, _)) = listener.accept().await else {
-            tokio::task::yield_now().await;
-            continue;
-        };
-        let node = node.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let status = status(&node, &request);
-                async move { Ok::<_, Infallible>(empty(status)) }
-            });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
-            if let Err(error) = connection.await {
-                log::debug!("connection of a readiness probe failed: {error}");
-            }
-        });
-    }
+    let probed = node.clone();
+    serve_internal(&node.meters, listener, move |request| empty(status(&probed, request))).await;
 }
 
 fn status(node: &Node, request: &Request<Incoming>) -> StatusCode {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,21 +1,18 @@
 //! Metrics of the process, served over HTTP in the Prometheus text format. The names and
 //! help texts are read by operators and stay when fields are renamed.
 
-use std::convert::Infallible;
-use std::sync::Arc;
-use std::time::Duration;
-
-use http::Response;
+use bytes::Bytes;
+use http::{Request, Response};
 use http_body_util::Full;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use sycamore_telemetry::metrics::Metrics;
 use sycamore_telemetry::metrics::prometheus::{
     GaugeVec, HistogramVec, IntCounter, IntCounterVec, IntGauge,
 };
 use tokio::net::TcpListener;
 
+use crate::api::serve_internal;
+
 /// Bounds of the latency buckets in seconds, from the time of one store call to a caller's
 /// longest wait.
 const BUCKETS: [f64; 12] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 15.0];
@@ -28,6 +25,10 @@
     pub requests: IntCounterVec,
     /// Time from a request to its response, by method.
     pub request_s: HistogramVec,
+    /// Open connections of readiness probes and readers of metrics.
+    pub internal_connections: IntGauge,
+    /// Those that were closed to make room for others.
+    pub evicted_internal_connections: IntCounter,
     /// Memory that the jobs known to this owner are counted with, in bytes.
     pub job_bytes: IntGauge,
     /// Open connections of callers.
@@ -117,6 +118,14 @@
         Meters {
             requests: all.counters("requests_total", "Answers to callers.", &["method", "status"]),
             request_s: all.histograms("request_seconds", "Time to answer.", &["method"], &BUCKETS),
+            internal_connections: all.gauge(
+                "internal_connections",
+                "Open connections of readiness probes and readers of metrics.",
+            ),
+            evicted_internal_connections: all.counter(
+                "internal_connections_evicted_total",
+                "Connections of readiness probes and readers of metrics that were closed for others.",
+            ),
             job_bytes: all.gauge(
                 "job_bytes",
                 "Memory that the jobs known to this owner are counted with, in bytes.",
@@ -257,26 +266,7 @@
 
 /// Serves the metrics until the process exits.
 pub(crate) async fn serve(meters: Meters, listener: TcpListener) {
-    let meters = Arc::new(meters);
-    loop {
-        let socket = match listener.accept().await {
-            Ok((socket, _)) => socket,
-            Err(error) => {
-                log::warn!(target: "process", error:%; "can't accept a metrics connection");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
-        let meters = meters.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |_request| {
-                let body = Full::new(bytes::Bytes::from(meters.all.render()));
-                async move { Ok::<_, Infallible>(Response::new(body)) }
-            });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
-            if let Err(error) = connection.await {
-                log::debug!("metrics connection failed: {error}");
-            }
-        });
-    }
+    let all = meters.all.clone();
+    let render = move |_: &Request<Incoming>| Response::new(Full::new(Bytes::from(all.render())));
+    serve_internal(&meters, listener, render).await;
 }
--- a/crates/node/tests/clients/connections.rs
+++ b/crates/node/tests/clients/connections.rs
@@ -1,6 +1,9 @@
 //! Connections that stay open and owe bytes, or whose answers are not read.
 
+use std::net::SocketAddr;
+
 use crate::crowd::{Body, Crowd};
+use crate::process::Process;
 use crate::usage::{open_descriptors, peak_memory_mb, unread_bytes};
 use crate::{KEY, Site};
 
@@ -16,9 +19,14 @@
 /// Opens connections on which a text is sent and nothing else. The process stays within its
 /// descriptors and its memory, and serves ordinary requests beside them.
 async fn withstands(text: &str) {
+    withstands_at(Process::callers, text).await;
+}
+
+/// The same at one of the addresses of the process.
+async fn withstands_at(address: impl Fn(&Process) -> SocketAddr, text: &str) {
     let site = Site::start(MEMORY_MB, MAX_FDS).await;
 
-    let crowd = Crowd::of_connections(CLIENTS, site.process.callers(), text).await;
+    let crowd = Crowd::of_connections(CLIENTS, address(&site.process), text).await;
     site.serves("00000000000000b1").await;
     stays_within_limits(&site);
     drop(crowd);
@@ -50,6 +58,12 @@
     withstands(&head).await;
 }
 
+/// Failure: nothing bounded the connections to the listeners for probes and metrics either.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_to_the_metrics_that_say_nothing() {
+    withstands_at(Process::metrics, "").await;
+}
+
 /// Failure: as above, with bodies so small that all of them fit into the memory.
 #[tokio::test(flavor = "multi_thread")]
 async fn small_bodies_that_stop_before_their_end() {
--- a/crates/node/tests/path/process.rs
+++ b/crates/node/tests/path/process.rs
@@ -150,6 +150,11 @@
         self.callers
     }
 
+    /// Returns the address of the metrics.
+    pub fn metrics(&self) -> SocketAddr {
+        self.metrics
+    }
+
     pub fn id(&self) -> u32 {
         self.child.id().expect("the process runs")
     }
@@ -160,7 +165,7 @@
     }
 
     pub fn metrics_url(&self) -> String {
-        format!("http://{}/metrics", self.metrics)
+        format!("http://{}/metrics", self.metrics())
     }
 
     /// Sends a signal, by the name that `kill` knows.
