Move the limits on bodies and connections to a crate of their own

Cause: sycamore-entry has the same faults as sycamore-node had, and depends on none of its code. Change: crates/intake; metrics are passed in, and a connection keeps its answer alive by a handle of its own. No change of behaviour.

--- a/crates/node/src/api/body/budget.rs
+++ b/crates/intake/src/body/budget.rs
@@ -1,13 +1,14 @@
-//! The memory that the bodies of callers' requests share.
+//! The memory that the bodies of requests share.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use displaydoc::Display;
+use sycamore_telemetry::metrics::prometheus::{IntCounter, IntGauge};
 use tokio::sync::Notify;
 
 use crate::memory::resident_bytes;
-use crate::metrics::Meters;
 
 /// Largest part of the process's memory that bodies take, as a divisor.
 const MAX_SHARE_DIVISOR: usize = 4;
@@ -26,9 +27,18 @@
 /// Size of a buffer when its first part arrives, in bytes. Most submissions fit into it.
 const FIRST_CAPACITY: usize = 2_048;
 
+/// Metrics of a budget.
+#[derive(Clone, Debug)]
+pub struct Meters {
+    /// Memory that the bodies hold, in bytes.
+    pub held_bytes: IntGauge,
+    /// Requests that were refused as there was no memory for their body.
+    pub refused: IntCounter,
+}
+
 /// Bounds the memory of all bodies together.
 #[derive(Debug)]
-pub(crate) struct Budget {
+pub struct Budget {
     /// Memory that the process may use, in bytes.
     memory_bytes: usize,
     /// Returns the memory that the process uses, in bytes.
@@ -74,9 +84,11 @@
     Refused,
 }
 
-/// There is no memory for a body.
-#[derive(Debug, Eq, PartialEq)]
-pub(crate) struct Full;
+/// there is no memory for the body
+#[derive(Debug, Display, Eq, PartialEq)]
+pub struct Full;
+
+impl std::error::Error for Full {}
 
 /// A body that is being received. Dropping it gives its memory back.
 #[derive(Debug)]
@@ -89,7 +101,7 @@
 
 /// The part of the budget that one request holds, until it is dropped.
 #[derive(Debug)]
-pub(crate) struct Reservation {
+pub struct Reservation {
     budget: Arc<Budget>,
     id: u64,
 }
@@ -134,7 +146,7 @@
     ///
     /// Returns an error if a body of `expected_bytes` certainly doesn't fit beside the requests that
     /// are complete.
-    pub fn begin(
+    pub(crate) fn begin(
         self: &Arc<Budget>,
         expected_bytes: usize,
         max_bytes: usize,
@@ -180,7 +192,7 @@
         if let Some(entry) = state.entries.get_mut(&id) {
             entry.held += more;
         }
-        self.meters.body_bytes.set(state.held as i64);
+        self.meters.held_bytes.set(state.held as i64);
         Ok(())
     }
 
@@ -201,12 +213,12 @@
         if let Some(entry) = state.entries.get_mut(&id) {
             entry.held -= bytes;
             state.held -= bytes;
-            self.meters.body_bytes.set(state.held as i64);
+            self.meters.held_bytes.set(state.held as i64);
         }
     }
 
     fn count_refusal(&self) -> Full {
-        self.meters.refused_bodies.inc();
+        self.meters.refused.inc();
         Full
     }
 
--- a/crates/node/src/api/body/mod.rs
+++ b/crates/intake/src/body/mod.rs
@@ -1,4 +1,4 @@
-//! Receives the bodies of callers' requests within a memory budget that all of them share.
+//! Receives the bodies of requests within a memory budget that all of them share.
 //!
 //! A body is copied into one buffer as it arrives, so that it takes its own size whatever the
 //! parts or chunks it comes in. When the budget is full, the largest body that is not complete is
@@ -9,6 +9,5 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use budget::Budget;
-pub(super) use budget::Reservation;
-pub(super) use receive::{Error, receive};
+pub use budget::{Budget, Full, Meters, Reservation};
+pub use receive::{Error, receive};
--- a/crates/node/src/api/body/receive.rs
+++ b/crates/intake/src/body/receive.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use bytes::{Buf, Bytes};
+use displaydoc::Display;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 
@@ -11,18 +12,21 @@
 use super::budget::{Budget, Full};
 
 /// Why a body was not received.
-#[derive(Debug, Eq, PartialEq)]
-pub(crate) enum Error {
-    /// It is larger than the limit.
+#[derive(Debug, Display, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum Error {
+    /// body too large
     TooLarge,
-    /// There is no memory for it.
+    /// no memory for the body
     NoMemory,
-    /// The connection failed before its end.
+    /// body broken off
     BrokenOff,
-    /// The deadline has passed.
+    /// body not sent in time
     Timeout,
 }
 
+impl std::error::Error for Error {}
+
 impl From<Full> for Error {
     fn from(_: Full) -> Error {
         Error::NoMemory
@@ -37,7 +41,7 @@
 /// # Errors
 ///
 /// Returns an error as soon as it is clear that the body will not be received.
-pub(crate) async fn receive<B>(
+pub async fn receive<B>(
     budget: &Arc<Budget>,
     mut body: B,
     max_bytes: usize,
--- a/crates/node/src/api/body/tests/budget.rs
+++ b/crates/intake/src/body/tests/budget.rs
@@ -2,9 +2,8 @@
 
 use proptest::prelude::*;
 
-use super::{MAX_BODY_BYTES, MEMORY_BYTES, budget};
-use crate::api::body::budget::{Budget, Buffer, Full, Reservation};
-use crate::metrics::Meters;
+use super::{MAX_BODY_BYTES, MEMORY_BYTES, budget, meters};
+use crate::body::budget::{Budget, Buffer, Full, Reservation};
 
 /// Begins a body and receives a part of it.
 fn part_of(budget: &Arc<Budget>, bytes: usize) -> Buffer {
@@ -81,7 +80,7 @@
 #[test]
 fn bodies_take_little_while_the_process_is_short_of_memory() {
     let almost_all = || Some(MEMORY_BYTES - MEMORY_BYTES / 16);
-    let budget = Arc::new(Budget::with_reader(MEMORY_BYTES, Meters::new(), almost_all));
+    let budget = Arc::new(Budget::with_reader(MEMORY_BYTES, meters(), almost_all));
     let large = part_of(&budget, MAX_BODY_BYTES);
 
     let small: Vec<_> = (0..200).map(|_| part_of(&budget, 4_000)).collect();
--- a/crates/node/src/api/body/tests/receive.rs
+++ b/crates/intake/src/body/tests/receive.rs
@@ -8,7 +8,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 
 use super::{MAX_BODY_BYTES, budget};
-use crate::api::body::{Error, receive};
+use crate::body::{Error, receive};
 
 /// A body of which some parts have arrived.
 struct Arriving {
--- a/crates/node/src/api/connection/mod.rs
+++ b/crates/intake/src/connection/mod.rs
@@ -1,4 +1,4 @@
-//! Bounds the connections that callers and others keep open.
+//! Bounds the connections that a listener keeps open.
 //!
 //! When there are as many as the process can afford, a new connection takes the place of the one
 //! that has gone longest without a request being answered. A connection whose request is with the
@@ -8,5 +8,4 @@
 #[cfg(test)]
 mod tests;
 
-pub(super) use registry::Connection;
-pub(crate) use registry::{Limit, Registry};
+pub use registry::{Answering, Connection, Limit, Meters, Registry};
--- a/crates/node/src/api/connection/registry.rs
+++ b/crates/intake/src/connection/registry.rs
@@ -18,7 +18,7 @@
 
 /// Largest number of connections.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Limit {
+pub struct Limit {
     /// Connections at any time.
     pub max: usize,
     /// Connections from which on their number doesn't grow while the process is short of memory.
@@ -39,14 +39,20 @@
     }
 }
 
+/// Metrics of one registry or of several.
+#[derive(Clone, Debug)]
+pub struct Meters {
+    /// Open connections.
+    pub open: IntGauge,
+    /// Connections closed to make room for others.
+    pub evicted: IntCounter,
+}
+
 /// The open connections.
 #[derive(Debug)]
-pub(crate) struct Registry {
+pub struct Registry {
     limit: Limit,
-    /// Number of open connections, of this registry and those that share the gauge.
-    open: IntGauge,
-    /// Connections closed to make room for others.
-    evicted: IntCounter,
+    meters: Meters,
     state: Mutex<State>,
     /// Notified when a connection is closed or may be closed again.
     changed: Notify,
@@ -80,7 +86,7 @@
 
 /// An open connection, until it is dropped.
 #[derive(Debug)]
-pub(crate) struct Connection {
+pub struct Connection {
     registry: Arc<Registry>,
     id: u64,
     evict: Arc<Notify>,
@@ -88,13 +94,12 @@
 
 /// A request that is being answered, until it is dropped.
 #[derive(Debug)]
-pub(crate) struct Answering<'a>(&'a Connection);
+pub struct Answering(Arc<Connection>);
 
 impl Registry {
-    /// Creates a registry with a gauge of the open connections and a counter of those closed to
-    /// make room for others.
-    pub fn new(limit: Limit, open: IntGauge, evicted: IntCounter) -> Registry {
-        Registry { limit, open, evicted, state: Mutex::default(), changed: Notify::new() }
+    /// Creates a registry without connections.
+    pub fn new(limit: Limit, meters: Meters) -> Registry {
+        Registry { limit, meters, state: Mutex::default(), changed: Notify::new() }
     }
 
     /// Registers a new connection. Waits for room if there is none, while other connections are
@@ -123,7 +128,7 @@
         {
             *has_evicted = state.evict_oldest();
             if *has_evicted {
-                self.evicted.inc();
+                self.meters.evicted.inc();
             }
         }
         if is_full {
@@ -134,7 +139,7 @@
         let last_event = state.number_event();
         let entry = Entry { last_event, phase: Phase::Waiting, evict: evict.clone() };
         state.entries.insert(id, entry);
-        self.open.inc();
+        self.meters.open.inc();
         Some(Connection { registry: self.clone(), id, evict })
     }
 
@@ -173,9 +178,9 @@
     }
 
     /// Keeps the connection open for the answer to a whole request, until the result is dropped.
-    pub fn begin_answer(&self) -> Answering<'_> {
+    pub fn begin_answer(self: &Arc<Connection>) -> Answering {
         self.change_phase(Phase::Waiting, Phase::Answering);
-        Answering(self)
+        Answering(self.clone())
     }
 
     fn change_phase(&self, from: Phase, to: Phase) {
@@ -199,12 +204,12 @@
         let mut state = self.registry.lock();
         state.entries.remove(&self.id);
         drop(state);
-        self.registry.open.dec();
+        self.registry.meters.open.dec();
         self.registry.changed.notify_one();
     }
 }
 
-impl Drop for Answering<'_> {
+impl Drop for Answering {
     fn drop(&mut self) {
         self.0.change_phase(Phase::Answering, Phase::Waiting);
     }
--- a/crates/node/src/api/connection/tests/registry.rs
+++ b/crates/intake/src/connection/tests/registry.rs
@@ -1,28 +1,29 @@
 use std::sync::Arc;
 
 use futures::FutureExt;
+use sycamore_telemetry::metrics::Metrics;
 
-use crate::api::connection::{Connection, Limit, Registry};
-use crate::metrics::Meters;
+use crate::connection::{Connection, Limit, Meters, Registry};
 
 /// A registry of at most eight connections, two while the process is short of memory.
 fn registry() -> Arc<Registry> {
-    let meters = Meters::new();
-    let limit = Limit { max: 8, max_in_shortage: 2 };
-    Arc::new(Registry::new(limit, meters.caller_connections, meters.evicted_connections))
+    let all = Metrics::new();
+    let meters =
+        Meters { open: all.gauge("open", "open"), evicted: all.counter("evicted", "evicted") };
+    Arc::new(Registry::new(Limit { max: 8, max_in_shortage: 2 }, meters))
 }
 
 /// Admits a connection for which there is room.
-fn admit(registry: &Arc<Registry>) -> Connection {
-    registry.admit(|| false).now_or_never().expect("there is room")
+fn admit(registry: &Arc<Registry>) -> Arc<Connection> {
+    Arc::new(registry.admit(|| false).now_or_never().expect("there is room"))
 }
 
-fn fill(registry: &Arc<Registry>) -> Vec<Connection> {
+fn fill(registry: &Arc<Registry>) -> Vec<Arc<Connection>> {
     (0..8).map(|_| admit(registry)).collect()
 }
 
 /// Returns the indices of the connections that have to close.
-fn evicted(connections: &[Connection]) -> Vec<usize> {
+fn evicted(connections: &[Arc<Connection>]) -> Vec<usize> {
     let is_evicted = |at: &usize| connections[*at].evicted().now_or_never().is_some();
     (0..connections.len()).filter(is_evicted).collect()
 }
@@ -49,7 +50,7 @@
 async fn a_connection_whose_request_is_being_answered_is_not_closed() {
     let registry = registry();
     let open = fill(&registry);
-    let mut answering: Vec<_> = open.iter().map(Connection::begin_answer).collect();
+    let mut answering: Vec<_> = open.iter().map(|connection| connection.begin_answer()).collect();
 
     let mut admitted = Box::pin(registry.admit(|| false));
     assert!(admitted.as_mut().now_or_never().is_none());
@@ -78,11 +79,11 @@
 #[tokio::test]
 async fn the_number_does_not_grow_while_the_process_is_short_of_memory() {
     let registry = registry();
-    let first: Vec<_> =
-        (0..2).map(|_| registry.admit(|| true).now_or_never().expect("there is room")).collect();
+    let admit = || Arc::new(registry.admit(|| true).now_or_never().expect("there is room"));
+    let first = [admit(), admit()];
     assert!(evicted(&first).is_empty());
 
-    let _third = registry.admit(|| true).now_or_never().expect("there is room");
+    let _third = admit();
 
     assert_eq!(evicted(&first), [0]);
 }
--- a/crates/node/src/api/internal.rs
+++ b/crates/node/src/api/internal.rs
@@ -14,9 +14,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use sycamore_intake::connection::{Connection, Limit, Registry};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::connection::{Connection, Limit, Registry};
 use crate::metrics::Meters;
 
 /// Connections of one listener. A few clients probe or read metrics, each on one of its own.
@@ -30,9 +30,7 @@
 where
     F: Fn(&Request<Incoming>) -> Response<Full<Bytes>> + Clone + Send + Sync + 'static,
 {
-    let open = meters.internal_connections.clone();
-    let evicted = meters.evicted_internal_connections.clone();
-    let connections = Arc::new(Registry::new(LIMIT, open, evicted));
+    let connections = Arc::new(Registry::new(LIMIT, meters.internal_connections.clone()));
     loop {
         match listener.accept().await {
             Ok((socket, _)) => {
--- a/crates/node/src/api/listener.rs
+++ b/crates/node/src/api/listener.rs
@@ -9,11 +9,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use sycamore_intake::connection::{Connection, Limit, Registry};
 use sycamore_platform::site::Limits;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
-use super::connection::{Connection, Limit, Registry};
 use super::request::handle;
 use crate::node::Node;
 
@@ -46,9 +46,7 @@
         let connection_bytes = RECEIVE_BUFFER_BYTES + Limits::default().max_header_bytes;
         let limit =
             Limit::of_callers(settings.max_descriptors, settings.memory_bytes, connection_bytes);
-        let (open, evicted) =
-            (meters.caller_connections.clone(), meters.evicted_connections.clone());
-        let connections = Arc::new(Registry::new(limit, open, evicted));
+        let connections = Arc::new(Registry::new(limit, meters.caller_connections.clone()));
         Server { node, connections, closing: watch::Sender::new(false) }
     }
 
--- a/crates/node/src/api/mod.rs
+++ b/crates/node/src/api/mod.rs
@@ -1,8 +1,6 @@
 //! HTTP API for callers and readiness probes: checks keys and limits, finds the queue of a
 //! request, and forwards the request to the owner.
 
-mod body;
-mod connection;
 mod forward;
 mod internal;
 mod listener;
@@ -10,7 +8,6 @@
 mod request;
 mod response;
 
-pub(crate) use body::Budget;
 pub(crate) use internal::serve_internal;
 pub(crate) use listener::{Server, listen, serve};
 pub(crate) use readiness::serve_readiness;
--- a/crates/node/src/api/request.rs
+++ b/crates/node/src/api/request.rs
@@ -7,11 +7,11 @@
 use http::{Method, Request, StatusCode, header};
 use hyper::body::Incoming;
 use sycamore_graph::job::{Id, Spec};
+use sycamore_intake::body::{self, Reservation, receive};
+use sycamore_intake::connection::Connection;
 use sycamore_platform::site::{Config, Route, header as site_header, parse_job};
 use sycamore_types::Name;
 
-use super::body::{self, Reservation, receive};
-use super::connection::Connection;
 use super::forward::forward_to_owner;
 use super::response::{ApiResponse, RETRY_SOON_S, error_response, from_outcome, retry_later};
 use crate::clock::millis;
@@ -28,7 +28,7 @@
 /// Answers one request of a caller, and counts and logs the response.
 pub(super) async fn handle(
     node: Arc<Node>,
-    connection: &Connection,
+    connection: &Arc<Connection>,
     request: Request<Incoming>,
 ) -> ApiResponse {
     let started = Instant::now();
@@ -54,7 +54,7 @@
 /// Returns the response and, for a request that was forwarded to the owner, its outcome.
 async fn serve(
     node: &Arc<Node>,
-    connection: &Connection,
+    connection: &Arc<Connection>,
     request: Request<Incoming>,
     started: Instant,
 ) -> (ApiResponse, Option<RequestOutcome>) {
@@ -159,12 +159,13 @@
 ) -> Result<(Spec, Reservation), ApiResponse> {
     let max_bytes = config.limits.max_body_bytes.min(node.bodies.max_bytes());
     let received = receive(&node.bodies, request.into_body(), max_bytes, deadline).await;
-    let (bytes, reservation) = received.map_err(|error| match error {
-        body::Error::TooLarge => error_response(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
-        body::Error::NoMemory => retry_later(RETRY_SOON_S, "no memory for the body"),
-        body::Error::BrokenOff => error_response(StatusCode::BAD_REQUEST, "body broken off"),
-        body::Error::Timeout => {
-            error_response(StatusCode::REQUEST_TIMEOUT, "body not sent in time")
+    let (bytes, reservation) = received.map_err(|error| {
+        let reason = error.to_string();
+        match error {
+            body::Error::TooLarge => error_response(StatusCode::PAYLOAD_TOO_LARGE, &reason),
+            body::Error::NoMemory => retry_later(RETRY_SOON_S, &reason),
+            body::Error::Timeout => error_response(StatusCode::REQUEST_TIMEOUT, &reason),
+            _ => error_response(StatusCode::BAD_REQUEST, &reason),
         }
     })?;
     let spec = parse_job(&bytes)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,7 +9,6 @@
 mod backoff;
 mod clock;
 mod config;
-mod memory;
 mod metrics;
 mod node;
 mod options;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -5,6 +5,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use sycamore_intake::{body, connection};
 use sycamore_telemetry::metrics::Metrics;
 use sycamore_telemetry::metrics::prometheus::{
     GaugeVec, HistogramVec, IntCounter, IntCounterVec, IntGauge,
@@ -25,20 +26,14 @@
     pub requests: IntCounterVec,
     /// Time from a request to its response, by method.
     pub request_s: HistogramVec,
-    /// Open connections of readiness probes and readers of metrics.
-    pub internal_connections: IntGauge,
-    /// Those that were closed to make room for others.
-    pub evicted_internal_connections: IntCounter,
+    /// Connections of readiness probes and readers of metrics.
+    pub internal_connections: connection::Meters,
     /// Memory that the jobs known to this owner are counted with, in bytes.
     pub job_bytes: IntGauge,
-    /// Open connections of callers.
-    pub caller_connections: IntGauge,
-    /// Connections of callers that were closed to make room for others.
-    pub evicted_connections: IntCounter,
-    /// Memory that the bodies of callers' requests hold, in bytes.
-    pub body_bytes: IntGauge,
-    /// Requests that were refused as there was no memory for their body.
-    pub refused_bodies: IntCounter,
+    /// Connections of callers.
+    pub caller_connections: connection::Meters,
+    /// Bodies of callers' requests.
+    pub bodies: body::Meters,
     /// Start requests to workers, by outcome.
     pub starts: IntCounterVec,
     /// Lost workers that had runs, by cause.
@@ -118,31 +113,37 @@
         Meters {
             requests: all.counters("requests_total", "Answers to callers.", &["method", "status"]),
             request_s: all.histograms("request_seconds", "Time to answer.", &["method"], &BUCKETS),
-            internal_connections: all.gauge(
-                "internal_connections",
-                "Open connections of readiness probes and readers of metrics.",
-            ),
-            evicted_internal_connections: all.counter(
-                "internal_connections_evicted_total",
-                "Connections of readiness probes and readers of metrics that were closed for others.",
-            ),
+            internal_connections: connection::Meters {
+                open: all.gauge(
+                    "internal_connections",
+                    "Open connections of readiness probes and readers of metrics.",
+                ),
+                evicted: all.counter(
+                    "internal_connections_evicted_total",
+                    "Connections of readiness probes and readers of metrics closed for others.",
+                ),
+            },
             job_bytes: all.gauge(
                 "job_bytes",
                 "Memory that the jobs known to this owner are counted with, in bytes.",
             ),
-            caller_connections: all.gauge("caller_connections", "Open connections of callers."),
-            evicted_connections: all.counter(
-                "caller_connections_evicted_total",
-                "Connections of callers that were closed to make room for others.",
-            ),
-            body_bytes: all.gauge(
-                "caller_body_bytes",
-                "Memory that the bodies of callers' requests hold, in bytes.",
-            ),
-            refused_bodies: all.counter(
-                "caller_bodies_refused_total",
-                "Requests that were refused as there was no memory for their body.",
-            ),
+            caller_connections: connection::Meters {
+                open: all.gauge("caller_connections", "Open connections of callers."),
+                evicted: all.counter(
+                    "caller_connections_evicted_total",
+                    "Connections of callers that were closed to make room for others.",
+                ),
+            },
+            bodies: body::Meters {
+                held_bytes: all.gauge(
+                    "caller_body_bytes",
+                    "Memory that the bodies of callers' requests hold, in bytes.",
+                ),
+                refused: all.counter(
+                    "caller_bodies_refused_total",
+                    "Requests that were refused as there was no memory for their body.",
+                ),
+            },
             starts: all.counters("starts_total", "Orders to start a task.", &["outcome"]),
             host_losses: all.counters(
                 "worker_losses_total",
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use sycamore_graph::StepId;
+use sycamore_intake::body::Budget;
 use sycamore_platform::http::Client;
 use sycamore_platform::site::{AdviceClient, Settings, Store, WorkerConnections};
 use sycamore_telemetry::logs::LineSender;
@@ -14,7 +15,6 @@
 use sycamore_wire::Pool;
 use tokio::sync::{Mutex, Notify};
 
-use crate::api::Budget;
 use crate::clock::Clock;
 use crate::config::Configs;
 use crate::metrics::Meters;
@@ -88,7 +88,7 @@
                 Some(_) => configs.with_evacuations(),
                 None => configs,
             },
-            bodies: Arc::new(Budget::new(settings.memory_bytes, meters.clone())),
+            bodies: Arc::new(Budget::new(settings.memory_bytes, meters.bodies.clone())),
             meters,
             ownership: Ownership::default(),
             must_resign: Notify::new(),
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use displaydoc::Display;
+use sycamore_intake::memory;
 use sycamore_platform::site::Settings;
 use sycamore_platform::{SignalAction, Signals};
 use sycamore_telemetry::logs::LineSender;
@@ -15,7 +16,7 @@
 use crate::node::Node;
 use crate::options::Options;
 use crate::timing::{DRAIN_DELAY, EXIT_MARGIN, LAST_RESPONSE_MARGIN, SETTINGS_CHECK_INTERVAL};
-use crate::{api, memory, metrics, ownership, peer};
+use crate::{api, metrics, ownership, peer};
 
 /// Returned when the process can't start.
 #[derive(Debug, Display)]
