Bound bodies and connections at sycamore-entry

The same class as at sycamore-node: each body that is read whole was bounded, all of them together were not, each chunk kept a buffer alive, and 10,000 connections were accepted whatever the process may open, after which callers waited.

Change: `--memory-mb` and `--max-fds`, and the limits of `sycamore-intake` with them. A handler finds its connection in the extensions of the request, and keeps it open once the request has arrived whole. A body for which there is no memory gets 503, `no_memory`.

--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -186,6 +186,8 @@
         store: Address(platform.store.address()),
         hosts: Address(platform.host_list.address()),
         key_patience: Duration::from_secs(10),
+        memory_bytes: 256 << 20,
+        max_descriptors: 4_096,
         otlp: None,
         log_format: logs::Format::Text,
     }
--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -10,5 +10,5 @@
 
 pub(crate) use caller::{Caller, identify};
 pub(crate) use limits::{MAX_JOB_BYTES, read_limited};
-pub(crate) use listener::serve;
+pub(crate) use listener::{MAX_HEAD_BYTES, begin_answer, serve};
 pub(crate) use response::{Body, failure_response, malformed, not_found, respond, unauthorized};
--- a/crates/entry/src/arguments/mod.rs
+++ b/crates/entry/src/arguments/mod.rs
@@ -10,6 +10,16 @@
 use sycamore_telemetry::logs;
 use sycamore_types::Name;
 
+/// Least memory of the process, in MiB. It needs most of it to start.
+const MIN_MEMORY_MB: usize = 16;
+
+/// Largest memory of the process, in MiB: one that fits into all address spaces.
+const MAX_MEMORY_MB: usize = 1_048_576;
+
+/// Least number of descriptors. The process itself needs some of them for the store, the host list,
+/// schedulers and peers.
+const MIN_DESCRIPTORS: usize = 64;
+
 /// Settings of an entry process, after validation.
 #[derive(Clone, Debug)]
 pub struct Arguments {
@@ -30,6 +40,10 @@
     /// Time for which callers' keys are accepted while neither the store nor a peer confirms
     /// the configuration. A key may have been withdrawn in the meantime.
     pub key_patience: Duration,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: usize,
+    /// Descriptors that the process may have open.
+    pub max_descriptors: usize,
     /// Address of the OTLP collector for spans. `None` disables the export.
     pub otlp: Option<Address>,
     /// Format of log lines.
@@ -92,6 +106,20 @@
                 "time for which keys are taken while nobody confirms the configuration",
                 Some("10000"),
             ),
+            Setting::new(
+                "memory-mb",
+                "SYCAMORE_MEMORY_MB",
+                "MIB",
+                "memory that the process may use, 16 at least",
+                Some("256"),
+            ),
+            Setting::new(
+                "max-fds",
+                "SYCAMORE_MAX_FDS",
+                "COUNT",
+                "descriptors that the process may have open, 64 at least",
+                Some("4096"),
+            ),
             Setting::new(
                 "otlp",
                 "SYCAMORE_OTLP",
@@ -125,6 +153,14 @@
         let store = values.required("store");
         let hosts = values.required("hosts");
         let key_patience = values.required::<u64>("key-patience");
+        let memory_mb = values.required::<usize>("memory-mb");
+        if memory_mb.is_some_and(|mb| !(MIN_MEMORY_MB..=MAX_MEMORY_MB).contains(&mb)) {
+            values.invalid("memory-mb", "must be between 16 and 1048576");
+        }
+        let max_descriptors = values.required::<usize>("max-fds");
+        if max_descriptors.is_some_and(|count| count < MIN_DESCRIPTORS) {
+            values.invalid("max-fds", "must be at least 64");
+        }
         let otlp = values.optional("otlp");
         let log_format = values.required("log-format");
         values.finish()?;
@@ -139,6 +175,8 @@
             store: store.ok_or_else(missing)?,
             hosts: hosts.ok_or_else(missing)?,
             key_patience: Duration::from_millis(key_patience.ok_or_else(missing)?),
+            memory_bytes: memory_mb.ok_or_else(missing)? << 20,
+            max_descriptors: max_descriptors.ok_or_else(missing)?,
             otlp,
             log_format: log_format.ok_or_else(missing)?,
         })
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -9,6 +9,8 @@
 use displaydoc::Display;
 use http::{Method, Request, Response};
 use hyper::body::Incoming;
+use sycamore_intake::body::Budget;
+use sycamore_intake::connection::{self, Limit, RECEIVE_BUFFER_BYTES, Registry};
 use sycamore_platform::hosts::HttpHostList;
 use sycamore_platform::otlp::Tracer;
 use sycamore_platform::store::HttpStore;
@@ -33,6 +35,9 @@
 /// Time that calls in flight have to finish during a planned stop.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Connections of operators, probes and readers of metrics: a few tools with one or two each.
+const OPERATOR_LIMIT: Limit = Limit { max: 32, max_in_shortage: 32 };
+
 /// Reason why an entry process could not be started.
 #[derive(Debug, Display)]
 #[non_exhaustive]
@@ -59,6 +64,8 @@
     pub(crate) retry_budget: RetryBudget,
     pub(crate) tracer: Tracer,
     pub(crate) meters: Meters,
+    /// Memory that bodies share.
+    pub(crate) bodies: Arc<Budget>,
     /// True once callers' connections are to close after their current call.
     pub(crate) stopping: watch::Sender<bool>,
     /// True once the process reports that it is not ready.
@@ -97,7 +104,8 @@
     ///
     /// Fails if one of the three listen addresses can't be bound.
     pub async fn start(arguments: Arguments) -> Result<Entry, Error> {
-        let callers = listen(arguments.listen).await?;
+        let callers = connection::listen(arguments.listen)
+            .map_err(|source| Error::Listen { address: arguments.listen, source })?;
         let operators = listen(arguments.operator_listen).await?;
         let peers = listen(arguments.peer_listen).await?;
         let address = callers.local_addr().unwrap_or(arguments.listen);
@@ -105,6 +113,7 @@
         let peer_address = peers.local_addr().unwrap_or(arguments.peer_listen);
         let store = HttpStore::new(arguments.store);
         let list = HttpHostList::new(arguments.hosts);
+        let meters = Meters::new();
         let shared = Arc::new(Shared {
             store: store.clone(),
             pool: Pool::default(),
@@ -112,7 +121,8 @@
             directory: Directory::default(),
             retry_budget: RetryBudget::default(),
             tracer: Tracer::new(arguments.otlp, "sycamore-entry"),
-            meters: Meters::new(),
+            bodies: Arc::new(Budget::new(arguments.memory_bytes, meters.bodies.clone())),
+            meters,
             stopping: watch::Sender::new(false),
             leaving: watch::Sender::new(false),
             arguments,
@@ -178,14 +188,24 @@
 
 async fn serve_callers(listener: TcpListener, shared: Arc<Shared>) {
     let stopping = shared.stopping.subscribe();
-    api::serve(listener, move |request| route(shared.clone(), request), stopping).await;
+    let arguments = &shared.arguments;
+    let connection_bytes = RECEIVE_BUFFER_BYTES + api::MAX_HEAD_BYTES;
+    let limit =
+        Limit::of_callers(arguments.max_descriptors, arguments.memory_bytes, connection_bytes);
+    let connections = Arc::new(Registry::new(limit, shared.meters.callers.clone()));
+    let bodies = shared.bodies.clone();
+    let is_short = move || bodies.is_process_short();
+    let handle = move |request| route(shared.clone(), request);
+    api::serve(listener, connections, is_short, handle, stopping).await;
 }
 
 /// Serves operators until the task is aborted, so that they can still query a stopping process.
 async fn serve_operators(listener: TcpListener, shared: Arc<Shared>) {
     let never = watch::Sender::new(false);
     let stopping = never.subscribe();
-    api::serve(listener, move |request| operator::serve(shared.clone(), request), stopping).await;
+    let connections = Arc::new(Registry::new(OPERATOR_LIMIT, shared.meters.operators.clone()));
+    let handle = move |request| operator::serve(shared.clone(), request);
+    api::serve(listener, connections, || false, handle, stopping).await;
 }
 
 async fn route(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
--- a/crates/entry/src/forward/body.rs
+++ b/crates/entry/src/forward/body.rs
@@ -1,8 +1,13 @@
 //! Body of an interactive request, which is streamed and limited in size.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
+use sycamore_intake::connection::{Answering, Connection};
+
+use crate::api::begin_answer;
 
 /// Largest body of an interactive request, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -15,11 +20,23 @@
     body: Incoming,
     bytes_read: usize,
     has_been_read: bool,
+    connection: Option<Arc<Connection>>,
+    /// Keeps the connection open once the body has arrived.
+    answering: Option<Answering>,
 }
 
 impl RequestBody {
-    pub(super) fn new(body: Incoming) -> RequestBody {
-        RequestBody { body, bytes_read: 0, has_been_read: false }
+    pub(super) fn new(body: Incoming, connection: Option<Arc<Connection>>) -> RequestBody {
+        let mut body =
+            RequestBody { body, bytes_read: 0, has_been_read: false, connection, answering: None };
+        body.keep_connection_if_ended();
+        body
+    }
+
+    fn keep_connection_if_ended(&mut self) {
+        if self.answering.is_none() && self.body.is_end_stream() {
+            self.answering = begin_answer(self.connection.as_ref());
+        }
     }
 
     /// Returns whether some of the body has been read.
@@ -30,7 +47,9 @@
     /// Reads the next chunk. Returns `None` at the end.
     pub(super) async fn next_chunk(&mut self) -> Option<Result<Bytes, std::io::Error>> {
         loop {
-            let frame = match self.body.frame().await? {
+            let frame = self.body.frame().await;
+            self.keep_connection_if_ended();
+            let frame = match frame? {
                 Ok(frame) => frame,
                 Err(error) => return Some(Err(std::io::Error::other(error))),
             };
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -84,7 +84,8 @@
         Ok(admitted) => admitted,
         Err(refusal) => return *refusal,
     };
-    let mut body = RequestBody::new(request.into_body());
+    let connection = request.extensions().get().cloned();
+    let mut body = RequestBody::new(request.into_body(), connection);
     let result = offer_to_owners(&shared, &admitted, &mut body).await;
     admitted
         .span
--- a/crates/entry/src/jobs/mod.rs
+++ b/crates/entry/src/jobs/mod.rs
@@ -19,8 +19,8 @@
 use sycamore_wire::{Command, ConnectionKind, Error, Reply};
 
 use crate::api::{
-    Body, Caller, MAX_JOB_BYTES, failure_response, identify, malformed, read_limited, respond,
-    unauthorized,
+    Body, Caller, MAX_JOB_BYTES, begin_answer, failure_response, identify, malformed, read_limited,
+    respond, unauthorized,
 };
 use crate::entry::Shared;
 
@@ -46,10 +46,13 @@
 /// Serves the submission of a job.
 pub(crate) async fn submit(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let headers = request.headers().clone();
-    let body = match read_limited(request.into_body(), MAX_JOB_BYTES).await {
-        Ok(body) => body,
+    let connection = request.extensions().get().cloned();
+    let body = read_limited(&shared.bodies, request.into_body(), MAX_JOB_BYTES).await;
+    let (body, _reservation) = match body {
+        Ok(received) => received,
         Err(refusal) => return *refusal,
     };
+    let _answering = begin_answer(connection.as_ref());
     let spec: Spec = match serde_json::from_slice(&body) {
         Ok(spec) => spec,
         Err(error) => return malformed(format!("body: {error}")),
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,6 +3,7 @@
 //! All label values come from fixed sets, so the number of time series is bounded.
 
 use prometheus::IntCounterVec;
+use sycamore_intake::{body, connection};
 use sycamore_telemetry::metrics::Metrics;
 
 /// Counters of an entry process, with the registry that they belong to.
@@ -15,6 +16,12 @@
     pub(crate) retries: IntCounterVec,
     /// Writes of the configuration by operators, by outcome.
     pub(crate) changes: IntCounterVec,
+    /// Bodies that are read completely.
+    pub(crate) bodies: body::Meters,
+    /// Connections of callers.
+    pub(crate) callers: connection::Meters,
+    /// Connections of operators, probes and readers of metrics.
+    pub(crate) operators: connection::Meters,
 }
 
 impl Meters {
@@ -36,6 +43,31 @@
                 "Changes of configuration by outcome",
                 &["outcome"],
             ),
+            bodies: body::Meters {
+                held_bytes: metrics.gauge(
+                    "sycamore_body_bytes",
+                    "Memory that bodies of callers and operators hold, in bytes",
+                ),
+                refused: metrics.counter(
+                    "sycamore_bodies_refused_total",
+                    "Calls that were refused as there was no memory for their body",
+                ),
+            },
+            callers: connection::Meters {
+                open: metrics.gauge("sycamore_caller_connections", "Open connections of callers"),
+                evicted: metrics.counter(
+                    "sycamore_caller_connections_evicted_total",
+                    "Connections of callers that were closed to make room for others",
+                ),
+            },
+            operators: connection::Meters {
+                open: metrics
+                    .gauge("sycamore_operator_connections", "Open connections of operators"),
+                evicted: metrics.counter(
+                    "sycamore_operator_connections_evicted_total",
+                    "Connections of operators that were closed to make room for others",
+                ),
+            },
             metrics,
         }
     }
--- a/crates/entry/src/operator/config.rs
+++ b/crates/entry/src/operator/config.rs
@@ -55,8 +55,9 @@
     let Some(expected) = tag.and_then(|tag| tag.trim_matches('"').parse::<Revision>().ok()) else {
         return malformed("header `if-match`: must name the revision that was read");
     };
-    let body = match read_limited(request.into_body(), MAX_CONFIG_BYTES).await {
-        Ok(body) => body,
+    let body = read_limited(&shared.bodies, request.into_body(), MAX_CONFIG_BYTES).await;
+    let (body, _reservation) = match body {
+        Ok(received) => received,
         Err(refusal) => return *refusal,
     };
     let document: Document = match serde_json::from_slice(&body) {
--- a/crates/node/src/api/listener.rs
+++ b/crates/node/src/api/listener.rs
@@ -2,16 +2,15 @@
 //! closes each of them after its current request.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use sycamore_intake::connection::{Connection, Limit, Registry};
+use sycamore_intake::connection::{Connection, Limit, RECEIVE_BUFFER_BYTES, Registry};
 use sycamore_platform::site::Limits;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use super::request::handle;
@@ -20,13 +19,6 @@
 /// Delay after a failed accept, so that a lack of file descriptors causes no busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Receive buffer of a caller's connection, in bytes. What a caller has sent and the process has
-/// not read counts as memory of the process, so that the kernel must not enlarge the buffer.
-const RECEIVE_BUFFER_BYTES: usize = 32 * 1_024;
-
-/// Connections that the kernel holds until they are accepted.
-const BACKLOG: u32 = 1_024;
-
 /// Interval at which a stopping process checks whether all connections have closed.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -61,20 +53,6 @@
     }
 }
 
-/// Listens for callers.
-///
-/// # Errors
-///
-/// Returns an error if the address can't be listened on.
-pub(crate) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    socket.set_reuseaddr(true)?;
-    // Accepted connections inherit it.
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 /// Accepts callers' connections until the process exits.
 pub(crate) async fn serve(server: Arc<Server>, listener: TcpListener) {
     loop {
--- a/crates/node/src/api/mod.rs
+++ b/crates/node/src/api/mod.rs
@@ -9,5 +9,5 @@
 mod response;
 
 pub(crate) use internal::serve_internal;
-pub(crate) use listener::{Server, listen, serve};
+pub(crate) use listener::{Server, serve};
 pub(crate) use readiness::serve_readiness;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use displaydoc::Display;
-use sycamore_intake::memory;
+use sycamore_intake::{connection, memory};
 use sycamore_platform::site::Settings;
 use sycamore_platform::{SignalAction, Signals};
 use sycamore_telemetry::logs::LineSender;
@@ -53,8 +53,8 @@
             .map_err(|error| Error::SourceAddress(address, error))?;
     }
     let peer_address = options.peer_listen().unwrap_or(settings.peers);
-    let callers =
-        api::listen(settings.callers).map_err(|error| Error::Listen(settings.callers, error))?;
+    let callers = connection::listen(settings.callers)
+        .map_err(|error| Error::Listen(settings.callers, error))?;
     let peers = listen(peer_address).await?;
     let readiness = match settings.readiness {
         Some(address) => Some(listen(address).await?),
--- a/crates/types/src/outcome/reason.rs
+++ b/crates/types/src/outcome/reason.rs
@@ -47,6 +47,8 @@
     Malformed(String),
     /// the process is starting and has no configuration yet
     NotReady,
+    /// there is no memory for the body
+    NoMemory,
 }
 
 /// Suggested retry delay for causes that pass without intervention, in
@@ -64,7 +66,7 @@
             Reason::LimitReached | Reason::QueueFull | Reason::NoOwner | Reason::Moved => {
                 DEFAULT_RETRY_DELAY_MS
             }
-            Reason::DeadlinePassed | Reason::NotReady => DEFAULT_RETRY_DELAY_MS,
+            Reason::DeadlinePassed | Reason::NotReady | Reason::NoMemory => DEFAULT_RETRY_DELAY_MS,
             Reason::StoreUnavailable => STORE_RETRY_DELAY_MS,
             _ => 0,
         }
@@ -90,6 +92,7 @@
             Reason::WorkerFailed => "worker_failed",
             Reason::Malformed(_) => "malformed",
             Reason::NotReady => "not_ready",
+            Reason::NoMemory => "no_memory",
         }
     }
 }
