Test that a process stops beside bodies that don't arrive

Cause: one of the leads beside the issue; it was not a fault. Change: a test with 50 bodies that stop before their end. It has no counterpart that fails.

--- a/crates/node/tests/clients/bodies.rs
+++ b/crates/node/tests/clients/bodies.rs
@@ -1,5 +1,7 @@
 //! Bodies of legal size that stop just short of their end.
 
+use std::time::Duration;
+
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -97,3 +99,16 @@
     }
     site.process.kill().await;
 }
+
+/// Guards against a stop that waits for bodies that don't arrive.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_stops_beside_bodies_that_stop_before_their_end() {
+    let site = Site::start(MEMORY_MB, MAX_FDS).await;
+    let body = Body::Sized { part: MAX_BODY_BYTES };
+    let crowd = Crowd::of_bodies(50, site.process.callers(), body, MAX_BODY_BYTES).await;
+
+    let is_success = site.process.terminate(Duration::from_secs(30)).await;
+
+    assert!(is_success);
+    drop(crowd);
+}
