--- a/review/rig-3/ends.rs
+++ b/review/rig-3/ends.rs
@@ -28,7 +28,14 @@
 }
 
 fn run(site: &mut Site, has_trouble: bool) -> Verdict {
-    let step = Step { count: TASKS, cpu: 100, est_ms: RUN_MS, after: None, constraints: "" };
+    let step = Step {
+        count: TASKS,
+        cpu: 100,
+        est_ms: RUN_MS,
+        after: None,
+        is_lasting: false,
+        constraints: "",
+    };
     let body = submission(&format!("ms={RUN_MS}"), &[step]);
     let answer = ask(site.front(0), "POST", "quote", JOB, 0, &body, 3_000);
     site.ledger.say(&format!("POST {JOB} with {TASKS} tasks: {answer:?}"));
--- a/review/rig-3/given_up.rs
+++ b/review/rig-3/given_up.rs
@@ -27,7 +27,14 @@
 }
 
 fn run(site: &Site, has_trouble: bool) -> Verdict {
-    let step = Step { count: 1, cpu: 18_000, est_ms: RUN_MS, after: None, constraints: "" };
+    let step = Step {
+        count: 1,
+        cpu: 18_000,
+        est_ms: RUN_MS,
+        after: None,
+        is_lasting: false,
+        constraints: "",
+    };
     let body = submission(&format!("ms={RUN_MS}"), &[step]);
     let answer = ask(site.front(0), "POST", "roster", JOB, 0, &body, 3_000);
     site.ledger.say(&format!("POST {JOB}: {answer:?}"));
--- a/review/rig-3/held.rs
+++ b/review/rig-3/held.rs
@@ -32,8 +32,14 @@
     worker.set_kind("b");
     site.ledger.say(&format!("{} is the only worker of kind b", worker.id));
     std::thread::sleep(Duration::from_secs(2));
-    let step =
-        |after, constraints| Step { count: 1, cpu: 4_000, est_ms: RUN_MS, after, constraints };
+    let step = |after, constraints| Step {
+        count: 1,
+        cpu: 4_000,
+        est_ms: RUN_MS,
+        after,
+        is_lasting: false,
+        constraints,
+    };
     // Step 0 needs kind b. Steps 1, 2 and 3 run anywhere, one after the other.
     let steps = [step(None, "b"), step(None, ""), step(Some(1), ""), step(Some(2), "")];
     let body = submission(&format!("ms={RUN_MS}"), &steps);
--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -8,6 +8,7 @@
 mod held;
 mod http;
 mod json;
+mod lasting;
 mod ledger;
 mod pending;
 mod site;
@@ -32,6 +33,7 @@
     let verdict = match case.as_str() {
         "ends" => ends::play(has_trouble, &record),
         "held" => held::play(has_trouble, &record),
+        "lasting" => lasting::play(has_trouble, &record),
         "pending" => pending::play(has_trouble, &record),
         "given-up" => given_up::play(has_trouble, &record),
         other => Verdict::NotRun(format!("no case {other}")),
--- a/review/rig-3/pending.rs
+++ b/review/rig-3/pending.rs
@@ -26,7 +26,14 @@
         site.ledger.say("w05 crashes, and is gone for good");
     }
     // Each job fills a worker.
-    let step = Step { count: 1, cpu: 64_000, est_ms: RUN_MS, after: None, constraints: "" };
+    let step = Step {
+        count: 1,
+        cpu: 64_000,
+        est_ms: RUN_MS,
+        after: None,
+        is_lasting: false,
+        constraints: "",
+    };
     let body = submission(&format!("ms={RUN_MS}"), &[step]);
     for number in 0..JOBS {
         let job = format!("e0000000{number:08x}");
--- a/review/rig-3/site.rs
+++ b/review/rig-3/site.rs
@@ -5,13 +5,14 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crate::http;
 use crate::json::quoted;
 use crate::ledger::Ledger;
 use crate::store::Store;
-use crate::worker::Worker;
+use crate::worker::{HOLD_MAX_MS, Worker};
 
 /// The command of the deploy file.
 const PROGRAM: &str = "target/release/sycamore-node";
@@ -94,6 +95,18 @@
 pub type Answer = Option<(u16, String)>;
 
 impl Site {
+    /// Starts a deployment with the bounds of mwakilema-yard-grown instead of mwakilema-yard, see
+    /// [`Site::start`].
+    pub fn start_grown(
+        nodes: usize,
+        workers: usize,
+        queues: &[Queue],
+        tenants: usize,
+    ) -> Option<Site> {
+        HOLD_MAX_MS.store(10_000, Ordering::Relaxed);
+        Site::start(nodes, workers, queues, tenants)
+    }
+
     /// Starts the store, workers and processes, and waits until all processes are ready.
     pub fn start(nodes: usize, workers: usize, queues: &[Queue], tenants: usize) -> Option<Site> {
         if !std::path::Path::new(PROGRAM).exists() {
@@ -234,6 +247,8 @@
     pub cpu: u64,
     pub est_ms: u64,
     pub after: Option<usize>,
+    /// The tasks run until the submission is cancelled.
+    pub is_lasting: bool,
     /// Label that the worker must have.
     pub constraints: &'static str,
 }
@@ -245,9 +260,11 @@
             "" => String::new(),
             label => format!(",\"constraints\":\"{label}\""),
         };
+        let lasting = if step.is_lasting { ",\"long-running\":true" } else { "" };
         let Step { count, cpu, est_ms, .. } = step;
         format!(
-            "{{\"count\":{count},\"cpu\":{cpu},\"mem-mb\":64,\"est-ms\":{est_ms}{after}{label}}}"
+            "{{\"count\":{count},\"cpu\":{cpu},\"mem-mb\":64,\"est-ms\":{est_ms}{after}{label}\
+             {lasting}}}"
         )
     });
     let steps = steps.collect::<Vec<_>>().join(",");
@@ -278,8 +295,33 @@
     )
 }
 
+/// The bounds in which mwakilema-yard-grown differs from mwakilema-yard.
+const GROWN: [(&str, &str); 13] = [
+    ("stability-ms = 3000", "stability-ms = 4000"),
+    ("ack-ms = 4000", "ack-ms = 6000"),
+    ("catch-up-s = 4", "catch-up-s = 6"),
+    ("drain-ms = 2000", "drain-ms = 3000"),
+    ("config-apply-ms = 2000", "config-apply-ms = 3000"),
+    ("max-skew-ms = 5000", "max-skew-ms = 6000"),
+    ("recover-s = 12", "recover-s = 15"),
+    ("hold-max-ms = 6000", "hold-max-ms = 10000"),
+    ("gang-ms = 3000", "gang-ms = 4000"),
+    ("cancel_ms = 3000", "cancel_ms = 4000"),
+    ("restore-ms = 250", "restore-ms = 600"),
+    ("notice-ms = 4500", "notice-ms = 5500"),
+    ("impact-ms = 4000", "impact-ms = 4500"),
+];
+
 /// The settings of `DEPLOY.md`, with the figures of a small site.
 fn settings(name: &str, ip: &str, seeds: &str, store: SocketAddr) -> String {
+    let text = settings_of_small_site(name, ip, seeds, store);
+    if HOLD_MAX_MS.load(Ordering::Relaxed) == 6_000 {
+        return text;
+    }
+    GROWN.iter().fold(text, |text, (small, grown)| text.replace(small, grown))
+}
+
+fn settings_of_small_site(name: &str, ip: &str, seeds: &str, store: SocketAddr) -> String {
     format!(
         r#"node = "{name}"
 role = "node"
--- a/review/rig-3/worker.rs
+++ b/review/rig-3/worker.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -13,7 +13,8 @@
 use crate::ledger::{Ledger, What};
 use crate::store::Store;
 
-const HOLD_MAX_MS: u64 = 6_000;
+/// `hold-max-ms` of the settings.
+pub static HOLD_MAX_MS: AtomicU64 = AtomicU64::new(6_000);
 const ENDS_A_REPORT: usize = 500;
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
@@ -47,7 +48,7 @@
             born: born.as_millis() as u64,
             started: Instant::now(),
             fence: 0,
-            lease_ms: HOLD_MAX_MS,
+            lease_ms: HOLD_MAX_MS.load(Ordering::Relaxed),
             runs: BTreeMap::new(),
             by_end: BTreeSet::new(),
             closed: BTreeMap::new(),
@@ -265,7 +266,7 @@
 
     fn extend(life: &mut Life, body: &Json) {
         if !body.get("deadline-ms").is_null() {
-            let most = life.clock_ms() + HOLD_MAX_MS;
+            let most = life.clock_ms() + HOLD_MAX_MS.load(Ordering::Relaxed);
             life.lease_ms = life.lease_ms.max(body.get("deadline-ms").u64().min(most));
         }
     }
