--- a/review/rig-3/worker.rs
+++ b/review/rig-3/worker.rs
@@ -139,7 +139,9 @@
     /// Changes the kind of the worker, which is the first of its labels.
     pub fn set_kind(&self, kind: &str) {
         self.labels.lock().unwrap().0 = kind.to_string();
-        self.write_entry(0);
+        if !self.is_down() {
+            self.write_entry(0);
+        }
     }
 
     pub fn running(&self) -> Vec<Key> {
