--- a/crates/bench/src/site/simulation.rs
+++ b/crates/bench/src/site/simulation.rs
@@ -33,6 +33,9 @@
 /// Interval of the engine's ticks, in microseconds.
 const TICK_US: u64 = 50_000;
 
+/// Most run ends that a worker lists in one report: the platform's default.
+const MAX_ENDS_PER_REPORT: usize = 500;
+
 /// Interval at which the list of workers is read, in microseconds.
 const LIST_INTERVAL_US: u64 = 500_000;
 
@@ -417,8 +420,8 @@
             incarnation: 1,
             clock_ms: self.now_us / 1_000,
             running: running.collect(),
-            ended: worker.ends.clone(),
-            is_truncated: false,
+            ended: worker.ends.iter().take(MAX_ENDS_PER_REPORT).cloned().collect(),
+            is_truncated: worker.ends.len() >= MAX_ENDS_PER_REPORT,
         };
         let event = Event::Polled { host: poll.host, poll: poll.number, report };
         self.schedule(LINK_US, Item::Event(event));
--- a/crates/graph/src/engine/hosts.rs
+++ b/crates/graph/src/engine/hosts.rs
@@ -70,7 +70,7 @@
         for name in replaced {
             self.lose_incarnation(&name);
             if let Some(host) = self.hosts.get_mut(&name) {
-                host.has_reported = false;
+                host.forget_reports();
             }
         }
     }
@@ -140,7 +140,7 @@
             host.speed = Speed::default();
             host.lost_suspects.clear();
             host.logged_capacity = Resources::default();
-            host.has_reported = false;
+            host.forget_reports();
             host.last_seen_end = 0;
             host.last_durable_end = 0;
             host.last_forgotten_end = 0;
@@ -171,11 +171,13 @@
         self.stop_run(name, task, attempt);
     }
 
-    /// Ends the runs of unreachable hosts whose lease has expired.
+    /// Ends the runs of hosts whose lease has expired and that are unreachable or have not listed all
+    /// that they run.
     pub(super) fn expire_leases(&mut self) {
         let until_ms = self.leases_expired_until_ms();
         let has_expired = |host: &&Host| {
-            (host.missed_polls > 0 || !host.has_reported) && host.is_lease_expired(until_ms)
+            (host.missed_polls > 0 || !host.has_reported || !host.is_accounted_for)
+                && host.is_lease_expired(until_ms)
         };
         let expired: Vec<Name> =
             self.hosts.values().filter(has_expired).map(|host| host.entry.id.clone()).collect();
@@ -184,6 +186,7 @@
             self.lose_all_runs(&name, LossCause::LeaseExpired);
             if let Some(host) = self.hosts.get_mut(&name) {
                 host.has_reported = false;
+                host.is_accounted_for = true;
             }
         }
         self.forget_expired_ends();
@@ -196,7 +199,7 @@
     fn report_expired_lease(&mut self, name: &Name) {
         let now_ms = self.now.monotonic_ms;
         let Some(host) = self.hosts.get_mut(name) else { return };
-        let may_have_had_others = host.log == LogState::Used && !host.has_reported;
+        let may_have_had_others = host.log == LogState::Used && !host.is_accounted_for;
         let had_runs = may_have_had_others || !host.runs.is_empty();
         if std::mem::replace(&mut host.is_written_off, true) || !had_runs {
             return;
@@ -229,7 +232,7 @@
         let is_leaving = |host: &&Host| {
             let is_used = matches!(host.log, LogState::Used | LogState::Leaving);
             let gets_no_work = host.is_withdrawn() || !host.is_listed || host.missed_polls > 0;
-            is_used && gets_no_work && host.has_reported
+            is_used && gets_no_work && host.has_reported && host.is_accounted_for
         };
         let leaving: Vec<Name> =
             self.hosts.values().filter(is_leaving).map(|host| host.entry.id.clone()).collect();
--- a/crates/graph/src/engine/polls.rs
+++ b/crates/graph/src/engine/polls.rs
@@ -84,8 +84,11 @@
         let Some(host) = self.hosts.get_mut(name) else { return number };
         // Without a report, the host's clock is unknown and the end of the lease can't be
         // stated. The lease isn't renewed either for a host that doesn't reply: it may
-        // still receive the polls, and then its lease would never end.
-        let may_renew = host.has_reported && host.missed_polls == 0 && max_lease_ms > 0;
+        // still receive the polls, and then its lease would never end. The same goes for runs of
+        // earlier owners that no report will show.
+        let has_hidden_runs = !host.is_accounted_for && host.has_unreadable_rows;
+        let may_renew =
+            host.has_reported && host.missed_polls == 0 && max_lease_ms > 0 && !has_hidden_runs;
         let lease_ms = max_lease_ms.min(timing.lease_ms);
         let deadline_ms = may_renew.then(|| host.grant(now_ms, lease_ms, timing));
         let wait_ms = if host.has_reported { wait_ms } else { 0 };
@@ -122,6 +125,9 @@
         host.last_forgotten_end =
             first_listed.map_or(host.last_seen_end, |seq| seq.saturating_sub(1));
         host.has_reported = true;
+        host.is_accounted_for |= !report.is_truncated;
+        host.has_unreadable_rows =
+            report.is_truncated && report.ended.len() < self.timing.max_ends_per_report;
         host.is_written_off = false;
         if was_unreachable {
             host.lost_suspects.clear();
--- a/crates/graph/src/engine/recover.rs
+++ b/crates/graph/src/engine/recover.rs
@@ -222,6 +222,7 @@
             let entry = unlisted_entry(name.clone(), capacity);
             let mut host = Host::new(entry, number, now.monotonic_ms, &timing);
             host.is_listed = false;
+            host.is_accounted_for = log != LogState::Used;
             host.log = log;
             host.logged_capacity = capacity;
             hosts.insert(host);
--- a/crates/graph/src/engine/run_ends.rs
+++ b/crates/graph/src/engine/run_ends.rs
@@ -239,7 +239,7 @@
     pub(super) fn handle_lost_incarnation(&mut self, name: &Name) {
         self.lose_incarnation(name);
         if let Some(host) = self.hosts.get_mut(name) {
-            host.has_reported = false;
+            host.forget_reports();
             host.missed_polls += 1;
         }
     }
--- a/crates/graph/src/event.rs
+++ b/crates/graph/src/event.rs
@@ -75,7 +75,8 @@
     /// Run ends in order: number, task, attempt, how it ended, checkpoint. The host
     /// repeats them in each report until they are acknowledged.
     pub ended: Vec<(u64, TaskId, u32, RunEnd, Name)>,
-    /// The host has more run ends than fit into one report.
+    /// The report is not complete: the host has more run ends than fit into one report, or some rows
+    /// could not be read.
     pub is_truncated: bool,
 }
 
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -79,8 +79,14 @@
     /// The failure domain of the host is evacuated.
     pub is_evacuated: bool,
     /// The host has replied to a poll with this owner's fencing token and has not been
-    /// lost since.
+    /// lost since. Its clock is known, its lease may be renewed and its run ends acknowledged.
     pub has_reported: bool,
+    /// All that the host has run for earlier owners is known or over: a report has listed everything,
+    /// or the lease has expired since.
+    pub is_accounted_for: bool,
+    /// The last report left something out that the next ones may leave out as well, as it is not
+    /// waiting behind other run ends.
+    pub has_unreadable_rows: bool,
     /// What the log says about the host.
     pub log: LogState,
     /// Largest capacity in the log.
@@ -166,6 +172,8 @@
             serves_until_ms: 0,
             is_evacuated: false,
             has_reported: false,
+            is_accounted_for: true,
+            has_unreadable_rows: false,
             log: LogState::Unused,
             logged_capacity: Resources::default(),
             used: Resources::default(),
@@ -214,6 +222,7 @@
     pub fn would_be_usable(&self, now_ms: u64) -> bool {
         self.is_listed
             && self.has_reported
+            && self.is_accounted_for
             && !self.entry.is_draining
             && self.missed_polls == 0
             && now_ms >= self.quarantined_until_ms
@@ -336,7 +345,14 @@
     /// Returns whether the host may at a time have runs of an earlier owner that this owner does not
     /// know of.
     pub fn may_have_unlisted_runs(&self, at_ms: u64) -> bool {
-        self.log == LogState::Used && !self.has_reported && !self.is_lease_expired(at_ms)
+        self.log == LogState::Used && !self.is_accounted_for && !self.is_lease_expired(at_ms)
+    }
+
+    /// Forgets what the host has reported, as another incarnation may be in its place.
+    pub fn forget_reports(&mut self) {
+        self.has_reported = false;
+        self.is_accounted_for = false;
+        self.has_unreadable_rows = false;
     }
 
     /// Returns the host's clock at a time of the owner's clock, in milliseconds.
--- a/crates/graph/src/timing.rs
+++ b/crates/graph/src/timing.rs
@@ -20,6 +20,8 @@
     pub start_ttl_ms: u64,
     /// Longest time that a host may delay its reply to a poll, in milliseconds.
     pub poll_wait_ms: u64,
+    /// Most run ends that a host lists in one report. Setting of the platform.
+    pub max_ends_per_report: usize,
     /// Pause before the next poll of a host whose run ends can't be acknowledged yet, in
     /// milliseconds. Applies only while the log can't be written; otherwise the
     /// acknowledgement comes sooner.
@@ -67,6 +69,7 @@
             lease_margin_ms: 300,
             start_ttl_ms: 1_500,
             poll_wait_ms: 1_000,
+            max_ends_per_report: 500,
             unacked_pause_ms: 300,
             poll_retry_ms: 100,
             capacity_max_age_ms: 4_000,
--- a/crates/graph/tests/engine/fuzz.rs
+++ b/crates/graph/tests/engine/fuzz.rs
@@ -106,6 +106,19 @@
     play(&mut world, seed, |world| (QUEUE, job(random_job(world))));
 }
 
+/// The same with workers that list a few run ends in a report, so that takeovers meet more of them.
+fn run_truncated_case(seed: u64, is_advised: bool) {
+    let catalog = catalog(random_queue(seed, is_advised));
+    let mut world = World::new(HOSTS, limited(catalog, size(11_000, 0)), seed);
+    world.limit_listed_ends(1 + (seed % 3) as usize);
+    play(&mut world, seed, |world| {
+        let tasks = world.random.random_range(1..20);
+        let few = random_job(world);
+        let is_small = world.random.random_bool(0.5);
+        (QUEUE, job(if is_small { vec![step(tasks, 200)] } else { few }))
+    });
+}
+
 /// The same with owners that go on after they were replaced. The tasks of some steps outlast a lease.
 fn run_partitioned_case(seed: u64, is_advised: bool) {
     let catalog = catalog(random_queue(seed, is_advised));
@@ -333,6 +346,12 @@
         run_partitioned_case(seed, is_advised);
     }
 
+    /// Ends that come with later reports cross with losses, late starts and new owners.
+    #[test]
+    fn every_rule_holds_with_truncated_reports(seed in any::<u64>(), is_advised in any::<bool>()) {
+        run_truncated_case(seed, is_advised);
+    }
+
     /// Jobs outlive their queues, under new owners too.
     #[test]
     fn every_rule_holds_with_changing_configurations(seed in any::<u64>(), is_advised in any::<bool>()) {
--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -25,5 +25,6 @@
 mod silence;
 mod store_outage;
 mod takeover;
+mod truncated_reports;
 mod worker;
 mod world;
--- a/crates/graph/tests/engine/worker.rs
+++ b/crates/graph/tests/engine/worker.rs
@@ -10,6 +10,9 @@
 /// Longest lease of a worker, in milliseconds: the platform's default.
 const MAX_LEASE_MS: u64 = 6_000;
 
+/// Most run ends that a worker lists in one reply to a poll: the platform's default.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// One run on the worker.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -78,6 +81,10 @@
     pub last_end: u64,
     /// Number of the last end that a reply to a poll has listed.
     pub last_listed_end: u64,
+    /// Most ends that one reply lists.
+    pub max_listed_ends: usize,
+    /// Replies have a row that can't be read: that of the first run, if there is one.
+    pub has_unreadable_row: bool,
     /// Highest attempt that was stopped or has ended, by task.
     pub closed: BTreeMap<TaskId, u32>,
     pub lease_until_ms: u64,
@@ -125,6 +132,8 @@
             ends: Vec::new(),
             last_end: 0,
             last_listed_end: 0,
+            max_listed_ends: MAX_LISTED_ENDS,
+            has_unreadable_row: false,
             closed: BTreeMap::new(),
             lease_until_ms: 0,
             expired_lease_ms: 0,
@@ -149,8 +158,8 @@
     pub fn restart(&mut self, born_ms: u64) {
         let mut entry = self.entry.clone();
         entry.incarnation += 1;
-        let (is_unreachable, stop_ms) = (self.is_unreachable, self.stop_ms);
-        *self = Worker { born_ms, is_unreachable, stop_ms, ..Worker::new(entry) };
+        let Worker { is_unreachable, stop_ms, max_listed_ends, .. } = *self;
+        *self = Worker { born_ms, is_unreachable, stop_ms, max_listed_ends, ..Worker::new(entry) };
     }
 
     /// Starts under another name at the same address, as the platform restarts crashed workers.
@@ -161,7 +170,8 @@
         let first = former_names[0].clone();
         entry.id = Name::from(format!("{first}-{}", former_names.len()));
         entry.incarnation += 1;
-        *self = Worker { born_ms, former_names, stop_ms: self.stop_ms, ..Worker::new(entry) };
+        let Worker { stop_ms, max_listed_ends, .. } = *self;
+        *self = Worker { born_ms, former_names, stop_ms, max_listed_ends, ..Worker::new(entry) };
     }
 
     /// Changes the capacity. A smaller one counts after `grace_ms`.
@@ -285,13 +295,15 @@
             let percent = if run.is_waiting { 0 } else { run.percent(now_ms) };
             (*task, *attempt, run.checkpoint(now_ms), percent)
         });
-        self.last_listed_end = self.last_end;
+        let running = running.skip(usize::from(self.has_unreadable_row));
+        let ended: Vec<_> = self.ends.iter().take(self.max_listed_ends).cloned().collect();
+        self.last_listed_end = ended.last().map_or(self.last_end, |(seq, ..)| *seq);
         Some(Report {
             incarnation: self.entry.incarnation,
             clock_ms: self.clock_ms(now_ms),
             running: running.collect(),
-            ended: self.ends.clone(),
-            is_truncated: false,
+            is_truncated: self.has_unreadable_row || ended.len() >= self.max_listed_ends,
+            ended,
         })
     }
 }
--- a/crates/graph/tests/engine/world/mod.rs
+++ b/crates/graph/tests/engine/world/mod.rs
@@ -230,6 +230,14 @@
         self.run(100);
     }
 
+    /// Makes workers list at most so many run ends in a report. Owners know that from the next one on.
+    pub fn limit_listed_ends(&mut self, ends: usize) {
+        self.workers.iter_mut().for_each(|worker| worker.max_listed_ends = ends);
+        self.timing.max_ends_per_report = ends;
+        self.take_over();
+        self.run(100);
+    }
+
     /// Changes the configuration, and passes it to the engine.
     pub fn configure(&mut self, change: impl FnOnce(&mut Catalog)) {
         change(&mut self.catalog);
@@ -596,7 +604,8 @@
         worker.runs.keys().for_each(|(task, _)| self.oracle.record_crash(*task));
         for (task, attempt) in worker.unlisted_ends() {
             let ended_ms = self.ended_ms[&(worker.entry.id.clone(), task, attempt)];
-            if self.now_ms <= ended_ms + MAX_POLL_GAP_MS {
+            let is_hidden = worker.ends.len() > worker.max_listed_ends;
+            if is_hidden || self.now_ms <= ended_ms + MAX_POLL_GAP_MS {
                 self.oracle.record_unclear_crash(task);
             }
         }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -32,7 +32,7 @@
 
 use sycamore_graph::catalog::Catalog;
 use sycamore_graph::{Engine, Event, PreemptionTiming, Recovered, Timing};
-use sycamore_platform::site::{Settings, Store, StoreError};
+use sycamore_platform::site::{MAX_FINISHED_PER_POLL, Settings, Store, StoreError};
 use tokio::sync::mpsc;
 
 use advice::Callers;
@@ -108,6 +108,7 @@
     );
     let timing = Timing {
         lease_ms: node.settings.lease_ms,
+        max_ends_per_report: MAX_FINISHED_PER_POLL,
         capacity_max_age_ms: capacity_max_age_ms(&node.settings),
         max_job_bytes: node.settings.memory_bytes / JOB_MEMORY_DIVISOR,
         usage_half_life_ms: node.options.usage_half_life_ms(),
--- a/crates/platform/src/site/mod.rs
+++ b/crates/platform/src/site/mod.rs
@@ -23,7 +23,7 @@
 pub use settings::{Settings, SettingsError};
 pub use store::{Item, Page, Store, StoreError, Transaction, WatchResponse};
 pub use worker::{CallOutcome, WorkerClient, WorkerConnections};
-pub use worker_wire::parse_report;
+pub use worker_wire::{MAX_FINISHED_PER_POLL, parse_report};
 
 /// HTTP headers of the platform.
 pub mod header {
--- a/crates/platform/src/site/worker_wire.rs
+++ b/crates/platform/src/site/worker_wire.rs
@@ -17,7 +17,7 @@
 
 /// Largest number of finished runs in one response, according to the platform's documentation.
 /// More may be waiting if a response has this many.
-const MAX_FINISHED_PER_POLL: usize = 500;
+pub const MAX_FINISHED_PER_POLL: usize = 500;
 
 #[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
