--- a/crates/audit/src/explain.rs
+++ b/crates/audit/src/explain.rs
@@ -96,7 +96,7 @@
     }
     if let Some(wait_ms) = grounds.turn_wait_ms {
         text.push_str(&format!(
-            "; it went before other late steps as it had waited {wait_ms} ms for its turn"
+            "; it went before steps of higher rank as it had waited {wait_ms} ms for its turn"
         ));
     }
     if let Some(left_ms) = grounds.ticket_left_ms {
--- a/crates/core/src/record/decision.rs
+++ b/crates/core/src/record/decision.rs
@@ -70,7 +70,7 @@
         crashes: u32,
     },
     /// An attempt at a task of such a job was stopped to give room to a step of a more urgent
-    /// queue.
+    /// queue, or to a gang for which the room was kept.
     PreemptedFor {
         /// Host that ran it.
         host: Name,
--- a/crates/core/src/record/grounds.rs
+++ b/crates/core/src/record/grounds.rs
@@ -37,8 +37,8 @@
     /// where past use plays no part, and in records of earlier versions.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub usage_factor: Option<f64>,
-    /// Time for which the step had waited for its turn to ask which workers may run it, in milliseconds.
-    /// Absent where its rank decided its place, and in records of earlier versions.
+    /// Time for which the step had waited for its turn to ask which workers may run it, or a gang for room, in
+    /// milliseconds. Absent where its rank decided its place, and in records of earlier versions.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub turn_wait_ms: Option<u64>,
 }
--- a/crates/graph/src/decision.rs
+++ b/crates/graph/src/decision.rs
@@ -70,6 +70,19 @@
         /// Work that is lost and time to resume, in core-milliseconds.
         cost_core_ms: u64,
     },
+    /// A run that uses room kept for a gang is stopped, as only such runs are in its way.
+    Recalled {
+        /// Task of the run.
+        task: TaskId,
+        /// Attempt number of the run.
+        attempt: u32,
+        /// Host of the run.
+        host: Name,
+        /// The gang.
+        beneficiary: StepId,
+        /// Work that is lost, in core-milliseconds.
+        cost_core_ms: u64,
+    },
 }
 
 /// Inputs of the decision to start a task at this moment on this host.
@@ -94,7 +107,7 @@
     pub report_age_ms: u64,
     /// Remaining lifetime of the advice ticket, in milliseconds, if one was needed.
     pub ticket_left_ms: Option<u64>,
-    /// Time for which the step had waited for its turn to call for advice, in milliseconds. `None` if
-    /// its rank decided its place.
+    /// Time for which the step had waited for its turn to call for advice, or a gang for room, in
+    /// milliseconds. `None` if its rank decided its place.
     pub turn_wait_ms: Option<u64>,
 }
--- a/crates/graph/src/engine/backlog.rs
+++ b/crates/graph/src/engine/backlog.rs
@@ -27,6 +27,9 @@
     pub latest_start_unix_ms: i64,
     /// Time from which starting the step has no value any more, in milliseconds since 1970.
     pub hopeless_unix_ms: i64,
+    /// Time since which the step has waited on the owner's monotonic clock, in milliseconds, if it is a
+    /// gang whose wait may decide its place.
+    pub gang_since_ms: Option<u64>,
 }
 
 /// What the rank of a step takes from its team at the moment of a pass.
@@ -56,6 +59,10 @@
     cursor: Option<Place>,
     /// Last live step that a pass has looked at in turn.
     live_cursor: Option<StepId>,
+    /// The gangs whose wait may decide their place, by the time since which they have waited.
+    gangs: BTreeSet<(u64, StepId)>,
+    /// Last gang that [`Backlog::skip_gang`] has passed over.
+    gang_cursor: Option<(u64, StepId)>,
     /// The hopeless steps that need calls for advice.
     pub turns: Turns,
 }
@@ -99,6 +106,7 @@
     pub fn insert(&mut self, step_id: StepId, urgency: Urgency) {
         self.remove_urgency(step_id);
         self.expiring.insert((urgency.hopeless_unix_ms, step_id));
+        self.gangs.extend(urgency.gang_since_ms.map(|since_ms| (since_ms, step_id)));
         self.live.insert(step_id, urgency);
     }
 
@@ -108,14 +116,34 @@
     }
 
     fn remove_urgency(&mut self, step_id: StepId) {
-        if let Some(urgency) = self.live.remove(&step_id) {
+        let live = self.live.remove(&step_id);
+        if let Some(urgency) = &live {
             self.expiring.remove(&(urgency.hopeless_unix_ms, step_id));
         }
-        if let Some(place) = self.places.remove(&step_id) {
-            self.hopeless.remove(&place);
+        let place = self.places.remove(&step_id);
+        let urgency = live.or_else(|| self.hopeless.remove(&place?));
+        if let Some(since_ms) = urgency.and_then(|urgency| urgency.gang_since_ms) {
+            self.gangs.remove(&(since_ms, step_id));
         }
     }
 
+    /// Returns at most `count` gangs that have waited since `until_ms` or before, the longest wait first.
+    /// Those that [`Backlog::skip_gang`] has passed over come after all others.
+    pub fn longest_waiting_gangs(&mut self, count: usize, until_ms: u64) -> Vec<(u64, StepId)> {
+        let start = self.gang_cursor.map_or(Bound::Unbounded, Bound::Excluded);
+        let gangs = self.gangs.range((start, Bound::Unbounded)).take(count).copied();
+        let waiting: Vec<_> = gangs.take_while(|(since_ms, _)| *since_ms <= until_ms).collect();
+        if waiting.len() < count {
+            self.gang_cursor = None;
+        }
+        waiting
+    }
+
+    /// Passes over a gang and those that have waited for longer, until all others had their turn.
+    pub fn skip_gang(&mut self, since_ms: u64, step_id: StepId) {
+        self.gang_cursor = Some((since_ms, step_id));
+    }
+
     pub fn remove_job(&mut self, job: job::Id) {
         let live = self.live.range(steps_of(job)).map(|(step_id, _)| *step_id);
         let hopeless = self.places.range(steps_of(job)).map(|(step_id, _)| *step_id);
@@ -140,6 +168,13 @@
         expired
     }
 
+    /// Returns the rank of a step.
+    pub fn rank(&self, step_id: StepId, now_unix_ms: u64, shares: &Shares) -> Option<Rank> {
+        let live = self.live.get(&step_id);
+        let urgency = live.or_else(|| self.hopeless.get(self.places.get(&step_id)?))?;
+        Some(urgency.rank(now_unix_ms, shares))
+    }
+
     /// Returns the rank of a hopeless step.
     pub fn hopeless_rank(
         &self,
--- a/crates/graph/src/engine/candidates.rs
+++ b/crates/graph/src/engine/candidates.rs
@@ -17,6 +17,7 @@
 use super::demand::Demand;
 use super::host_map::HostMap;
 use super::isolation::{Isolation, IsolationLimits};
+use super::lending::{BUSY_SHARE, Borrower};
 use crate::host::Host;
 use crate::job;
 use crate::progress::{Job, StepProgress};
@@ -57,6 +58,10 @@
     has_best_effort_task: bool,
     /// Capacity that this pass has neither allocated nor reserved for steps of higher rank.
     pub free: Resources,
+    /// Free capacity that the pass keeps for waiting gangs.
+    kept: Resources,
+    /// Time at which the first of these gangs should be able to start, in milliseconds.
+    kept_until_ms: u64,
 }
 
 /// Room that waiting gangs keep on the hosts of a service.
@@ -64,13 +69,16 @@
 struct GangRoom {
     /// Capacity of the usable hosts.
     capacity: Resources,
+    /// Part of it that is in use.
+    used: Resources,
     /// Free part of it that is kept.
     kept: Resources,
 }
 
 impl GangRoom {
-    fn new(capacity: Resources) -> GangRoom {
-        GangRoom { capacity, kept: Resources::default() }
+    /// Returns whether less of the capacity is in use than the platform asks for.
+    fn is_mostly_idle(&self) -> bool {
+        self.used.dominant_share(&self.capacity) < BUSY_SHARE
     }
 }
 
@@ -291,14 +299,16 @@
     }
 
     /// Keeps room for a waiting gang, as far as it is free, on hosts given with the number of tasks
-    /// of that size on each. Keeps none if gangs would then hold more than `max_share` of the
-    /// capacity of the service's usable hosts idle, unless no other gang keeps room there.
+    /// of that size on each, until `start_ms`, when the gang should be able to start. Keeps none if
+    /// gangs would then hold more than `max_share` of the capacity of the service's usable hosts
+    /// idle, unless no other gang keeps room there.
     pub fn keep_for_gang(
         &mut self,
         hosts: &[(usize, u32)],
         size: &Resources,
         service: &Name,
         max_share: f64,
+        start_ms: u64,
     ) {
         let left = |(at, tasks): &(usize, u32)| {
             let free = self.all[*at].free;
@@ -309,7 +319,7 @@
         let added = added.fold(Resources::default(), |sum, added| sum.plus(&added));
         let room = match self.gang_room.get(service) {
             Some(room) => *room,
-            None => GangRoom::new(self.usable_capacity(service)),
+            None => self.gang_room(service),
         };
         let kept = room.kept.plus(&added);
         let is_first = room.kept == Resources::default();
@@ -322,13 +332,52 @@
         for (at, left) in left {
             let free = self.all[at].free;
             self.free_before_gangs.entry(at).or_insert(free);
-            self[at].free = left;
+            let view = &mut self[at];
+            let is_first = view.kept == Resources::default();
+            view.kept_until_ms = if is_first { start_ms } else { view.kept_until_ms.min(start_ms) };
+            view.kept = view.kept.plus(&free.minus(&left));
+            view.free = left;
         }
     }
 
-    fn usable_capacity(&self, service: &Name) -> Resources {
-        let usable = self.all.iter().filter(|view| view.is_usable && view.service == *service);
-        usable.fold(Resources::default(), |sum, view| sum.plus(&view.capacity))
+    /// Returns the room of a service of which nothing is kept yet.
+    fn gang_room(&self, service: &Name) -> GangRoom {
+        let none = Resources::default();
+        let mut room = GangRoom { capacity: none, used: none, kept: none };
+        for view in self.all.iter().filter(|view| view.is_usable && view.service == *service) {
+            room.capacity = room.capacity.plus(&view.capacity);
+            room.used = room.used.plus(&view.capacity.minus(&view.free));
+        }
+        room
+    }
+
+    /// Returns the capacity of a host that a step may use now.
+    fn free_for(&self, at: usize, borrower: Borrower) -> Resources {
+        let view = &self.all[at];
+        let is_open = || {
+            let room = self.gang_room.get(&view.service);
+            let is_mostly_idle = || room.is_some_and(GangRoom::is_mostly_idle);
+            let is_in_time = borrower.end_ms <= view.kept_until_ms;
+            let is_far = borrower.far_ms <= view.kept_until_ms;
+            is_in_time && is_far || (is_in_time || borrower.is_overdue) && is_mostly_idle()
+        };
+        let has_kept = view.kept != Resources::default();
+        if has_kept && is_open() { view.free.plus(&view.kept) } else { view.free }
+    }
+
+    /// Allocates capacity of a host. Returns the time until which a part of it is lent that was kept for
+    /// gangs, in milliseconds, or `None` if none was.
+    pub fn allocate(&mut self, at: usize, size: &Resources, borrower: Borrower) -> Option<u64> {
+        let view = &mut self[at];
+        let lent = size.minus(&view.free);
+        let until_ms = if borrower.end_ms <= view.kept_until_ms { borrower.end_ms } else { 0 };
+        view.free = view.free.minus(size);
+        view.kept = view.kept.minus(&lent);
+        if let Some(room) = self.gang_room.get_mut(&self.all[at].service) {
+            room.used = room.used.plus(size);
+            room.kept = room.kept.minus(&lent);
+        }
+        (lent != Resources::default()).then_some(until_ms)
     }
 
     /// Returns the free CPU of all usable hosts at the start of the pass and the part of it that
@@ -401,6 +450,8 @@
     pub index: usize,
     /// Tasks that fit now.
     pub fits_now: u32,
+    /// Whether they take room that is kept for gangs.
+    pub needs_loan: bool,
     /// Tasks that fit when the host is idle but for services.
     pub fits_idle: u32,
     /// Free CPU, in thousandths of a core.
@@ -469,6 +520,8 @@
             has_latency_task: host.latency_runs > 0,
             has_best_effort_task: host.best_effort_runs > 0,
             free: host.free(),
+            kept: Resources::default(),
+            kept_until_ms: 0,
         }
     }
 
@@ -579,6 +632,7 @@
     footprint: Resources,
     /// Hosts with isolated runs are left out.
     is_isolated: bool,
+    borrower: Borrower,
     /// Hosts without room now are included.
     includes_full: bool,
     /// Best-effort tasks keep no task with a latency objective off their host.
@@ -605,12 +659,18 @@
             service,
             footprint,
             is_isolated,
+            borrower: Borrower::NONE,
             includes_full: step.is_gang,
             ignores_best_effort: false,
             placed,
         }
     }
 
+    /// Includes room that is kept for gangs, as far as the step may use it.
+    pub fn with_loans(self, borrower: Borrower) -> Search<'a> {
+        Search { borrower, ..self }
+    }
+
     /// Returns the candidates among all hosts, the most free CPU first.
     pub fn all(&self) -> Vec<Candidate> {
         let min_cpu = if self.step.is_gang { 0 } else { self.footprint.cpu_millis };
@@ -725,7 +785,8 @@
         let has_best_effort_task = view.has_best_effort_task && !self.ignores_best_effort;
         let is_compatible = !(step.is_best_effort && view.has_latency_task
             || step.latency_objective_ms > 0 && has_best_effort_task);
-        let mut fits_now = tasks_that_fit(&self.footprint, &view.free);
+        let free = self.views.free_for(index, self.borrower);
+        let mut fits_now = tasks_that_fit(&self.footprint, &free);
         if !is_compatible || fits_now == 0 && !self.includes_full {
             return None;
         }
@@ -746,8 +807,18 @@
         let is_near =
             step.data_rack.as_ref().is_none_or(|rack| *rack == view.rack || view.has_label(rack));
         let is_avoided = view.is_avoided || self.progress.avoided_hosts.contains(&view.number);
-        let (free_cpu, is_slow) = (view.free.cpu_millis, view.is_slow);
-        Some(Candidate { index, fits_now, fits_idle, free_cpu, is_avoided, is_slow, is_near })
+        let needs_loan = free != view.free && !self.footprint.fits_in(&view.free);
+        let (free_cpu, is_slow) = (free.cpu_millis, view.is_slow);
+        Some(Candidate {
+            index,
+            fits_now,
+            needs_loan,
+            fits_idle,
+            free_cpu,
+            is_avoided,
+            is_slow,
+            is_near,
+        })
     }
 }
 
--- a/crates/graph/src/engine/clearing.rs
+++ b/crates/graph/src/engine/clearing.rs
@@ -124,7 +124,7 @@
         for offer in plan {
             let host = views[offer.index].host.clone();
             for victim in &offer.stops {
-                self.stop_victim(step_id, &host, victim);
+                self.preempt_run(step_id, &host, victim);
             }
             let (number, footprint) = (offer.number, demand.footprint);
             let reservation = Reservation::new(host, number, offer.tasks, footprint, until_ms);
--- a/crates/graph/src/engine/demand.rs
+++ b/crates/graph/src/engine/demand.rs
@@ -3,6 +3,7 @@
 use sycamore_types::resources::Resources;
 
 use super::isolation::Isolation;
+use super::lending::Borrower;
 use crate::StepId;
 
 /// Requirements of a step, looked up once per pass.
@@ -16,6 +17,8 @@
     pub has_objective: bool,
     pub is_best_effort: bool,
     pub isolation: Isolation,
+    /// Whether the step gets room that is kept for gangs.
+    pub borrower: Borrower,
     /// Completing the job has no value any more.
     pub is_hopeless: bool,
     /// The wait of the step for a call for advice decides its place among such steps.
--- a/crates/graph/src/engine/dispatch.rs
+++ b/crates/graph/src/engine/dispatch.rs
@@ -14,6 +14,7 @@
 use super::candidates::{Candidate, HostViews, Search};
 use super::demand::Demand;
 use super::isolation::suspects;
+use super::lending::Borrower;
 use super::placement::{plan_isolated, plan_placement};
 use super::{Engine, Rank};
 use crate::progress::{Job, StepProgress};
@@ -35,6 +36,14 @@
 /// platform takes a job for lost that waits for 3 s while less than half of the capacity is in use.
 const MAX_SHARE_KEPT_FOR_GANGS: f64 = 0.4;
 
+/// Wait after which a gang goes before steps of higher rank, in milliseconds. Otherwise these could take
+/// the room that it needs one after the other, and it would wait for as long as they come. Only gangs that
+/// need no advice do: the others have turns for their calls.
+const CLAIM_AFTER_MS: u64 = 15_000;
+
+/// Gangs that a pass looks at for that. One of them gets or keeps room.
+const CLAIMANTS_PER_PASS: usize = 4;
+
 /// One pass over the waiting steps.
 struct Pass {
     /// Number of waiting steps.
@@ -47,6 +56,8 @@
     evacuated: HostViews,
     /// Number of unsuccessful searches so far.
     failed_searches: u32,
+    /// Gangs that the pass has looked at before the steps of higher rank.
+    claimants: Vec<StepId>,
 }
 
 /// Position of a step within one pass, kept for the audit records.
@@ -61,6 +72,16 @@
     /// Time for which the step has waited for its turn to call for advice, if that decided its place, in
     /// milliseconds.
     turn_wait_ms: Option<u64>,
+    /// Time for which the gang has waited, if that decided its place, in milliseconds.
+    claim_wait_ms: Option<u64>,
+}
+
+impl PassPosition {
+    /// Returns the position of the step that the pass has come to, by its rank.
+    fn new(rank: Rank, pass: &Pass) -> PassPosition {
+        let Pass { waiting, capacity, place, .. } = *pass;
+        PassPosition { rank, place, waiting, capacity, turn_wait_ms: None, claim_wait_ms: None }
+    }
 }
 
 /// Returns the waiting tasks of a step that may start now, in order: only the suspects if the step is
@@ -95,7 +116,10 @@
         let live = self.backlog.ranked(now_unix_ms, &shares);
         let hopeless = self.hopeless_order(&shares);
         let waiting = self.backlog.len() as u32;
-        let mut pass = Pass { waiting, capacity, place: 0, evacuated, failed_searches: 0 };
+        let claimants = Vec::new();
+        let mut pass =
+            Pass { waiting, capacity, place: 0, evacuated, failed_searches: 0, claimants };
+        self.look_at_claimants(&shares, &mut pass, &mut views);
         let mut looked_at = 0;
         for (rank, step_id) in &live {
             if pass.failed_searches >= MAX_FAILED_SEARCHES {
@@ -113,6 +137,31 @@
         self.keep_host_views(views);
     }
 
+    /// Looks at gangs that have waited for so long that they go before steps of higher rank, until one
+    /// has got room or keeps some.
+    fn look_at_claimants(&mut self, shares: &Shares, pass: &mut Pass, views: &mut HostViews) {
+        let now_ms = self.now.monotonic_ms;
+        let Some(until_ms) = now_ms.checked_sub(CLAIM_AFTER_MS) else { return };
+        for (since_ms, step_id) in self.backlog.longest_waiting_gangs(CLAIMANTS_PER_PASS, until_ms)
+        {
+            let Some(rank) = self.backlog.rank(step_id, self.now.unix_ms, shares) else { continue };
+            pass.place += 1;
+            let position = PassPosition {
+                claim_wait_ms: Some(now_ms - since_ms),
+                ..PassPosition::new(rank, pass)
+            };
+            let (_, kept_before) = views.free_and_kept_cpu();
+            self.look_at_position(step_id, &position, pass, views);
+            pass.claimants.push(step_id);
+            let has_started = self.backlog.rank(step_id, self.now.unix_ms, shares).is_none();
+            let (_, kept) = views.free_and_kept_cpu();
+            if has_started || kept > kept_before || self.reservations.tasks(step_id) > 0 {
+                break;
+            }
+            self.backlog.skip_gang(since_ms, step_id);
+        }
+    }
+
     /// Starts as many tasks of a step as possible, and records why the others wait.
     fn look_at(
         &mut self,
@@ -123,10 +172,21 @@
         views: &mut HostViews,
     ) {
         pass.place += 1;
-        let Pass { waiting, capacity, place, .. } = *pass;
-        let position = PassPosition { rank, place, waiting, capacity, turn_wait_ms };
+        if !pass.claimants.contains(&step_id) {
+            let position = PassPosition { turn_wait_ms, ..PassPosition::new(rank, pass) };
+            self.look_at_position(step_id, &position, pass, views);
+        }
+    }
+
+    fn look_at_position(
+        &mut self,
+        step_id: StepId,
+        position: &PassPosition,
+        pass: &mut Pass,
+        views: &mut HostViews,
+    ) {
         self.reservations.release(step_id, views);
-        let reason = self.start_step(step_id, &position, views, &mut pass.failed_searches);
+        let reason = self.start_step(step_id, position, views, &mut pass.failed_searches);
         let reason = match reason {
             Some(WaitReason::NoRoom) => Some(self.room_wait_reason(step_id, &pass.evacuated)),
             other => other,
@@ -237,6 +297,7 @@
             has_objective: spec.latency_objective_ms > 0,
             is_best_effort: spec.is_best_effort,
             isolation,
+            borrower: Borrower::new(spec, progress, self.now.monotonic_ms),
             is_hopeless: position.rank.is_hopeless,
             is_in_turn: position.turn_wait_ms.is_some(),
             waiting,
@@ -258,7 +319,8 @@
         let (progress, spec) =
             (job.step(step_id)?, job.spec.steps.get(usize::from(step_id.index))?);
         let is_durable = job.is_durable;
-        let search = Search::new(views, spec, progress, &queue.service, demand.isolation);
+        let search = Search::new(views, spec, progress, &queue.service, demand.isolation)
+            .with_loans(demand.borrower);
         let ready = match queue.advice {
             None => search.all(),
             Some(cost) => {
@@ -324,10 +386,13 @@
                 let task = TaskId { step: demand.step_id, index };
                 let attempt = if demand.is_gang { gang_attempt } else { last + 1 };
                 let free = views[at].free;
-                views[at].free = free.minus(&demand.footprint);
+                let lent_until_ms = views.allocate(at, &demand.footprint, demand.borrower);
                 views[at].add_task(demand);
                 self.record_placement(position, task, attempt, &host, free);
                 self.start_run(&host, task, attempt, demand.isolation);
+                if let Some(until_ms) = lent_until_ms {
+                    self.lend_room(&host, task, attempt, until_ms);
+                }
             }
         }
         let job = self.jobs.get_mut(&demand.step_id.job);
@@ -367,7 +432,7 @@
             free_cpu_millis: free.cpu_millis,
             report_age_ms: now_ms.saturating_sub(host.reported_ms),
             ticket_left_ms: ticket.map(|ticket| ticket.expires_ms.saturating_sub(now_ms)),
-            turn_wait_ms: position.turn_wait_ms,
+            turn_wait_ms: position.turn_wait_ms.or(position.claim_wait_ms),
         };
         self.record_decision(team, Verdict::Placed { task, attempt, host: name.clone(), grounds });
     }
@@ -395,13 +460,14 @@
 
     /// Reserves the capacity that a waiting gang will need on its possible hosts, so that
     /// steps of lower rank don't take it in this pass.
-    fn reserve_capacity(&self, demand: &Demand, views: &mut HostViews) {
+    fn reserve_capacity(&mut self, demand: &Demand, views: &mut HostViews) {
         let job = self.jobs.get(&demand.step_id.job);
         let Some((job, progress)) = job.and_then(|job| Some((job, job.step(demand.step_id)?)))
         else {
             return;
         };
         let Some(queue) = self.queues.get(&job.queue) else { return };
+        let service = queue.service.clone();
         let spec = &job.spec.steps[usize::from(demand.step_id.index)];
         let search = Search::new(views, spec, progress, &queue.service, demand.isolation);
         let mut order = match queue.advice {
@@ -413,6 +479,10 @@
             return;
         }
         order.sort_by_key(|found| (Reverse(found.fits_now), Reverse(found.free_cpu)));
+        self.recall_room(demand, &order, views);
+        if self.reservations.tasks(demand.step_id) > 0 {
+            return;
+        }
         let mut wanted = demand.waiting;
         let mut hosts = Vec::new();
         for found in order {
@@ -423,7 +493,8 @@
                 break;
             }
         }
-        let (size, service) = (&demand.footprint, &queue.service);
-        views.keep_for_gang(&hosts, size, service, MAX_SHARE_KEPT_FOR_GANGS);
+        let size = &demand.footprint;
+        let start_ms = self.expected_start_ms(&hosts, size, views);
+        views.keep_for_gang(&hosts, size, &service, MAX_SHARE_KEPT_FOR_GANGS, start_ms);
     }
 }
--- a/crates/graph/src/engine/mod.rs
+++ b/crates/graph/src/engine/mod.rs
@@ -37,6 +37,7 @@
 mod hosts;
 mod isolation;
 mod job_memory;
+mod lending;
 mod losses;
 mod past_use;
 mod placement;
--- a/crates/graph/src/engine/placement.rs
+++ b/crates/graph/src/engine/placement.rs
@@ -25,11 +25,19 @@
     // Hosts where starts have not arrived come after all others.
     // Slow hosts last and near the data first, then best fit: the host with the least free CPU
     // that still fits, so that large gaps stay available for large tasks.
-    // Hosts that a suspect may crash come after all others.
+    // Hosts that a suspect may crash come after all others, and before these those with room that is
+    // kept for gangs.
     ready.sort_by_key(|candidate| {
         let may_crash = views[candidate.index].has_isolated_run;
         let is_avoided = candidate.is_avoided;
-        (is_avoided, may_crash, candidate.is_slow, !candidate.is_near, candidate.free_cpu)
+        (
+            is_avoided,
+            may_crash,
+            candidate.needs_loan,
+            candidate.is_slow,
+            !candidate.is_near,
+            candidate.free_cpu,
+        )
     });
     fill(ready, wanted)
 }
--- a/crates/graph/src/engine/preemption.rs
+++ b/crates/graph/src/engine/preemption.rs
@@ -12,8 +12,8 @@
 /// milliseconds. A long poll returns at once when a run ends; dispatch passes take up to 92 ms.
 const LEARN_MS: u64 = 100;
 
-/// Preemptions of a task after which it is not a victim again.
-const MAX_YIELDS: u32 = 2;
+/// Stops of a task for others after which it is not a victim again.
+pub(super) const MAX_YIELDS: u32 = 2;
 
 /// Divisor of a victim's declared duration. The checkpoint interval and the time to resume may
 /// take at most that part of it, or preemption wastes too much of the capacity.
--- a/crates/graph/src/engine/rank.rs
+++ b/crates/graph/src/engine/rank.rs
@@ -56,6 +56,7 @@
             priority: queue.priority,
             latest_start_unix_ms: due_unix_ms + objective_ms as i64 - remaining_ms,
             hopeless_unix_ms: due_unix_ms + last_value_ms - remaining_ms,
+            gang_since_ms: None,
         })
     }
 
--- a/crates/graph/src/engine/reclaim.rs
+++ b/crates/graph/src/engine/reclaim.rs
@@ -36,7 +36,7 @@
 
 /// Time for which room stays reserved beyond the longest stop, in milliseconds: a stop request
 /// that got no reply is repeated after 500 ms.
-const RESERVATION_MARGIN_MS: u64 = 1_000;
+pub(super) const RESERVATION_MARGIN_MS: u64 = 1_000;
 
 /// Divisor of the capacity. At most that part of it is being reclaimed at a time, since it does no
 /// useful work meanwhile.
@@ -245,7 +245,7 @@
             let view = &views[taking.index];
             let (host, number) = (view.host.clone(), view.number);
             for victim in &taking.victims {
-                self.stop_victim(demand.step_id, &host, victim);
+                self.preempt_run(demand.step_id, &host, victim);
             }
             let footprint = demand.footprint;
             reserved.push(Reservation::new(host, number, taking.tasks, footprint, until_ms));
@@ -255,7 +255,17 @@
         }
     }
 
-    pub(super) fn stop_victim(&mut self, beneficiary: StepId, host: &Name, victim: &Victim) {
+    /// Stops a run for a more urgent step.
+    pub(super) fn preempt_run(&mut self, beneficiary: StepId, host: &Name, victim: &Victim) {
+        let Some(team) = self.stop_victim(host, victim) else { return };
+        let (task, attempt) = victim.run;
+        let (host, cost_core_ms) = (host.clone(), victim.cost_core_ms);
+        let verdict = Verdict::Preempted { task, attempt, host, beneficiary, cost_core_ms };
+        self.record_decision(team, verdict);
+    }
+
+    /// Stops a run that gives room to others. Returns its team, or `None` if its job is not known.
+    pub(super) fn stop_victim(&mut self, host: &Name, victim: &Victim) -> Option<Name> {
         let now_ms = self.now.monotonic_ms;
         let (task, attempt) = victim.run;
         let requested_ms = self
@@ -263,10 +273,11 @@
             .get(host)
             .and_then(|host| host.runs.get(&victim.run))
             .map(|r| r.requested_ms);
-        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        // A gang yields as a whole, which its first task counts.
+        let counted = if self.is_gang(task.step) { 0 } else { task.index as usize };
+        let job = self.jobs.get_mut(&task.step.job)?;
         let team = job.team.clone();
-        let progress =
-            job.step_mut(task.step).and_then(|step| step.tasks.get_mut(task.index as usize));
+        let progress = job.step_mut(task.step).and_then(|step| step.tasks.get_mut(counted));
         if let Some(progress) = progress {
             let elapsed_ms = now_ms.saturating_sub(requested_ms.unwrap_or(now_ms));
             progress.yields += 1;
@@ -274,12 +285,7 @@
         }
         self.reservations.add_yielding(victim.run, footprints(&[*victim]));
         self.stop_run(host, task, attempt);
-        let cost_core_ms = victim.cost_core_ms;
-        let host = host.clone();
-        self.record_decision(
-            team,
-            Verdict::Preempted { task, attempt, host, beneficiary, cost_core_ms },
-        );
+        Some(team)
     }
 }
 
--- a/crates/graph/src/engine/requests.rs
+++ b/crates/graph/src/engine/requests.rs
@@ -161,6 +161,11 @@
         step_ids.into_iter().for_each(|step_id| self.queue_if_ready(step_id));
     }
 
+    fn needs_advice(&self, step_id: StepId) -> bool {
+        let queue = self.jobs.get(&step_id.job).and_then(|job| self.queues.get(&job.queue));
+        queue.is_some_and(|queue| queue.advice.is_some())
+    }
+
     /// Adds a step to the ready ones if it has waiting tasks and its predecessors are done.
     pub(super) fn queue_if_ready(&mut self, step_id: StepId) {
         let Some(job) = self.jobs.get(&step_id.job) else { return };
@@ -168,12 +173,14 @@
         if job.closed.is_none() && has_tasks && job.is_ready(step_id) {
             let now_ms = self.now.monotonic_ms;
             // Without its queue, which a later configuration may bring, the step has no rank.
-            if let Some(urgency) = self.urgency(step_id) {
-                self.backlog.insert(step_id, urgency);
+            if let Some(mut urgency) = self.urgency(step_id) {
+                let may_claim = self.is_gang(step_id) && !self.needs_advice(step_id);
                 let step = self.jobs.get_mut(&step_id.job).and_then(|job| job.step_mut(step_id));
                 if let Some(step) = step {
-                    step.waiting_since_ms.get_or_insert(now_ms);
+                    let since_ms = *step.waiting_since_ms.get_or_insert(now_ms);
+                    urgency.gang_since_ms = may_claim.then_some(since_ms);
                 }
+                self.backlog.insert(step_id, urgency);
             }
             self.needs_dispatch = true;
         }
--- a/crates/graph/src/engine/runs.rs
+++ b/crates/graph/src/engine/runs.rs
@@ -67,6 +67,7 @@
             is_best_effort: step.is_best_effort,
             is_service: step.is_service,
             estimate_ms: step.estimate_ms,
+            lent_until_ms: None,
             percent: 0,
             last_progress_ms: now_ms,
         };
@@ -98,6 +99,18 @@
         }
     }
 
+    /// Notes until when a run uses room that is kept for gangs, in milliseconds, if it may be stopped for
+    /// them after that.
+    pub(super) fn lend_room(&mut self, name: &Name, task: TaskId, attempt: u32, until_ms: u64) {
+        let is_recallable = self.is_recallable(task);
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let Some(run) = host.runs.get_mut(&(task, attempt)) else { return };
+        if is_recallable && run.isolated_until_ms.is_none() {
+            run.lent_until_ms = Some(until_ms);
+            host.loan_count += 1;
+        }
+    }
+
     /// Removes a run and releases its resources. Returns the run if it was known.
     pub(super) fn remove_run(&mut self, name: &Name, task: TaskId, attempt: u32) -> Option<Run> {
         let host = self.hosts.get_mut(name)?;
@@ -107,6 +120,7 @@
         host.lasting_use = host.lasting_use.minus(&run.lasting_use());
         host.latency_runs -= u32::from(run.has_objective);
         host.best_effort_runs -= u32::from(run.is_best_effort);
+        host.loan_count -= u32::from(run.lent_until_ms.is_some());
         if let Some(usage) = self.team_usage.get_mut(&run.team) {
             *usage = usage.minus(&run.size);
         }
@@ -300,6 +314,7 @@
             is_best_effort: false,
             is_service: false,
             estimate_ms: 0,
+            lent_until_ms: None,
             percent: 0,
             last_progress_ms: now_ms,
         };
--- a/crates/graph/src/host/mod.rs
+++ b/crates/graph/src/host/mod.rs
@@ -102,6 +102,8 @@
     pub latency_runs: u32,
     /// Number of best-effort runs.
     pub best_effort_runs: u32,
+    /// Number of runs that use room kept for gangs and may be stopped for these.
+    pub loan_count: u32,
     /// Number of isolated runs, by job.
     pub isolated_runs: BTreeMap<job::Id, u32>,
     /// Jobs whose isolated runs were lost with this incarnation.
@@ -181,6 +183,7 @@
             runs: BTreeMap::new(),
             latency_runs: 0,
             best_effort_runs: 0,
+            loan_count: 0,
             isolated_runs: BTreeMap::new(),
             lost_suspects: BTreeSet::new(),
             isolation_checked_ms: 0,
@@ -252,6 +255,18 @@
         self.entry.capacity.minus(&self.used)
     }
 
+    /// Returns the resources of the runs that use room kept for gangs, and whether one of them may be stopped
+    /// for these now.
+    pub fn loans(&self, now_ms: u64) -> (Resources, bool) {
+        if self.loan_count == 0 {
+            return (Resources::default(), false);
+        }
+        let lent = self.runs.values().filter(|run| run.lent_until_ms.is_some());
+        lent.fold((Resources::default(), false), |(sum, is_any_over), run| {
+            (sum.plus(&run.footprint), is_any_over || run.is_loan_over(now_ms))
+        })
+    }
+
     /// Returns the time after which the lease has certainly expired, in milliseconds.
     pub fn lease_until_ms(&self) -> u64 {
         self.lease_until_ms
--- a/crates/graph/src/host/run.rs
+++ b/crates/graph/src/host/run.rs
@@ -91,6 +91,9 @@
     pub is_service: bool,
     /// Declared duration, in milliseconds.
     pub estimate_ms: u64,
+    /// Time from which the run may be stopped for the gangs whose room it uses, in milliseconds. `None` if
+    /// it uses none, or may not be.
+    pub lent_until_ms: Option<u64>,
     /// Last reported progress, in percent.
     pub percent: u8,
     /// Time at which the reported progress last changed, in milliseconds.
@@ -104,6 +107,27 @@
         if is_lasting { self.footprint } else { Resources::default() }
     }
 
+    /// Returns whether the run may be stopped for the gangs whose room it uses.
+    pub fn is_loan_over(&self, now_ms: u64) -> bool {
+        self.lent_until_ms.is_some_and(|until_ms| until_ms <= now_ms)
+    }
+
+    /// Returns the time that the run should still take, in milliseconds: by its progress if it has shown
+    /// some, or else by its estimate. A run that takes longer is expected to go on for half of the
+    /// time that it has taken.
+    pub fn expected_rest_ms(&self, now_ms: u64) -> u64 {
+        let elapsed_ms = now_ms.saturating_sub(self.requested_ms);
+        let shown_ms = self.last_progress_ms.saturating_sub(self.requested_ms);
+        let percent = u64::from(self.percent);
+        let (rest_ms, since_ms) = match percent {
+            1..100 if self.is_partial => (self.estimate_ms / 100 * (100 - percent), shown_ms),
+            1..100 => (shown_ms * (100 - percent) / percent, shown_ms),
+            _ => (self.estimate_ms, 0),
+        };
+        let end_ms = rest_ms.saturating_add(since_ms);
+        if end_ms > elapsed_ms { end_ms - elapsed_ms } else { elapsed_ms / 2 }
+    }
+
     /// Returns whether the reported progress of the run is expected to increase.
     pub fn should_progress(&self) -> bool {
         self.phase == Phase::Running && !self.is_stopping && !self.is_service && self.percent < 100
--- a/crates/graph/src/progress/step.rs
+++ b/crates/graph/src/progress/step.rs
@@ -96,6 +96,8 @@
     /// Why tasks of the step waited in the last dispatch pass that reached it.
     pub wait_reason: Option<WaitReason>,
     pub wait_times: WaitTimes,
+    /// Time since which only runs on room that is kept for the gang are in its way, in milliseconds.
+    pub only_loans_since_ms: Option<u64>,
     /// Time since which only best-effort tasks have kept the waiting tasks off all hosts with room, in
     /// milliseconds.
     pub crowded_since_ms: Option<u64>,
@@ -143,6 +145,7 @@
             has_survivor: false,
             wait_reason: None,
             wait_times: WaitTimes::default(),
+            only_loans_since_ms: None,
             crowded_since_ms: None,
             clearing_not_before_ms: 0,
             waiting: (0..tasks).collect(),
--- a/crates/graph/tests/engine/fuzz.rs
+++ b/crates/graph/tests/engine/fuzz.rs
@@ -2,6 +2,7 @@
 
 use proptest::prelude::*;
 use rand::Rng;
+use rand::seq::IndexedRandom;
 use sycamore_graph::catalog::Queue;
 use sycamore_graph::job::{Id, Schedule, Spec, State, Step};
 use sycamore_graph::{PreemptionTiming, StepId, TaskId};
@@ -132,6 +133,11 @@
         (QUEUE, job(steps))
     });
     end_faults(&mut world);
+    assert_ends_in_time(&mut world, seed);
+}
+
+/// Checks that all jobs end although many of their tasks last.
+fn assert_ends_in_time(world: &mut World, seed: u64) {
     // The tasks that last take up to 160 s of all workers, and those that may crash theirs start one
     // after the other. The state of a job is forgotten some time after its end.
     let deadline_ms = world.now_ms + 400_000;
@@ -140,7 +146,7 @@
         world.run(5_000);
         open.retain(|job| !world.state(*job).is_some_and(State::is_terminal));
     }
-    assert_ended(&mut world, seed, open);
+    assert_ended(world, seed, open);
 }
 
 /// The same with a queue whose tasks may have to yield. Returns the number of preemptions.
@@ -171,6 +177,34 @@
     world.preemptions
 }
 
+/// The same with wide gangs beside tasks that use their room, and estimates that say little. Returns the
+/// number of runs that were stopped for gangs.
+fn run_lending_case(seed: u64, is_advised: bool) -> u64 {
+    let queue = random_queue(seed, is_advised);
+    let later = Queue { priority: 1, advice: None, ..queue.clone() };
+    let mut catalog = catalog(queue);
+    catalog.queues.insert("later".into(), later);
+    let mut world = World::new(HOSTS, limited(catalog, size(32_000, 0)), seed);
+    let stop_ms = world.random.random_range(0..400);
+    world.workers.iter_mut().for_each(|worker| worker.stop_ms = stop_ms);
+    play_rounds(&mut world, inject_fault, |world| {
+        world.work_ms = *[100, 500, 2_000, 12_000].choose(&mut world.random).unwrap_or(&100);
+        let estimate_ms = world.random.random_range(0..3_000);
+        let tasks = world.random.random_range(1..=HOSTS as u32);
+        let (name, steps) = match world.random.random_range(0..4) {
+            0 => (QUEUE, vec![gang(tasks, 3_500)]),
+            1 => ("later", vec![gang(tasks, 1_000)]),
+            _ => ("later", vec![step(tasks, 500)]),
+        };
+        let estimated = |step: Step| Step { estimate_ms, ..step };
+        (name, job(steps.into_iter().map(estimated).collect()))
+    });
+    end_faults(&mut world);
+    world.work_ms = 500;
+    assert_ends_in_time(&mut world, seed);
+    world.recalls
+}
+
 /// The same with a configuration that removes and changes queues and brings them back.
 fn run_changing_case(seed: u64, is_advised: bool) {
     let queue = random_queue(seed, is_advised);
@@ -370,6 +404,12 @@
         run_preempting_case(seed, is_advised);
     }
 
+    /// Stops for gangs whose room is in use cross with losses, late starts and new owners.
+    #[test]
+    fn every_rule_holds_with_lent_room(seed in any::<u64>(), is_advised in any::<bool>()) {
+        run_lending_case(seed, is_advised);
+    }
+
     /// Stops of best-effort runs cross with losses, late starts and new owners.
     #[test]
     fn every_rule_holds_with_cleared_hosts(seed in any::<u64>(), is_advised in any::<bool>()) {
@@ -385,6 +425,14 @@
     assert!(cleared >= 8, "{cleared} runs were stopped");
 }
 
+/// Guards against cases that check nothing, as no run is ever stopped for a gang.
+#[test]
+fn random_faults_meet_recalls() {
+    let recalls: u64 = (0..8).map(|seed| run_lending_case(seed, false)).sum();
+
+    assert!(recalls >= 4, "{recalls} recalls");
+}
+
 /// Guards against cases that check nothing, as no run is ever stopped for another.
 #[test]
 fn random_faults_meet_preemptions() {
--- a/crates/graph/tests/engine/main.rs
+++ b/crates/graph/tests/engine/main.rs
@@ -14,6 +14,7 @@
 mod job_memory;
 mod jobs;
 mod large_site;
+mod lending;
 mod oracle;
 mod overload;
 mod past_use;
--- a/crates/graph/tests/engine/oracle.rs
+++ b/crates/graph/tests/engine/oracle.rs
@@ -179,6 +179,20 @@
         assert!(*yields <= 2, "{task:?} is preempted {yields} times");
     }
 
+    /// Checks that a run may be stopped for a gang whose room it uses.
+    pub fn check_recall(&mut self, task: TaskId, beneficiary: StepId, epoch: u64) {
+        let gang = self.step(beneficiary);
+        assert!(gang.is_gang, "{task:?} is stopped for {beneficiary:?}, which is no gang");
+        assert!(task.step != beneficiary, "{task:?} is stopped for its own step");
+        let step = self.step(task.step);
+        assert!(step.max_unavailable.is_none(), "AVAIL: {task:?} has a disruption budget");
+        assert!(!step.is_service, "{task:?} lasts and is stopped for a gang");
+        let counted = TaskId { index: if step.is_gang { 0 } else { task.index }, ..task };
+        let yields = self.yields.entry((epoch, counted)).or_default();
+        *yields += 1;
+        assert!(*yields <= 2, "{task:?} is stopped for others {yields} times");
+    }
+
     /// Records that a worker crashed while it had a run of the task.
     pub fn record_crash(&mut self, task: TaskId) {
         self.crashes.entry(task).or_default().0 += 1;
--- a/crates/graph/tests/engine/world/mod.rs
+++ b/crates/graph/tests/engine/world/mod.rs
@@ -99,6 +99,8 @@
     pub gang_timeouts: u64,
     /// Number of runs that were stopped to give room to others.
     pub preemptions: u64,
+    /// Number of runs that were stopped for gangs whose room they used.
+    pub recalls: u64,
     /// The runs that were stopped to give room to others: worker, task and attempt.
     preempted: BTreeSet<(Name, TaskId, u32)>,
     /// Most CPU of such runs that had not ended yet, in thousandths of a core.
@@ -185,6 +187,7 @@
             store_confirmed_ms: 0,
             gang_timeouts: 0,
             preemptions: 0,
+            recalls: 0,
             preempted: BTreeSet::new(),
             most_reclaimed_cpu: 0,
             cleared: Vec::new(),
@@ -757,6 +760,10 @@
                 assert!(other < victim, "{beneficiary:?} takes the room of {task:?} on {host}");
                 self.oracle.check_preemption(task, self.epoch);
             }
+            Verdict::Recalled { task, beneficiary, .. } => {
+                self.recalls += 1;
+                self.oracle.check_recall(task, beneficiary, self.epoch);
+            }
             Verdict::Closed(job, State::Complete) => {
                 self.finished_ms.entry(job).or_insert(self.now_ms);
             }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -165,8 +165,10 @@
                 "queue_restrictions_total",
                 "Queues restricted because their jobs bring workers down.",
             ),
-            preemptions: all
-                .counter("preemptions_total", "Runs stopped to give room to more urgent steps."),
+            preemptions: all.counter(
+                "preemptions_total",
+                "Runs stopped to give room to more urgent steps or to gangs.",
+            ),
             preempted_core_ms: all.counter(
                 "preemption_lost_core_milliseconds_total",
                 "Work that preemptions lost, with the time to resume.",
--- a/crates/node/src/owner/records.rs
+++ b/crates/node/src/owner/records.rs
@@ -95,7 +95,8 @@
                 self.meters.ends.with_label_values(&[end_name(*how)]).inc();
             }
             graph::Verdict::GivenUp { .. } => self.meters.given_up.inc(),
-            graph::Verdict::Preempted { cost_core_ms, .. } => {
+            graph::Verdict::Preempted { cost_core_ms, .. }
+            | graph::Verdict::Recalled { cost_core_ms, .. } => {
                 self.meters.preemptions.inc();
                 self.meters.preempted_core_ms.inc_by(*cost_core_ms);
             }
@@ -162,7 +163,8 @@
         graph::Verdict::GivenUp { task, crashes } => {
             (subject(&task), record::Verdict::GivenUp { crashes })
         }
-        graph::Verdict::Preempted { task, attempt, host, beneficiary, cost_core_ms } => {
+        graph::Verdict::Preempted { task, attempt, host, beneficiary, cost_core_ms }
+        | graph::Verdict::Recalled { task, attempt, host, beneficiary, cost_core_ms } => {
             let beneficiary = step_subject(&beneficiary);
             (
                 subject(&task),
