--- a/crates/graph/src/engine/placement.rs
+++ b/crates/graph/src/engine/placement.rs
@@ -25,7 +25,7 @@
     // Hosts where starts have not arrived come after all others.
     // Slow hosts last and near the data first, then best fit: the host with the least free CPU
     // that still fits, so that large gaps stay available for large tasks.
-    // Hosts that a suspect may crash come after all others, and before these those with room that is
+    // Hosts that a suspect may crash come last, and before them those where tasks would use room that is
     // kept for gangs.
     ready.sort_by_key(|candidate| {
         let may_crash = views[candidate.index].has_isolated_run;
